Serve the whole path thinly: caller, instance, engines, order service

Cause: nothing stood yet; every later matter needs a path to measure against. Change: rules, platform client, engines, plain services, entry, demo and their stand-ins, with static allowance shares and least requests as first baselines. Before: no program.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Everyday commands of teaselgate.
+
+TOOL = go tool -modfile=tools/go.mod
+
+.PHONY: all build test race lint format vet demo ci long
+
+all: build
+
+build:
+	go build -o bin/teaselgate .
+
+test:
+	go test -race ./...
+
+vet:
+	go vet ./...
+
+format:
+	$(TOOL) gofumpt -l -w $$(git ls-files '*.go')
+
+lint:
+	$(TOOL) golangci-lint run ./...
+
+demo:
+	go run . demo
+
+ci:
+	bash .ci/run
--- /dev/null
+++ b/allowance/static.go
@@ -0,0 +1,84 @@
+// Package allowance holds each client account to its rate and burst over the whole fleet.
+package allowance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"teaselgate/rule"
+)
+
+var (
+	namespace = errorx.NewNamespace("allowance")
+	exhausted = namespace.NewType("exhausted")
+
+	// ErrExhausted says that the account has no tokens left now.
+	ErrExhausted = exhausted.NewWithNoMessage()
+)
+
+// Charge is what an admitted request took from its account.
+type Charge struct {
+	settle func(used int64)
+	once   sync.Once
+}
+
+// Settle gives back what the request did not use. Only the first call counts.
+func (c *Charge) Settle(used int64) {
+	if c.settle != nil {
+		c.once.Do(func() { c.settle(used) })
+	}
+}
+
+// Static gives each instance a fixed share of every account: the baseline without messages.
+type Static struct {
+	Instances func() int // live instances that share the rate
+	Now       func() time.Time
+
+	mu      sync.Mutex
+	buckets map[string]*bucket
+}
+
+type bucket struct {
+	level   float64 // tokens
+	updated time.Time
+}
+
+// NewStatic returns a baseline with full buckets.
+func NewStatic(instances func() int) *Static {
+	return &Static{Instances: instances, Now: time.Now, buckets: make(map[string]*bucket)}
+}
+
+// Take charges tokens to an account, or returns ErrExhausted and the time at which they will be there.
+func (s *Static) Take(_ context.Context, a rule.Account, tokens int64) (*Charge, time.Time, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share := float64(max(s.Instances(), 1))
+	rate, burst := float64(a.Rate)/share, float64(a.Burst)/share
+	b := s.refill(a.Account, rate, burst)
+	if b.level < float64(tokens) {
+		wait := (float64(tokens) - b.level) / rate
+		return nil, s.Now().Add(time.Duration(wait * float64(time.Second))), ErrExhausted
+	}
+	b.level -= float64(tokens)
+	settle := func(used int64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		b.level = min(burst, b.level+float64(tokens-used))
+	}
+	return &Charge{settle: settle}, time.Time{}, nil
+}
+
+func (s *Static) refill(name string, rate, burst float64) *bucket {
+	now := s.Now()
+	b := s.buckets[name]
+	if b == nil {
+		b = &bucket{level: burst, updated: now}
+		s.buckets[name] = b
+	}
+	b.level = min(burst, b.level+rate*now.Sub(b.updated).Seconds())
+	b.updated = now
+	return b
+}
--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,26 @@
+package cli
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"teaselgate/demo"
+)
+
+func newDemo() *cobra.Command {
+	var length time.Duration
+	cmd := &cobra.Command{
+		Use:     "demo",
+		Short:   "Run the whole path on loopback and check its promises",
+		Long:    "Runs a platform stand-in, three instances, prefill and decode engines and an order service in one\nprocess, sends traffic of several client accounts, prints a table, and fails if a promise broke.",
+		Example: "  teaselgate demo --length 5s",
+		Args:    exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			d := &demo.Demo{Out: cmd.OutOrStdout(), Length: length}
+			return d.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().DurationVar(&length, "length", demo.DefaultLength, "how long traffic is sent")
+	return cmd
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,125 @@
+// Package entry answers callers: it authenticates, admits, places and streams their requests.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"time"
+
+	"teaselgate/account"
+	"teaselgate/allowance"
+	"teaselgate/cell"
+	"teaselgate/config"
+	"teaselgate/engine"
+	"teaselgate/event"
+	"teaselgate/outcome"
+	"teaselgate/rule"
+	"teaselgate/service"
+)
+
+// RequestHeader carries the request's id in every answer.
+const RequestHeader = "Teaselgate-Request"
+
+const (
+	requestIDBytes = 12
+	maxBodyBytes   = 16 << 20
+)
+
+// Handler answers callers. Its exported fields are set before it serves.
+type Handler struct {
+	Incarnation string // names this run of the instance at engines
+	Zone        string
+	Rules       func() *config.Revision
+	Admit       func(context.Context, rule.Account, int64) (*allowance.Charge, time.Time, error)
+	Place       func(context.Context, cell.Request) (*cell.Placement, error)
+	PickPlain   func(pool string, exclude []string) (rule.Server, error)
+	Engines     *engine.Client
+	Services    *service.Client
+	Record      func(event.Event)
+	Now         func() time.Time
+}
+
+// call is one caller's request on its way through the instance.
+type call struct {
+	id      string
+	route   rule.Route
+	rules   *rule.Set
+	account rule.Account // empty on open routes
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{id: newRequestID()}
+	w.Header().Set(RequestHeader, c.id)
+	if err := h.authorize(c, r); err != nil {
+		h.refuse(w, c, err)
+		return
+	}
+	account.Strip(r.Header)
+	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	if c.route.Model != "" {
+		h.serveModel(w, r, c)
+		return
+	}
+	h.servePlain(w, r, c)
+}
+
+// authorize finds the route and the client account of the key that came with the request.
+func (h *Handler) authorize(c *call, r *http.Request) error {
+	revision := h.Rules()
+	if revision == nil {
+		return outcome.Refuse(http.StatusServiceUnavailable, "no-rules", "the instance has no rules yet")
+	}
+	c.rules = revision.Rules
+	route, ok := c.rules.Route(r.URL.Path)
+	if !ok {
+		return outcome.Refuse(http.StatusNotFound, "no-route", "no route leads to this path")
+	}
+	c.route = route
+	secret := account.FromRequest(r.Header)
+	if secret == "" && route.Open == rule.OpenYes {
+		return nil
+	}
+	name, ok := c.rules.KeyAccount(account.Hash(secret))
+	if !ok {
+		return outcome.Refuse(http.StatusUnauthorized, "bad-key", "the key is missing or not valid")
+	}
+	c.account, _ = c.rules.Account(name)
+	return nil
+}
+
+// admit charges tokens to the client account.
+func (h *Handler) admit(ctx context.Context, c *call, tokens int64) (*allowance.Charge, error) {
+	if c.account.Account == "" {
+		return &allowance.Charge{}, nil
+	}
+	charge, retryAt, err := h.Admit(ctx, c.account, tokens)
+	if errors.Is(err, allowance.ErrExhausted) {
+		refusal := outcome.Refuse(http.StatusTooManyRequests, "over-rate", "the client account is over its rate")
+		return nil, refusal.WithRetry(retryAt)
+	}
+	if err != nil {
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, "no-allowance", "the client account's allowance can't be reached")
+	}
+	return charge, nil
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, c *call, err error) {
+	refusal := outcome.AsRefusal(err)
+	h.Record(event.Event{
+		Code:    event.RequestRefused,
+		Request: c.id,
+		Account: c.account.Account,
+		Detail:  refusal.Code + " " + string(refusal.Outcome),
+	})
+	refusal.Write(w, h.Now())
+}
+
+func newRequestID() string {
+	raw := make([]byte, requestIDBytes)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/outcome/outcome.go
@@ -0,0 +1,112 @@
+// Package outcome states what became of a request: whether it ran at a backend server.
+package outcome
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Header is the response header that carries the outcome of a refused request.
+const Header = "Teaselgate-Outcome"
+
+// Outcome says whether a request was executed by a backend server.
+type Outcome string
+
+// The outcomes of a refused or failed request.
+const (
+	// NotRun: no byte of the request can have reached a backend server.
+	NotRun Outcome = "not-run"
+	// Unknown: the request may or may not have run.
+	Unknown Outcome = "unknown"
+	// Ran: the request ran, but its answer can't be given.
+	Ran Outcome = "ran"
+)
+
+// Refusal is the error given to a caller instead of an answer.
+type Refusal struct {
+	Status  int       // HTTP status
+	Code    string    // machine-readable code, listed in docs/OPERATING.md
+	Outcome Outcome   // what became of the request
+	Message string    // one sentence for the caller
+	RetryAt time.Time // when a repeat may succeed; zero if not known
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return "outcome: " + r.Code + " (" + string(r.Outcome) + "): " + r.Message
+}
+
+// Refuse makes a refusal of a request that did not run.
+func Refuse(status int, code, message string) *Refusal {
+	return &Refusal{Status: status, Code: code, Outcome: NotRun, Message: message}
+}
+
+// WithOutcome returns a copy of the refusal with another outcome.
+func (r *Refusal) WithOutcome(o Outcome) *Refusal {
+	c := *r
+	c.Outcome = o
+	return &c
+}
+
+// WithRetry returns a copy of the refusal that tells the caller when to come back.
+func (r *Refusal) WithRetry(at time.Time) *Refusal {
+	c := *r
+	c.RetryAt = at
+	return &c
+}
+
+// AsRefusal finds the refusal in an error chain; any other error becomes an unknown outcome.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return &Refusal{
+		Status:  http.StatusBadGateway,
+		Code:    "failed",
+		Outcome: Unknown,
+		Message: "the request failed at a backend server",
+	}
+}
+
+type refusalBody struct {
+	Error refusalError `json:"error"`
+}
+
+type refusalError struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Code    string  `json:"code"`
+	Outcome Outcome `json:"outcome"`
+}
+
+// Body returns the JSON error that callers receive.
+func (r *Refusal) Body() []byte {
+	b, err := json.Marshal(refusalBody{Error: refusalError{
+		Message: r.Message,
+		Type:    "teaselgate",
+		Code:    r.Code,
+		Outcome: r.Outcome,
+	}})
+	if err != nil {
+		return []byte(`{"error":{}}`)
+	}
+	return b
+}
+
+// Write sends the refusal as a whole HTTP answer.
+func (r *Refusal) Write(w http.ResponseWriter, now time.Time) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(Header, string(r.Outcome))
+	if !r.RetryAt.IsZero() {
+		seconds := math.Ceil(max(r.RetryAt.Sub(now).Seconds(), 1))
+		h.Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.Body())
+}
--- /dev/null
+++ b/rule/rule.go
@@ -0,0 +1,247 @@
+// Package rule reads the rules file: one rule a line, each with a comment on who asked for it and why.
+package rule
+
+import "strings"
+
+// Kind names a kind of rule; it is the first key of the rule's line.
+type Kind string
+
+// The kinds of rules.
+const (
+	KindFleet   Kind = "fleet"
+	KindChange  Kind = "change"
+	KindPool    Kind = "pool"
+	KindModel   Kind = "model"
+	KindServer  Kind = "server"
+	KindRoute   Kind = "route"
+	KindAccount Kind = "account"
+	KindKey     Kind = "key"
+)
+
+// Fleet holds the settings common to all instances.
+type Fleet struct {
+	Fleet  string `yaml:"fleet"`
+	Shards int    `yaml:"shards"` // number of allowance shards, a power of two
+}
+
+// Change says who may change a kind of rule, and how many others must approve.
+type Change struct {
+	Change    Kind     `yaml:"change"`
+	By        []string `yaml:"by"`
+	Approvals int      `yaml:"approvals"`
+}
+
+// Duty is what the servers of a pool do.
+type Duty string
+
+// The duties of a pool.
+const (
+	Prefill Duty = "prefill"
+	Decode  Duty = "decode"
+	Plain   Duty = "plain"
+)
+
+// Pool is a group of equal backend servers.
+type Pool struct {
+	Pool   string `yaml:"pool"`
+	Duty   Duty   `yaml:"duty"`
+	Slots  int    `yaml:"slots"`  // requests that one server runs at once
+	Pieces int    `yaml:"pieces"` // pieces of KV cache memory in one server
+	Fenced bool   `yaml:"fenced"` // whether the servers refuse orders with an old fencing number
+}
+
+// Model joins a prefill and a decode pool.
+type Model struct {
+	Model   string `yaml:"model"`
+	Prefill string `yaml:"prefill"`
+	Decode  string `yaml:"decode"`
+	Place   Place  `yaml:"place"`
+}
+
+// Place is the policy that picks backend servers.
+type Place string
+
+// The placement policies; all but cell are baselines.
+const (
+	PlaceCell  Place = "cell"
+	PlaceRobin Place = "robin"
+	PlaceLeast Place = "least"
+	PlaceEWMA  Place = "ewma"
+)
+
+// State tells whether a backend server takes new work.
+type State string
+
+// The states of a backend server.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Server is one backend server.
+type Server struct {
+	Server string `yaml:"server"`
+	Pool   string `yaml:"pool"`
+	Zone   string `yaml:"zone"`
+	At     string `yaml:"at"` // IP number and port
+	State  State  `yaml:"state"`
+}
+
+// Calls tells whether a call may be repeated.
+type Calls string
+
+// The classes of calls.
+const (
+	Idempotent Calls = "idempotent"
+	Once       Calls = "once"
+)
+
+// Class orders the work of a route against other routes.
+type Class string
+
+// The classes of routes, most urgent first.
+const (
+	ClassOrder       Class = "order"
+	ClassInteractive Class = "interactive"
+	ClassSummary     Class = "summary"
+)
+
+// Open tells whether a route needs no key.
+type Open string
+
+// The values of Open.
+const (
+	OpenNo  Open = "no"
+	OpenYes Open = "yes"
+)
+
+// Outage says what happens to keyed once calls while the platform is down.
+type Outage string
+
+// The values of Outage.
+const (
+	OutageRefuse Outage = "refuse"
+	OutagePass   Outage = "pass"
+)
+
+// Route leads a path prefix to a model or to a pool of plain services.
+type Route struct {
+	Route  string `yaml:"route"`
+	Path   string `yaml:"path"`
+	Pool   string `yaml:"pool"`
+	Model  string `yaml:"model"`
+	Calls  Calls  `yaml:"calls"`
+	Open   Open   `yaml:"open"`
+	Class  Class  `yaml:"class"`
+	Outage Outage `yaml:"outage"`
+}
+
+// Account is a client account with its rate and burst over the whole fleet.
+type Account struct {
+	Account string `yaml:"account"`
+	Rate    int64  `yaml:"rate"`   // tokens per second
+	Burst   int64  `yaml:"burst"`  // tokens
+	Weight  int    `yaml:"weight"` // share in the queue
+}
+
+// Key binds the SHA-256 of a secret to a client account.
+type Key struct {
+	Key     string `yaml:"key"` // "sha256:" and 64 hexadecimal digits
+	Account string `yaml:"account"`
+}
+
+// Line is one rule as written.
+type Line struct {
+	Kind   Kind
+	Name   string
+	Text   string // the flow mapping without the comment
+	Reason string // the comment: who asked, and why
+	Number int    // line in its file, from 1
+}
+
+// Set is a checked set of rules. It is not changed once made.
+type Set struct {
+	lines    []Line
+	fleet    Fleet
+	changes  map[Kind]Change
+	pools    map[string]Pool
+	models   map[string]Model
+	servers  []Server
+	routes   []Route
+	accounts map[string]Account
+	keys     map[string]Key
+}
+
+// Lines returns all rules as written, in order.
+func (s *Set) Lines() []Line { return s.lines }
+
+// Fleet returns the settings common to all instances.
+func (s *Set) Fleet() Fleet { return s.fleet }
+
+// Pool finds a pool by name.
+func (s *Set) Pool(name string) (Pool, bool) {
+	p, ok := s.pools[name]
+	return p, ok
+}
+
+// Model finds a model by name.
+func (s *Set) Model(name string) (Model, bool) {
+	m, ok := s.models[name]
+	return m, ok
+}
+
+// Account finds a client account by name.
+func (s *Set) Account(name string) (Account, bool) {
+	a, ok := s.accounts[name]
+	return a, ok
+}
+
+// Accounts returns all client accounts by name.
+func (s *Set) Accounts() map[string]Account { return s.accounts }
+
+// KeyAccount finds the client account of a hashed key ("sha256:...").
+func (s *Set) KeyAccount(hash string) (string, bool) {
+	k, ok := s.keys[hash]
+	return k.Account, ok
+}
+
+// Change finds the rule that guards changes of a kind.
+func (s *Set) Change(kind Kind) (Change, bool) {
+	c, ok := s.changes[kind]
+	return c, ok
+}
+
+// Servers returns the servers of a pool, in the order of the file.
+func (s *Set) Servers(pool string) []Server {
+	var out []Server
+	for _, server := range s.servers {
+		if server.Pool == pool {
+			out = append(out, server)
+		}
+	}
+	return out
+}
+
+// Pools returns all pools by name.
+func (s *Set) Pools() map[string]Pool { return s.pools }
+
+// Models returns all models by name.
+func (s *Set) Models() map[string]Model { return s.models }
+
+// Route finds the route with the longest matching path prefix.
+func (s *Set) Route(path string) (Route, bool) {
+	best, found := Route{}, false
+	for _, r := range s.routes {
+		if pathMatches(r.Path, path) && (!found || len(r.Path) > len(best.Path)) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+func pathMatches(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/standin/engine/decode.go
@@ -0,0 +1,262 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	api "teaselgate/engine"
+)
+
+const streamBuffer = 64 // tokens that wait for a slow reader
+
+// stream is one running generation.
+type stream struct {
+	next   int
+	max    int
+	tokens chan int
+}
+
+type loadSample struct {
+	at   time.Time
+	load api.Load
+}
+
+// postImport reserves a slot and memory, then fetches the KV cache from the prefill engine.
+func (e *Engine) postImport(w http.ResponseWriter, r *http.Request) {
+	m, ok := readMessage[api.Import](w, r)
+	if !ok {
+		return
+	}
+	a := &attempt{id: m.Attempt, owner: m.Owner, pieces: piecesFor(m.Tokens + m.MaxTokens)}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	if !e.reserve(a) {
+		a.cancel()
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	}
+	x, err := fetch(a.ctx, m)
+	if err != nil {
+		e.mu.Lock()
+		e.release(m.Attempt)
+		e.mu.Unlock()
+		http.Error(w, "transfer failed", http.StatusGone)
+		return
+	}
+	e.mu.Lock()
+	a.seed = x.Seed
+	e.counters.Imports++
+	e.mu.Unlock()
+	answer(w, api.Imported{Attempt: e.answerID(m.Attempt), Bytes: x.Bytes})
+}
+
+func (e *Engine) reserve(a *attempt) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.attempts) >= e.Slots || e.used+a.pieces > e.Pieces {
+		e.counters.Refused++
+		return false
+	}
+	e.attempts[a.id] = a
+	e.used += a.pieces
+	return true
+}
+
+func fetch(ctx context.Context, m api.Import) (exported, error) {
+	var x exported
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Source+api.ExportPath+m.Handle, nil)
+	if err != nil {
+		return x, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return x, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return x, fmt.Errorf("standin: status %d", resp.StatusCode)
+	}
+	return x, json.NewDecoder(resp.Body).Decode(&x)
+}
+
+// postDecode streams tokens. A closed connection does not release the attempt: only cancel does.
+func (e *Engine) postDecode(w http.ResponseWriter, r *http.Request) {
+	m, ok := readMessage[api.Decode](w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	a, found := e.attempts[m.Attempt]
+	if found {
+		a.stream = &stream{next: m.From, max: m.MaxTokens, tokens: make(chan int, streamBuffer)}
+	}
+	e.mu.Unlock()
+	if !found {
+		http.Error(w, "no such attempt", http.StatusGone)
+		return
+	}
+	e.nudge()
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.writeStream(w, r, a, e.answerID(m.Attempt))
+}
+
+func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, a *attempt, id string) {
+	flusher := http.NewResponseController(w)
+	sent := 0
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-a.ctx.Done():
+			panic(http.ErrAbortHandler)
+		case index, more := <-a.stream.tokens:
+			if limit := e.Faults().BreakAfter; limit > 0 && sent >= limit {
+				panic(http.ErrAbortHandler)
+			}
+			if !more {
+				e.finish(w, a, id)
+				return
+			}
+			writeChunk(w, api.Chunk{Attempt: id, Index: index, Text: a.seed + "-" + strconv.Itoa(index) + " "})
+			_ = flusher.Flush()
+			sent++
+		}
+	}
+}
+
+func (e *Engine) finish(w http.ResponseWriter, a *attempt, id string) {
+	e.mu.Lock()
+	e.release(a.id)
+	e.mu.Unlock()
+	writeChunk(w, api.Chunk{Attempt: id, Done: true, Reason: "length"})
+}
+
+func writeChunk(w http.ResponseWriter, c api.Chunk) {
+	text, _ := json.Marshal(c)
+	fmt.Fprintf(w, "data: %s\n\n", text)
+}
+
+func (e *Engine) nudge() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) running() []*stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []*stream
+	for _, a := range e.attempts {
+		if a.stream != nil && a.stream.next <= a.stream.max {
+			out = append(out, a.stream)
+		}
+	}
+	return out
+}
+
+// step gives one token to each stream whose reader keeps up.
+func (e *Engine) step(streams []*stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range streams {
+		if s.next == s.max {
+			close(s.tokens)
+			s.next++
+			continue
+		}
+		select {
+		case s.tokens <- s.next:
+			s.next++
+			e.counters.Tokens++
+		default:
+		}
+	}
+}
+
+func (e *Engine) postCancel(w http.ResponseWriter, r *http.Request) {
+	m, ok := readMessage[api.Cancel](w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	e.counters.Cancels++
+	for handle, x := range e.exports {
+		if x.attempt == m.Attempt {
+			x.timer.Stop()
+			delete(e.exports, handle)
+		}
+	}
+	found := e.release(m.Attempt)
+	e.mu.Unlock()
+	answer(w, api.Cancelled{Attempt: m.Attempt, Found: found})
+}
+
+// getLoad answers with a report that is about LoadLag old.
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	current := api.Load{Slots: len(e.attempts), SlotsMax: e.Slots, Pieces: e.used, PiecesMax: e.Pieces}
+	e.loads = append(e.loads, loadSample{now, current})
+	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.LoadLag {
+		e.loads = e.loads[1:]
+	}
+	report := e.loads[0].load
+	if e.faults.LieLoad {
+		report.Slots, report.Pieces = 0, 0
+	}
+	answer(w, report)
+}
+
+func (e *Engine) getRequests(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	owner := r.URL.Query().Get("owner")
+	held := []api.Held{}
+	for _, a := range e.attempts {
+		if owner == "" || a.owner == owner {
+			held = append(held, api.Held{Attempt: a.id, Owner: a.owner, Pieces: a.pieces})
+		}
+	}
+	answer(w, held)
+}
+
+func (e *Engine) getEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events := []api.CacheEvent{}
+	for _, v := range e.cache.events {
+		if v.Sequence > after {
+			events = append(events, v)
+		}
+	}
+	answer(w, events)
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	m, ok := readMessage[api.Order](w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Fenced && m.Fence < e.fence {
+		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
+		return
+	}
+	e.fence = max(e.fence, m.Fence)
+	e.orders = append(e.orders, m)
+	answer(w, struct{}{})
+}
+
+// Orders returns the orders that the engine carried out.
+func (e *Engine) Orders() []api.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]api.Order(nil), e.orders...)
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,266 @@
+// Package engine is a small stand-in for a model engine of a prefill or decode pool.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"time"
+
+	api "teaselgate/engine"
+	"teaselgate/rule"
+)
+
+// Engine is the stand-in. Its exported fields are set before Run.
+type Engine struct {
+	Name          string
+	Duty          rule.Duty
+	Slots         int
+	Pieces        int
+	PrefillRate   int           // prompt tokens computed per second
+	CacheTokens   int           // tokens that the prefix cache holds
+	KVLife        time.Duration // life of a prefill's result
+	StepBase      time.Duration // one decode step of an empty batch
+	StepPerStream time.Duration // added to a step by each stream
+	LinkRate      int64         // bytes per second out of this engine
+	TokenBytes    int64         // bytes of KV cache per token
+	LoadLag       time.Duration // age of the load report
+	Fenced        bool          // refuses orders with an old fencing number
+
+	mu       sync.Mutex
+	attempts map[string]*attempt
+	exports  map[string]*export
+	cache    prefixCache
+	used     int // pieces in use
+	queue    chan struct{}
+	link     sync.Mutex
+	wake     chan struct{}
+	loads    []loadSample
+	fence    uint64
+	orders   []api.Order
+	faults   Faults
+	counters Counters
+	leaks    []string
+}
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	Slowdown    float64 // factor on all work; 0 means 1
+	CrossNext   int     // this many answers carry another attempt's id
+	BreakAfter  int     // streams break off after this many tokens; 0 means never
+	Silent      bool    // connections accept and never answer
+	RefuseAll   bool    // every call is answered with 503
+	LieLoad     bool    // the load report always says empty
+	ExpireEarly bool    // prefill results expire at once
+}
+
+// Counters tell what the engine did.
+type Counters struct {
+	Prefills        int
+	PrefillTokens   int
+	PrefillsExpired int // results that expired without an import
+	Imports         int
+	Refused         int
+	Tokens          int // tokens generated
+	Cancels         int
+}
+
+// attempt is what one attempt holds at the engine.
+type attempt struct {
+	id     string
+	owner  string
+	pieces int
+	seed   string
+	stream *stream
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+// export is a prefill's result.
+type export struct {
+	attempt string
+	seed    string
+	tokens  int
+	timer   *time.Timer
+}
+
+// NewEngine returns an engine with the usual figures of the brief.
+func NewEngine(name string, duty rule.Duty) *Engine {
+	return &Engine{
+		Name:          name,
+		Duty:          duty,
+		Slots:         20,
+		Pieces:        100,
+		PrefillRate:   20000,
+		CacheTokens:   200000,
+		KVLife:        800 * time.Millisecond,
+		StepBase:      8 * time.Millisecond,
+		StepPerStream: 500 * time.Microsecond,
+		LinkRate:      5 << 30,
+		TokenBytes:    128 << 10,
+		LoadLag:       500 * time.Millisecond,
+		attempts:      make(map[string]*attempt),
+		exports:       make(map[string]*export),
+		queue:         make(chan struct{}, 1),
+		wake:          make(chan struct{}, 1),
+	}
+}
+
+// Run generates tokens until the context ends.
+func (e *Engine) Run(ctx context.Context) error {
+	for {
+		streams := e.running()
+		if len(streams) == 0 {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-e.wake:
+				continue
+			}
+		}
+		step := e.StepBase + time.Duration(len(streams))*e.StepPerStream
+		if !sleep(ctx, e.scaled(step)) {
+			return ctx.Err()
+		}
+		e.step(streams)
+	}
+}
+
+// Handler serves the engine's API.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+api.PrefillPath, e.postPrefill)
+	mux.HandleFunc("POST "+api.ImportPath, e.postImport)
+	mux.HandleFunc("GET "+api.ExportPath+"{handle}", e.getExport)
+	mux.HandleFunc("POST "+api.DecodePath, e.postDecode)
+	mux.HandleFunc("POST "+api.CancelPath, e.postCancel)
+	mux.HandleFunc("GET "+api.LoadPath, e.getLoad)
+	mux.HandleFunc("GET "+api.RequestsPath, e.getRequests)
+	mux.HandleFunc("GET "+api.EventsPath, e.getEvents)
+	mux.HandleFunc("POST "+api.OrderPath, e.postOrder)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.noteHeaders(r)
+		f := e.Faults()
+		if f.Silent {
+			<-r.Context().Done()
+			return
+		}
+		if f.RefuseAll {
+			http.Error(w, "refused", http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// noteHeaders remembers headers that may carry a caller's key.
+func (e *Engine) noteHeaders(r *http.Request) {
+	for _, name := range []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization", "Cookie"} {
+		if r.Header.Get(name) != "" {
+			e.mu.Lock()
+			e.leaks = append(e.leaks, name)
+			e.mu.Unlock()
+		}
+	}
+}
+
+// Leaks returns the names of credential headers that reached this engine.
+func (e *Engine) Leaks() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.leaks...)
+}
+
+// SetFaults replaces the fault switches.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Faults returns the fault switches.
+func (e *Engine) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// Counters returns what the engine did so far.
+func (e *Engine) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counters
+}
+
+// HeldPieces returns the pieces of memory held by attempts.
+func (e *Engine) HeldPieces() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.used
+}
+
+// Token returns the text of a token of the answer to a prompt; callers use it to check answers.
+func Token(prompt string, index int) string {
+	return fmt.Sprintf("%s-%d ", seedOf(prompt), index)
+}
+
+func seedOf(prompt string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(prompt))
+	return fmt.Sprintf("%08x", h.Sum32())
+}
+
+// CountTokens is the engine's tokenizer: about four bytes a token.
+func CountTokens(prompt string) int {
+	return (len(prompt) + 3) / 4
+}
+
+func piecesFor(tokens int) int {
+	return (tokens + api.PieceTokens - 1) / api.PieceTokens
+}
+
+func (e *Engine) scaled(d time.Duration) time.Duration {
+	if f := e.Faults().Slowdown; f > 0 {
+		return time.Duration(float64(d) * f)
+	}
+	return d
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func readMessage[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var m T
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		http.Error(w, "bad message", http.StatusBadRequest)
+		return m, false
+	}
+	return m, true
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// answerID returns the attempt id to answer with, which a fault may cross.
+func (e *Engine) answerID(id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.CrossNext > 0 {
+		e.faults.CrossNext--
+		return id + "-crossed"
+	}
+	return id
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,127 @@
+// Package service is a small stand-in for a plain service whose calls may not be repeated.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// KeyHeader is the request header that names a call which must run at most once.
+const KeyHeader = "Idempotency-Key"
+
+const maxBodyBytes = 64 << 20
+
+// Service is the stand-in; it runs every call that reaches it and counts the runs.
+type Service struct {
+	mu     sync.Mutex
+	runs   map[string]int // by idempotency key, or by body without one
+	leaks  []string
+	faults Faults
+}
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	Delay       time.Duration // before each answer
+	LoseAnswers int           // this many calls run and then lose their answer
+	Silent      bool          // calls are neither run nor answered
+	Fail        bool          // calls are answered with 500 without running
+}
+
+// Answer is the service's JSON answer.
+type Answer struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Run    int    `json:"run"`
+	Body   string `json:"body"`
+}
+
+// NewService returns a service that has run nothing.
+func NewService() *Service {
+	return &Service{runs: make(map[string]int)}
+}
+
+// SetFaults replaces the fault switches.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns how often each call ran.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for key, n := range s.runs {
+		out[key] = n
+	}
+	return out
+}
+
+// Leaks returns the names of credential headers that reached this service.
+func (s *Service) Leaks() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.leaks...)
+}
+
+// Handler serves every method and path.
+func (s *Service) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+		if err != nil {
+			return
+		}
+		faults := s.takeFaults()
+		if faults.Silent {
+			<-r.Context().Done()
+			return
+		}
+		if faults.Fail {
+			http.Error(w, "failed", http.StatusInternalServerError)
+			return
+		}
+		run := s.count(r, string(body))
+		time.Sleep(faults.Delay)
+		if faults.LoseAnswers > 0 {
+			panic(http.ErrAbortHandler)
+		}
+		writeAnswer(w, r, run, body)
+	})
+}
+
+func writeAnswer(w http.ResponseWriter, r *http.Request, run int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Trailer", "Service-Check")
+	_ = json.NewEncoder(w).Encode(Answer{Method: r.Method, Path: r.URL.Path, Run: run, Body: string(body)})
+	w.Header().Set("Service-Check", "whole")
+}
+
+func (s *Service) takeFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	if f.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+	}
+	return f
+}
+
+func (s *Service) count(r *http.Request, body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization"} {
+		if r.Header.Get(name) != "" {
+			s.leaks = append(s.leaks, name)
+		}
+	}
+	key := r.Header.Get(KeyHeader)
+	if key == "" {
+		key = body
+	}
+	s.runs[key]++
+	return s.runs[key]
+}
