Follow the membership by random probes with spread statements

Cause: keepers, dispatchers and the relay of rules need to know which instances live, within seconds and also while the platform is silent. Wire cost is bounded by 5 probes a second.

--- /dev/null
+++ b/event/config_events.go
@@ -0,0 +1,16 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Codes of the configuration.
+const (
+	RulesInForce  Code = 1101
+	RulesRejected Code = 1102
+	PlatformLost  Code = 1103
+)
+
+var configEvents = map[Code]Definition{
+	RulesInForce:  {"rules-in-force", logrus.InfoLevel, "a revision of the rules is in force"},
+	RulesRejected: {"rules-rejected", logrus.ErrorLevel, "a revision of the rules was not put in force"},
+	PlatformLost:  {"platform-lost", logrus.WarnLevel, "the platform does not answer"},
+}
--- /dev/null
+++ b/event/request_events.go
@@ -0,0 +1,20 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Codes of requests.
+const (
+	RequestRefused   Code = 1201
+	RequestPlaced    Code = 1202
+	RequestDone      Code = 1203
+	RequestFailed    Code = 1204
+	RequestCancelled Code = 1205
+)
+
+var requestEvents = map[Code]Definition{
+	RequestRefused:   {"request-refused", logrus.InfoLevel, "request refused"},
+	RequestPlaced:    {"request-placed", logrus.DebugLevel, "request placed on backend servers"},
+	RequestDone:      {"request-done", logrus.DebugLevel, "request answered whole"},
+	RequestFailed:    {"request-failed", logrus.WarnLevel, "an attempt failed at a backend server"},
+	RequestCancelled: {"request-cancelled", logrus.InfoLevel, "caller is gone; request cancelled"},
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,172 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"teaselgate/event"
+	"teaselgate/peer"
+	"teaselgate/platform"
+)
+
+// Timing of membership.
+const (
+	probeInterval   = time.Second
+	probeTimeout    = 500 * time.Millisecond
+	suspectTimeout  = 3 * time.Second
+	syncInterval    = 30 * time.Second
+	platformPolling = 5 * time.Second
+	hearingWindow   = 4 * time.Second
+)
+
+// probeFanout is the number of peers that an instance probes in each interval.
+const probeFanout = 5
+
+// Fleet follows the membership. Its exported fields are set before Serve.
+type Fleet struct {
+	Self      Member
+	Seeds     []string // peer addresses from the settings
+	Revision  func() uint64
+	Behind    func(from Member, revision uint64) // told that a peer has a newer revision; returns at once
+	Instances func(context.Context) ([]platform.Instance, error)
+	Call      func(ctx context.Context, address, method string, args, reply any) error
+	Record    func(event.Event)
+	Now       func() time.Time
+
+	mu       sync.Mutex
+	members  map[string]*entry // without self
+	updates  updateQueue
+	probes   []probeResult // within the hearing window
+	platform time.Time     // when the platform was last heard
+	calls    sync.WaitGroup
+}
+
+// probeResult is one probe of a peer.
+type probeResult struct {
+	at    time.Time
+	peer  string
+	heard bool
+}
+
+// New returns a fleet of one that calls peers through a pool.
+func New(self Member, pool *peer.Pool) *Fleet {
+	return &Fleet{
+		Self:     self,
+		Revision: func() uint64 { return 0 },
+		Behind:   func(Member, uint64) {},
+		Instances: func(context.Context) ([]platform.Instance, error) {
+			return nil, platform.ErrUnavailable
+		},
+		Call:    pool.Call,
+		Record:  func(event.Event) {},
+		Now:     time.Now,
+		members: make(map[string]*entry),
+	}
+}
+
+// Members returns this instance and all others known, gone ones too, by name.
+func (f *Fleet) Members() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]Member, 0, len(f.members)+1)
+	out = append(out, f.Self)
+	for _, e := range f.members {
+		out = append(out, e.member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Live returns the instances that take new duties, this one included, by name.
+func (f *Fleet) Live() []Member {
+	return slices.DeleteFunc(f.Members(), func(m Member) bool { return m.State != Live })
+}
+
+// Member finds an instance by name.
+func (f *Fleet) Member(name string) (Member, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if name == f.Self.Name {
+		return f.Self, nil
+	}
+	if e, ok := f.members[name]; ok {
+		return e.member, nil
+	}
+	return Member{}, noMember.New("fleet: no instance %s is known", name)
+}
+
+// CallMember runs a method at an instance by name.
+func (f *Fleet) CallMember(ctx context.Context, name, method string, args, reply any) error {
+	m, err := f.Member(name)
+	if err != nil {
+		return err
+	}
+	return f.Call(ctx, m.Peer, method, args, reply)
+}
+
+// HeardPlatform notes that the platform answered just now.
+func (f *Fleet) HeardPlatform() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.platform = f.Now()
+}
+
+// Connected tells whether the instance has heard the platform, or at least half of the peers
+// it tried, within the hearing window. An instance that has no peers counts the platform only.
+func (f *Fleet) Connected() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	if now.Sub(f.platform) < hearingWindow {
+		return true
+	}
+	heard := make(map[string]bool)
+	for _, p := range f.probes {
+		if now.Sub(p.at) < hearingWindow {
+			heard[p.peer] = heard[p.peer] || p.heard
+		}
+	}
+	answered := 0
+	for _, ok := range heard {
+		if ok {
+			answered++
+		}
+	}
+	return len(heard) > 0 && 2*answered >= len(heard)
+}
+
+// Leave tells the peers that this instance takes no new duties.
+func (f *Fleet) Leave(ctx context.Context) {
+	f.restate(Leaving)
+	for _, m := range f.pick(probeFanout, nil) {
+		f.probe(ctx, m)
+	}
+}
+
+// restate spreads a new statement on this instance itself.
+func (f *Fleet) restate(s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Self.State = s
+	f.Self.Heartbeat++
+	f.updates.add(f.Self, len(f.members))
+}
+
+// pick returns up to n random working peers that a filter admits.
+func (f *Fleet) pick(n int, admit func(Member) bool) []Member {
+	f.mu.Lock()
+	var out []Member
+	for _, e := range f.members {
+		if e.member.State != Gone && (admit == nil || admit(e.member)) {
+			out = append(out, e.member)
+		}
+	}
+	f.mu.Unlock()
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
--- /dev/null
+++ b/fleet/member.go
@@ -0,0 +1,63 @@
+// Package fleet knows the instances: which are live, leaving or gone.
+package fleet
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// State is an instance's state as known here.
+type State uint8
+
+// The states of a member, in the order in which one replaces another at the same heartbeat.
+const (
+	Live State = iota
+	Leaving
+	Suspect
+	Gone
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"live", "leaving", "suspect", "gone"}[s]
+}
+
+// Member is one instance.
+type Member struct {
+	Name        string
+	Zone        string
+	Peer        string // address for calls between instances
+	Admin       string // address of the operators' listener
+	Incarnation uint64 // rises with each start of the instance
+	Heartbeat   uint64 // rises when the instance states something new of itself
+	State       State
+}
+
+// newer tells whether a replaces b: two statements on one instance.
+func (a Member) newer(b Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if a.Heartbeat != b.Heartbeat {
+		return a.Heartbeat > b.Heartbeat
+	}
+	return a.State > b.State
+}
+
+// Working tells whether the instance still answers calls.
+func (a Member) Working() bool { return a.State == Live || a.State == Leaving }
+
+// entry is a member with what this instance itself saw of it.
+type entry struct {
+	member  Member
+	suspect time.Time // when a suspect is taken for gone
+}
+
+var (
+	namespace = errorx.NewNamespace("fleet")
+	noMember  = namespace.NewType("no_member")
+
+	// ErrNoMember says that the instance is not known.
+	ErrNoMember = noMember.NewWithNoMessage()
+)
--- /dev/null
+++ b/fleet/probe.go
@@ -0,0 +1,224 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"teaselgate/platform"
+)
+
+// RPCName is the name under which the membership's methods are registered.
+const RPCName = "Fleet"
+
+// relays is the number of peers asked to probe one that did not answer.
+const relays = 2
+
+// PingArgs is the message of a probe.
+type PingArgs struct {
+	From     Member
+	Revision uint64
+	Updates  []Member
+}
+
+// PingReply answers a probe.
+type PingReply struct {
+	From     Member
+	Revision uint64
+	Updates  []Member
+}
+
+// RelayArgs asks a peer to probe another.
+type RelayArgs struct {
+	Target Member
+}
+
+// RelayReply tells whether the target answered.
+type RelayReply struct {
+	Heard bool
+}
+
+// SyncArgs carries all that the caller knows.
+type SyncArgs struct {
+	Members []Member
+}
+
+// SyncReply carries all that the callee knows.
+type SyncReply struct {
+	Members []Member
+}
+
+// Receiver answers the membership's calls of peers.
+type Receiver struct{ fleet *Fleet }
+
+// Receiver returns what is to be registered under RPCName.
+func (f *Fleet) Receiver() *Receiver { return &Receiver{f} }
+
+// Ping answers a probe.
+func (r *Receiver) Ping(args PingArgs, reply *PingReply) error {
+	r.fleet.merge(append(args.Updates, args.From))
+	*reply = r.fleet.pingReply()
+	if args.Revision > reply.Revision {
+		r.fleet.Behind(args.From, args.Revision)
+	}
+	return nil
+}
+
+// Relay probes another peer for the caller.
+func (r *Receiver) Relay(args RelayArgs, reply *RelayReply) error {
+	ctx, stop := context.WithTimeout(context.Background(), probeTimeout)
+	defer stop()
+	reply.Heard = r.fleet.ping(ctx, args.Target) == nil
+	return nil
+}
+
+// Sync exchanges all that both sides know.
+func (r *Receiver) Sync(args SyncArgs, reply *SyncReply) error {
+	reply.Members = r.fleet.Members()
+	r.fleet.merge(args.Members)
+	return nil
+}
+
+func (f *Fleet) pingReply() PingReply {
+	revision := f.Revision()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return PingReply{From: f.Self, Revision: revision, Updates: f.updates.next()}
+}
+
+// Serve probes peers until the context ends.
+func (f *Fleet) Serve(ctx context.Context) error {
+	defer f.calls.Wait()
+	f.join(ctx)
+	probe := time.NewTicker(probeInterval)
+	defer probe.Stop()
+	sync := time.NewTicker(syncInterval)
+	defer sync.Stop()
+	poll := time.NewTicker(platformPolling)
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-probe.C:
+			f.probeRound(ctx)
+		case <-sync.C:
+			f.syncRandom(ctx)
+		case <-poll.C:
+			f.calls.Go(func() { f.poll(ctx) })
+		}
+	}
+}
+
+// join learns the first peers from the platform and from the settings.
+func (f *Fleet) join(ctx context.Context) {
+	f.poll(ctx)
+	for _, address := range f.Seeds {
+		if address != f.Self.Peer {
+			f.sync(ctx, address)
+		}
+	}
+	f.syncRandom(ctx)
+	f.restate(f.Self.State)
+}
+
+// poll takes instances that are not known yet from the platform's lagging list.
+func (f *Fleet) poll(ctx context.Context) {
+	list, err := f.Instances(ctx)
+	if err != nil {
+		return
+	}
+	f.HeardPlatform()
+	for _, i := range list {
+		if _, err := f.Member(i.Name); err != nil {
+			f.mergeOne(listed(i))
+		}
+	}
+}
+
+// listed makes a member of an entry of the platform's list; any statement of its own replaces it.
+func listed(i platform.Instance) Member {
+	m := Member{Name: i.Name, Zone: i.Zone, Peer: i.Peer, Admin: i.Admin}
+	if i.State == Leaving.String() {
+		m.State = Leaving
+	}
+	return m
+}
+
+func (f *Fleet) syncRandom(ctx context.Context) {
+	for _, m := range f.pick(1, Member.Working) {
+		f.sync(ctx, m.Peer)
+	}
+}
+
+func (f *Fleet) sync(ctx context.Context, address string) {
+	ctx, stop := context.WithTimeout(ctx, probeTimeout)
+	defer stop()
+	var reply SyncReply
+	if f.Call(ctx, address, RPCName+".Sync", SyncArgs{f.Members()}, &reply) == nil {
+		f.merge(reply.Members)
+	}
+}
+
+// probeRound probes some peers at once and takes silent suspects for gone.
+func (f *Fleet) probeRound(ctx context.Context) {
+	f.expire(f.Now())
+	for _, m := range f.pick(probeFanout, nil) {
+		f.calls.Go(func() { f.probe(ctx, m) })
+	}
+}
+
+// probe pings a peer, directly or through others; a peer that stays silent becomes a suspect.
+func (f *Fleet) probe(ctx context.Context, m Member) {
+	direct, stop := context.WithTimeout(ctx, probeTimeout)
+	err := f.ping(direct, m)
+	stop()
+	f.note(m.Name, err == nil)
+	if err == nil || ctx.Err() != nil || f.relayed(ctx, m) {
+		return
+	}
+	if m.Working() {
+		m.State = Suspect
+		f.mergeOne(m)
+	}
+}
+
+func (f *Fleet) ping(ctx context.Context, m Member) error {
+	own := f.pingReply()
+	var reply PingReply
+	err := f.Call(ctx, m.Peer, RPCName+".Ping", PingArgs(own), &reply)
+	if err != nil {
+		return err
+	}
+	f.merge(append(reply.Updates, reply.From))
+	if reply.Revision > own.Revision {
+		f.Behind(reply.From, reply.Revision)
+	}
+	return nil
+}
+
+// relayed asks other peers whether they hear a silent one.
+func (f *Fleet) relayed(ctx context.Context, m Member) bool {
+	ctx, stop := context.WithTimeout(ctx, 2*probeTimeout)
+	defer stop()
+	for _, via := range f.pick(relays, func(o Member) bool { return o.Working() && o.Name != m.Name }) {
+		var reply RelayReply
+		if f.Call(ctx, via.Peer, RPCName+".Relay", RelayArgs{m}, &reply) == nil && reply.Heard {
+			return true
+		}
+	}
+	return false
+}
+
+// note remembers a probe for Connected.
+func (f *Fleet) note(name string, heard bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	kept := f.probes[:0]
+	for _, p := range f.probes {
+		if now.Sub(p.at) < hearingWindow {
+			kept = append(kept, p)
+		}
+	}
+	f.probes = append(kept, probeResult{now, name, heard})
+}
--- /dev/null
+++ b/instance/build_fleet.go
@@ -0,0 +1,57 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"teaselgate/event"
+	"teaselgate/fleet"
+	"teaselgate/platform"
+)
+
+const (
+	announceTimeout = 3 * time.Second
+	instanceKind    = "instance"
+)
+
+// buildFleet makes the membership.
+func (i *Instance) buildFleet(supervisor *suture.Supervisor) error {
+	self := fleet.Member{
+		Name:        i.Options.Name,
+		Zone:        i.Options.Zone,
+		Peer:        i.PeerAddress(),
+		Admin:       i.AdminAddress(),
+		Incarnation: i.incarnation,
+	}
+	i.fleet = fleet.New(self, i.peers)
+	i.fleet.Seeds = i.Options.Peers
+	i.fleet.Revision = i.revision
+	i.fleet.Instances = i.platform.Instances
+	i.fleet.Record = i.events.Record
+	supervisor.Add(i.fleet)
+	return i.peerServer.Register(fleet.RPCName, i.fleet.Receiver())
+}
+
+// announce writes this instance's entry at the platform.
+func (i *Instance) announce(ctx context.Context, state fleet.State) {
+	ctx, stop := context.WithTimeout(ctx, announceTimeout)
+	defer stop()
+	entry := platform.Instance{
+		Name:  i.Options.Name,
+		Zone:  i.Options.Zone,
+		Peer:  i.PeerAddress(),
+		Admin: i.AdminAddress(),
+		State: state.String(),
+	}
+	old, err := i.platform.Get(ctx, instanceKind, i.Options.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
+		return
+	}
+	if _, err := i.platform.Update(ctx, instanceKind, i.Options.Name, old.Version, entry); err != nil {
+		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
+	}
+}
--- a/option/option.go
+++ b/option/option.go
@@ -11,17 +11,18 @@
 
 // Options are the settings of one instance; docs/SETTINGS.md lists them.
 type Options struct {
-	Name          string  `yaml:"name"`           // unique name of the instance
-	Zone          string  `yaml:"zone"`           // availability zone
-	Listen        string  `yaml:"listen"`         // address for callers
-	Admin         string  `yaml:"admin"`          // address for operators
-	Peer          string  `yaml:"peer"`           // address for other instances
-	Platform      string  `yaml:"platform"`       // URL of the platform's object API
-	PlatformToken string  `yaml:"platform-token"` // file with the platform's token
-	AdminToken    string  `yaml:"admin-token"`    // file with the operators' token
-	PeerToken     string  `yaml:"peer-token"`     // file with the secret shared by the instances
-	TLS           TLS     `yaml:"tls"`
-	Log           Logging `yaml:"log"`
+	Name          string   `yaml:"name"`           // unique name of the instance
+	Zone          string   `yaml:"zone"`           // availability zone
+	Listen        string   `yaml:"listen"`         // address for callers
+	Admin         string   `yaml:"admin"`          // address for operators
+	Peer          string   `yaml:"peer"`           // address for other instances
+	Peers         []string `yaml:"peers"`          // addresses of some other instances, for a start without the platform
+	Platform      string   `yaml:"platform"`       // URL of the platform's object API
+	PlatformToken string   `yaml:"platform-token"` // file with the platform's token
+	AdminToken    string   `yaml:"admin-token"`    // file with the operators' token
+	PeerToken     string   `yaml:"peer-token"`     // file with the secret shared by the instances
+	TLS           TLS      `yaml:"tls"`
+	Log           Logging  `yaml:"log"`
 }
 
 // TLS names the certificate of the callers' listener; without it the listener is plain.
