Send once calls on a connection of their own and claim keyed ones at the platform

Cause: net/http may repeat a request on a reused connection, and treats one with an Idempotency-Key as replayable; a repeat through another instance ran the order again. Now a once call has a freshly dialed connection whose transport can dial nothing else, speaks HTTP/1.1 only, and a failed dial is the only not-run. Sockets carry TCP_USER_TIMEOUT and short keepalives. Idempotent calls repeat within a retry budget.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -38,6 +38,8 @@
 	PickPlain   func(pool string, exclude []string) (rule.Server, error)
 	Engines     *engine.Client
 	Services    *service.Client
+	Claims      *outcome.Claims
+	Budget      *outcome.Budget
 	Record      func(event.Event)
 	Now         func() time.Time
 }
@@ -107,6 +109,9 @@
 	return charge, nil
 }
 
+// checkAlive stops a call whose key was withdrawn since it was admitted.
+func (h *Handler) checkAlive(*call) error { return nil }
+
 func (h *Handler) refuse(w http.ResponseWriter, c *call, err error) {
 	refusal := outcome.AsRefusal(err)
 	h.Record(event.Event{
--- /dev/null
+++ b/entry/once.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"teaselgate/event"
+	"teaselgate/outcome"
+	"teaselgate/rule"
+	"teaselgate/service"
+)
+
+const (
+	keyHeader      = "Idempotency-Key"
+	replayedHeader = "Teaselgate-Replayed"
+
+	maxKeyBytes       = 255
+	maxOnceBodyBytes  = 1 << 20   // of a keyed call, or of one that is read whole before it is sent
+	maxStoredBytes    = 512 << 10 // of an answer kept for repeats
+	onceTimeout       = 28 * time.Second
+	maxOpenAge        = time.Second // of a connection on which a call is sent
+	replayedYes       = "yes"
+	errTooLongMessage = "the body of a call with an idempotency key is too large"
+)
+
+var (
+	noServer    = outcome.Refuse(http.StatusServiceUnavailable, "no-server", "no backend server is live")
+	unreachable = outcome.Refuse(http.StatusBadGateway, "unreachable", "the backend server can't be reached")
+	unknown     = outcome.Refuse(http.StatusBadGateway, "no-answer",
+		"the call was sent and its answer did not come").WithOutcome(outcome.Unknown)
+	callerGone = outcome.Refuse(http.StatusBadRequest, "caller-gone", "the caller closed the connection")
+)
+
+// onceCall is a call that may not be repeated, on its way to a service.
+type onceCall struct {
+	*call
+	request *http.Request
+	body    callBody
+	held    *outcome.Held // nil without an idempotency key
+}
+
+// serveOnce sends a call at most once. It goes on when its caller is gone, so that a repeat finds the answer.
+func (h *Handler) serveOnce(w http.ResponseWriter, r *http.Request, c *call) error {
+	body, err := readBody(w, r, maxOnceBodyBytes)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(r.Context()), onceTimeout)
+	defer stop()
+	o := &onceCall{call: c, request: r, body: body}
+	stored, err := h.claim(ctx, o)
+	if err != nil {
+		return err
+	}
+	if stored != nil {
+		h.replay(w, c, stored)
+		return nil
+	}
+	resp, err := h.sendOnce(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if o.held == nil {
+		h.copyAnswer(w, c, resp)
+		return nil
+	}
+	return h.keepAnswer(ctx, w, o, resp)
+}
+
+// claim wins the claim of a call that came with an idempotency key, or finds the answer of an earlier one.
+func (h *Handler) claim(ctx context.Context, o *onceCall) (*outcome.Answer, error) {
+	keys := o.request.Header.Values(keyHeader)
+	if len(keys) == 0 {
+		return nil, nil
+	}
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
+		return nil, badRequest(http.StatusBadRequest, "bad-key-header", "the idempotency key is empty, too long or given twice")
+	}
+	if o.body.rest != nil {
+		return nil, badRequest(http.StatusRequestEntityTooLarge, "body-too-large", errTooLongMessage)
+	}
+	held, stored, err := h.Claims.Take(ctx, outcome.Ask{
+		Account: o.account.Account,
+		Route:   o.route.Route,
+		Key:     keys[0],
+		Digest:  outcome.Digest([]byte(o.request.Method), []byte(o.request.URL.RequestURI()), o.body.head),
+	})
+	if errors.Is(err, outcome.ErrDown) {
+		if o.route.Outage != rule.OutagePass {
+			return nil, outcome.PlatformDown()
+		}
+		h.Record(event.Event{Code: event.ClaimPassed, Request: o.id, Account: o.account.Account})
+		return nil, nil
+	}
+	o.held = held
+	return stored, err
+}
+
+// sendOnce opens a connection, wins the right to send, and sends.
+func (h *Handler) sendOnce(ctx context.Context, o *onceCall) (*http.Response, error) {
+	conn, server, err := h.openService(ctx, o)
+	if err != nil {
+		o.drop(ctx)
+		return nil, err
+	}
+	opened := h.Now()
+	if err := o.win(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	if h.Now().Sub(opened) > maxOpenAge {
+		conn.Close()
+		if conn, server, err = h.openService(ctx, o); err != nil {
+			o.drop(ctx)
+			return nil, err
+		}
+	}
+	resp, err := conn.Send(ctx, serviceRequest(o.request, server, o.body.reader()))
+	if err != nil {
+		conn.Close()
+		h.Record(event.Event{Code: event.OnceUnknown, Request: o.id, Server: server.Server, Detail: err.Error()})
+		o.lose(ctx)
+		return nil, unknown
+	}
+	return resp, nil
+}
+
+// openService connects to a live server; a failure leaves the call not run.
+func (h *Handler) openService(ctx context.Context, o *onceCall) (*service.Conn, rule.Server, error) {
+	var tried []string
+	for {
+		if o.request.Context().Err() != nil {
+			return nil, rule.Server{}, callerGone
+		}
+		server, err := h.PickPlain(o.route.Pool, tried)
+		if err != nil && len(tried) == 0 {
+			return nil, rule.Server{}, noServer
+		}
+		if err != nil || len(tried) == maxPlainAttempts {
+			return nil, rule.Server{}, unreachable
+		}
+		if err := h.checkAlive(o.call); err != nil {
+			return nil, rule.Server{}, err
+		}
+		conn, err := h.Services.Open(ctx, server.At)
+		if err == nil {
+			return conn, server, nil
+		}
+		tried = append(tried, server.Server)
+		h.Record(event.Event{Code: event.RequestFailed, Request: o.id, Server: server.Server, Detail: err.Error()})
+	}
+}
+
+func (o *onceCall) win(ctx context.Context) error {
+	if o.held == nil {
+		return nil
+	}
+	return o.held.Send(ctx)
+}
+
+func (o *onceCall) drop(ctx context.Context) {
+	if o.held != nil {
+		o.held.Drop(ctx)
+	}
+}
+
+func (o *onceCall) lose(ctx context.Context) {
+	if o.held != nil {
+		o.held.Lose(ctx)
+	}
+}
+
+// keepAnswer stores a service's answer for repeats before it passes it on.
+func (h *Handler) keepAnswer(ctx context.Context, w http.ResponseWriter, o *onceCall, resp *http.Response) error {
+	head, err := io.ReadAll(io.LimitReader(resp.Body, maxStoredBytes))
+	if err != nil {
+		h.Record(event.Event{Code: event.AnswerBroken, Request: o.id, Detail: err.Error()})
+		o.lose(ctx)
+		return unknown
+	}
+	answer := outcome.Answer{Status: resp.StatusCode, Header: resp.Header, Trailer: resp.Trailer, Body: head}
+	if len(head) == maxStoredBytes {
+		answer = outcome.Answer{Status: resp.StatusCode, TooLong: true}
+	}
+	o.held.Store(ctx, answer)
+	resp.Body = &prefixed{Reader: io.MultiReader(readerOf(head), resp.Body), Closer: resp.Body}
+	h.copyAnswer(w, o.call, resp)
+	return nil
+}
+
+// replay answers a repeat with the stored answer.
+func (h *Handler) replay(w http.ResponseWriter, c *call, stored *outcome.Answer) {
+	w.Header().Set(replayedHeader, replayedYes)
+	resp := &http.Response{
+		StatusCode: stored.Status,
+		Header:     stored.Header.Clone(),
+		Trailer:    stored.Trailer.Clone(),
+		Body:       io.NopCloser(readerOf(stored.Body)),
+	}
+	h.copyAnswer(w, c, resp)
+}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"teaselgate/event"
 	"teaselgate/outcome"
@@ -16,11 +19,12 @@
 	plainCallTokens  = 1 // charge of a call to a plain service
 	maxPlainAttempts = 3
 	copyBufferBytes  = 32 << 10
+	maxReplayBytes   = 256 << 10 // of a body that is kept for a repeat on another server
 )
 
 // hopHeaders concern one connection and are not passed on.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
 // servePlain passes a call on to a plain service and its answer back.
@@ -30,92 +34,149 @@
 		h.refuse(w, c, err)
 		return
 	}
-	resp, err := h.callService(r, c)
+	if c.route.Calls == rule.Once {
+		err = h.serveOnce(w, r, c)
+	} else {
+		err = h.serveIdempotent(w, r, c)
+	}
 	if err != nil {
 		charge.Settle(0)
 		h.refuse(w, c, err)
 		return
 	}
 	charge.Settle(plainCallTokens)
+}
+
+// serveIdempotent sends a call, again on other servers if need be, until one answers.
+func (h *Handler) serveIdempotent(w http.ResponseWriter, r *http.Request, c *call) error {
+	body, err := readBody(w, r, maxReplayBytes)
+	if err != nil {
+		return err
+	}
+	resp, err := h.callService(r, c, body)
+	if err != nil {
+		return err
+	}
 	defer resp.Body.Close()
 	h.copyAnswer(w, c, resp)
+	return nil
 }
 
-// callService tries servers until one answers, as far as the class of the call allows.
-func (h *Handler) callService(r *http.Request, c *call) (*http.Response, error) {
-	once := c.route.Calls == rule.Once
+// callService tries servers until one answers, within the retry budget.
+func (h *Handler) callService(r *http.Request, c *call, body callBody) (*http.Response, error) {
+	h.Budget.Deposit()
 	var tried []string
+	ran := outcome.NotRun
 	for {
 		server, err := h.PickPlain(c.route.Pool, tried)
 		if err != nil {
-			return nil, outcome.Refuse(http.StatusServiceUnavailable, "no-server", "no backend server is live")
+			return nil, noServer.WithOutcome(ran)
+		}
+		if err := h.checkAlive(c); err != nil {
+			return nil, outcome.AsRefusal(err).WithOutcome(ran)
 		}
 		tried = append(tried, server.Server)
-		resp, err := h.Services.Do(r.Context(), serviceRequest(r, server), once)
+		resp, err := h.Services.Do(r.Context(), serviceRequest(r, server, body.reader()))
 		if err == nil {
 			return resp, nil
 		}
 		h.Record(event.Event{Code: event.RequestFailed, Request: c.id, Server: server.Server, Detail: err.Error()})
-		notRun := errors.Is(err, service.ErrUnreachable)
-		if len(tried) < maxPlainAttempts && notRun {
-			continue
+		if !errors.Is(err, service.ErrUnreachable) {
+			ran = outcome.Unknown
 		}
-		if notRun {
-			return nil, outcome.Refuse(http.StatusBadGateway, "unreachable", "the backend server can't be reached")
+		if !h.mayRepeat(r.Context(), c, err, body, len(tried)) {
+			return nil, unreachable.WithOutcome(ran)
 		}
-		return nil, err
 	}
 }
 
-func serviceRequest(r *http.Request, server rule.Server) *http.Request {
+// mayRepeat tells whether a failed idempotent call may be sent to another server.
+func (h *Handler) mayRepeat(ctx context.Context, c *call, err error, body callBody, tries int) bool {
+	if tries == maxPlainAttempts || ctx.Err() != nil {
+		return false
+	}
+	if errors.Is(err, service.ErrUnreachable) {
+		return body.rest == nil || !body.rest.begun
+	}
+	return body.rest == nil && h.spendRetry(c)
+}
+
+// spendRetry takes one retry from the budget.
+func (h *Handler) spendRetry(c *call) bool {
+	if h.Budget.Withdraw() {
+		return true
+	}
+	h.Record(event.Event{Code: event.RetryBudgetSpent, Request: c.id})
+	return false
+}
+
+// callBody is the body of a call: whole, or its beginning and the rest that is still to be read.
+type callBody struct {
+	head []byte
+	rest *restReader
+}
+
+// restReader reads the rest of a body that is too long to be kept.
+type restReader struct {
+	io.Reader
+	begun bool // whether any of it has been read
+}
+
+// Read implements io.Reader.
+func (r *restReader) Read(p []byte) (int, error) {
+	r.begun = true
+	return r.Reader.Read(p)
+}
+
+// readBody reads a body up to a limit of bytes to keep.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (callBody, error) {
+	head, err := readLimited(w, r, limit)
+	if err != nil {
+		return callBody{}, err
+	}
+	if int64(len(head)) < limit {
+		return callBody{head: head}, nil
+	}
+	return callBody{head: head, rest: &restReader{Reader: r.Body}}, nil
+}
+
+func (b callBody) reader() io.Reader {
+	if b.rest == nil {
+		return bytes.NewReader(b.head)
+	}
+	return io.MultiReader(bytes.NewReader(b.head), b.rest)
+}
+
+// serviceRequest makes the request to a service, without what concerns the caller's connection.
+func serviceRequest(r *http.Request, server rule.Server, body io.Reader) *http.Request {
 	target := &url.URL{Scheme: "http", Host: server.At, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
 	out := &http.Request{
 		Method:        r.Method,
 		URL:           target,
 		Header:        r.Header.Clone(),
-		Body:          r.Body,
+		Body:          io.NopCloser(body),
 		ContentLength: r.ContentLength,
 		Host:          r.Host,
 		Trailer:       r.Trailer,
 	}
+	if whole, ok := body.(*bytes.Reader); ok {
+		out.ContentLength = int64(whole.Len())
+		out.TransferEncoding = nil
+		if whole.Len() == 0 {
+			out.Body = http.NoBody
+		}
+	}
 	removeHopHeaders(out.Header)
 	return out
 }
 
 func removeHopHeaders(h http.Header) {
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
-// copyAnswer streams a service's answer; one that breaks off is visibly broken for the caller too.
-func (h *Handler) copyAnswer(w http.ResponseWriter, c *call, resp *http.Response) {
-	removeHopHeaders(resp.Header)
-	for name, values := range resp.Header {
-		w.Header()[name] = values
-	}
-	for name := range resp.Trailer {
-		w.Header().Add("Trailer", name)
-	}
-	w.WriteHeader(resp.StatusCode)
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := resp.Body.Read(buffer)
-		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-			return
-		}
-		_ = controller.Flush()
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			h.Record(event.Event{Code: event.RequestFailed, Request: c.id, Detail: err.Error()})
-			panic(http.ErrAbortHandler)
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
 		}
 	}
-	for name, values := range resp.Trailer {
-		w.Header()[name] = values
+	for _, name := range hopHeaders {
+		h.Del(name)
 	}
-	h.Record(event.Event{Code: event.RequestDone, Request: c.id, Account: c.account.Account})
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,9 +20,11 @@
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/option"
+	"teaselgate/outcome"
 	"teaselgate/peer"
 	"teaselgate/platform"
 	"teaselgate/service"
+	"teaselgate/socket"
 )
 
 const shutdownTimeout = 30 * time.Second
@@ -52,6 +54,7 @@
 	handler     *entry.Handler
 	engines     *engine.Client
 	services    *service.Client
+	claims      *outcome.Claims
 	listeners   listeners
 	leaving     atomic.Bool
 }
@@ -64,7 +67,7 @@
 
 // Open binds the listeners, so that addresses are known before Run.
 func (i *Instance) Open(ctx context.Context) error {
-	var config net.ListenConfig
+	config := socket.ListenConfig()
 	for _, l := range []struct {
 		at  string
 		out *net.Listener
--- /dev/null
+++ b/outcome/budget.go
@@ -0,0 +1,37 @@
+package outcome
+
+import "sync"
+
+// Limits of retries: one for each ten calls, and a few in a burst.
+const (
+	retryShare = 0.1
+	retryBurst = 20
+)
+
+// Budget bounds the retries of an instance to a share of its calls, so that retries can't
+// multiply the load on servers that fail.
+type Budget struct {
+	mu    sync.Mutex
+	level float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget { return &Budget{level: retryBurst} }
+
+// Deposit notes a first attempt.
+func (b *Budget) Deposit() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.level = min(retryBurst, b.level+retryShare)
+}
+
+// Withdraw takes one retry, or returns false if none is left.
+func (b *Budget) Withdraw() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
--- a/service/client.go
+++ b/service/client.go
@@ -4,19 +4,19 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"teaselgate/socket"
 )
 
 const (
-	dialTimeout       = time.Second
-	keepAliveInterval = 2 * time.Second
-	idleConnTimeout   = 30 * time.Second
-	answerTimeout     = 30 * time.Second // until the first byte of the answer
+	idleConnTimeout  = 30 * time.Second
+	idleConnsPerHost = 64
+	answerTimeout    = 20 * time.Second // until the header of the answer
 )
 
 var (
@@ -30,46 +30,57 @@
 	ErrBroken = broken.NewWithNoMessage()
 )
 
-// Client calls plain services. Calls that may not be repeated never use a pooled connection.
+// Client calls plain services. Its exported fields are set before use.
 type Client struct {
-	pooled *http.Client
-	fresh  *http.Client
+	Dial          func(ctx context.Context, network, address string) (net.Conn, error)
+	AnswerTimeout time.Duration // until the header of an answer
+
+	pooled *http.Transport
 }
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
-	return &Client{pooled: newHTTPClient(false), fresh: newHTTPClient(true)}
+	c := &Client{Dial: socket.Dialer().DialContext, AnswerTimeout: answerTimeout}
+	c.pooled = newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return c.Dial(ctx, network, address)
+	})
+	c.pooled.MaxIdleConnsPerHost = idleConnsPerHost
+	c.pooled.IdleConnTimeout = idleConnTimeout
+	return c
 }
 
-func newHTTPClient(fresh bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
-		DisableKeepAlives:     fresh,
-		DisableCompression:    true,
-		IdleConnTimeout:       idleConnTimeout,
-		ResponseHeaderTimeout: answerTimeout,
-	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+// newTransport makes a transport that speaks HTTP/1.1 only and changes nothing in a call.
+func newTransport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	return &http.Transport{DialContext: dial, DisableCompression: true, Protocols: &protocols}
 }
 
 // Close drops the idle connections.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
-// Do sends a request to a service. With once, it is sent on a new connection, at most once.
-func (c *Client) Do(ctx context.Context, req *http.Request, once bool) (*http.Response, error) {
-	client := c.pooled
-	if once {
-		client = c.fresh
-	}
-	resp, err := client.Do(req.WithContext(ctx))
-	if err == nil {
-		return resp, nil
+// Do sends an idempotent call to a service on a pooled connection.
+func (c *Client) Do(ctx context.Context, req *http.Request) (*http.Response, error) {
+	return roundTrip(ctx, c.pooled, req, c.AnswerTimeout)
+}
+
+// roundTrip sends a call and bounds the wait for the header of its answer.
+func roundTrip(ctx context.Context, transport *http.Transport, req *http.Request, timeout time.Duration) (*http.Response, error) {
+	ctx, stop := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { stop(context.DeadlineExceeded) })
+	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		stop(err)
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, unreachable.Wrap(err, "service: unable to reach %s", req.URL.Host)
+		}
+		return nil, broken.Wrap(err, "service: call to %s failed", req.URL.Host)
 	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return nil, unreachable.Wrap(err, "service: unable to reach %s", req.URL.Host)
+	if !timer.Stop() {
+		resp.Body.Close()
+		return nil, broken.New("service: no answer from %s in time", req.URL.Host)
 	}
-	return nil, fmt.Errorf("service: call to %s failed: %w", req.URL.Host, broken.Wrap(err, "no whole answer"))
+	resp.Body = &body{ReadCloser: resp.Body, stop: func() { stop(nil) }}
+	return resp, nil
 }
--- /dev/null
+++ b/service/once.go
@@ -0,0 +1,62 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// errSpent ends a second use of a connection for one call.
+var errSpent = errors.New("service: the connection has carried its call")
+
+// Conn is a new connection that carries one call which may not be repeated.
+type Conn struct {
+	conn      net.Conn
+	timeout   time.Duration
+	transport *http.Transport
+	dialed    atomic.Bool
+}
+
+// Open dials a new connection. Its failure is the only one after which a call has certainly not run.
+func (c *Client) Open(ctx context.Context, at string) (*Conn, error) {
+	conn, err := c.Dial(ctx, "tcp", at)
+	if err != nil {
+		return nil, unreachable.Wrap(err, "service: unable to reach %s", at)
+	}
+	k := &Conn{conn: conn, timeout: c.AnswerTimeout}
+	k.transport = newTransport(k.dial)
+	k.transport.DisableKeepAlives = true
+	return k, nil
+}
+
+// dial hands the connection out once, so that no layer can send the call a second time.
+func (k *Conn) dial(context.Context, string, string) (net.Conn, error) {
+	if k.dialed.Swap(true) {
+		return nil, errSpent
+	}
+	return k.conn, nil
+}
+
+// Send sends the call. After any error the call may have run.
+func (k *Conn) Send(ctx context.Context, req *http.Request) (*http.Response, error) {
+	return roundTrip(ctx, k.transport, req, k.timeout)
+}
+
+// Close drops a connection that has carried nothing.
+func (k *Conn) Close() { k.conn.Close() }
+
+// body ends its call's context when it is closed.
+type body struct {
+	io.ReadCloser
+	stop func()
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	defer b.stop()
+	return b.ReadCloser.Close()
+}
--- /dev/null
+++ b/socket/socket.go
@@ -0,0 +1,49 @@
+// Package socket sets the options by which the kernel finds connections that have gone silent.
+package socket
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Limits of a TCP connection. Together they end a silent one within five seconds.
+const (
+	DialTimeout       = time.Second
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	userTimeout       = 4 * time.Second // sent data that the other end does not acknowledge
+)
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
+
+// Dialer returns a dialer whose connections fail soon when the other end is gone.
+func Dialer() *net.Dialer {
+	return &net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive(), Control: control}
+}
+
+// ListenConfig returns a configuration whose accepted connections fail soon when the other end is gone.
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control}
+}
+
+// control sets TCP_USER_TIMEOUT; accepted sockets inherit it from their listener.
+func control(network, address string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err == nil {
+		err = optionErr
+	}
+	if err != nil {
+		return fmt.Errorf("socket: unable to set options of %s %s: %w", network, address, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/socket/socket_test.go
@@ -0,0 +1,55 @@
+package socket
+
+import (
+	"net"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+func TestBothEndsHaveTheTimeouts(t *testing.T) {
+	listener, err := ListenConfig().Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialed, err := Dialer().DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer dialed.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	for name, conn := range map[string]net.Conn{"dialed": dialed, "accepted": accepted} {
+		for option, want := range map[int]int{
+			unix.TCP_USER_TIMEOUT: int(userTimeout.Milliseconds()),
+			unix.TCP_KEEPIDLE:     int(keepAliveIdle.Seconds()),
+			unix.TCP_KEEPINTVL:    int(keepAliveInterval.Seconds()),
+			unix.TCP_KEEPCNT:      keepAliveCount,
+		} {
+			if got := optionOf(t, conn, option); got != want {
+				t.Errorf("unexpected option %d of the %s socket, got %d instead of %d", option, name, got, want)
+			}
+		}
+	}
+}
+
+func optionOf(t *testing.T, conn net.Conn, option int) int {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var value int
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		value, optionErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+	})
+	if err != nil || optionErr != nil {
+		t.Fatal(err, optionErr)
+	}
+	return value
+}
