--- a/engine/message.go
+++ b/engine/message.go
@@ -28,7 +28,8 @@
 	Owner    string `json:"owner"` // incarnation of the instance that answers for the request
 	Model    string `json:"model"`
 	Prompt   string `json:"prompt"`
-	Priority int    `json:"priority"` // 0 is the most urgent
+	Continue string `json:"continue,omitempty"` // text generated so far, for a resumed stream
+	Priority int    `json:"priority"`           // 0 is the most urgent
 }
 
 // Prefilled is the answer to Prefill.
@@ -89,6 +90,7 @@
 	Attempt string `json:"attempt"`
 	Owner   string `json:"owner"`
 	Pieces  int    `json:"pieces"`
+	Reading bool   `json:"reading"` // whether a connection reads the attempt's stream
 }
 
 // Load is an engine's report of its load, given with a lag.
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -12,14 +13,23 @@
 
 // answer writes a completion to its caller, token by token or whole.
 type answer struct {
-	w       http.ResponseWriter
-	call    *call
-	ask     completion
-	created time.Time
-	tokens  int
-	reason  string
-	started bool // whether a byte has gone to the caller
-	text    strings.Builder
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	call       *call
+	ask        completion
+	created    time.Time
+	tokens     int
+	reason     string
+	started    bool            // whether a byte has gone to the caller
+	text       strings.Builder // all tokens so far, for a whole answer and for a resumed stream
+	frame      frame
+	buffer     []byte
+}
+
+// frame is a streamed chunk around the place of its text.
+type frame struct {
+	before []byte
+	after  []byte
 }
 
 type choice struct {
@@ -51,17 +61,60 @@
 }
 
 func newAnswer(w http.ResponseWriter, c *call, ask completion, now time.Time) *answer {
-	return &answer{w: w, call: c, ask: ask, created: now}
+	return &answer{w: w, controller: http.NewResponseController(w), call: c, ask: ask, created: now}
 }
 
 // token passes one generated token on.
 func (a *answer) token(text string) error {
 	a.tokens++
+	a.text.WriteString(text)
 	if !a.ask.stream {
-		a.text.WriteString(text)
 		return nil
 	}
-	return a.send(a.chunk(&text, nil))
+	if !a.started {
+		if err := a.start(); err != nil {
+			return err
+		}
+	}
+	quoted, err := json.Marshal(text)
+	if err != nil {
+		return fmt.Errorf("entry: unable to encode a token: %w", err)
+	}
+	a.buffer = append(append(append(a.buffer[:0], a.frame.before...), quoted...), a.frame.after...)
+	return a.write(a.buffer)
+}
+
+// start sends the header of a stream and prepares its chunks.
+func (a *answer) start() error {
+	a.started = true
+	a.w.Header().Set("Content-Type", "text/event-stream")
+	a.w.Header().Set("Cache-Control", "no-cache")
+	const mark = "\x00"
+	text := mark
+	chunk, err := json.Marshal(a.chunk(&text, nil))
+	if err != nil {
+		return fmt.Errorf("entry: unable to encode a chunk: %w", err)
+	}
+	quoted, err := json.Marshal(mark)
+	if err != nil {
+		return fmt.Errorf("entry: unable to encode a chunk: %w", err)
+	}
+	before, after, _ := bytes.Cut(chunk, quoted)
+	a.frame.before = append([]byte("data: "), before...)
+	a.frame.after = append(bytes.Clone(after), '\n', '\n')
+	return nil
+}
+
+// write sends bytes to the caller at once. A caller that takes none of them in time is taken for gone.
+func (a *answer) write(text []byte) error {
+	_ = a.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := a.w.Write(text); err != nil {
+		return fmt.Errorf("%w: %w", errCaller, err)
+	}
+	if err := a.controller.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCaller, err)
+	}
+	return nil
 }
 
 func (a *answer) chunk(text, reason *string) completionAnswer {
@@ -90,30 +143,25 @@
 	}
 }
 
-func (a *answer) send(v any) error {
+// finish ends a whole answer.
+func (a *answer) finish() error {
+	if !a.ask.stream {
+		return a.writeWhole()
+	}
 	if !a.started {
-		a.started = true
-		a.w.Header().Set("Content-Type", "text/event-stream")
-		a.w.Header().Set("Cache-Control", "no-cache")
+		if err := a.start(); err != nil {
+			return err
+		}
 	}
-	text, err := json.Marshal(v)
+	last, err := json.Marshal(a.chunk(nil, &a.reason))
 	if err != nil {
 		return fmt.Errorf("entry: unable to encode a chunk: %w", err)
 	}
-	if _, err := fmt.Fprintf(a.w, "data: %s\n\n", text); err != nil {
-		return fmt.Errorf("entry: unable to write to the caller: %w", err)
-	}
-	return http.NewResponseController(a.w).Flush()
+	return a.write(fmt.Appendf(a.buffer[:0], "data: %s\n\ndata: [DONE]\n\n", last))
 }
 
-// finish ends a whole answer.
-func (a *answer) finish() {
-	if a.ask.stream {
-		_ = a.send(a.chunk(nil, &a.reason))
-		fmt.Fprint(a.w, "data: [DONE]\n\n")
-		return
-	}
-	a.started = true
+// writeWhole sends an answer that is not streamed.
+func (a *answer) writeWhole() error {
 	text := a.text.String()
 	c := choice{FinishReason: &a.reason}
 	object := "text_completion"
@@ -125,13 +173,19 @@
 	whole := a.envelope(object, c)
 	prompt := a.ask.promptTokens()
 	whole.Usage = &usage{PromptTokens: prompt, CompletionTokens: a.tokens, TotalTokens: prompt + a.tokens}
+	body, err := json.Marshal(whole)
+	if err != nil {
+		return fmt.Errorf("entry: unable to encode an answer: %w", err)
+	}
+	a.started = true
 	a.w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(a.w).Encode(whole)
+	return a.write(append(body, '\n'))
 }
 
 // breakOff tells the caller of a failure in mid-stream and ends the connection uncleanly.
 func (a *answer) breakOff(r *outcome.Refusal) {
-	fmt.Fprintf(a.w, "event: error\ndata: %s\n\n", r.Body())
-	_ = http.NewResponseController(a.w).Flush()
+	if a.ask.stream {
+		_ = a.write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", r.Body()))
+	}
 	panic(http.ErrAbortHandler)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"teaselgate/account"
@@ -40,8 +41,17 @@
 	Services    *service.Client
 	Claims      *outcome.Claims
 	Budget      *outcome.Budget
+	Cancel      func(at, attempt string, uncertain bool) // releases an attempt at an engine
 	Record      func(event.Event)
 	Now         func() time.Time
+
+	running sync.Map // ids of the attempts in progress
+}
+
+// Running tells whether an attempt is in progress.
+func (h *Handler) Running(attempt string) bool {
+	_, ok := h.running.Load(attempt)
+	return ok
 }
 
 // call is one caller's request on its way through the instance.
--- a/entry/model.go
+++ b/entry/model.go
@@ -8,21 +8,28 @@
 	"time"
 
 	"teaselgate/cell"
-	"teaselgate/engine"
 	"teaselgate/event"
 	"teaselgate/outcome"
 	"teaselgate/rule"
 )
 
 const (
-	maxModelAttempts = 3
-	cancelTimeout    = 2 * time.Second
+	maxModelAttempts = 3 // before the first token
+	maxResumes       = 1 // after it
+	modelTimeout     = 15 * time.Minute
 	prefixBytes      = 512
 )
 
+// ErrLeaving is the cause of the end of requests that still run at the shutdown deadline.
+var ErrLeaving = outcome.Refuse(http.StatusServiceUnavailable, "leaving",
+	"the instance is shutting down").WithOutcome(outcome.Unknown)
+
+// errCaller says that the caller does not take the answer.
+var errCaller = errors.New("entry: unable to write to the caller")
+
 // serveModel answers a completion.
 func (h *Handler) serveModel(w http.ResponseWriter, r *http.Request, c *call) {
-	ask, err := readCompletion(r)
+	ask, err := readCompletion(w, r)
 	if err != nil {
 		h.refuse(w, c, err)
 		return
@@ -32,20 +39,30 @@
 		h.refuse(w, c, err)
 		return
 	}
+	ctx, stop := context.WithTimeout(r.Context(), modelTimeout)
+	defer stop()
 	out := newAnswer(w, c, ask, h.Now())
-	err = h.runModel(r.Context(), c, ask, out)
+	run := &modelRun{handler: h, call: c, ask: ask, out: out, ran: outcome.NotRun}
+	err = run.serve(ctx)
 	charge.Settle(int64(ask.promptTokens() + out.tokens))
 	h.endModel(r.Context(), c, out, err)
 }
 
 // endModel ends the answer: whole, refused, or visibly broken.
 func (h *Handler) endModel(ctx context.Context, c *call, out *answer, err error) {
+	if err == nil {
+		err = out.finish()
+	}
+	leaving := errors.Is(context.Cause(ctx), ErrLeaving)
+	if leaving && err != nil {
+		err = ErrLeaving
+	}
 	switch {
 	case err == nil:
-		out.finish()
 		h.Record(event.Event{Code: event.RequestDone, Request: c.id, Account: c.account.Account})
-	case ctx.Err() != nil:
+	case !leaving && ctx.Err() != nil || errors.Is(err, errCaller):
 		h.Record(event.Event{Code: event.RequestCancelled, Request: c.id, Account: c.account.Account})
+		panic(http.ErrAbortHandler)
 	case !out.started:
 		h.refuse(out.w, c, err)
 	default:
@@ -54,150 +71,95 @@
 	}
 }
 
-// runModel makes attempts until one succeeds or no other can help.
-func (h *Handler) runModel(ctx context.Context, c *call, ask completion, out *answer) error {
-	model, _ := c.rules.Model(c.route.Model)
-	var exclude []string
+// modelRun is one completion on its way through attempts.
+type modelRun struct {
+	handler *Handler
+	call    *call
+	ask     completion
+	out     *answer
+	exclude []string
+	ran     outcome.Outcome // not-run until a byte may have reached an engine
+	resumes int
+}
+
+// serve makes attempts until one succeeds or no other can help.
+func (m *modelRun) serve(ctx context.Context) error {
+	h := m.handler
+	h.Budget.Deposit()
 	for n := 1; ; n++ {
-		place, err := h.Place(ctx, placeRequest(h, c, ask, model, exclude))
+		a, err := m.place(ctx, n)
 		if err != nil {
-			return placeRefusal(err, n)
+			return err
 		}
-		a := &attempt{handler: h, id: fmt.Sprintf("%s-%d", c.id, n), place: place, model: model, ask: ask, out: out}
 		err = a.run(ctx)
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || errors.Is(err, errCaller) {
 			return err
 		}
-		h.Record(event.Event{Code: event.RequestFailed, Request: c.id, Server: a.failedServer(), Detail: err.Error()})
-		if out.tokens > 0 || n == maxModelAttempts {
-			return attemptRefusal(err)
+		if a.reached {
+			m.ran = outcome.Unknown
+		}
+		m.exclude = append(m.exclude, a.failedServer())
+		h.Record(event.Event{Code: event.RequestFailed, Request: m.call.id, Server: a.failedServer(), Detail: err.Error()})
+		if !m.mayRepeat(a, n) {
+			return outcome.Refuse(http.StatusBadGateway, "engine-failed", "the backend servers failed").WithOutcome(m.ran)
 		}
-		exclude = append(exclude, a.failedServer())
 	}
 }
 
-func placeRequest(h *Handler, c *call, ask completion, model rule.Model, exclude []string) cell.Request {
-	r := cell.Request{
-		ID:           c.id,
-		Account:      c.account.Account,
-		Weight:       c.account.Weight,
-		Class:        c.route.Class,
-		Model:        model,
-		PromptTokens: ask.promptTokens(),
-		MaxTokens:    ask.maxTokens,
-		Zone:         h.Zone,
-		Exclude:      exclude,
+// place finds backend servers for an attempt, if the caller's key is still good.
+func (m *modelRun) place(ctx context.Context, n int) (*attempt, error) {
+	h := m.handler
+	if err := h.checkAlive(m.call); err != nil {
+		return nil, outcome.AsRefusal(err).WithOutcome(m.ran)
 	}
-	if len(ask.prompt) >= prefixBytes {
-		r.Prefix = ask.prompt[:prefixBytes]
+	model, _ := m.call.rules.Model(m.call.route.Model)
+	place, err := h.Place(ctx, m.placeRequest(model))
+	if err != nil {
+		return nil, placeRefusal(err, m.ran)
 	}
-	return r
-}
-
-func placeRefusal(err error, attempt int) error {
-	refusal := outcome.Refuse(http.StatusServiceUnavailable, "no-place", "no backend server can take the request now")
-	if attempt > 1 {
-		refusal = refusal.WithOutcome(outcome.Unknown)
+	if err := h.checkAlive(m.call); err != nil {
+		place.Release(cell.Report{Ended: h.Now()})
+		return nil, outcome.AsRefusal(err).WithOutcome(m.ran)
 	}
-	if errors.Is(err, cell.ErrShed) {
-		refusal.Code = "shed"
-	}
-	return refusal
+	return &attempt{handler: h, id: fmt.Sprintf("%s-%d", m.call.id, n), place: place, model: model, ask: m.ask, out: m.out}, nil
 }
 
-func attemptRefusal(err error) error {
-	refusal := outcome.Refuse(http.StatusBadGateway, "engine-failed", "the backend servers failed")
-	if errors.Is(err, engine.ErrUnreachable) {
-		return refusal
+// mayRepeat tells whether a failed attempt may be followed by another one. A stream that has begun is resumed
+// once, on another decode server.
+func (m *modelRun) mayRepeat(a *attempt, n int) bool {
+	if m.out.tokens == 0 {
+		return n < maxModelAttempts && (!a.reached || m.handler.spendRetry(m.call))
 	}
-	return refusal.WithOutcome(outcome.Unknown)
-}
-
-// attempt is one try at a completion on a pair of backend servers.
-type attempt struct {
-	handler *Handler
-	id      string
-	place   *cell.Placement
-	model   rule.Model
-	ask     completion
-	out     *answer
-	report  cell.Report
-}
-
-func (a *attempt) failedServer() string {
-	if a.report.BadDecode {
-		return a.place.Decode.Server
-	}
-	return a.place.Prefill.Server
-}
-
-// run computes the prompt, moves its KV cache and streams the generated tokens.
-func (a *attempt) run(ctx context.Context) error {
-	err := a.steps(ctx)
-	if err != nil {
-		a.cancel(ctx)
+	if m.resumes == maxResumes || !m.handler.spendRetry(m.call) {
+		return false
 	}
-	a.report.Ended = a.handler.Now()
-	a.place.Release(a.report)
-	return err
+	m.resumes++
+	m.handler.Record(event.Event{Code: event.StreamResumed, Request: m.call.id, Server: a.failedServer()})
+	return true
 }
 
-func (a *attempt) steps(ctx context.Context) error {
-	h := a.handler
-	priority := priorityOf(a.out.call.route.Class)
-	prefilled, err := h.Engines.Prefill(ctx, a.place.Prefill.At, engine.Prefill{
-		Attempt: a.id, Owner: h.Incarnation, Model: a.model.Model, Prompt: a.ask.prompt, Priority: priority,
-	})
-	if err != nil {
-		a.report.BadPrefill = true
-		return err
+func (m *modelRun) placeRequest(model rule.Model) cell.Request {
+	r := cell.Request{
+		ID:           m.call.id,
+		Account:      m.call.account.Account,
+		Weight:       m.call.account.Weight,
+		Class:        m.call.route.Class,
+		Model:        model,
+		PromptTokens: m.ask.promptTokens() + m.out.tokens,
+		MaxTokens:    m.ask.maxTokens - m.out.tokens,
+		Zone:         m.handler.Zone,
+		Exclude:      m.exclude,
 	}
-	a.report.Prefilled = h.Now()
-	_, err = h.Engines.Import(ctx, a.place.Decode.At, engine.Import{
-		Attempt: a.id, Owner: h.Incarnation, Source: a.place.Prefill.At, Handle: prefilled.Handle,
-		Tokens: prefilled.Tokens, MaxTokens: a.ask.maxTokens, Priority: priority,
-	})
-	if err != nil {
-		a.report.BadDecode = true
-		return err
-	}
-	a.report.Imported = h.Now()
-	return a.decode(ctx)
-}
-
-func (a *attempt) decode(ctx context.Context) error {
-	m := engine.Decode{Attempt: a.id, MaxTokens: a.ask.maxTokens, From: a.out.tokens}
-	err := a.handler.Engines.Decode(ctx, a.place.Decode.At, m, func(c engine.Chunk) error {
-		if c.Done {
-			a.out.reason = c.Reason
-			return nil
-		}
-		a.report.Generated++
-		return a.out.token(c.Text)
-	})
-	a.report.BadDecode = err != nil
-	return err
-}
-
-// cancel releases what the attempt may hold at both engines, also when the caller is gone.
-func (a *attempt) cancel(ctx context.Context) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
-	defer stop()
-	for _, server := range []rule.Server{a.place.Prefill, a.place.Decode} {
-		_, err := a.handler.Engines.Cancel(ctx, server.At, engine.Cancel{Attempt: a.id})
-		if err != nil {
-			a.handler.Record(event.Event{Code: event.RequestFailed, Request: a.id, Server: server.Server, Detail: err.Error()})
-		}
+	if len(m.ask.prompt) >= prefixBytes {
+		r.Prefix = m.ask.prompt[:prefixBytes]
 	}
+	return r
 }
 
-func priorityOf(class rule.Class) int {
-	switch class {
-	case rule.ClassOrder:
-		return 0
-	case rule.ClassInteractive:
-		return 1
-	default:
-		return 2
+func placeRefusal(err error, ran outcome.Outcome) error {
+	refusal := outcome.Refuse(http.StatusServiceUnavailable, "no-place", "no backend server can take the request now")
+	if errors.Is(err, cell.ErrShed) {
+		refusal.Code = "shed"
 	}
+	return refusal.WithOutcome(ran)
 }
--- a/entry/model_body.go
+++ b/entry/model_body.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -57,17 +55,13 @@
 	return (len(c.prompt) + bytesPerToken - 1) / bytesPerToken
 }
 
-func readCompletion(r *http.Request) (completion, error) {
+func readCompletion(w http.ResponseWriter, r *http.Request) (completion, error) {
 	if r.Method != http.MethodPost {
 		return completion{}, badRequest(http.StatusMethodNotAllowed, "bad-method", "completions take POST")
 	}
-	text, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return completion{}, badRequest(http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
-	}
+	text, err := readLimited(w, r, maxBodyBytes+1)
 	if err != nil {
-		return completion{}, badRequest(http.StatusBadRequest, "bad-body", "the body could not be read")
+		return completion{}, err
 	}
 	var b completionBody
 	if err := json.Unmarshal(text, &b); err != nil {
--- a/standin/engine/decode.go
+++ b/standin/engine/decode.go
@@ -9,6 +9,7 @@
 	"time"
 
 	api "teaselgate/engine"
+	"teaselgate/standin/fault"
 )
 
 const streamBuffer = 64 // tokens that wait for a slow reader
@@ -31,6 +32,9 @@
 	if !ok {
 		return
 	}
+	if e.Hook.At(w, r, fault.Step{Name: StepImport, Attempt: m.Attempt}) == fault.Refuse {
+		return
+	}
 	a := &attempt{id: m.Attempt, owner: m.Owner, pieces: piecesFor(m.Tokens + m.MaxTokens)}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if !e.reserve(a) {
@@ -50,6 +54,9 @@
 	a.seed = x.Seed
 	e.counters.Imports++
 	e.mu.Unlock()
+	if e.Hook.At(w, r, fault.Step{Name: StepImported, Attempt: m.Attempt}) == fault.Refuse {
+		return
+	}
 	answer(w, api.Imported{Attempt: e.answerID(m.Attempt), Bytes: x.Bytes})
 }
 
@@ -88,9 +95,13 @@
 	if !ok {
 		return
 	}
+	if e.Hook.At(w, r, fault.Step{Name: StepDecode, Attempt: m.Attempt}) == fault.Refuse {
+		return
+	}
 	e.mu.Lock()
 	a, found := e.attempts[m.Attempt]
 	if found {
+		a.readers++
 		a.stream = &stream{next: m.From, max: m.MaxTokens, tokens: make(chan int, streamBuffer)}
 	}
 	e.mu.Unlock()
@@ -98,11 +109,18 @@
 		http.Error(w, "no such attempt", http.StatusGone)
 		return
 	}
+	defer e.endReading(a)
 	e.nudge()
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.writeStream(w, r, a, e.answerID(m.Attempt))
 }
 
+func (e *Engine) endReading(a *attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.readers--
+}
+
 func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, a *attempt, id string) {
 	flusher := http.NewResponseController(w)
 	sent := 0
@@ -117,10 +135,11 @@
 				panic(http.ErrAbortHandler)
 			}
 			if !more {
+				_ = e.Hook.At(w, r, fault.Step{Name: StepDone, Attempt: a.id})
 				e.finish(w, a, id)
 				return
 			}
-			writeChunk(w, api.Chunk{Attempt: id, Index: index, Text: a.seed + "-" + strconv.Itoa(index) + " "})
+			e.writeToken(w, r, a, api.Chunk{Attempt: id, Index: index, Text: a.seed + "-" + strconv.Itoa(index) + " "})
 			_ = flusher.Flush()
 			sent++
 		}
@@ -134,6 +153,19 @@
 	writeChunk(w, api.Chunk{Attempt: id, Done: true, Reason: "length"})
 }
 
+// writeToken sends one token, which a fault may cross, double or leave out.
+func (e *Engine) writeToken(w http.ResponseWriter, r *http.Request, a *attempt, c api.Chunk) {
+	switch e.Hook.At(w, r, fault.Step{Name: StepToken, Attempt: a.id, Index: c.Index}) {
+	case fault.Skip:
+		return
+	case fault.Duplicate:
+		writeChunk(w, c)
+	case fault.Cross:
+		c.Attempt += "-crossed"
+	}
+	writeChunk(w, c)
+}
+
 func writeChunk(w http.ResponseWriter, c api.Chunk) {
 	text, _ := json.Marshal(c)
 	fmt.Fprintf(w, "data: %s\n\n", text)
@@ -182,6 +214,9 @@
 	if !ok {
 		return
 	}
+	if e.Hook.At(w, r, fault.Step{Name: StepCancel, Attempt: m.Attempt}) == fault.Refuse {
+		return
+	}
 	e.mu.Lock()
 	e.counters.Cancels++
 	for handle, x := range e.exports {
@@ -192,6 +227,7 @@
 	}
 	found := e.release(m.Attempt)
 	e.mu.Unlock()
+	_ = e.Hook.At(w, r, fault.Step{Name: StepCancelled, Attempt: m.Attempt})
 	answer(w, api.Cancelled{Attempt: m.Attempt, Found: found})
 }
 
@@ -219,7 +255,7 @@
 	held := []api.Held{}
 	for _, a := range e.attempts {
 		if owner == "" || a.owner == owner {
-			held = append(held, api.Held{Attempt: a.id, Owner: a.owner, Pieces: a.pieces})
+			held = append(held, api.Held{Attempt: a.id, Owner: a.owner, Pieces: a.pieces, Reading: a.readers > 0})
 		}
 	}
 	answer(w, held)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -12,6 +12,7 @@
 
 	api "teaselgate/engine"
 	"teaselgate/rule"
+	"teaselgate/standin/fault"
 )
 
 // Engine is the stand-in. Its exported fields are set before Run.
@@ -30,6 +31,8 @@
 	LoadLag       time.Duration // age of the load report
 	Fenced        bool          // refuses orders with an old fencing number
 
+	Hook fault.Hook // decides at each step of a call
+
 	mu       sync.Mutex
 	attempts map[string]*attempt
 	exports  map[string]*export
@@ -57,6 +60,20 @@
 	ExpireEarly bool    // prefill results expire at once
 }
 
+// Steps of calls at which the hook is asked.
+const (
+	StepPrefill   = "prefill"   // the prompt has arrived
+	StepPrefilled = "prefilled" // the prompt is computed, its answer not yet sent
+	StepImport    = "import"    // the request has arrived
+	StepImported  = "imported"  // the KV cache is there, the answer not yet sent
+	StepExport    = "export"    // the other engine asks for the KV cache
+	StepDecode    = "decode"    // the request has arrived
+	StepToken     = "token"     // before each token
+	StepDone      = "done"      // before the last chunk
+	StepCancel    = "cancel"    // the request has arrived
+	StepCancelled = "cancelled" // the attempt is released, the answer not yet sent
+)
+
 // Counters tell what the engine did.
 type Counters struct {
 	Prefills        int
@@ -70,13 +87,14 @@
 
 // attempt is what one attempt holds at the engine.
 type attempt struct {
-	id     string
-	owner  string
-	pieces int
-	seed   string
-	stream *stream
-	cancel context.CancelFunc
-	ctx    context.Context
+	id      string
+	owner   string
+	pieces  int
+	seed    string
+	stream  *stream
+	readers int // connections that read the stream
+	cancel  context.CancelFunc
+	ctx     context.Context
 }
 
 // export is a prefill's result.
--- a/standin/engine/prefill.go
+++ b/standin/engine/prefill.go
@@ -6,6 +6,7 @@
 	"time"
 
 	api "teaselgate/engine"
+	"teaselgate/standin/fault"
 )
 
 // prefixBytes is the length of a prompt's prefix that the cache works with.
@@ -25,12 +26,15 @@
 	if !ok {
 		return
 	}
+	if e.Hook.At(w, r, fault.Step{Name: StepPrefill, Attempt: m.Attempt}) == fault.Refuse {
+		return
+	}
 	select {
 	case e.queue <- struct{}{}:
 	case <-r.Context().Done():
 		return
 	}
-	tokens := CountTokens(m.Prompt)
+	tokens := CountTokens(m.Prompt) + CountTokens(m.Continue)
 	cached := e.lookup(m.Prompt)
 	work := time.Duration(tokens-cached) * time.Second / time.Duration(e.PrefillRate)
 	done := sleep(r.Context(), e.scaled(work))
@@ -39,6 +43,9 @@
 		return
 	}
 	handle, life := e.store(m, tokens)
+	if e.Hook.At(w, r, fault.Step{Name: StepPrefilled, Attempt: m.Attempt}) == fault.Refuse {
+		return
+	}
 	answer(w, api.Prefilled{
 		Attempt:  e.answerID(m.Attempt),
 		Handle:   handle,
@@ -96,8 +103,11 @@
 
 // getExport hands a prefill's result over at the rate of the link.
 func (e *Engine) getExport(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
 	handle := r.PathValue("handle")
+	if e.Hook.At(w, r, fault.Step{Name: StepExport, Attempt: handle}) == fault.Refuse {
+		return
+	}
+	e.mu.Lock()
 	x, ok := e.exports[handle]
 	if ok {
 		delete(e.exports, handle)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -12,6 +12,7 @@
 	"time"
 
 	api "teaselgate/platform"
+	"teaselgate/standin/fault"
 )
 
 const (
@@ -24,6 +25,7 @@
 type Server struct {
 	Token string
 	Lag   time.Duration // age of the list of instances
+	Hook  fault.Hook    // decides at each step of a write
 
 	mu       sync.Mutex
 	version  uint64
@@ -36,6 +38,12 @@
 	listedAt time.Time
 }
 
+// Steps of writes at which the hook is asked. Attempt is the object's kind.
+const (
+	StepWrite   = "write"   // the request has arrived
+	StepWritten = "written" // the write has taken effect, its answer not yet sent
+)
+
 // Faults are the switches of the stand-in.
 type Faults struct {
 	Outage     bool          // every call is answered with 503
@@ -128,8 +136,11 @@
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
 	}
-	s.mu.Lock()
 	kind, name := r.PathValue("kind"), r.PathValue("name")
+	if s.Hook.At(w, r, fault.Step{Name: StepWrite, Attempt: kind}) == fault.Refuse {
+		return
+	}
+	s.mu.Lock()
 	if !s.matches(kind, name, r.Header.Get("If-Match")) {
 		s.mu.Unlock()
 		http.Error(w, "another version is stored", http.StatusPreconditionFailed)
@@ -147,6 +158,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
+	_ = s.Hook.At(w, r, fault.Step{Name: StepWritten, Attempt: kind})
 	answer(w, o)
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"teaselgate/standin/fault"
 )
 
 // KeyHeader is the request header that names a call which must run at most once.
@@ -16,12 +18,21 @@
 
 // Service is the stand-in; it runs every call that reaches it and counts the runs.
 type Service struct {
+	Hook fault.Hook // decides at each step of a call
+
 	mu     sync.Mutex
 	runs   map[string]int // by idempotency key, or by body without one
 	leaks  []string
 	faults Faults
 }
 
+// Steps of calls at which the hook is asked.
+const (
+	StepReceived  = "received"  // the call has arrived and has not run
+	StepRan       = "ran"       // the call has run, its answer not yet sent
+	StepAnswering = "answering" // the header and half of the body are sent
+)
+
 // Faults are the switches of the stand-in.
 type Faults struct {
 	Delay       time.Duration // before each answer
@@ -84,19 +95,31 @@
 			http.Error(w, "failed", http.StatusInternalServerError)
 			return
 		}
-		run := s.count(r, string(body))
+		key := callKey(r, string(body))
+		if s.Hook.At(w, r, fault.Step{Name: StepReceived, Attempt: key}) == fault.Refuse {
+			return
+		}
+		run := s.count(r, key)
+		if s.Hook.At(w, r, fault.Step{Name: StepRan, Attempt: key}) == fault.Refuse {
+			return
+		}
 		time.Sleep(faults.Delay)
 		if faults.LoseAnswers > 0 {
 			panic(http.ErrAbortHandler)
 		}
-		writeAnswer(w, r, run, body)
+		s.writeAnswer(w, r, run, body)
 	})
 }
 
-func writeAnswer(w http.ResponseWriter, r *http.Request, run int, body []byte) {
+func (s *Service) writeAnswer(w http.ResponseWriter, r *http.Request, run int, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Trailer", "Service-Check")
-	_ = json.NewEncoder(w).Encode(Answer{Method: r.Method, Path: r.URL.Path, Run: run, Body: string(body)})
+	text, _ := json.Marshal(Answer{Method: r.Method, Path: r.URL.Path, Run: run, Body: string(body)})
+	half := len(text) / 2
+	_, _ = w.Write(text[:half])
+	_ = http.NewResponseController(w).Flush()
+	_ = s.Hook.At(w, r, fault.Step{Name: StepAnswering, Attempt: callKey(r, string(body))})
+	_, _ = w.Write(text[half:])
 	w.Header().Set("Service-Check", "whole")
 }
 
@@ -110,7 +133,15 @@
 	return f
 }
 
-func (s *Service) count(r *http.Request, body string) int {
+// callKey names a call: by its idempotency key, or by its body without one.
+func callKey(r *http.Request, body string) string {
+	if key := r.Header.Get(KeyHeader); key != "" {
+		return key
+	}
+	return body
+}
+
+func (s *Service) count(r *http.Request, key string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization"} {
@@ -118,10 +149,6 @@
 			s.leaks = append(s.leaks, name)
 		}
 	}
-	key := r.Header.Get(KeyHeader)
-	if key == "" {
-		key = body
-	}
 	s.runs[key]++
 	return s.runs[key]
 }
