--- a/cli/serve.go
+++ b/cli/serve.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	i := &instance.Instance{Options: options, Tokens: tokens, Log: log}
+	i := &instance.Instance{Options: options, Tokens: tokens, Log: log, BalancerDelay: instance.DefaultBalancerDelay}
 	if err := i.Open(cmd.Context()); err != nil {
 		return err
 	}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -179,7 +180,8 @@
 	}
 	a.started = true
 	a.w.Header().Set("Content-Type", "application/json")
-	return a.write(append(body, '\n'))
+	a.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	return a.write(body)
 }
 
 // breakOff tells the caller of a failure in mid-stream and ends the connection uncleanly.
--- a/instance/build_outcome.go
+++ b/instance/build_outcome.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"hash/fnv"
 	"strconv"
 	"strings"
@@ -8,18 +9,37 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"teaselgate/engine"
 	"teaselgate/entry"
 	"teaselgate/fleet"
 	"teaselgate/outcome"
+	"teaselgate/rule"
 )
 
 // buildOutcome makes the part that answers callers.
 func (i *Instance) buildOutcome(supervisor *suture.Supervisor) error {
 	i.claims = outcome.NewClaims(i.owner(), i.platform)
-	i.claims.Gone = i.ownerGone
-	i.claims.Prunes = i.prunesClaims
+	i.claims.Gone = func(owner string) bool {
+		state := i.ownerState(owner)
+		return state == outcome.OwnerGone || state == outcome.OwnerReplaced
+	}
+	i.claims.Prunes = func() bool { return i.chosen("claims") }
 	i.claims.Record = i.events.Record
+	i.canceller = outcome.NewCanceller(func(ctx context.Context, at, attempt string) error {
+		_, err := i.engines.Cancel(ctx, at, engine.Cancel{Attempt: attempt})
+		return err
+	})
+	i.canceller.Record = i.events.Record
+	i.buildHandler()
+	sweeper := i.newSweeper()
+	i.canceller.GivenUp = sweeper.MarkDirty
 	supervisor.Add(i.claims)
+	supervisor.Add(i.canceller)
+	supervisor.Add(sweeper)
+	return nil
+}
+
+func (i *Instance) buildHandler() {
 	i.handler = &entry.Handler{
 		Incarnation: i.owner(),
 		Zone:        i.Options.Zone,
@@ -31,42 +51,117 @@
 		Services:    i.services,
 		Claims:      i.claims,
 		Budget:      outcome.NewBudget(),
+		Cancel:      i.canceller.Cancel,
 		Record:      i.events.Record,
 		Now:         time.Now,
 	}
-	return nil
 }
 
-// ownerGone tells whether an incarnation is known to have ended.
-func (i *Instance) ownerGone(owner string) bool {
-	for _, m := range i.fleet.Members() {
-		name, incarnation, ok := strings.Cut(owner, m.Name+"-")
-		if !ok || name != "" {
+// newSweeper makes the service that releases what ended instances left at engines.
+func (i *Instance) newSweeper() *outcome.Sweeper {
+	return &outcome.Sweeper{
+		Owner:     i.owner(),
+		Engines:   i.engineAddresses,
+		Choose:    i.choose,
+		State:     i.ownerState,
+		Connected: i.fleet.Connected,
+		Running:   i.handler.Running,
+		List:      i.engines.Requests,
+		Cancel:    i.canceller.Cancel,
+		Record:    i.events.Record,
+		Now:       time.Now,
+	}
+}
+
+// engineAddresses returns the addresses of all model engines, leaving ones too.
+func (i *Instance) engineAddresses() []string {
+	revision := i.rules.Current()
+	if revision == nil {
+		return nil
+	}
+	var out []string
+	for name, pool := range revision.Rules.Pools() {
+		if pool.Duty == rule.Plain {
 			continue
 		}
-		number, err := strconv.ParseUint(incarnation, 10, 64)
-		if err != nil {
-			continue
+		for _, server := range revision.Rules.Servers(name) {
+			out = append(out, server.At)
 		}
-		return m.Incarnation > number || m.Incarnation == number && m.State == fleet.Gone
 	}
-	return false
+	return out
 }
 
-// prunesClaims tells whether this instance removes expired claims: one does, chosen by rendezvous hashing.
-func (i *Instance) prunesClaims() bool {
-	return i.chosen("claims")
+// ownerState tells what is known of the instance that an owner names.
+func (i *Instance) ownerState(owner string) outcome.OwnerState {
+	cut := strings.LastIndexByte(owner, '-')
+	if cut < 0 {
+		return outcome.OwnerUnknown
+	}
+	incarnation, err := strconv.ParseUint(owner[cut+1:], 10, 64)
+	if err != nil {
+		return outcome.OwnerUnknown
+	}
+	m, err := i.fleet.Member(owner[:cut])
+	switch {
+	case err != nil:
+		return outcome.OwnerUnknown
+	case m.Incarnation > incarnation:
+		return outcome.OwnerReplaced
+	case m.Incarnation == incarnation && m.State == fleet.Gone:
+		return outcome.OwnerGone
+	}
+	return outcome.OwnerLive
 }
 
-// chosen tells whether this instance wins a duty among the live ones.
+// chosen tells whether this instance has a duty among the live ones.
 func (i *Instance) chosen(duty string) bool {
-	best, name := uint64(0), ""
-	for _, m := range i.fleet.Live() {
-		hash := fnv.New64a()
-		_, _ = hash.Write([]byte(duty + " " + m.Name))
-		if sum := hash.Sum64(); name == "" || sum > best {
-			best, name = sum, m.Name
+	return len(i.choose([]string{duty})) > 0
+}
+
+// choose returns those of many duties that fall to this instance among the live ones, by rendezvous hashing.
+func (i *Instance) choose(duties []string) []string {
+	live := i.fleet.Live()
+	hashes := make([]uint64, 0, len(live))
+	var own uint64
+	for _, m := range live {
+		sum := hashOf(m.Name)
+		if m.Name == i.Options.Name {
+			own = sum
+			continue
 		}
+		hashes = append(hashes, sum)
 	}
-	return name == i.Options.Name
+	if own == 0 {
+		return nil
+	}
+	var out []string
+	for _, duty := range duties {
+		if wins(own, hashOf(duty), hashes) {
+			out = append(out, duty)
+		}
+	}
+	return out
+}
+
+func wins(own, duty uint64, others []uint64) bool {
+	score := mix(own ^ duty)
+	for _, other := range others {
+		if mix(other^duty) > score {
+			return false
+		}
+	}
+	return true
+}
+
+func hashOf(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64()
+}
+
+// mix is the finalizer of SplitMix64 (Steele, Lea and Flood 2014).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -27,8 +26,6 @@
 	"teaselgate/socket"
 )
 
-const shutdownTimeout = 30 * time.Second
-
 // Tokens are the secrets that an instance shows to others and expects of them.
 type Tokens struct {
 	Platform string
@@ -42,6 +39,9 @@
 	Tokens  Tokens
 	Log     *logrus.Logger
 
+	BalancerDelay   time.Duration // between the end of readiness and the closing of the listener
+	ShutdownTimeout time.Duration // for requests in flight; zero means the usual one
+
 	incarnation uint64
 	events      *event.Recorder
 	platform    *platform.Client
@@ -55,6 +55,7 @@
 	engines     *engine.Client
 	services    *service.Client
 	claims      *outcome.Claims
+	canceller   *outcome.Canceller
 	listeners   listeners
 	leaving     atomic.Bool
 }
@@ -104,13 +105,15 @@
 	defer stop()
 	done := supervisor.ServeBackground(background)
 	caller := i.callerServer()
+	endRequests := i.prepareLeaving(caller)
+	defer endRequests(nil)
 	admin := i.adminServer()
 	go func() { _ = caller.Serve(i.listeners.caller) }()
 	go func() { _ = admin.Serve(i.listeners.admin) }()
 	i.announce(background, fleet.Live)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
 	<-ctx.Done()
-	err := i.leave(background, caller)
+	err := i.leave(background, caller, endRequests)
 	admin.Close()
 	stop()
 	if stopped := <-done; !errors.Is(stopped, context.Canceled) {
@@ -150,21 +153,6 @@
 	return fmt.Sprintf("%s-%d", i.Options.Name, i.incarnation)
 }
 
-// leave stops taking requests and waits for those in flight.
-func (i *Instance) leave(ctx context.Context, caller *http.Server) error {
-	i.leaving.Store(true)
-	i.events.Record(event.Event{Code: event.InstanceLeaving})
-	i.announce(ctx, fleet.Leaving)
-	ctx, stop := context.WithTimeout(ctx, shutdownTimeout)
-	defer stop()
-	i.fleet.Leave(ctx)
-	if err := caller.Shutdown(ctx); err != nil {
-		return fmt.Errorf("instance: requests were cut at shutdown: %w", err)
-	}
-	i.events.Record(event.Event{Code: event.InstanceStopped})
-	return nil
-}
-
 func (i *Instance) close() {
 	i.engines.Close()
 	i.services.Close()
--- a/outcome/sweeper.go
+++ b/outcome/sweeper.go
@@ -13,7 +13,7 @@
 
 // Timing of sweeping.
 const (
-	sweepInterval     = 2 * time.Second
+	sweepInterval     = 4 * time.Second
 	ownEnginesInRound = 4 // engines at which an instance looks for attempts of its own in each round
 	sweepsAtOnce      = 16
 )
@@ -40,9 +40,9 @@
 // Sweeper cancels attempts at engines whose owners have ended, and own attempts that are not running any more.
 // Its exported fields are set before Serve.
 type Sweeper struct {
-	Owner     string               // incarnation of this instance
-	Engines   func() []string      // addresses of all engines
-	Chosen    func(at string) bool // whether this instance sweeps an engine for all others
+	Owner     string                      // incarnation of this instance
+	Engines   func() []string             // addresses of all engines
+	Choose    func(ats []string) []string // the engines that this instance sweeps for all others
 	State     func(owner string) OwnerState
 	Connected func() bool // whether this instance hears the others, so that their absence means something
 	Running   func(attempt string) bool
@@ -120,10 +120,8 @@
 		work[engines[s.next%len(engines)]] = s.Owner
 		s.next++
 	}
-	for _, at := range engines {
-		if s.Chosen(at) {
-			work[at] = ""
-		}
+	for _, at := range s.Choose(engines) {
+		work[at] = ""
 	}
 	return work
 }
--- /dev/null
+++ b/outcome/sweeper_test.go
@@ -0,0 +1,138 @@
+package outcome
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"teaselgate/engine"
+	"teaselgate/event"
+)
+
+// sweepBench is a sweeper with two engines of which it sweeps the first for all.
+type sweepBench struct {
+	*Sweeper
+	now       time.Time
+	held      map[string][]engine.Held
+	states    map[string]OwnerState
+	running   map[string]bool
+	connected bool
+	cancelled []string
+	silent    bool
+}
+
+func newSweepBench() *sweepBench {
+	b := &sweepBench{
+		now:       time.Unix(0, 0),
+		held:      make(map[string][]engine.Held),
+		states:    make(map[string]OwnerState),
+		running:   make(map[string]bool),
+		connected: true,
+	}
+	b.Sweeper = &Sweeper{
+		Owner:     "i1-5",
+		Engines:   func() []string { return []string{"d1", "d2"} },
+		Choose:    func([]string) []string { return []string{"d1"} },
+		State:     func(owner string) OwnerState { return b.states[owner] },
+		Connected: func() bool { return b.connected },
+		Running:   func(attempt string) bool { return b.running[attempt] },
+		List:      b.list,
+		Cancel:    func(at, attempt string, _ bool) { b.cancelled = append(b.cancelled, at+" "+attempt) },
+		Record:    func(event.Event) {},
+		Now:       func() time.Time { return b.now },
+	}
+	return b
+}
+
+func (b *sweepBench) list(_ context.Context, at, owner string) ([]engine.Held, error) {
+	if b.silent {
+		return nil, errors.New("no answer")
+	}
+	var out []engine.Held
+	for _, h := range b.held[at] {
+		if owner == "" || owner == h.Owner {
+			out = append(out, h)
+		}
+	}
+	return out, nil
+}
+
+// sweepFor makes rounds for a time and returns what was cancelled.
+func (b *sweepBench) sweepFor(t *testing.T, d time.Duration) []string {
+	t.Helper()
+	b.cancelled = nil
+	for end := b.now.Add(d); !b.now.After(end); b.now = b.now.Add(time.Second) {
+		b.Sweep(t.Context())
+	}
+	slices.Sort(b.cancelled)
+	return slices.Compact(b.cancelled)
+}
+
+func TestSweeperCancelsWhatHasNoOwner(t *testing.T) {
+	tests := []struct {
+		name         string
+		at           string
+		held         engine.Held
+		state        OwnerState
+		disconnected bool
+		within       time.Duration
+		cancelled    bool
+	}{
+		{"live owner", "d1", engine.Held{Owner: "i2-1"}, OwnerLive, false, 2 * time.Minute, false},
+		{"newer incarnation, reading", "d1", engine.Held{Owner: "i2-1", Reading: true}, OwnerReplaced, false, 3 * time.Second, true},
+		{"newer incarnation, just seen", "d1", engine.Held{Owner: "i2-1"}, OwnerReplaced, false, time.Second, false},
+		{"newer incarnation, cut off", "d1", engine.Held{Owner: "i2-1"}, OwnerReplaced, true, 3 * time.Second, true},
+		{"gone owner", "d1", engine.Held{Owner: "i2-1"}, OwnerGone, false, 7 * time.Second, true},
+		{"gone owner that reads", "d1", engine.Held{Owner: "i2-1", Reading: true}, OwnerGone, false, 30 * time.Second, false},
+		{"gone owner that reads for long", "d1", engine.Held{Owner: "i2-1", Reading: true}, OwnerGone, false, 61 * time.Second, true},
+		{"gone owner, cut off", "d1", engine.Held{Owner: "i2-1"}, OwnerGone, true, 2 * time.Minute, false},
+		{"unknown owner", "d1", engine.Held{Owner: "i9-1"}, OwnerUnknown, false, 31 * time.Second, true},
+		{"unknown owner, just seen", "d1", engine.Held{Owner: "i9-1"}, OwnerUnknown, false, 20 * time.Second, false},
+		{"other's engine", "d2", engine.Held{Owner: "i2-1"}, OwnerGone, false, 2 * time.Minute, false},
+		{"own attempt that runs", "d2", engine.Held{Owner: "i1-5", Attempt: "run"}, OwnerLive, false, time.Minute, false},
+		{"own attempt that ended", "d2", engine.Held{Owner: "i1-5"}, OwnerLive, false, 3 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newSweepBench()
+			b.running["run"] = true
+			b.held[test.at] = []engine.Held{test.held}
+			b.states[test.held.Owner] = test.state
+			b.connected = !test.disconnected
+			if got := len(b.sweepFor(t, test.within)) > 0; got != test.cancelled {
+				t.Errorf("unexpected cancel, got %v instead of %v", got, test.cancelled)
+			}
+		})
+	}
+}
+
+func TestSweeperKeepsTheAgeOfSuspectsAtASilentEngine(t *testing.T) {
+	b := newSweepBench()
+	b.held["d1"] = []engine.Held{{Owner: "i2-1"}}
+	b.states["i2-1"] = OwnerGone
+	b.sweepFor(t, 3*time.Second)
+	b.silent = true
+	b.sweepFor(t, 3*time.Second)
+	b.silent = false
+	if got := b.sweepFor(t, time.Second); len(got) != 1 {
+		t.Errorf("unexpected cancels, got %v instead of one", got)
+	}
+}
+
+func TestDirtyEngineIsSearchedUntilClean(t *testing.T) {
+	b := newSweepBench()
+	b.Engines = func() []string { return nil }
+	b.Choose = func([]string) []string { return nil }
+	b.held["d7"] = []engine.Held{{Owner: "i1-5", Attempt: "lost"}}
+	b.MarkDirty("d7")
+	if got := b.sweepFor(t, 3*time.Second); len(got) != 1 {
+		t.Errorf("unexpected cancels, got %v instead of one", got)
+	}
+	b.held["d7"] = nil
+	b.sweepFor(t, time.Second)
+	if work := b.work(); len(work) != 0 {
+		t.Errorf("unexpected work, got %v instead of none", work)
+	}
+}
