Measure goodput with seeded open-loop traffic

Cause: the placement policies can't be judged without the users' own measures; the demo's traffic knew neither goodput nor wasted prefill nor fair shares.

--- /dev/null
+++ b/cli/load.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"teaselgate/load"
+	"teaselgate/rule"
+)
+
+// loadFlags are the flags of the load command.
+type loadFlags struct {
+	profile, fault, greedy string
+	places, targets, keys  []string
+	loads                  []float64
+	seeds                  []uint
+	length                 time.Duration
+	prefix, scale          float64
+	headroom, greed        float64
+	json, accounts         bool
+}
+
+func newLoad() *cobra.Command {
+	var f loadFlags
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send seeded open-loop traffic and measure what callers see",
+		Long: "Runs a site of stand-ins for each placement policy, load and seed, or sends to a running fleet with --target,\n" +
+			"and prints goodput under both latency targets, wasted prefill, the worst-served client account and false refusals.",
+		Example: "  teaselgate load --profile dala --place robin,least,ewma,cell --load 0.7,1.0,1.3 --seed 1,2,3 --length 20s\n" +
+			"  teaselgate load --profile dala --target 127.0.0.1:8080 --key almaty=tg-... --length 30s",
+		Args: exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&f.profile, "profile", "dala", "demo, dala or hojaverde")
+	flags.StringSliceVar(&f.places, "place", []string{string(rule.PlaceCell)}, "placement policies: cell, robin, least, ewma")
+	flags.Float64SliceVar(&f.loads, "load", []float64{1}, "parts of the engines' capacity")
+	flags.UintSliceVar(&f.seeds, "seed", []uint{1}, "seeds; one run each")
+	flags.DurationVar(&f.length, "length", 20*time.Second, "how long each run sends")
+	flags.StringVar(&f.fault, "fault", string(load.FaultNone), "none, slow, lost, platform, instance or lie")
+	flags.Float64Var(&f.prefix, "prefix", 0.3, "part of the prompts that share a prefix")
+	flags.Float64Var(&f.scale, "scale", 1, "stretches all times, for a slow machine")
+	flags.Float64Var(&f.headroom, "headroom", 1.6, "rate of each client account over its part of the capacity")
+	flags.StringVar(&f.greedy, "greedy", "", "client account that sends a multiple of its part")
+	flags.Float64Var(&f.greed, "greed", 5, "that multiple")
+	flags.StringSliceVar(&f.targets, "target", nil, "callers' addresses of a running fleet, instead of a site of stand-ins")
+	flags.StringSliceVar(&f.keys, "key", nil, "ACCOUNT=KEY for --target; one for each account of the profile")
+	flags.BoolVar(&f.accounts, "accounts", false, "print a table of the client accounts for each run")
+	flags.BoolVar(&f.json, "json", false, "print JSON")
+	return cmd
+}
+
+func (f *loadFlags) run(cmd *cobra.Command) error {
+	profile, err := load.FindProfile(f.profile)
+	if err != nil {
+		return usageError{err}
+	}
+	fault, err := load.FindFault(f.fault)
+	if err != nil {
+		return usageError{err}
+	}
+	var results []load.Summary
+	for _, r := range f.list(profile, fault) {
+		summary, err := f.do(cmd, r)
+		if err != nil {
+			return err
+		}
+		results = append(results, summary)
+		if f.accounts {
+			load.WriteAccounts(cmd.OutOrStdout(), summary)
+		}
+	}
+	if f.json {
+		return load.WriteJSON(cmd.OutOrStdout(), results)
+	}
+	load.WriteRuns(cmd.OutOrStdout(), results)
+	return nil
+}
+
+// list returns all runs that the flags ask for.
+func (f *loadFlags) list(profile load.Profile, fault load.Fault) []load.Run {
+	out := make([]load.Run, 0, len(f.loads)*len(f.places)*len(f.seeds))
+	for _, part := range f.loads {
+		for _, place := range f.places {
+			for _, seed := range f.seeds {
+				out = append(out, load.Run{
+					Profile: profile, Place: rule.Place(place), Fault: fault, Headroom: f.headroom,
+					Plan: load.Plan{
+						Seed: uint64(seed), Length: f.length, Load: part, Prefix: f.prefix, Scale: f.scale,
+						Greedy: f.greedy, Greed: f.greed,
+					},
+				})
+			}
+		}
+	}
+	return out
+}
+
+func (f *loadFlags) do(cmd *cobra.Command, r load.Run) (load.Summary, error) {
+	if len(f.targets) == 0 {
+		return r.Do(cmd.Context())
+	}
+	target := load.Target{Addresses: f.targets, Keys: make(map[string]string)}
+	for _, pair := range f.keys {
+		name, secret, ok := strings.Cut(pair, "=")
+		if !ok {
+			return load.Summary{}, usageError{fmt.Errorf("--key takes ACCOUNT=KEY")}
+		}
+		target.Keys[name] = secret
+	}
+	return r.DoTarget(cmd.Context(), target)
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -3,24 +3,29 @@
 
 import (
 	"context"
-	_ "embed"
 	"errors"
 	"fmt"
 	"io"
 	"time"
 
-	"github.com/sirupsen/logrus"
+	"teaselgate/load"
+	"teaselgate/rule"
 )
 
 // DefaultLength is how long the demo sends traffic.
 const DefaultLength = 6 * time.Second
 
+// Shape of the demo's traffic.
+const (
+	seed        = 7
+	partOfPeak  = 0.7
+	headroom    = 1.5
+	profileName = "demo"
+)
+
 // ErrPromiseBroken says that a promise did not hold during the demo.
 var ErrPromiseBroken = errors.New("demo: a promise broke")
 
-//go:embed rules.yaml
-var exampleRules string
-
 // Demo sends traffic through a small fleet. Its exported fields are set before Run.
 type Demo struct {
 	Out    io.Writer
@@ -29,28 +34,27 @@
 
 // Run starts the fleet, sends traffic, prints the result and checks it.
 func (d *Demo) Run(ctx context.Context) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	log := logrus.New()
-	log.SetLevel(logrus.ErrorLevel)
-	fleet, err := startFleet(ctx, log)
+	profile, err := load.FindProfile(profileName)
 	if err != nil {
 		return err
 	}
-	traffic := newTraffic(fleet)
-	traffic.run(ctx, time.Now().Add(d.Length))
-	fleetErr := fleet.stop()
-	results := traffic.results()
-	printTable(d.Out, results)
-	broken := append(traffic.broken(), fleet.broken(traffic.placed())...)
-	for _, b := range broken {
+	run := load.Run{
+		Profile:  profile,
+		Plan:     load.Plan{Seed: seed, Length: d.Length, Load: partOfPeak, Scale: 1},
+		Place:    rule.PlaceLeast,
+		Fault:    load.FaultNone,
+		Headroom: headroom,
+	}
+	summary, err := run.Do(ctx)
+	load.WriteAccounts(d.Out, summary)
+	for _, b := range summary.Broken {
 		fmt.Fprintln(d.Out, "broken:", b)
 	}
-	if len(broken) > 0 {
+	if len(summary.Broken) > 0 {
 		return ErrPromiseBroken
 	}
-	if fleetErr != nil {
-		return fleetErr
+	if err != nil {
+		return err
 	}
 	fmt.Fprintln(d.Out, "all promises held")
 	return nil
--- /dev/null
+++ b/load/runner.go
@@ -0,0 +1,91 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"teaselgate/rule"
+	"teaselgate/standin/site"
+)
+
+// Run is one run of a profile against a site of its own. Its exported fields are set before Do.
+type Run struct {
+	Profile  Profile
+	Plan     Plan
+	Place    rule.Place
+	Fault    Fault
+	Headroom float64 // rate of each account over its part of the capacity
+}
+
+// Do starts the site, sends the traffic, stops the site and sums up what callers saw.
+func (r Run) Do(ctx context.Context) (Summary, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	shape := r.Profile.shape(r.Place, r.Plan.Scale, r.Headroom)
+	shape.Log = quietLogger()
+	s, err := site.Start(ctx, shape)
+	if err != nil {
+		return Summary{}, err
+	}
+	caller := NewCaller(s.Keys(), stretch(r.Profile.ClientDelay, r.Plan.Scale))
+	start := time.Now()
+	var faults sync.WaitGroup
+	faults.Go(func() { r.Fault.inject(ctx, s, r.Plan.Length) })
+	answers := sendAll(ctx, caller, s.Addresses(), r.Profile.arrivals(r.Plan))
+	faults.Wait()
+	elapsed := time.Since(start)
+	caller.Close()
+	err = s.Stop()
+	summary := r.summarize(answers, elapsed, shape.Accounts)
+	summary.addSite(s, answers)
+	return summary, err
+}
+
+func quietLogger() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.SetLevel(logrus.ErrorLevel)
+	return log
+}
+
+// Target is a running fleet that the traffic goes to.
+type Target struct {
+	Addresses []string
+	Keys      map[string]string // secret by client account
+}
+
+// DoTarget sends the traffic to a running fleet and sums up what callers saw.
+func (r Run) DoTarget(ctx context.Context, t Target) (Summary, error) {
+	for _, a := range r.Profile.Accounts {
+		if t.Keys[a.Name] == "" {
+			return Summary{}, fmt.Errorf("load: no key for client account %s", a.Name)
+		}
+	}
+	caller := NewCaller(t.Keys, stretch(r.Profile.ClientDelay, r.Plan.Scale))
+	defer caller.Close()
+	start := time.Now()
+	answers := sendAll(ctx, caller, t.Addresses, r.Profile.arrivals(r.Plan))
+	shape := r.Profile.shape(r.Place, r.Plan.Scale, r.Headroom)
+	return r.summarize(answers, time.Since(start), shape.Accounts), nil
+}
+
+// sendAll makes each call at its time, over the instances in turn, and waits for all answers.
+func sendAll(ctx context.Context, caller *Caller, addresses []string, arrivals []Arrival) []Answer {
+	answers := make([]Answer, len(arrivals))
+	start := time.Now()
+	var calls sync.WaitGroup
+	for n, a := range arrivals {
+		pause(ctx, time.Until(start.Add(a.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		calls.Go(func() { answers[n] = caller.Call(ctx, addresses[n%len(addresses)], a) })
+	}
+	calls.Wait()
+	return answers
+}
--- /dev/null
+++ b/standin/site/shape.go
@@ -0,0 +1,62 @@
+package site
+
+import (
+	_ "embed"
+	"fmt"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"teaselgate/account"
+	"teaselgate/rule"
+	standengine "teaselgate/standin/engine"
+)
+
+//go:embed rules.yaml
+var baseRules string
+
+const basePlace = "place: least"
+
+// Account is a client account of the site, with its rule's values.
+type Account struct {
+	Name   string
+	Rate   int64 // tokens per second
+	Burst  int64 // tokens
+	Weight int
+}
+
+// Shape is the size of a site.
+type Shape struct {
+	Instances int
+	Prefills  int
+	Decodes   int
+	Services  int
+	Zones     []string
+	Place     rule.Place
+	Accounts  []Account
+	Tune      func(*standengine.Engine) // sets the figures of each engine; may be nil
+	Log       *logrus.Logger
+}
+
+// zone returns the availability zone of the nth part of a kind.
+func (s Shape) zone(n int) string { return s.Zones[n%len(s.Zones)] }
+
+// rules returns the rules that every site of this shape starts from.
+func (s Shape) rules() string {
+	if s.Place == "" {
+		return baseRules
+	}
+	return strings.Replace(baseRules, basePlace, "place: "+string(s.Place), 1)
+}
+
+// addAccounts appends the rules of the accounts and returns the secret of each.
+func (s Shape) addAccounts(rules *strings.Builder) map[string]string {
+	keys := make(map[string]string)
+	for _, a := range s.Accounts {
+		secret, hash := account.NewKey()
+		keys[a.Name] = secret
+		fmt.Fprintf(rules, "- {account: %s, rate: %d, burst: %d, weight: %d}   # site: made at the start\n", a.Name, a.Rate, a.Burst, a.Weight)
+		fmt.Fprintf(rules, "- {key: %q, account: %s}   # site: made at the start\n", hash, a.Name)
+	}
+	return keys
+}
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,261 @@
+// Package site runs a whole small site in one process on loopback: the platform, instances and backend servers.
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"teaselgate/config"
+	"teaselgate/instance"
+	"teaselgate/option"
+	"teaselgate/platform"
+	"teaselgate/rule"
+	standengine "teaselgate/standin/engine"
+	standplatform "teaselgate/standin/platform"
+	standservice "teaselgate/standin/service"
+)
+
+const (
+	readyTimeout  = 10 * time.Second
+	readyInterval = 20 * time.Millisecond
+	headerTimeout = 5 * time.Second
+	loopback      = "127.0.0.1:0"
+)
+
+// Tokens are the secrets of a site of stand-ins.
+var Tokens = instance.Tokens{Platform: "site-platform", Admin: "site-admin", Peer: "site-peer"}
+
+// Site is a running site.
+type Site struct {
+	shape     Shape
+	rules     strings.Builder
+	base      string
+	platform  *standplatform.Server
+	instances []*Instance
+	keys      map[string]string
+	engines   []*standengine.Engine
+	services  []*standservice.Service
+
+	standins    map[string]*http.Server // by server name
+	stopEngines context.CancelFunc
+	running     sync.WaitGroup
+	mu          sync.Mutex
+	errs        []error
+}
+
+// Instance is one running instance of the site.
+type Instance struct {
+	address string
+	admin   string
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+// Address returns the address for callers.
+func (i *Instance) Address() string { return i.address }
+
+// Admin returns the address for operators.
+func (i *Instance) Admin() string { return i.admin }
+
+// Stop lets the instance leave and waits until it has ended.
+func (i *Instance) Stop() {
+	i.stop()
+	<-i.done
+}
+
+// Start starts every part of a site and waits until the instances are ready.
+func Start(ctx context.Context, shape Shape) (*Site, error) {
+	s := &Site{shape: shape, standins: make(map[string]*http.Server), platform: standplatform.NewServer(Tokens.Platform)}
+	at, err := s.serve(ctx, "platform", s.platform.Handler())
+	if err != nil {
+		return nil, err
+	}
+	s.base = "http://" + at
+	s.rules.WriteString(shape.rules())
+	if err := s.startServers(ctx); err != nil {
+		return nil, err
+	}
+	s.keys = shape.addAccounts(&s.rules)
+	client := platform.NewClient(s.base, Tokens.Platform)
+	defer client.HTTP.CloseIdleConnections()
+	if _, err := config.Apply(ctx, client, s.rules.String(), "site"); err != nil {
+		return nil, err
+	}
+	for n := range shape.Instances {
+		if err := s.startInstance(ctx, n); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Instances returns the instances in the order of their start.
+func (s *Site) Instances() []*Instance { return s.instances }
+
+// Addresses returns the callers' addresses of all instances.
+func (s *Site) Addresses() []string {
+	out := make([]string, 0, len(s.instances))
+	for _, i := range s.instances {
+		out = append(out, i.address)
+	}
+	return out
+}
+
+// Keys returns the secret of each client account.
+func (s *Site) Keys() map[string]string { return s.keys }
+
+// Engines returns the engines, those for prefill first.
+func (s *Site) Engines() []*standengine.Engine { return s.engines }
+
+// Services returns the plain services.
+func (s *Site) Services() []*standservice.Service { return s.services }
+
+// Platform returns the platform's stand-in.
+func (s *Site) Platform() *standplatform.Server { return s.platform }
+
+// PlatformURL returns the address of the platform's stand-in.
+func (s *Site) PlatformURL() string { return s.base }
+
+// Rules returns the rules that were applied.
+func (s *Site) Rules() string { return s.rules.String() }
+
+func (s *Site) startServers(ctx context.Context) error {
+	ctx, s.stopEngines = context.WithCancel(ctx)
+	for n := range s.shape.Prefills {
+		if err := s.startEngine(ctx, n, "p", "chat-prefill", rule.Prefill); err != nil {
+			return err
+		}
+	}
+	for n := range s.shape.Decodes {
+		if err := s.startEngine(ctx, n, "d", "chat-decode", rule.Decode); err != nil {
+			return err
+		}
+	}
+	for n := range s.shape.Services {
+		service := standservice.NewService()
+		s.services = append(s.services, service)
+		if err := s.addServer(ctx, n, fmt.Sprintf("o%d", n), "order-service", service.Handler()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startEngine(ctx context.Context, n int, prefix, pool string, duty rule.Duty) error {
+	e := standengine.NewEngine(fmt.Sprintf("%s%d", prefix, n), duty)
+	if s.shape.Tune != nil {
+		s.shape.Tune(e)
+	}
+	s.engines = append(s.engines, e)
+	s.running.Go(func() { _ = e.Run(ctx) })
+	return s.addServer(ctx, n, e.Name, pool, e.Handler())
+}
+
+// addServer serves a backend server and appends its rule.
+func (s *Site) addServer(ctx context.Context, n int, name, pool string, handler http.Handler) error {
+	at, err := s.serve(ctx, name, handler)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(&s.rules, "- {server: %s, pool: %s, zone: %s, at: %q, state: live}   # site: made at the start\n",
+		name, pool, s.shape.zone(n), at)
+	return nil
+}
+
+// serve starts an HTTP server on a free loopback port and returns its address.
+func (s *Site) serve(ctx context.Context, name string, handler http.Handler) (string, error) {
+	var listen net.ListenConfig
+	listener, err := listen.Listen(ctx, "tcp", loopback)
+	if err != nil {
+		return "", fmt.Errorf("site: unable to listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	s.standins[name] = server
+	s.running.Go(func() { _ = server.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+// Kill ends a backend server or the platform at once, by name.
+func (s *Site) Kill(name string) { s.standins[name].Close() }
+
+func (s *Site) startInstance(ctx context.Context, n int) error {
+	o := option.Default()
+	o.Name = fmt.Sprintf("i%d", n)
+	o.Zone = s.shape.zone(n)
+	o.Listen, o.Admin, o.Peer = loopback, loopback, loopback
+	o.Platform = s.base
+	i := &instance.Instance{Options: o, Tokens: Tokens, Log: s.shape.Log}
+	if err := i.Open(ctx); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	started := &Instance{address: i.Address(), admin: i.AdminAddress(), stop: stop, done: make(chan struct{})}
+	s.instances = append(s.instances, started)
+	s.running.Go(func() {
+		defer close(started.done)
+		s.note(i.Run(ctx))
+	})
+	return waitReady(ctx, started.admin)
+}
+
+func (s *Site) note(err error) {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.errs = append(s.errs, err)
+}
+
+func waitReady(ctx context.Context, admin string) error {
+	ctx, stop := context.WithTimeout(ctx, readyTimeout)
+	defer stop()
+	tick := time.NewTicker(readyInterval)
+	defer tick.Stop()
+	for {
+		if isReady(ctx, admin) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("site: instance %s did not become ready: %w", admin, ctx.Err())
+		case <-tick.C:
+		}
+	}
+}
+
+func isReady(ctx context.Context, admin string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Stop lets the instances leave together, then ends the stand-ins.
+func (s *Site) Stop() error {
+	for _, i := range s.instances {
+		i.stop()
+	}
+	for _, i := range s.instances {
+		<-i.done
+	}
+	http.DefaultClient.CloseIdleConnections()
+	s.stopEngines()
+	for _, server := range s.standins {
+		server.Close()
+	}
+	s.running.Wait()
+	return errors.Join(s.errs...)
+}
