Add the peak-EWMA baseline and health of plain servers

Now ewma compares two servers by peak-sensitive latency (after the ns-3 study of Envoy's balancers, rroblak/envoy-peak-ewma), and plain services have their own picker that pauses failed servers for 1 to 30 s and tries them with one call.

--- a/cell/baseline.go
+++ b/cell/baseline.go
@@ -2,24 +2,35 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"teaselgate/rule"
 )
 
-// Baseline places requests by counts of this instance alone: round robin or least requests.
+// Baseline places requests by what this instance alone has seen: round robin, least requests or
+// the better of two by peak-sensitive latency. Its exported fields are set before use.
 type Baseline struct {
-	Rules func() *rule.Set
+	Rules  func() *rule.Set
+	Now    func() time.Time
+	Random func(n int) int // a number from 0 to n-1
 
-	mu       sync.Mutex
-	next     map[string]int // round robin position by pool
-	requests map[string]int // running requests by server
+	mu      sync.Mutex
+	next    map[string]int       // round robin position by pool
+	servers map[string]*peakEWMA // by server
 }
 
 // NewBaseline returns a placer that reads the servers from the rules.
 func NewBaseline(rules func() *rule.Set) *Baseline {
-	return &Baseline{Rules: rules, next: make(map[string]int), requests: make(map[string]int)}
+	return &Baseline{
+		Rules:   rules,
+		Now:     time.Now,
+		Random:  rand.IntN,
+		next:    make(map[string]int),
+		servers: make(map[string]*peakEWMA),
+	}
 }
 
 // Place picks a prefill and a decode server independently of each other.
@@ -34,46 +45,77 @@
 	if err != nil {
 		return nil, err
 	}
-	b.requests[prefill.Server]++
-	b.requests[decode.Server]++
-	release := func(Report) {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.requests[prefill.Server]--
-		b.requests[decode.Server]--
-	}
+	b.server(prefill.Server).pending++
+	b.server(decode.Server).pending++
+	placed := b.Now()
+	release := func(report Report) { b.release(prefill, decode, placed, report) }
 	return &Placement{Prefill: prefill, Decode: decode, release: release}, nil
 }
 
-// PickPlain picks a server of a pool of plain services.
-func (b *Baseline) PickPlain(pool string, exclude []string) (rule.Server, error) {
+// release takes in how an attempt went. A decode server's latency is its time per token, which
+// does not depend on the length of the answer.
+func (b *Baseline) release(prefill, decode rule.Server, placed time.Time, r Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.pick(pool, Request{Exclude: exclude})
+	now := b.Now()
+	p, d := b.server(prefill.Server), b.server(decode.Server)
+	p.pending--
+	d.pending--
+	if !r.Prefilled.IsZero() {
+		p.observe(now, r.Prefilled.Sub(placed))
+	}
+	if !r.Imported.IsZero() && r.Generated > 0 {
+		d.observe(now, r.Ended.Sub(r.Imported)/time.Duration(r.Generated))
+	}
+}
+
+func (b *Baseline) server(name string) *peakEWMA {
+	s, ok := b.servers[name]
+	if !ok {
+		s = &peakEWMA{}
+		b.servers[name] = s
+	}
+	return s
 }
 
 // pick chooses a live server; the caller holds the lock.
 func (b *Baseline) pick(pool string, r Request) (rule.Server, error) {
-	var live []rule.Server
-	for _, s := range b.Rules().Servers(pool) {
-		if s.State == rule.Live && !slices.Contains(r.Exclude, s.Server) {
-			live = append(live, s)
-		}
-	}
+	live := liveServers(b.Rules(), pool, r.Exclude)
 	if len(live) == 0 {
 		return rule.Server{}, noServer.New("cell: no live server in pool %s", pool)
 	}
 	start := b.next[pool] % len(live)
 	b.next[pool]++
-	if r.Model.Place == rule.PlaceRobin {
+	switch r.Model.Place {
+	case rule.PlaceRobin:
 		return live[start], nil
+	case rule.PlaceEWMA:
+		now := b.Now()
+		score := func(i int) float64 { return b.server(live[i].Server).score(now) }
+		return live[chooseTwo(len(live), b.Random, score)], nil
+	default:
+		return b.least(live, start), nil
 	}
+}
+
+// least returns the server with the fewest requests; among equals it goes round from start.
+func (b *Baseline) least(live []rule.Server, start int) rule.Server {
 	best := live[start]
 	for i := range live {
 		s := live[(start+i)%len(live)]
-		if b.requests[s.Server] < b.requests[best.Server] {
+		if b.server(s.Server).pending < b.server(best.Server).pending {
 			best = s
 		}
 	}
-	return best, nil
+	return best
+}
+
+// liveServers lists the servers of a pool that take new work.
+func liveServers(rules *rule.Set, pool string, exclude []string) []rule.Server {
+	if rules == nil {
+		return nil
+	}
+	return slices.DeleteFunc(rules.Servers(pool), func(s rule.Server) bool {
+		return s.State != rule.Live || slices.Contains(exclude, s.Server)
+	})
 }
--- /dev/null
+++ b/cell/ewma_test.go
@@ -0,0 +1,121 @@
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"teaselgate/rule"
+)
+
+// latencies sends requests in virtual time to ten servers, one of which answers in 50 ms instead
+// of 5 ms, as in the heterogeneous case of the ns-3 study: ten clients, 100 requests each, every 100 ms.
+func latencies(t *testing.T, place rule.Place, seed uint64) []time.Duration {
+	t.Helper()
+	text := "- {pool: p, duty: prefill, slots: 1}   # test: t\n- {pool: d, duty: decode, slots: 1, pieces: 1}   # test: t\n" +
+		"- {server: d0, pool: d, zone: a, at: \"127.0.0.1:1\"}   # test: t\n"
+	for i := range 10 {
+		text += fmt.Sprintf("- {server: s%d, pool: p, zone: a, at: \"127.0.0.1:%d\"}   # test: t\n", i, 100+i)
+	}
+	rules := parseRules(t, text)
+	random := rand.New(rand.NewPCG(seed, 1))
+	now := time.Unix(0, 0)
+	b := NewBaseline(func() *rule.Set { return rules })
+	b.Now = func() time.Time { return now }
+	b.Random = random.IntN
+	model := rule.Model{Prefill: "p", Decode: "d", Place: place}
+	type running struct {
+		end   time.Time
+		place *Placement
+	}
+	var active []running
+	out := make([]time.Duration, 0, 1000)
+	finish := func(until time.Time) {
+		slices.SortFunc(active, func(a, b running) int { return a.end.Compare(b.end) })
+		for len(active) > 0 && !active[0].end.After(until) {
+			now = active[0].end
+			active[0].place.Release(Report{Prefilled: now, Ended: now})
+			active = active[1:]
+		}
+		now = until
+	}
+	free := make(map[string]time.Time)
+	for n := range 1000 {
+		finish(time.Unix(0, 0).Add(time.Duration(n)*10*time.Millisecond + time.Duration(random.IntN(5000))*time.Microsecond))
+		p, err := b.Place(t.Context(), Request{Model: model})
+		if err != nil {
+			t.Fatal(err)
+		}
+		service := 5 * time.Millisecond
+		if p.Prefill.Server == "s3" {
+			service = 50 * time.Millisecond
+		}
+		start := now
+		if free[p.Prefill.Server].After(start) {
+			start = free[p.Prefill.Server]
+		}
+		end := start.Add(service)
+		free[p.Prefill.Server] = end
+		active = append(active, running{end, p})
+		out = append(out, end.Sub(now))
+	}
+	slices.Sort(out)
+	return out
+}
+
+func parseRules(t testing.TB, text string) *rule.Set {
+	t.Helper()
+	set, problems := rule.Parse("test.yaml", []byte(text))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	return set
+}
+
+func TestPeakEWMAAvoidsTheSlowServer(t *testing.T) {
+	for seed := range uint64(5) {
+		ewma := latencies(t, rule.PlaceEWMA, seed)
+		robin := latencies(t, rule.PlaceRobin, seed)
+		if got := ewma[len(ewma)*95/100]; got > 10*time.Millisecond {
+			t.Errorf("unexpected p95 %v with ewma and seed %d instead of at most 10ms", got, seed)
+		}
+		if got := robin[len(robin)*95/100]; got < 50*time.Millisecond {
+			t.Errorf("unexpected p95 %v with robin and seed %d instead of at least 50ms", got, seed)
+		}
+		t.Logf("seed %d: ewma p95 %v p99 %v, robin p95 %v p99 %v", seed,
+			ewma[950], ewma[990], robin[950], robin[990])
+	}
+}
+
+func TestPlainPausesFailedServers(t *testing.T) {
+	rules := parseRules(t, "- {pool: o, duty: plain, slots: 4}   # test: t\n"+
+		"- {server: o1, pool: o, zone: a, at: \"127.0.0.1:1\"}   # test: t\n"+
+		"- {server: o2, pool: o, zone: a, at: \"127.0.0.1:2\"}   # test: t\n")
+	now := time.Unix(0, 0)
+	p := NewPlain(func() *rule.Set { return rules })
+	p.Now = func() time.Time { return now }
+	picks := func() map[string]int {
+		out := make(map[string]int)
+		for range 50 {
+			s, err := p.PickPlain("o", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			out[s.Server]++
+			p.PlainDone(s.Server, time.Millisecond, s.Server == "o1")
+		}
+		return out
+	}
+	if got := picks(); got["o1"] > 1 {
+		t.Errorf("unexpected picks of the failing server, got %v instead of at most 1", got["o1"])
+	}
+	if got := picks(); got["o1"] != 0 {
+		t.Errorf("unexpected picks of the paused server, got %v instead of 0", got["o1"])
+	}
+	now = now.Add(maxPause + time.Second)
+	if got := picks(); got["o1"] != 1 {
+		t.Errorf("unexpected trials after the pause, got %v instead of 1", got["o1"])
+	}
+}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -51,7 +51,9 @@
 			return nil, outcome.Refuse(http.StatusServiceUnavailable, "no-server", "no backend server is live")
 		}
 		tried = append(tried, server.Server)
+		start := h.Now()
 		resp, err := h.Services.Do(r.Context(), serviceRequest(r, server), once)
+		h.PlainDone(server.Server, h.Now().Sub(start), err != nil && r.Context().Err() == nil)
 		if err == nil {
 			return resp, nil
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -48,7 +48,7 @@
 	fleet       *fleet.Fleet
 	rules       *config.Follower
 	admit       admitFunc
-	placer      *cell.Baseline
+	placer      *cell.Placer
 	handler     *entry.Handler
 	engines     *engine.Client
 	services    *service.Client
