--- a/entry/once.go
+++ b/entry/once.go
@@ -100,56 +100,74 @@
 	return stored, err
 }
 
+// opened is a connection to a service that a call may be sent on.
+type opened struct {
+	*service.Conn
+	server rule.Server
+	at     time.Time
+}
+
 // sendOnce opens a connection, wins the right to send, and sends.
 func (h *Handler) sendOnce(ctx context.Context, o *onceCall) (*http.Response, error) {
-	conn, server, err := h.openService(ctx, o)
+	conn, err := h.openService(ctx, o)
 	if err != nil {
 		o.drop(ctx)
 		return nil, err
 	}
-	opened := h.Now()
 	if err := o.win(ctx); err != nil {
-		conn.Close()
+		h.closeUnused(conn)
 		return nil, err
 	}
-	if h.Now().Sub(opened) > maxOpenAge {
-		conn.Close()
-		if conn, server, err = h.openService(ctx, o); err != nil {
+	if h.Now().Sub(conn.at) > maxOpenAge {
+		h.closeUnused(conn)
+		if conn, err = h.openService(ctx, o); err != nil {
 			o.drop(ctx)
 			return nil, err
 		}
 	}
-	resp, err := conn.Send(ctx, serviceRequest(o.request, server, o.body.reader()))
+	resp, err := conn.Send(ctx, serviceRequest(o.request, conn.server, o.body.reader()))
+	h.PlainDone(conn.server.Server, h.Now().Sub(conn.at), err != nil)
 	if err != nil {
 		conn.Close()
-		h.Record(event.Event{Code: event.OnceUnknown, Request: o.id, Server: server.Server, Detail: err.Error()})
+		h.Record(event.Event{Code: event.OnceUnknown, Request: o.id, Server: conn.server.Server, Detail: err.Error()})
 		o.lose(ctx)
 		return nil, unknown
 	}
 	return resp, nil
 }
 
+// closeUnused drops a connection on which nothing was sent.
+func (h *Handler) closeUnused(conn *opened) {
+	conn.Close()
+	h.PlainDone(conn.server.Server, h.Now().Sub(conn.at), false)
+}
+
 // openService connects to a live server; a failure leaves the call not run.
-func (h *Handler) openService(ctx context.Context, o *onceCall) (*service.Conn, rule.Server, error) {
+func (h *Handler) openService(ctx context.Context, o *onceCall) (*opened, error) {
 	var tried []string
 	for {
 		if o.request.Context().Err() != nil {
-			return nil, rule.Server{}, callerGone
+			return nil, callerGone
+		}
+		if err := h.checkAlive(o.call); err != nil {
+			return nil, err
+		}
+		if len(tried) == maxPlainAttempts {
+			return nil, unreachable
 		}
 		server, err := h.PickPlain(o.route.Pool, tried)
 		if err != nil && len(tried) == 0 {
-			return nil, rule.Server{}, noServer
-		}
-		if err != nil || len(tried) == maxPlainAttempts {
-			return nil, rule.Server{}, unreachable
+			return nil, noServer
 		}
-		if err := h.checkAlive(o.call); err != nil {
-			return nil, rule.Server{}, err
+		if err != nil {
+			return nil, unreachable
 		}
+		start := h.Now()
 		conn, err := h.Services.Open(ctx, server.At)
 		if err == nil {
-			return conn, server, nil
+			return &opened{Conn: conn, server: server, at: start}, nil
 		}
+		h.PlainDone(server.Server, h.Now().Sub(start), true)
 		tried = append(tried, server.Server)
 		h.Record(event.Event{Code: event.RequestFailed, Request: o.id, Server: server.Server, Detail: err.Error()})
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -68,15 +68,17 @@
 	var tried []string
 	ran := outcome.NotRun
 	for {
+		if err := h.checkAlive(c); err != nil {
+			return nil, outcome.AsRefusal(err).WithOutcome(ran)
+		}
 		server, err := h.PickPlain(c.route.Pool, tried)
 		if err != nil {
 			return nil, noServer.WithOutcome(ran)
 		}
-		if err := h.checkAlive(c); err != nil {
-			return nil, outcome.AsRefusal(err).WithOutcome(ran)
-		}
 		tried = append(tried, server.Server)
+		start := h.Now()
 		resp, err := h.Services.Do(r.Context(), serviceRequest(r, server, body.reader()))
+		h.PlainDone(server.Server, h.Now().Sub(start), err != nil && r.Context().Err() == nil)
 		if err == nil {
 			return resp, nil
 		}
