--- a/entry/answer.go
+++ b/entry/answer.go
@@ -16,6 +16,7 @@
 type answer struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
+	timeout    time.Duration // for one chunk
 	call       *call
 	ask        completion
 	created    time.Time
@@ -61,8 +62,15 @@
 	Usage   *usage   `json:"usage,omitempty"`
 }
 
-func newAnswer(w http.ResponseWriter, c *call, ask completion, now time.Time) *answer {
-	return &answer{w: w, controller: http.NewResponseController(w), call: c, ask: ask, created: now}
+func (h *Handler) newAnswer(w http.ResponseWriter, c *call, ask completion) *answer {
+	return &answer{
+		w:          w,
+		controller: http.NewResponseController(w),
+		timeout:    h.WriteTimeout,
+		call:       c,
+		ask:        ask,
+		created:    h.Now(),
+	}
 }
 
 // token passes one generated token on.
@@ -108,7 +116,7 @@
 
 // write sends bytes to the caller at once. A caller that takes none of them in time is taken for gone.
 func (a *answer) write(text []byte) error {
-	_ = a.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = a.controller.SetWriteDeadline(time.Now().Add(a.timeout))
 	if _, err := a.w.Write(text); err != nil {
 		return fmt.Errorf("%w: %w", errCaller, err)
 	}
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -12,8 +12,8 @@
 
 // Timing of the exchange with a caller.
 const (
-	bodyTimeout  = 30 * time.Second // for the whole body of a request
-	writeTimeout = 10 * time.Second // for one chunk to a slow caller
+	DefaultWriteTimeout = 10 * time.Second
+	bodyTimeout         = 30 * time.Second // for the whole body of a request
 )
 
 // readLimited reads up to limit bytes of a request's body, within a deadline.
@@ -51,7 +51,7 @@
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := resp.Body.Read(buffer)
-		_ = controller.SetWriteDeadline(h.Now().Add(writeTimeout))
+		_ = controller.SetWriteDeadline(time.Now().Add(h.WriteTimeout))
 		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 			h.Record(event.Event{Code: event.RequestCancelled, Request: c.id, Account: c.account.Account})
 			panic(http.ErrAbortHandler)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -46,6 +46,8 @@
 	Record      func(event.Event)
 	Now         func() time.Time
 
+	WriteTimeout time.Duration // for one chunk to a slow caller
+
 	running sync.Map // ids of the attempts in progress
 }
 
@@ -61,6 +63,7 @@
 	route   rule.Route
 	rules   *rule.Set
 	account rule.Account // empty on open routes
+	keyHash string       // of the key that came with the request
 }
 
 // ServeHTTP implements http.Handler.
@@ -101,6 +104,7 @@
 		return outcome.Refuse(http.StatusUnauthorized, "bad-key", "the key is missing or not valid")
 	}
 	c.account, _ = c.rules.Account(name)
+	c.keyHash = account.Hash(secret)
 	return nil
 }
 
@@ -121,7 +125,16 @@
 }
 
 // checkAlive stops a call whose key was withdrawn since it was admitted.
-func (h *Handler) checkAlive(*call) error { return nil }
+func (h *Handler) checkAlive(c *call) error {
+	if c.keyHash == "" {
+		return nil
+	}
+	name, ok := h.Rules().Rules.KeyAccount(c.keyHash)
+	if !ok || name != c.account.Account {
+		return outcome.Refuse(http.StatusUnauthorized, "key-withdrawn", "the key was withdrawn before the request ran")
+	}
+	return nil
+}
 
 func (h *Handler) refuse(w http.ResponseWriter, c *call, err error) {
 	refusal := outcome.AsRefusal(err)
--- a/entry/model.go
+++ b/entry/model.go
@@ -41,7 +41,7 @@
 	}
 	ctx, stop := context.WithTimeout(r.Context(), modelTimeout)
 	defer stop()
-	out := newAnswer(w, c, ask, h.Now())
+	out := h.newAnswer(w, c, ask)
 	run := &modelRun{handler: h, call: c, ask: ask, out: out, ran: outcome.NotRun}
 	err = run.serve(ctx)
 	charge.Settle(int64(ask.promptTokens() + out.tokens))
--- a/entry/once.go
+++ b/entry/once.go
@@ -146,8 +146,8 @@
 func (h *Handler) openService(ctx context.Context, o *onceCall) (*opened, error) {
 	var tried []string
 	for {
-		if o.request.Context().Err() != nil {
-			return nil, callerGone
+		if err := callerError(o.request.Context()); err != nil {
+			return nil, err
 		}
 		if err := h.checkAlive(o.call); err != nil {
 			return nil, err
@@ -173,6 +173,18 @@
 	}
 }
 
+// callerError tells why a call must not be sent any more.
+func callerError(ctx context.Context) error {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(context.Cause(ctx), ErrLeaving):
+		return ErrLeaving.WithOutcome(outcome.NotRun)
+	default:
+		return callerGone
+	}
+}
+
 func (o *onceCall) win(ctx context.Context) error {
 	if o.held == nil {
 		return nil
@@ -200,7 +212,7 @@
 		o.lose(ctx)
 		return unknown
 	}
-	answer := outcome.Answer{Status: resp.StatusCode, Header: resp.Header, Trailer: resp.Trailer, Body: head}
+	answer := outcome.Answer{Status: resp.StatusCode, Header: resp.Header.Clone(), Trailer: resp.Trailer.Clone(), Body: head}
 	if len(head) == maxStoredBytes {
 		answer = outcome.Answer{Status: resp.StatusCode, TooLong: true}
 	}
--- a/instance/build_outcome.go
+++ b/instance/build_outcome.go
@@ -55,6 +55,8 @@
 		Cancel:      i.canceller.Cancel,
 		Record:      i.events.Record,
 		Now:         time.Now,
+
+		WriteTimeout: entry.DefaultWriteTimeout,
 	}
 }
 
--- a/service/client.go
+++ b/service/client.go
@@ -81,6 +81,6 @@
 		resp.Body.Close()
 		return nil, broken.New("service: no answer from %s in time", req.URL.Host)
 	}
-	resp.Body = &body{ReadCloser: resp.Body, stop: func() { stop(nil) }}
+	resp.Body = &body{ReadCloser: resp.Body, watch: timer, limit: timeout, stop: func() { stop(nil) }}
 	return resp, nil
 }
--- a/service/once.go
+++ b/service/once.go
@@ -49,10 +49,20 @@
 // Close drops a connection that has carried nothing.
 func (k *Conn) Close() { k.conn.Close() }
 
-// body ends its call's context when it is closed.
+// body ends its call's context when it is closed, or when the service sends nothing for too long.
 type body struct {
 	io.ReadCloser
-	stop func()
+	watch *time.Timer
+	limit time.Duration
+	stop  func()
+}
+
+// Read implements io.Reader. The timer runs only while the service is awaited.
+func (b *body) Read(p []byte) (int, error) {
+	b.watch.Reset(b.limit)
+	n, err := b.ReadCloser.Read(p)
+	b.watch.Stop()
+	return n, err
 }
 
 // Close implements io.Closer.
