Refuse bad settings with their places, all in one list

Cause: the settings reader stopped at the first fault, gave no place for missing or bad values, took relative paths from the working directory and accepted empty or missing token files, which left the peer listener open. Conclusion: the three token files are now needed settings; limits, admin and peer TLS have their settings.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -22,11 +22,15 @@
 		Example: "  teaselgate serve --settings i1.yaml\n  teaselgate serve --settings i1.yaml --check",
 		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			options, err := option.Read(settings)
-			if err != nil || checkOnly {
+			options, secrets, err := option.Read(settings)
+			if err != nil {
 				return err
 			}
-			return serve(cmd, options)
+			if checkOnly {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: no problems\n", settings)
+				return nil
+			}
+			return serve(cmd, options, secrets)
 		},
 	}
 	cmd.Flags().StringVar(&settings, "settings", "teaselgate.yaml", "settings file of this instance")
@@ -34,37 +38,18 @@
 	return cmd
 }
 
-func serve(cmd *cobra.Command, options *option.Options) error {
-	tokens, err := readTokens(options)
-	if err != nil {
-		return err
-	}
+func serve(cmd *cobra.Command, options *option.Options, secrets option.Secrets) error {
 	log, err := newLogger(options.Log, cmd.ErrOrStderr())
 	if err != nil {
 		return err
 	}
-	i := &instance.Instance{Options: options, Tokens: tokens, Log: log}
+	i := &instance.Instance{Options: options, Tokens: secrets, Log: log}
 	if err := i.Open(cmd.Context()); err != nil {
 		return err
 	}
 	return i.Run(cmd.Context())
 }
 
-func readTokens(o *option.Options) (instance.Tokens, error) {
-	var t instance.Tokens
-	for _, f := range []struct {
-		file string
-		out  *string
-	}{{o.PlatformToken, &t.Platform}, {o.AdminToken, &t.Admin}, {o.PeerToken, &t.Peer}} {
-		token, err := readToken(f.file)
-		if err != nil {
-			return t, err
-		}
-		*f.out = token
-	}
-	return t, nil
-}
-
 func readToken(file string) (string, error) {
 	if file == "" {
 		return "", nil
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -51,7 +51,7 @@
 
 func startFleet(ctx context.Context, log *logrus.Logger) (*fleet, error) {
 	f := &fleet{keys: make(map[string]string)}
-	tokens := instance.Tokens{Platform: "demo-platform", Admin: "demo-admin", Peer: "demo-peer"}
+	tokens := option.Secrets{Platform: "demo-platform", Admin: "demo-admin", Peer: "demo-peer"}
 	base, err := f.serve(ctx, standplatform.NewServer(tokens.Platform).Handler())
 	if err != nil {
 		return nil, err
@@ -129,7 +129,7 @@
 	return listener.Addr().String(), nil
 }
 
-func (f *fleet) startInstances(ctx context.Context, log *logrus.Logger, base string, tokens instance.Tokens) error {
+func (f *fleet) startInstances(ctx context.Context, log *logrus.Logger, base string, tokens option.Secrets) error {
 	ctx, f.stopServe = context.WithCancel(ctx)
 	for n := range instances {
 		o := option.Default()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -27,17 +27,10 @@
 
 const shutdownTimeout = 30 * time.Second
 
-// Tokens are the secrets that an instance shows to others and expects of them.
-type Tokens struct {
-	Platform string
-	Admin    string
-	Peer     string
-}
-
 // Instance is one process of the fleet. Its exported fields are set before Run.
 type Instance struct {
 	Options *option.Options
-	Tokens  Tokens
+	Tokens  option.Secrets
 	Log     *logrus.Logger
 
 	incarnation uint64
--- /dev/null
+++ b/option/check.go
@@ -0,0 +1,83 @@
+package option
+
+import (
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// Each check takes a pointer to a value and returns what is allowed, or nothing if the value is good.
+
+func checkName(value any) string {
+	if namePattern.MatchString(*value.(*string)) {
+		return ""
+	}
+	return "must be 1 to 63 small letters, digits, dots and hyphens"
+}
+
+func checkText(value any) string {
+	if *value.(*string) == "" {
+		return "must name a file"
+	}
+	return ""
+}
+
+func checkAddress(value any) string {
+	if _, err := netip.ParseAddrPort(*value.(*string)); err != nil {
+		return `must be an IP number and port, such as "10.0.0.1:8080"`
+	}
+	return ""
+}
+
+// checkReachable refuses addresses that others can't dial.
+func checkReachable(value any) string {
+	at, err := netip.ParseAddrPort(*value.(*string))
+	if err != nil || at.Addr().IsUnspecified() {
+		return `must be an IP number and port that other instances reach, such as "10.0.0.1:8080"`
+	}
+	return ""
+}
+
+func checkPeers(value any) string {
+	for _, at := range *value.(*[]string) {
+		if checkReachable(&at) != "" {
+			return `must be a list of IP numbers and ports, such as ["10.0.0.2:7200"]`
+		}
+	}
+	return ""
+}
+
+func checkURL(value any) string {
+	u, err := url.Parse(*value.(*string))
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return `must be a URL such as "http://10.0.0.9:7000"`
+	}
+	return ""
+}
+
+func checkCount(value any) string {
+	var n int64
+	switch v := value.(type) {
+	case *int:
+		n = int64(*v)
+	case *int64:
+		n = *v
+	}
+	if n < 1 {
+		return "must be a whole number above zero"
+	}
+	return ""
+}
+
+func checkOneOf(allowed ...string) func(any) string {
+	return func(value any) string {
+		if slices.Contains(allowed, *value.(*string)) {
+			return ""
+		}
+		return "must be one of " + strings.Join(allowed, ", ")
+	}
+}
--- /dev/null
+++ b/option/field.go
@@ -0,0 +1,187 @@
+package option
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+)
+
+// Field describes one setting.
+type Field struct {
+	Name string // keys joined by dots
+	Need bool   // whether the file must give it
+	Text string
+
+	at    func(*Options) any // pointer to the setting
+	check func(value any) string
+	file  bool // whether the value is a path
+}
+
+// Default returns the value of a setting that the file leaves out, empty if there is none.
+func (f Field) Default() string {
+	value := reflect.ValueOf(f.at(Default())).Elem()
+	if value.IsZero() {
+		return ""
+	}
+	return fmt.Sprint(value.Interface())
+}
+
+// Fields lists every setting, in the order of docs/SETTINGS.md.
+var Fields = []Field{
+	{
+		Name: "name", Need: true, check: checkName, at: func(o *Options) any { return &o.Name },
+		Text: "Name of the instance, unique in the fleet: small letters, digits, dots and hyphens.",
+	},
+	{
+		Name: "zone", Need: true, check: checkName, at: func(o *Options) any { return &o.Zone },
+		Text: "Availability zone in which the instance runs.",
+	},
+	{
+		Name: "listen", Need: true, check: checkAddress, at: func(o *Options) any { return &o.Listen },
+		Text: "IP number and port on which callers are answered.",
+	},
+	{
+		Name: "admin", Need: true, check: checkReachable, at: func(o *Options) any { return &o.Admin },
+		Text: "IP number and port of the operators' listener: `/health`, `/ready`, `/metrics`, `/events`.",
+	},
+	{
+		Name: "peer", Need: true, check: checkReachable, at: func(o *Options) any { return &o.Peer },
+		Text: "IP number and port for calls of other instances, as these reach it.",
+	},
+	{
+		Name: "peers", check: checkPeers, at: func(o *Options) any { return &o.Peers },
+		Text: "Peer addresses of some other instances, for a start while the platform is down.",
+	},
+	{
+		Name: "platform", Need: true, check: checkURL, at: func(o *Options) any { return &o.Platform },
+		Text: "URL of the platform's object API.",
+	},
+	{
+		Name: "platform-token", Need: true, file: true, check: checkText, at: func(o *Options) any { return &o.PlatformToken },
+		Text: "File with the token shown to the platform.",
+	},
+	{
+		Name: "admin-token", Need: true, file: true, check: checkText, at: func(o *Options) any { return &o.AdminToken },
+		Text: "File with the token that operators show on the admin listener.",
+	},
+	{
+		Name: "peer-token", Need: true, file: true, check: checkText, at: func(o *Options) any { return &o.PeerToken },
+		Text: "File with the secret shared by all instances of the fleet.",
+	},
+	{
+		Name: "tls.certificate", file: true, check: checkText, at: func(o *Options) any { return &o.TLS.Certificate },
+		Text: "File with the certificate chain (PEM) of the callers' listener; without it the listener is plain. Reread when it changes.",
+	},
+	{
+		Name: "tls.key", file: true, check: checkText, at: func(o *Options) any { return &o.TLS.Key },
+		Text: "File with the private key (PEM) of `tls.certificate`.",
+	},
+	{
+		Name: "admin-tls.certificate", file: true, check: checkText, at: func(o *Options) any { return &o.AdminTLS.Certificate },
+		Text: "File with the certificate chain (PEM) of the admin listener; without it the listener is plain. Reread when it changes.",
+	},
+	{
+		Name: "admin-tls.key", file: true, check: checkText, at: func(o *Options) any { return &o.AdminTLS.Key },
+		Text: "File with the private key (PEM) of `admin-tls.certificate`.",
+	},
+	{
+		Name: "peer-tls.certificate", file: true, check: checkText, at: func(o *Options) any { return &o.PeerTLS.Certificate },
+		Text: "File with the certificate chain (PEM) that the instance shows to other instances; it must name the IP number of `peer`. Without it calls between instances are plain, guarded by `peer-token` alone. Reread when it changes.",
+	},
+	{
+		Name: "peer-tls.key", file: true, check: checkText, at: func(o *Options) any { return &o.PeerTLS.Key },
+		Text: "File with the private key (PEM) of `peer-tls.certificate`.",
+	},
+	{
+		Name: "peer-tls.authority", file: true, check: checkText, at: func(o *Options) any { return &o.PeerTLS.Authority },
+		Text: "File with the certificates (PEM) of the authority that signed the peers' certificates. Reread when it changes.",
+	},
+	{
+		Name: "limit.connections", check: checkCount, at: func(o *Options) any { return &o.Limit.Connections },
+		Text: "Callers' connections open at once; those above it are told `too-many-connections`, those above twice the number are closed.",
+	},
+	{
+		Name: "limit.header", check: checkCount, at: func(o *Options) any { return &o.Limit.Header },
+		Text: "Largest request header, in bytes.",
+	},
+	{
+		Name: "limit.body", check: checkCount, at: func(o *Options) any { return &o.Limit.Body },
+		Text: "Largest request body, in bytes.",
+	},
+	{
+		Name: "limit.begin", check: checkTime, at: func(o *Options) any { return &o.Limit.Begin },
+		Text: "Time in which a caller must have sent the whole request header, and the TLS handshake.",
+	},
+	{
+		Name: "limit.stall", check: checkTime, at: func(o *Options) any { return &o.Limit.Stall },
+		Text: "Time that an instance waits in all, in one request, for a caller that sends its body or takes its answer slower than `limit.pace`.",
+	},
+	{
+		Name: "limit.pace", check: checkCount, at: func(o *Options) any { return &o.Limit.Pace },
+		Text: "Bytes per second that a caller must send or take while an instance waits for it.",
+	},
+	{
+		Name: "limit.idle", check: checkTime, at: func(o *Options) any { return &o.Limit.Idle },
+		Text: "Time after which a connection without a request is closed.",
+	},
+	{
+		Name: "log.format", check: checkOneOf("text", "json"), at: func(o *Options) any { return &o.Log.Format },
+		Text: "Form of the log: `text` or `json`.",
+	},
+	{
+		Name: "log.level", check: checkOneOf("debug", "info", "warning", "error"), at: func(o *Options) any { return &o.Log.Level },
+		Text: "Least level that is logged: `debug`, `info`, `warning` or `error`.",
+	},
+}
+
+// allowed says which values a setting may have.
+func (f Field) allowed() string {
+	empty := reflect.New(reflect.TypeOf(f.at(Default())).Elem()).Interface()
+	if text := f.check(empty); text != "" {
+		return text
+	}
+	return "must be a list"
+}
+
+func findField(name string) (Field, bool) {
+	for _, f := range Fields {
+		if f.Name == name {
+			return f, true
+		}
+	}
+	return Field{}, false
+}
+
+// isGroup tells whether settings are nested below a key.
+func isGroup(name string) bool {
+	for _, f := range Fields {
+		if strings.HasPrefix(f.Name, name+".") {
+			return true
+		}
+	}
+	return false
+}
+
+// children lists the keys that are allowed below a prefix, which is empty or ends in a dot.
+func children(prefix string) string {
+	var out []string
+	for _, f := range Fields {
+		rest, ok := strings.CutPrefix(f.Name, prefix)
+		if !ok {
+			continue
+		}
+		key, _, _ := strings.Cut(rest, ".")
+		if len(out) == 0 || out[len(out)-1] != key {
+			out = append(out, key)
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func checkTime(value any) string {
+	if *value.(*time.Duration) <= 0 {
+		return "must be a time above zero, such as 5s"
+	}
+	return ""
+}
--- /dev/null
+++ b/option/field_test.go
@@ -0,0 +1,66 @@
+package option
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const pageHead = `# Settings
+
+The settings of one process are one YAML file, given as ` + "`teaselgate serve --settings FILE`" + `. A setting with a dot
+in its name is nested: ` + "`log.level`" + ` is written as ` + "`log: {level: debug}`" + `. Relative paths start at the directory of the
+settings file. Times are written as ` + "`500ms`, `5s` or `2m`" + `. Unknown settings and bad values are refused, all in one list,
+each as ` + "`file:line:column: what, and what is allowed`" + `; ` + "`teaselgate serve --settings FILE --check`" + ` checks and stops.
+
+`
+
+// The page is rewritten by: go test ./option -update.
+func TestPageListsEverySetting(t *testing.T) {
+	var page strings.Builder
+	page.WriteString(pageHead + "| setting | needed | default | meaning |\n| --- | --- | --- | --- |\n")
+	for _, f := range Fields {
+		need, value := "no", "none"
+		if f.Need {
+			need = "yes"
+		}
+		if f.Default() != "" {
+			value = "`" + f.Default() + "`"
+		}
+		fmt.Fprintf(&page, "| `%s` | %s | %s | %s |\n", f.Name, need, value, f.Text)
+	}
+	goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md")).Assert(t, "SETTINGS", []byte(page.String()))
+}
+
+func TestEveryFieldOfTheStructIsListed(t *testing.T) {
+	var want, got []string
+	want = tagNames("", reflect.TypeFor[Options](), want)
+	for _, f := range Fields {
+		got = append(got, f.Name)
+		if f.Text == "" {
+			t.Errorf("unexpected setting %s without a text", f.Name)
+		}
+	}
+	slices.Sort(want)
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Errorf("unexpected settings, got %v instead of %v", got, want)
+	}
+}
+
+func tagNames(prefix string, of reflect.Type, names []string) []string {
+	for field := range of.Fields() {
+		name := prefix + field.Tag.Get("yaml")
+		if field.Type.Kind() == reflect.Struct && field.Type != reflect.TypeFor[time.Time]() {
+			names = tagNames(name+".", field.Type, names)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
--- a/option/option.go
+++ b/option/option.go
@@ -1,78 +1,75 @@
 // Package option reads the settings of one process.
 package option
 
-import (
-	"fmt"
-	"net"
-	"os"
-
-	"github.com/goccy/go-yaml"
-)
+import "time"
 
 // Options are the settings of one instance; docs/SETTINGS.md lists them.
 type Options struct {
-	Name          string   `yaml:"name"`           // unique name of the instance
-	Zone          string   `yaml:"zone"`           // availability zone
-	Listen        string   `yaml:"listen"`         // address for callers
-	Admin         string   `yaml:"admin"`          // address for operators
-	Peer          string   `yaml:"peer"`           // address for other instances
-	Peers         []string `yaml:"peers"`          // addresses of some other instances, for a start without the platform
-	Platform      string   `yaml:"platform"`       // URL of the platform's object API
-	PlatformToken string   `yaml:"platform-token"` // file with the platform's token
-	AdminToken    string   `yaml:"admin-token"`    // file with the operators' token
-	PeerToken     string   `yaml:"peer-token"`     // file with the secret shared by the instances
+	Name          string   `yaml:"name"`
+	Zone          string   `yaml:"zone"`
+	Listen        string   `yaml:"listen"`
+	Admin         string   `yaml:"admin"`
+	Peer          string   `yaml:"peer"`
+	Peers         []string `yaml:"peers"`
+	Platform      string   `yaml:"platform"`
+	PlatformToken string   `yaml:"platform-token"`
+	AdminToken    string   `yaml:"admin-token"`
+	PeerToken     string   `yaml:"peer-token"`
 	TLS           TLS      `yaml:"tls"`
+	AdminTLS      TLS      `yaml:"admin-tls"`
+	PeerTLS       PeerTLS  `yaml:"peer-tls"`
+	Limit         Limit    `yaml:"limit"`
 	Log           Logging  `yaml:"log"`
 }
 
-// TLS names the certificate of the callers' listener; without it the listener is plain.
+// TLS names the certificate of a listener; without it the listener is plain.
 type TLS struct {
 	Certificate string `yaml:"certificate"`
 	Key         string `yaml:"key"`
 }
 
-// Logging sets the form and level of the log.
-type Logging struct {
-	Format string `yaml:"format"` // text or json
-	Level  string `yaml:"level"`  // debug, info, warning or error
+// Set tells whether a certificate is named.
+func (t TLS) Set() bool { return t.Certificate != "" }
+
+// PeerTLS names the certificate that an instance shows to others, and the authority that signed theirs.
+type PeerTLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
 }
 
-// Read loads and checks a settings file.
-func Read(file string) (*Options, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("option: unable to read the settings: %w", err)
-	}
-	o := Default()
-	if err := yaml.UnmarshalWithOptions(text, o, yaml.Strict()); err != nil {
-		return nil, fmt.Errorf("option: %s: %w", file, err)
-	}
-	if err := o.Check(); err != nil {
-		return nil, fmt.Errorf("option: %s: %w", file, err)
-	}
-	return o, nil
+// Set tells whether calls between instances use TLS.
+func (t PeerTLS) Set() bool { return t.Certificate != "" }
+
+// Limit bounds what callers may use of an instance.
+type Limit struct {
+	Connections int           `yaml:"connections"`
+	Header      int           `yaml:"header"` // bytes
+	Body        int64         `yaml:"body"`   // bytes
+	Begin       time.Duration `yaml:"begin"`
+	Stall       time.Duration `yaml:"stall"`
+	Pace        int64         `yaml:"pace"` // bytes per second
+	Idle        time.Duration `yaml:"idle"`
 }
 
-// Default returns the settings that a file may leave out.
-func Default() *Options {
-	return &Options{Log: Logging{Format: "text", Level: "info"}}
+// Logging sets the form and level of the log.
+type Logging struct {
+	Format string `yaml:"format"`
+	Level  string `yaml:"level"`
 }
 
-// Check reports the first setting that is missing or can't be used.
-func (o *Options) Check() error {
-	required := []struct{ name, value string }{
-		{"name", o.Name}, {"zone", o.Zone}, {"platform", o.Platform},
-	}
-	for _, f := range required {
-		if f.value == "" {
-			return fmt.Errorf("%s: missing", f.name)
-		}
-	}
-	addresses := []struct{ name, value string }{{"listen", o.Listen}, {"admin", o.Admin}, {"peer", o.Peer}}
-	for _, f := range addresses {
-		if _, _, err := net.SplitHostPort(f.value); err != nil {
-			return fmt.Errorf("%s: %q is not an IP number and port", f.name, f.value)
-		}
+// Default returns the settings that a file may leave out.
+func Default() *Options {
+	return &Options{
+		Limit: Limit{
+			Connections: 8192,
+			Header:      64 << 10,
+			Body:        16 << 20,
+			Begin:       5 * time.Second,
+			Stall:       10 * time.Second,
+			Pace:        4 << 10,
+			Idle:        2 * time.Minute,
+		},
+		Log: Logging{Format: "text", Level: "info"},
 	}
-	return nil
 }
--- /dev/null
+++ b/option/read.go
@@ -0,0 +1,168 @@
+package option
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"teaselgate/rule"
+)
+
+// Problems are all faults of a settings file, in the order of the file.
+type Problems []rule.Problem
+
+// Error implements error with one problem a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Read loads and checks a settings file with the files that it names. The error is of type Problems,
+// unless the file itself can't be read.
+func Read(file string) (*Options, Secrets, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Secrets{}, fmt.Errorf("option: unable to read the settings: %w", err)
+	}
+	r := newReader(file)
+	r.parse(text)
+	r.checkFields()
+	r.checkPairs()
+	secrets := r.readSecrets()
+	if len(r.problems) > 0 {
+		slices.SortStableFunc(r.problems, func(a, b rule.Problem) int {
+			return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		})
+		return nil, Secrets{}, r.problems
+	}
+	return r.options, secrets, nil
+}
+
+// position is the place of a value in the file.
+type position struct{ line, column int }
+
+// reader collects the settings of one file and its problems.
+type reader struct {
+	file     string
+	options  *Options
+	places   map[string]position // of each setting given
+	bad      map[string]bool     // settings with a problem of their own
+	problems Problems
+}
+
+func newReader(file string) *reader {
+	return &reader{file: file, options: Default(), places: make(map[string]position), bad: make(map[string]bool)}
+}
+
+func (r *reader) fault(at position, format string, args ...any) {
+	r.problems = append(r.problems, rule.Problem{File: r.file, Line: at.line, Column: at.column, Text: fmt.Sprintf(format, args...)})
+}
+
+// faultAt reports a problem of one setting at its value; a setting that was not given has no place but the start.
+func (r *reader) faultAt(name, format string, args ...any) {
+	at, ok := r.places[name]
+	if !ok {
+		at = position{1, 1}
+	}
+	r.bad[name] = true
+	r.fault(at, name+": "+format, args...)
+}
+
+func (r *reader) parse(text []byte) {
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		at, message := yamlProblem(err)
+		r.fault(at, "%s", message)
+		return
+	}
+	for _, doc := range file.Docs {
+		if doc.Body != nil && doc.Body.Type() != ast.CommentType {
+			r.walk("", doc.Body)
+		}
+	}
+}
+
+// walk reads the mapping below a prefix.
+func (r *reader) walk(prefix string, node ast.Node) {
+	mapping, ok := node.(ast.MapNode)
+	if !ok {
+		r.fault(place(node), "must be a mapping with the keys %s", children(prefix))
+		return
+	}
+	for entries := mapping.MapRange(); entries.Next(); {
+		name := prefix + entries.Key().String()
+		field, known := findField(name)
+		switch {
+		case known:
+			r.decode(field, entries.Value())
+		case isGroup(name):
+			r.walk(name+".", entries.Value())
+		default:
+			r.fault(place(entries.Key()), "unknown setting %q; allowed are %s", name, children(prefix))
+		}
+	}
+}
+
+func (r *reader) decode(field Field, node ast.Node) {
+	r.places[field.Name] = place(node)
+	if err := yaml.NodeToValue(node, field.at(r.options), yaml.Strict()); err != nil {
+		_, message := yamlProblem(err)
+		r.faultAt(field.Name, "%s; it %s", message, field.allowed())
+	}
+}
+
+func yamlProblem(err error) (position, string) {
+	var located yaml.Error
+	if errors.As(err, &located) && located.GetToken() != nil {
+		at := located.GetToken().Position
+		return position{at.Line, at.Column}, located.GetMessage()
+	}
+	return position{1, 1}, err.Error()
+}
+
+func place(node ast.Node) position {
+	at := node.GetToken().Position
+	return position{at.Line, at.Column}
+}
+
+// checkFields reports settings that are missing or have a bad value, and resolves paths.
+func (r *reader) checkFields() {
+	for _, f := range Fields {
+		_, given := r.places[f.Name]
+		if !given {
+			if f.Need {
+				r.faultAt(f.Name, "missing; it %s", f.allowed())
+			}
+			continue
+		}
+		if r.bad[f.Name] {
+			continue
+		}
+		if allowed := f.check(f.at(r.options)); allowed != "" {
+			r.faultAt(f.Name, "%s", allowed)
+			continue
+		}
+		if f.file {
+			r.resolve(f)
+		}
+	}
+}
+
+// resolve makes a path relative to the settings file's directory absolute.
+func (r *reader) resolve(f Field) {
+	path := f.at(r.options).(*string)
+	if !filepath.IsAbs(*path) {
+		*path = filepath.Join(filepath.Dir(r.file), *path)
+	}
+}
--- /dev/null
+++ b/option/secret.go
@@ -0,0 +1,88 @@
+package option
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strings"
+)
+
+// Secrets are the tokens that the settings name by file.
+type Secrets struct {
+	Platform string
+	Admin    string
+	Peer     string
+}
+
+// readSecrets reads the token files.
+func (r *reader) readSecrets() Secrets {
+	return Secrets{
+		Platform: r.readToken("platform-token", r.options.PlatformToken),
+		Admin:    r.readToken("admin-token", r.options.AdminToken),
+		Peer:     r.readToken("peer-token", r.options.PeerToken),
+	}
+}
+
+func (r *reader) readToken(name, file string) string {
+	if r.bad[name] {
+		return ""
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		r.faultAt(name, "unable to read the token: %v", err)
+		return ""
+	}
+	token := strings.TrimSpace(string(text))
+	if token == "" {
+		r.faultAt(name, "the file %s is empty; it must hold a token", file)
+	}
+	return token
+}
+
+// checkPairs loads the certificates once, so that a start with bad ones is refused.
+func (r *reader) checkPairs() {
+	o := r.options
+	r.checkPair("tls", o.TLS.Certificate, o.TLS.Key)
+	r.checkPair("admin-tls", o.AdminTLS.Certificate, o.AdminTLS.Key)
+	r.checkPair("peer-tls", o.PeerTLS.Certificate, o.PeerTLS.Key)
+	r.checkAuthority(o.PeerTLS)
+}
+
+func (r *reader) checkPair(group, certificate, key string) {
+	if r.bad[group+".certificate"] || r.bad[group+".key"] || certificate == "" && key == "" {
+		return
+	}
+	if certificate == "" || key == "" {
+		given := group + ".certificate"
+		if certificate == "" {
+			given = group + ".key"
+		}
+		r.faultAt(given, "%s.certificate and %s.key go together; one is missing", group, group)
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(certificate, key); err != nil {
+		r.faultAt(group+".certificate", "unable to load the certificate and key: %v", err)
+	}
+}
+
+func (r *reader) checkAuthority(t PeerTLS) {
+	if r.bad["peer-tls.authority"] || !t.Set() && t.Authority == "" {
+		return
+	}
+	if !t.Set() || t.Authority == "" {
+		given := "peer-tls.certificate"
+		if t.Authority != "" {
+			given = "peer-tls.authority"
+		}
+		r.faultAt(given, "peer-tls.certificate, peer-tls.key and peer-tls.authority go together; one is missing")
+		return
+	}
+	text, err := os.ReadFile(t.Authority)
+	if err != nil {
+		r.faultAt("peer-tls.authority", "unable to read the authority: %v", err)
+		return
+	}
+	if !x509.NewCertPool().AppendCertsFromPEM(text) {
+		r.faultAt("peer-tls.authority", "the file %s holds no certificate (PEM)", t.Authority)
+	}
+}
