Prove the peer token by a challenge, allow mutual TLS, reload certificates

Cause: the hello of a peer connection was a hash of the token, the same each time: whoever recorded one could open connections of its own. There was no TLS between instances and none that could be reloaded.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -2,26 +2,24 @@
 package peer
 
 import (
-	"bufio"
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
+	"crypto/tls"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/rpc"
 	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"teaselgate/socket"
 )
 
 // Limits of a peer connection.
 const (
 	dialTimeout  = 2 * time.Second
 	helloTimeout = 2 * time.Second
-	helloBytes   = sha256.Size
 )
 
 var (
@@ -38,7 +36,8 @@
 // Server accepts calls from other instances. Its exported fields are set before Serve.
 type Server struct {
 	Listener net.Listener
-	Token    string // shared secret of the fleet
+	Token    string      // shared secret of the fleet
+	TLS      *tls.Config // nil for plain connections
 
 	rpc *rpc.Server
 }
@@ -78,31 +77,19 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	defer conn.Close()
-	if !s.acceptHello(conn) {
+	if s.TLS != nil {
+		conn = tls.Server(conn, s.TLS)
+	}
+	if err := acceptHello(conn, s.Token); err != nil {
 		return
 	}
 	s.rpc.ServeConn(conn)
 }
 
-func (s *Server) acceptHello(conn net.Conn) bool {
-	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
-	got := make([]byte, helloBytes)
-	if _, err := io.ReadFull(conn, got); err != nil {
-		return false
-	}
-	_ = conn.SetReadDeadline(time.Time{})
-	want := hello(s.Token)
-	return subtle.ConstantTimeCompare(got, want) == 1
-}
-
-func hello(token string) []byte {
-	sum := sha256.Sum256([]byte("teaselgate peer " + token))
-	return sum[:]
-}
-
 // Pool holds one connection to each peer address.
 type Pool struct {
 	Token string
+	TLS   func(host string) *tls.Config // nil for plain connections
 
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
@@ -162,14 +149,16 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*rpc.Client, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: socket.Control}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	w := bufio.NewWriter(conn)
-	_, _ = w.Write(hello(p.Token))
-	if err := w.Flush(); err != nil {
+	if p.TLS != nil {
+		host, _, _ := net.SplitHostPort(address)
+		conn = tls.Client(conn, p.TLS(host))
+	}
+	if err := offerHello(ctx, conn, p.Token); err != nil {
 		conn.Close()
 		return nil, err
 	}
