Bound what slow and numerous callers can hold of an instance

Cause: a caller that sent a byte of its body now and then, or read its answer so, held a decode slot for as long as it liked; connections were not bounded. net/http alone has limits on the header and on the whole request only. After: a credit of waiting time per request and direction, spent by waiting and earned by bytes (limit.stall, limit.pace); a bound on connections with a truthful refusal. Conclusion: the body limit moves from a constant in entry to the settings; a declared length above it is refused before anything is read. Body bytes without a length are still counted as they come.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -23,10 +23,7 @@
 // RequestHeader carries the request's id in every answer.
 const RequestHeader = "Teaselgate-Request"
 
-const (
-	requestIDBytes = 12
-	maxBodyBytes   = 16 << 20
-)
+const requestIDBytes = 12
 
 // Handler answers callers. Its exported fields are set before it serves.
 type Handler struct {
@@ -59,7 +56,6 @@
 		return
 	}
 	account.Strip(r.Header)
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	if c.route.Model != "" {
 		h.serveModel(w, r, c)
 		return
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,6 +14,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"teaselgate/cell"
+	"teaselgate/certificate"
 	"teaselgate/config"
 	"teaselgate/engine"
 	"teaselgate/entry"
@@ -23,6 +24,7 @@
 	"teaselgate/peer"
 	"teaselgate/platform"
 	"teaselgate/service"
+	"teaselgate/socket"
 )
 
 const shutdownTimeout = 30 * time.Second
@@ -46,6 +48,8 @@
 	engines     *engine.Client
 	services    *service.Client
 	listeners   listeners
+	callerTLS   *certificate.Store // nil while the listener is plain
+	adminTLS    *certificate.Store // nil while the listener is plain
 	leaving     atomic.Bool
 }
 
@@ -57,7 +61,6 @@
 
 // Open binds the listeners, so that addresses are known before Run.
 func (i *Instance) Open(ctx context.Context) error {
-	var config net.ListenConfig
 	for _, l := range []struct {
 		at  string
 		out *net.Listener
@@ -66,9 +69,9 @@
 		{i.Options.Admin, &i.listeners.admin},
 		{i.Options.Peer, &i.listeners.peer},
 	} {
-		listener, err := config.Listen(ctx, "tcp", l.at)
+		listener, err := socket.Listen(ctx, l.at)
 		if err != nil {
-			return fmt.Errorf("instance: unable to listen on %s: %w", l.at, err)
+			return err
 		}
 		*l.out = listener
 	}
@@ -93,10 +96,10 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := supervisor.ServeBackground(background)
-	caller := i.callerServer()
+	caller, bounded := i.callerServer()
 	admin := i.adminServer()
-	go func() { _ = caller.Serve(i.listeners.caller) }()
-	go func() { _ = admin.Serve(i.listeners.admin) }()
+	go func() { _ = serveHTTP(caller, bounded, i.callerTLS) }()
+	go func() { _ = serveHTTP(admin, i.listeners.admin, i.adminTLS) }()
 	i.announce(background, fleet.Live)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
 	<-ctx.Done()
@@ -120,6 +123,7 @@
 	i.engines = engine.NewClient()
 	i.services = service.NewClient()
 	steps := []func(*suture.Supervisor) error{
+		i.buildCertificates,
 		i.buildConfig,
 		i.buildFleet,
 		i.buildAllowance,
--- a/instance/server.go
+++ b/instance/server.go
@@ -3,25 +3,60 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
+	"io"
+	"log"
+	"net"
 	"net/http"
+	"strings"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"teaselgate/certificate"
+	"teaselgate/limit"
 )
 
-// Limits of the listeners.
+// Limits of the admin listener.
 const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	adminHeaderTimeout  = 5 * time.Second
+	adminWriteTimeout   = 30 * time.Second
+	adminMaxHeaderBytes = 64 << 10
+	adminMaxBodyBytes   = 64 << 10
 )
 
-// callerServer makes the HTTP server for callers.
-func (i *Instance) callerServer() *http.Server {
-	return &http.Server{
-		Handler:           i.handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+// callerServer makes the HTTP server for callers, and the listener that bounds their connections.
+func (i *Instance) callerServer() (*http.Server, net.Listener) {
+	server := limit.NewServer(i.handler, i.Options.Limit, i.events.Record)
+	server.ErrorLog = i.serverLog()
+	return server, limit.Bound(server, i.listeners.caller, i.Options.Limit.Connections, i.events.Record)
+}
+
+// serveHTTP serves on a listener, by TLS if there is a certificate.
+func serveHTTP(server *http.Server, listener net.Listener, secure *certificate.Store) error {
+	if secure == nil {
+		return server.Serve(listener)
 	}
+	server.TLSConfig = secure.Server()
+	return server.ServeTLS(listener, "", "")
+}
+
+// serverLog passes the notes of net/http on at the lowest level; callers cause most of them.
+func (i *Instance) serverLog() *log.Logger {
+	out := i.Log
+	if out == nil {
+		out = logrus.New()
+		out.SetOutput(io.Discard)
+	}
+	return log.New(debugWriter{out}, "", 0)
+}
+
+// debugWriter logs each line at the debug level.
+type debugWriter struct{ log *logrus.Logger }
+
+// Write implements io.Writer.
+func (d debugWriter) Write(p []byte) (int, error) {
+	d.log.Debug(strings.TrimSpace(string(p)))
+	return len(p), nil
 }
 
 // adminServer makes the HTTP server for operators.
@@ -30,7 +65,14 @@
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /ready", i.getReady)
 	mux.HandleFunc("GET /events", i.requireAdmin(i.getEvents))
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(mux, adminMaxBodyBytes),
+		ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout:       adminHeaderTimeout,
+		WriteTimeout:      adminWriteTimeout,
+		MaxHeaderBytes:    adminMaxHeaderBytes,
+		ErrorLog:          i.serverLog(),
+	}
 }
 
 func (i *Instance) getReady(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/limit/handler.go
@@ -0,0 +1,140 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"teaselgate/event"
+	"teaselgate/outcome"
+)
+
+// crowdedRetry is when a caller refused for want of connections may come back.
+const crowdedRetry = time.Second
+
+// Handler bounds how long each request waits for its caller. Its exported fields are set before it serves.
+type Handler struct {
+	Next   http.Handler
+	Stall  time.Duration
+	Pace   int64 // bytes per second
+	Body   int64 // bytes
+	Record func(event.Event)
+	Now    func() time.Time
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if isCrowded(r.Context()) {
+		w.Header().Set("Connection", "close")
+		h.refuse(w, outcome.Refuse(http.StatusServiceUnavailable, "too-many-connections", "the instance has too many connections").
+			WithRetry(h.Now().Add(crowdedRetry)))
+		return
+	}
+	if r.ContentLength > h.Body {
+		w.Header().Set("Connection", "close")
+		h.refuse(w, outcome.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large"))
+		return
+	}
+	control := http.NewResponseController(w)
+	// A keep-alive connection may still carry the deadline of the answer before.
+	_ = control.SetWriteDeadline(time.Time{})
+	if r.Body != nil && r.Body != http.NoBody {
+		body := &bodyReader{ReadCloser: r.Body, handler: h, control: control, pacer: newPacer(h.Stall, h.Pace)}
+		// Also bounds what the server discards of a body that nobody reads.
+		_ = control.SetReadDeadline(body.pacer.deadline(h.Now()))
+		r.Body = http.MaxBytesReader(w, body, h.Body)
+	}
+	out := &answerWriter{ResponseWriter: w, handler: h, control: control, pacer: newPacer(h.Stall, h.Pace)}
+	defer out.end()
+	h.Next.ServeHTTP(out, r)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, refusal *outcome.Refusal) {
+	h.Record(event.Event{Code: event.RequestRefused, Detail: refusal.Code + " " + string(refusal.Outcome)})
+	refusal.Write(w, h.Now())
+}
+
+func (h *Handler) noteStall(err error, detail string) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.Record(event.Event{Code: event.CallerStalled, Detail: detail})
+	}
+}
+
+// bodyReader reads a request's body within the pacer's deadline.
+type bodyReader struct {
+	io.ReadCloser
+	handler *Handler
+	control *http.ResponseController
+	pacer   *pacer
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	start := b.handler.Now()
+	_ = b.control.SetReadDeadline(b.pacer.deadline(start))
+	n, err := b.ReadCloser.Read(p)
+	b.pacer.spend(b.handler.Now().Sub(start), n)
+	if errors.Is(err, io.EOF) {
+		// The server reads on in the background, to notice a caller that goes away.
+		_ = b.control.SetReadDeadline(time.Time{})
+	} else if err != nil {
+		b.handler.noteStall(err, "body")
+	}
+	return n, err
+}
+
+// answerWriter writes an answer within the pacer's deadline.
+type answerWriter struct {
+	http.ResponseWriter
+	handler *Handler
+	control *http.ResponseController
+	pacer   *pacer
+}
+
+// Unwrap lets http.ResponseController find the server's writer.
+func (a *answerWriter) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// Write implements io.Writer.
+func (a *answerWriter) Write(p []byte) (int, error) {
+	var n int
+	err := a.wait(func() (int, error) {
+		var err error
+		n, err = a.ResponseWriter.Write(p)
+		return n, err
+	})
+	return n, err
+}
+
+// FlushError sends what is buffered.
+func (a *answerWriter) FlushError() error {
+	return a.wait(func() (int, error) { return 0, a.control.Flush() })
+}
+
+// wait runs a step that may block on the caller. The deadline is lifted again afterwards, since HTTP/2 resets a
+// stream whose deadline passes between two writes.
+func (a *answerWriter) wait(step func() (int, error)) error {
+	start := a.handler.Now()
+	_ = a.control.SetWriteDeadline(a.pacer.deadline(start))
+	n, err := step()
+	a.pacer.spend(a.handler.Now().Sub(start), n)
+	_ = a.control.SetWriteDeadline(time.Time{})
+	if err != nil {
+		a.handler.noteStall(err, "answer")
+	}
+	return err
+}
+
+// end bounds the server's last flush, which follows the handler.
+func (a *answerWriter) end() {
+	_ = a.control.SetWriteDeadline(a.pacer.deadline(a.handler.Now()))
+}
+
+type crowdedKey struct{}
+
+func isCrowded(ctx context.Context) bool {
+	crowded, _ := ctx.Value(crowdedKey{}).(bool)
+	return crowded
+}
--- /dev/null
+++ b/limit/server.go
@@ -0,0 +1,34 @@
+package limit
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"teaselgate/event"
+	"teaselgate/option"
+)
+
+// NewServer makes an HTTP server for callers with all bounds of the settings.
+func NewServer(next http.Handler, bounds option.Limit, record func(event.Event)) *http.Server {
+	return &http.Server{
+		Handler: &Handler{
+			Next:   next,
+			Stall:  bounds.Stall,
+			Pace:   bounds.Pace,
+			Body:   bounds.Body,
+			Record: record,
+			Now:    time.Now,
+		},
+		ReadHeaderTimeout: bounds.Begin,
+		IdleTimeout:       bounds.Idle,
+		MaxHeaderBytes:    bounds.Header,
+	}
+}
+
+// Bound counts the connections of a server's listener; the server must serve on what it returns.
+func Bound(server *http.Server, inner net.Listener, connections int, record func(event.Event)) net.Listener {
+	l := NewListener(inner, connections, record)
+	server.ConnState, server.ConnContext = l.ConnState, l.ConnContext
+	return l
+}
--- a/option/field_test.go
+++ b/option/field_test.go
@@ -38,7 +38,8 @@
 }
 
 func TestEveryFieldOfTheStructIsListed(t *testing.T) {
-	var want, got []string
+	var want []string
+	got := make([]string, 0, len(Fields))
 	want = tagNames("", reflect.TypeFor[Options](), want)
 	for _, f := range Fields {
 		got = append(got, f.Name)
