--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -29,7 +29,7 @@
 )
 
 // Tokens are the secrets of a site of stand-ins.
-var Tokens = instance.Tokens{Platform: "site-platform", Admin: "site-admin", Peer: "site-peer"}
+var Tokens = option.Secrets{Platform: "site-platform", Admin: "site-admin", Peer: "site-peer"}
 
 // Site is a running site.
 type Site struct {
