--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 test:
 	go test -race ./...
+	go test -run AtDesignSize ./fleet
 
 vet:
 	go vet ./...
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,11 +20,16 @@
 	suspectTimeout  = 3 * time.Second
 	syncInterval    = 30 * time.Second
 	platformPolling = 5 * time.Second
+	lonelyPolling   = time.Second // of the platform, while too few peers are heard
 	hearingWindow   = 4 * time.Second
 )
 
-// probeFanout is the number of peers that an instance probes in each interval.
-const probeFanout = 5
+// Peers that an instance probes in each interval: nearly all of a small fleet, few of a large one.
+const (
+	smallFleet  = 16
+	smallFanout = 5
+	largeFanout = 2
+)
 
 // Fleet follows the membership. Its exported fields are set before Serve.
 type Fleet struct {
@@ -42,6 +47,7 @@
 	updates  updateQueue
 	probes   []probeResult // within the hearing window
 	platform time.Time     // when the platform was last heard
+	polled   time.Time     // when the platform was last asked
 	calls    sync.WaitGroup
 }
 
@@ -116,14 +122,18 @@
 }
 
 // Connected tells whether the instance has heard the platform, or at least half of the peers
-// it tried, within the hearing window. An instance that has no peers counts the platform only.
+// it tried, within the hearing window. Peers that are gone without having left are tried too, so
+// that an instance in the smaller part of a divided fleet does not take that part for the whole.
+// An instance that has no peers counts the platform only.
 func (f *Fleet) Connected() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.Now().Sub(f.platform) < hearingWindow || f.hearsPeers()
+}
+
+// hearsPeers tells whether at least half of the peers tried lately answered; the caller holds the lock.
+func (f *Fleet) hearsPeers() bool {
 	now := f.Now()
-	if now.Sub(f.platform) < hearingWindow {
-		return true
-	}
 	heard := make(map[string]bool)
 	for _, p := range f.probes {
 		if now.Sub(p.at) < hearingWindow {
@@ -139,12 +149,19 @@
 	return len(heard) > 0 && 2*answered >= len(heard)
 }
 
-// Leave tells the peers that this instance takes no new duties.
-func (f *Fleet) Leave(ctx context.Context) {
-	f.restate(Leaving)
-	for _, m := range f.pick(probeFanout, nil) {
-		f.probe(ctx, m)
+// Leave tells peers that this instance takes no new duties.
+func (f *Fleet) Leave(ctx context.Context) { f.spread(ctx, Leaving) }
+
+// End tells peers that this instance answers no more calls.
+func (f *Fleet) End(ctx context.Context) { f.spread(ctx, Left) }
+
+func (f *Fleet) spread(ctx context.Context, s State) {
+	f.restate(s)
+	var probes sync.WaitGroup
+	for _, m := range f.pick(f.fanout(), Member.Working) {
+		probes.Go(func() { f.probe(ctx, m) })
 	}
+	probes.Wait()
 }
 
 // restate spreads a new statement on this instance itself.
@@ -156,12 +173,22 @@
 	f.updates.add(f.Self, len(f.members))
 }
 
-// pick returns up to n random working peers that a filter admits.
+// fanout returns the number of peers to probe in one interval.
+func (f *Fleet) fanout() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.members) < smallFleet {
+		return smallFanout
+	}
+	return largeFanout
+}
+
+// pick returns up to n random peers that a filter admits.
 func (f *Fleet) pick(n int, admit func(Member) bool) []Member {
 	f.mu.Lock()
 	var out []Member
 	for _, e := range f.members {
-		if e.member.State != Gone && (admit == nil || admit(e.member)) {
+		if admit(e.member) {
 			out = append(out, e.member)
 		}
 	}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// run runs a test with a network in faked time.
+func run(t *testing.T, test func(n *network)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		n := newNetwork(ctx, t)
+		test(n)
+		stop()
+		for _, r := range n.fleets {
+			<-r.done
+		}
+	})
+}
+
+// detection bounds the time until a silent instance is known to be gone.
+const detection = probeInterval + 3*probeTimeout + suspectTimeout + 5*time.Second
+
+func wait(d time.Duration) { <-time.After(d) }
+
+func TestSilentInstanceIsGoneAndComesBack(t *testing.T) {
+	run(t, func(n *network) {
+		fleets := n.startAll(9)
+		n.set(func(from, to string) bool { return from == "a4.0.0.0:7000" || to == "a4.0.0.0:7000" }, false)
+		wait(detection)
+		for i, f := range fleets {
+			if i != 4 {
+				n.expect(f, "after the cut", 1, Gone)
+			}
+		}
+		n.set(func(string, string) bool { return false }, false)
+		wait(detection)
+		for _, f := range fleets {
+			n.expect(f, "after the cut healed", 9, Live)
+		}
+	})
+}
+
+func TestKilledInstanceIsReplacedByItsNextRun(t *testing.T) {
+	run(t, func(n *network) {
+		fleets := n.startAll(6)
+		n.kill(fleets[2])
+		wait(detection)
+		fleets[2] = n.start("a2", 2)
+		wait(detection)
+		for _, f := range fleets {
+			m, err := f.Member("a2")
+			if err != nil || m.State != Live || m.Incarnation != 2 {
+				t.Errorf("unexpected member at %s, got %v and error %v instead of the second run", f.Self.Name, m, err)
+			}
+		}
+	})
+}
+
+func TestSmallerPartOfADividedFleetIsCutOff(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		outage   bool
+		smaller  bool // whether the smaller part counts itself connected
+		larger   bool
+		smallest int
+	}{
+		{"platform up", false, true, true, 3},
+		{"platform out", true, false, true, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, func(n *network) {
+				fleets := n.startAll(9)
+				small := func(address string) bool { return address < "a3" }
+				n.set(func(from, to string) bool { return small(from) != small(to) }, test.outage)
+				wait(3 * time.Minute) // long after the other part is taken for gone
+				for _, f := range fleets {
+					want := test.larger
+					if small(f.Self.Peer) {
+						want = test.smaller
+					}
+					if got := f.Connected(); got != want {
+						t.Errorf("unexpected connection of %s, got %v instead of %v", f.Self.Name, got, want)
+					}
+				}
+				n.set(func(string, string) bool { return false }, true)
+				wait(time.Minute)
+				for _, f := range fleets {
+					n.expect(f, "after the parts met again without the platform", 9, Live)
+					if !f.Connected() {
+						t.Errorf("unexpected connection of %s after the parts met, got false instead of true", f.Self.Name)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestLeavingInstanceIsNotMissed(t *testing.T) {
+	run(t, func(n *network) {
+		fleets := n.startAll(4)
+		leaver := fleets[0]
+		leaver.Leave(n.ctx)
+		wait(detection)
+		for _, f := range fleets[1:] {
+			n.expect(f, "while one leaves", 1, Leaving)
+		}
+		n.set(func(string, string) bool { return false }, true)
+		leaver.End(n.ctx)
+		n.kill(leaver)
+		wait(time.Minute)
+		for _, f := range fleets[1:] {
+			n.expect(f, "after one left", 1, Left)
+			if !f.Connected() {
+				t.Errorf("unexpected connection of %s, got false instead of true", f.Self.Name)
+			}
+		}
+		n.set(func(string, string) bool { return false }, false)
+		wait(2 * platformPolling)
+		for _, f := range fleets[1:] {
+			if _, err := f.Member("a0"); err == nil {
+				t.Errorf("unexpected member at %s: the platform does not name it any more", f.Self.Name)
+			}
+		}
+	})
+}
+
+func TestOneWayCutIsRelayed(t *testing.T) {
+	run(t, func(n *network) {
+		fleets := n.startAll(6)
+		n.set(func(from, to string) bool { return from < "a1" && to >= "a5" }, false)
+		wait(3 * detection)
+		for _, f := range fleets {
+			n.expect(f, "with a cut between two", 0, Gone)
+		}
+	})
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -15,12 +15,13 @@
 	Live State = iota
 	Leaving
 	Suspect
-	Gone
+	Gone // silent, without having left
+	Left // ended after a graceful leave
 )
 
 // String returns the state's name.
 func (s State) String() string {
-	return [...]string{"live", "leaving", "suspect", "gone"}[s]
+	return [...]string{"live", "leaving", "suspect", "gone", "left"}[s]
 }
 
 // Member is one instance.
@@ -48,6 +49,14 @@
 // Working tells whether the instance still answers calls.
 func (a Member) Working() bool { return a.State == Live || a.State == Leaving }
 
+// statement returns the member without its addresses.
+func (a Member) statement() Member {
+	return Member{Name: a.Name, Incarnation: a.Incarnation, Heartbeat: a.Heartbeat, State: a.State}
+}
+
+// ended tells whether the instance is taken to answer no calls any more.
+func (a Member) ended() bool { return a.State == Gone || a.State == Left }
+
 // entry is a member with what this instance itself saw of it.
 type entry struct {
 	member  Member
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"teaselgate/platform"
@@ -16,6 +17,7 @@
 // PingArgs is the message of a probe.
 type PingArgs struct {
 	From     Member
+	About    Member // what the caller holds of the callee, who corrects it at once if it is wrong
 	Revision uint64
 	Updates  []Member
 }
@@ -55,7 +57,7 @@
 
 // Ping answers a probe.
 func (r *Receiver) Ping(args PingArgs, reply *PingReply) error {
-	r.fleet.merge(append(args.Updates, args.From))
+	r.fleet.merge(append(args.Updates, args.From, args.About))
 	*reply = r.fleet.pingReply()
 	if args.Revision > reply.Revision {
 		r.fleet.Behind(args.From, args.Revision)
@@ -93,7 +95,7 @@
 	defer probe.Stop()
 	sync := time.NewTicker(syncInterval)
 	defer sync.Stop()
-	poll := time.NewTicker(platformPolling)
+	poll := time.NewTicker(lonelyPolling)
 	defer poll.Stop()
 	for {
 		select {
@@ -102,9 +104,9 @@
 		case <-probe.C:
 			f.probeRound(ctx)
 		case <-sync.C:
-			f.syncRandom(ctx)
+			f.syncSometimes(ctx)
 		case <-poll.C:
-			f.calls.Go(func() { f.poll(ctx) })
+			f.pollWhenDue(ctx)
 		}
 	}
 }
@@ -121,6 +123,20 @@
 	f.restate(f.Self.State)
 }
 
+// pollWhenDue asks the platform for its list: often only while too few peers are heard.
+func (f *Fleet) pollWhenDue(ctx context.Context) {
+	f.mu.Lock()
+	now := f.Now()
+	due := now.Sub(f.polled) >= platformPolling || !f.hearsPeers()
+	if due {
+		f.polled = now
+	}
+	f.mu.Unlock()
+	if due {
+		f.calls.Go(func() { f.poll(ctx) })
+	}
+}
+
 // poll takes instances that are not known yet from the platform's lagging list.
 func (f *Fleet) poll(ctx context.Context) {
 	list, err := f.Instances(ctx)
@@ -128,11 +144,14 @@
 		return
 	}
 	f.HeardPlatform()
+	named := make(map[string]bool, len(list))
 	for _, i := range list {
+		named[i.Name] = true
 		if _, err := f.Member(i.Name); err != nil {
 			f.mergeOne(listed(i))
 		}
 	}
+	f.forget(named)
 }
 
 // listed makes a member of an entry of the platform's list; any statement of its own replaces it.
@@ -144,6 +163,17 @@
 	return m
 }
 
+// syncSometimes exchanges all members with a peer, the more seldom the larger the fleet: the
+// exchange only repairs what the spreading of statements missed, and its size grows with the fleet.
+func (f *Fleet) syncSometimes(ctx context.Context) {
+	f.mu.Lock()
+	size := len(f.members)
+	f.mu.Unlock()
+	if size < smallFleet || rand.IntN(size) < smallFleet {
+		f.syncRandom(ctx)
+	}
+}
+
 func (f *Fleet) syncRandom(ctx context.Context) {
 	for _, m := range f.pick(1, Member.Working) {
 		f.sync(ctx, m.Peer)
@@ -162,7 +192,8 @@
 // probeRound probes some peers at once and takes silent suspects for gone.
 func (f *Fleet) probeRound(ctx context.Context) {
 	f.expire(f.Now())
-	for _, m := range f.pick(probeFanout, nil) {
+	notLeft := func(m Member) bool { return m.State != Left }
+	for _, m := range f.pick(f.fanout(), notLeft) {
 		f.calls.Go(func() { f.probe(ctx, m) })
 	}
 }
@@ -173,19 +204,18 @@
 	err := f.ping(direct, m)
 	stop()
 	f.note(m.Name, err == nil)
-	if err == nil || ctx.Err() != nil || f.relayed(ctx, m) {
+	if err == nil || ctx.Err() != nil || !m.Working() || f.relayed(ctx, m) {
 		return
 	}
-	if m.Working() {
-		m.State = Suspect
-		f.mergeOne(m)
-	}
+	m.State = Suspect
+	f.mergeOne(m)
 }
 
 func (f *Fleet) ping(ctx context.Context, m Member) error {
 	own := f.pingReply()
 	var reply PingReply
-	err := f.Call(ctx, m.Peer, RPCName+".Ping", PingArgs(own), &reply)
+	args := PingArgs{From: own.From, About: m.statement(), Revision: own.Revision, Updates: own.Updates}
+	err := f.Call(ctx, m.Peer, RPCName+".Ping", args, &reply)
 	if err != nil {
 		return err
 	}
--- a/fleet/update.go
+++ b/fleet/update.go
@@ -9,7 +9,7 @@
 
 const (
 	updatesPerMessage = 8
-	repeatFactor      = 3 // an update is sent this many times log2 of the fleet's size
+	repeatsMore       = 2 // an update is sent this many times more than log2 of the fleet's size
 )
 
 // update is a statement on a member that is still to be spread.
@@ -25,7 +25,7 @@
 
 func (q *updateQueue) add(m Member, fleetSize int) {
 	q.remove(m.Name)
-	q.updates = append(q.updates, update{m, repeatFactor * (bits.Len(uint(fleetSize)) + 1)})
+	q.updates = append(q.updates, update{m, bits.Len(uint(fleetSize)) + repeatsMore})
 }
 
 func (q *updateQueue) remove(name string) {
@@ -69,7 +69,7 @@
 		return
 	}
 	old, known := f.members[m.Name]
-	if known && !m.newer(old.member) {
+	if known && !m.newer(old.member) || !known && m.ended() {
 		f.mu.Unlock()
 		return
 	}
@@ -82,6 +82,17 @@
 	}
 }
 
+// forget drops members that are gone or have left, once the platform does not name them any more.
+func (f *Fleet) forget(named map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, e := range f.members {
+		if e.member.ended() && !named[name] {
+			delete(f.members, name)
+		}
+	}
+}
+
 // refute answers a statement of others on this instance; the caller holds the lock.
 func (f *Fleet) refute(m Member) {
 	if m.Incarnation != f.Self.Incarnation || !m.newer(f.Self) {
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -55,3 +55,16 @@
 		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
 	}
 }
+
+// withdraw removes this instance's entry at the platform.
+func (i *Instance) withdraw(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, announceTimeout)
+	defer stop()
+	entry, err := i.platform.Get(ctx, instanceKind, i.Options.Name)
+	if err == nil {
+		err = i.platform.Delete(ctx, instanceKind, i.Options.Name, entry.Version)
+	}
+	if err != nil {
+		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -155,6 +155,8 @@
 	if err := caller.Shutdown(ctx); err != nil {
 		return fmt.Errorf("instance: requests were cut at shutdown: %w", err)
 	}
+	i.fleet.End(ctx)
+	i.withdraw(ctx)
 	i.events.Record(event.Event{Code: event.InstanceStopped})
 	return nil
 }
