--- /dev/null
+++ b/account/operator.go
@@ -0,0 +1,38 @@
+package account
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"strings"
+)
+
+const (
+	operatorPrefix = "ed25519:"
+	secretPrefix   = "ed25519-secret:"
+)
+
+// NewOperator makes an operator's secret and the public key that an operator rule holds.
+func NewOperator() (secret, public string) {
+	seed := make([]byte, ed25519.SeedSize)
+	_, _ = rand.Read(seed)
+	key := ed25519.NewKeyFromSeed(seed)
+	return secretPrefix + base64.StdEncoding.EncodeToString(seed), PublicKey(key)
+}
+
+// PublicKey returns the form in which an operator rule holds a key.
+func PublicKey(key ed25519.PrivateKey) string {
+	public, _ := key.Public().(ed25519.PublicKey)
+	return operatorPrefix + base64.StdEncoding.EncodeToString(public)
+}
+
+// ParseSecret reads an operator's secret.
+func ParseSecret(text string) (ed25519.PrivateKey, error) {
+	encoded, ok := strings.CutPrefix(strings.TrimSpace(text), secretPrefix)
+	seed, err := base64.StdEncoding.DecodeString(encoded)
+	if !ok || err != nil || len(seed) != ed25519.SeedSize {
+		return nil, fmt.Errorf("account: not an operator's secret; make one with teaselgate key operator")
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
--- /dev/null
+++ b/config/fake_test.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"teaselgate/account"
+	"teaselgate/platform"
+	"teaselgate/rule"
+	standin "teaselgate/standin/platform"
+)
+
+const testToken = "test"
+
+var errCut = errors.New("config: the connection is cut")
+
+// direct carries HTTP calls to the stand-in without a network, so that tests can run in fake time.
+type direct struct {
+	handler http.Handler
+	cut     func() bool // whether the caller can't reach the platform
+}
+
+// RoundTrip implements http.RoundTripper.
+func (d *direct) RoundTrip(req *http.Request) (*http.Response, error) {
+	if d.cut() {
+		return nil, errCut
+	}
+	done := make(chan *http.Response, 1)
+	go func() {
+		defer func() {
+			if recover() != nil {
+				done <- nil
+			}
+		}()
+		w := httptest.NewRecorder()
+		d.handler.ServeHTTP(w, req)
+		done <- w.Result()
+	}()
+	select {
+	case <-req.Context().Done():
+		return nil, req.Context().Err()
+	case resp := <-done:
+		if resp == nil {
+			return nil, errCut
+		}
+		return resp, nil
+	}
+}
+
+func newStandin() *standin.Server { return standin.NewServer(testToken) }
+
+func newClient(server *standin.Server, cut func() bool) *platform.Client {
+	transport := &direct{handler: server.Handler(), cut: cut}
+	return &platform.Client{Base: "http://platform", Token: testToken, HTTP: &http.Client{Transport: transport}}
+}
+
+func connected() bool { return false }
+
+// operatorSecret returns the same key for the same name.
+func operatorSecret(name string) ed25519.PrivateKey {
+	seed := sha256.Sum256([]byte(name))
+	return ed25519.NewKeyFromSeed(seed[:])
+}
+
+func operatorLine(name string) string {
+	return fmt.Sprintf("- {operator: %s, key: %q}   # marat: test\n", name, account.PublicKey(operatorSecret(name)))
+}
+
+// guardedRules are rules of three operators: keys need one other's approval, accounts none.
+func guardedRules(lines ...string) string {
+	text := operatorLine("aigerim") + operatorLine("marat") + operatorLine("olga") +
+		"- {change: change, by: [aigerim, marat], approvals: 1}   # marat: test\n" +
+		"- {change: operator, by: [aigerim, marat], approvals: 1}   # marat: test\n" +
+		"- {change: key, by: [aigerim, marat, olga], approvals: 1}   # marat: test\n" +
+		"- {change: account, by: [aigerim], approvals: 0}   # marat: test\n"
+	return text + strings.Join(lines, "")
+}
+
+func accountLine(name string, rate int) string {
+	return fmt.Sprintf("- {account: %s, rate: %d, burst: 10}   # marat: test\n", name, rate)
+}
+
+func keyLine(secret, name string) string {
+	return fmt.Sprintf("- {key: %q, account: %s}   # marat: test\n", account.Hash(secret), name)
+}
+
+func poolLine(name string, slots int) string {
+	return fmt.Sprintf("- {pool: %s, duty: plain, slots: %d}   # marat: test\n", name, slots)
+}
+
+func parse(t testing.TB, text string) *rule.Set {
+	t.Helper()
+	set, problems := rule.Parse("test.yaml", []byte(text))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	return set
+}
+
+func mustApply(t testing.TB, client *platform.Client, r Request) Result {
+	t.Helper()
+	result, err := NewWriter(client).Apply(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// afterPut lets a test act after each write took effect; an error loses the answer.
+type afterPut struct {
+	direct http.RoundTripper
+	do     func(path string) error
+}
+
+// RoundTrip implements http.RoundTripper.
+func (a *afterPut) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := a.direct.RoundTrip(req)
+	if err != nil || req.Method != http.MethodPut || resp.StatusCode != http.StatusOK {
+		return resp, err
+	}
+	if err := a.do(req.URL.Path); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
--- a/config/follower.go
+++ b/config/follower.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"strings"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,19 +14,56 @@
 	"teaselgate/rule"
 )
 
-const retryDelay = 500 * time.Millisecond
+// Timing of the follower.
+const (
+	retryDelay   = 500 * time.Millisecond
+	pulse        = time.Second
+	pollInterval = 20 * time.Second // of an instance that does not watch
+)
 
 // Follower puts each newer revision in force. Its exported fields are set before Serve.
 type Follower struct {
 	Platform *platform.Client
 	Record   func(event.Event)
+	Call     func(ctx context.Context, address, method string, args, reply any) error
+	Peers    func() []string // addresses of all known peers
+	Watches  func() bool     // whether this instance watches the platform; others rely on their peers
+	Lonely   func() bool     // whether too few peers are heard to learn of revisions from them
+	Heard    func()          // told of each answer of the platform
 
 	current atomic.Pointer[Revision]
+	rejects atomic.Pointer[Rejection]
+	putting sync.Mutex // held while a revision is put in force
+	nudges  chan nudge
+	read    atomic.Int64 // time of the newest read of the head, in Unix nanoseconds
+}
+
+// Rejection is a revision that this instance refused to put in force.
+type Rejection struct {
+	Revision uint64 `json:"revision"`
+	Change   string `json:"change"`
+	Reason   string `json:"reason"`
+}
+
+// NewFollower returns a follower without peers.
+func NewFollower(p *platform.Client) *Follower {
+	return &Follower{
+		Platform: p,
+		Record:   func(event.Event) {},
+		Peers:    func() []string { return nil },
+		Watches:  func() bool { return true },
+		Lonely:   func() bool { return true },
+		Heard:    func() {},
+		nudges:   make(chan nudge, 1),
+	}
 }
 
-// Current returns the revision in force, or nil before the first one.
+// Current returns the revision in force, or nil before the instance has heard enough to have one.
 func (f *Follower) Current() *Revision { return f.current.Load() }
 
+// Rejected returns the newest revision that was refused, or nil.
+func (f *Follower) Rejected() *Rejection { return f.rejects.Load() }
+
 // Rules returns the rules in force; it is empty before the first revision.
 func (f *Follower) Rules() *rule.Set {
 	if r := f.current.Load(); r != nil {
@@ -34,70 +72,120 @@
 	return &rule.Set{}
 }
 
-// Serve follows the platform's head until the context ends.
+// Serve follows the platform's head and the peers until the context ends.
 func (f *Follower) Serve(ctx context.Context) error {
+	if err := f.start(ctx); err != nil {
+		return err
+	}
+	var loops sync.WaitGroup
+	loops.Go(func() { f.watchLoop(ctx) })
+	loops.Go(func() { f.relayLoop(ctx) })
+	loops.Go(func() { f.pulseLoop(ctx) })
+	loops.Wait()
+	return ctx.Err()
+}
+
+// watchLoop waits for changes of the head while this instance is one that watches.
+func (f *Follower) watchLoop(ctx context.Context) {
 	var seen uint64
 	for ctx.Err() == nil {
-		version, err := f.step(ctx, seen)
+		if !f.Watches() {
+			pause(ctx, pulse)
+			continue
+		}
+		version, err := f.watch(ctx, seen)
 		if err != nil {
-			f.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
-			pause(ctx, retryDelay)
+			f.lost(ctx, err)
+			pause(ctx, retryDelay+rand.N(retryDelay))
 			continue
 		}
 		seen = version
 	}
-	return ctx.Err()
 }
 
-func (f *Follower) step(ctx context.Context, seen uint64) (uint64, error) {
-	if f.Current() == nil {
-		_, head, err := readHead(ctx, f.Platform)
-		if err != nil {
-			return seen, err
-		}
-		if err := f.adopt(ctx, head); err != nil {
-			return seen, err
-		}
-	}
+func (f *Follower) watch(ctx context.Context, seen uint64) (uint64, error) {
 	list, err := f.Platform.Watch(ctx, HeadKind, seen)
 	if err != nil {
 		return seen, err
 	}
+	f.heard()
 	for _, o := range list.Objects {
-		var head Head
-		if err := json.Unmarshal(o.Data, &head); err != nil {
-			return seen, fmt.Errorf("config: unable to decode the head: %w", err)
+		if o.Deleted || o.Name != HeadName {
+			continue
+		}
+		head, err := decodeHead(o)
+		if err != nil {
+			return seen, err
 		}
-		if err := f.adopt(ctx, head); err != nil {
+		if err := f.adopt(ctx, head, fromPlatform(f.Platform)); err != nil {
 			return seen, err
 		}
 	}
 	return list.Version, nil
 }
 
-// adopt puts a revision in force unless a newer one already is.
-func (f *Follower) adopt(ctx context.Context, head Head) error {
-	if old := f.Current(); head.Revision == 0 || old != nil && head.Revision <= old.Number {
-		return nil
-	}
-	var text strings.Builder
-	for _, name := range head.Parts {
-		o, err := f.Platform.Get(ctx, PartKind, name)
-		if err != nil {
-			return err
+// pulseLoop reads the head where neither a watch nor enough peers would bring news in time.
+func (f *Follower) pulseLoop(ctx context.Context) {
+	tick := time.NewTicker(pulse)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		polls := !f.Watches() && time.Now().UnixNano()-f.read.Load() >= int64(pollInterval)
+		if !polls && !f.Lonely() {
+			continue
 		}
-		var part Part
-		if err := json.Unmarshal(o.Data, &part); err != nil {
-			return fmt.Errorf("config: unable to decode part %s: %w", name, err)
+		if err := f.readOnce(ctx); err != nil {
+			f.lost(ctx, err)
 		}
-		text.WriteString(part.Text)
 	}
-	set, problems := rule.Parse("revision", []byte(text.String()))
-	if len(problems) > 0 {
-		f.Record(event.Event{Code: event.RulesRejected, Detail: problems[0].Error()})
+}
+
+// readOnce reads the head and puts it in force.
+func (f *Follower) readOnce(ctx context.Context) error {
+	_, head, err := readHead(ctx, f.Platform)
+	if err != nil {
+		return err
+	}
+	f.heard()
+	return f.adopt(ctx, head, fromPlatform(f.Platform))
+}
+
+func (f *Follower) heard() {
+	f.read.Store(time.Now().UnixNano())
+	f.Heard()
+}
+
+func (f *Follower) lost(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		f.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
+	}
+}
+
+// adopt puts a revision in force unless that one or a newer one already is.
+func (f *Follower) adopt(ctx context.Context, head Head, read fetch) error {
+	f.putting.Lock()
+	defer f.putting.Unlock()
+	old := f.Current()
+	if old != nil && head.Revision <= old.Number {
 		return nil
 	}
-	f.current.Store(&Revision{Number: head.Revision, Rules: set})
+	if r := f.Rejected(); r != nil && r.Revision == head.Revision && r.Change == head.Change {
+		return nil
+	}
+	revision, err := follow(ctx, head, old, read)
+	if errors.Is(err, ErrInvalid) {
+		f.rejects.Store(&Rejection{head.Revision, head.Change, err.Error()})
+		f.Record(event.Event{Code: event.RulesRejected, Detail: err.Error()})
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.current.Store(revision)
 	f.Record(event.Event{Code: event.RulesInForce, Detail: fmt.Sprintf("revision %d", head.Revision)})
 	return nil
 }
--- /dev/null
+++ b/config/guard.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"teaselgate/rule"
+)
+
+// Guard is the change rule that guards some lines of a change.
+type Guard struct {
+	Kind      rule.Kind `json:"kind"`
+	Lines     int       `json:"lines"`
+	Guarded   bool      `json:"guarded"` // whether there is a change rule for the kind
+	By        []string  `json:"by,omitempty"`
+	Approvals int       `json:"approvals"`
+}
+
+// guards lists the change rules that guard a change, by kind. The first revision has none.
+func (r *Revision) guards(differences []rule.Difference) []Guard {
+	var out []Guard
+	for _, d := range differences {
+		kind := d.Line().Kind
+		if n := len(out); n > 0 && out[n-1].Kind == kind {
+			out[n-1].Lines++
+			continue
+		}
+		change, ok := r.Rules.Change(kind)
+		out = append(out, Guard{kind, 1, ok && r.Number > 0, change.By, change.Approvals})
+	}
+	return out
+}
+
+// checkStep verifies that the rules in force allow a step, and returns every reason against it.
+func (r *Revision) checkStep(step Step, differences []rule.Difference) error {
+	own, err := newStep(step.Base, step.By, differences)
+	if err != nil {
+		return err
+	}
+	if own.Digest != step.Digest || own.Change != step.Change || step.Revision != r.Number+1 {
+		return invalid.New("config: revision %d is not what its change says", step.Revision)
+	}
+	if step.Base > r.Number || !r.head.reaches(step.Base) {
+		return invalid.New("config: the change starts from revision %d, which is too old", step.Base)
+	}
+	if _, ok := r.head.find(step.Change); ok {
+		return invalid.New("config: change %s was already accepted", step.Change)
+	}
+	var faults []error
+	for _, g := range r.guards(differences) {
+		if err := r.checkGuard(g, step); err != nil {
+			faults = append(faults, err)
+		}
+	}
+	return errors.Join(faults...)
+}
+
+func (r *Revision) checkGuard(g Guard, step Step) error {
+	if !g.Guarded {
+		return nil
+	}
+	if !slices.Contains(g.By, step.By) {
+		return invalid.New("config: operator %q may not change rules of kind %s; allowed are %s", step.By, g.Kind, strings.Join(g.By, ", "))
+	}
+	if !r.signed(step, Approval{step.By, step.Signature}) {
+		return invalid.New("config: the signature of operator %q is missing or not valid", step.By)
+	}
+	others := make(map[string]bool)
+	for _, a := range step.Approvals {
+		if a.By != step.By && slices.Contains(g.By, a.By) && r.signed(step, a) {
+			others[a.By] = true
+		}
+	}
+	if len(others) < g.Approvals {
+		return invalid.New("config: changing rules of kind %s needs %d approvals by others of %s, got %d valid ones",
+			g.Kind, g.Approvals, strings.Join(g.By, ", "), len(others))
+	}
+	return nil
+}
+
+// signed verifies an operator's signature with the public key in the rules in force.
+func (r *Revision) signed(step Step, a Approval) bool {
+	operator, ok := r.Rules.Operator(a.By)
+	if !ok {
+		return false
+	}
+	key, err := operator.PublicKey()
+	return err == nil && ed25519.Verify(key, step.statement(), a.Signature)
+}
+
+// SignedApproval is an approval with the base that it was given for.
+type SignedApproval struct {
+	Approval
+	Base uint64
+}
+
+// String returns the approval as operators pass it on: name@base:signature.
+func (a SignedApproval) String() string {
+	return fmt.Sprintf("%s@%d:%s", a.By, a.Base, base64.StdEncoding.EncodeToString(a.Signature))
+}
+
+// ParseApproval reads what String returned.
+func ParseApproval(text string) (SignedApproval, error) {
+	var a SignedApproval
+	name, rest, ok := strings.Cut(text, "@")
+	base, signature, ok2 := strings.Cut(rest, ":")
+	number, err := strconv.ParseUint(base, 10, 64)
+	raw, err2 := base64.StdEncoding.DecodeString(signature)
+	if !ok || !ok2 || name == "" || err != nil || err2 != nil || len(raw) != ed25519.SignatureSize {
+		return a, fmt.Errorf("config: %q is not an approval of the form name@base:signature; teaselgate approve prints one", text)
+	}
+	a.By, a.Base, a.Signature = name, number, raw
+	return a, nil
+}
--- /dev/null
+++ b/config/part.go
@@ -0,0 +1,152 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"slices"
+	"strings"
+
+	"teaselgate/rule"
+)
+
+const (
+	maxPartBytes = 768 << 10 // before compression; a part stays below the platform's one megabyte
+	maxReadBytes = 16 << 20  // after decompression
+	maxParts     = 4096
+)
+
+// Part is a piece of the rules as stored, named by its digest and the change that wrote it.
+type Part struct {
+	Data []byte `json:"data"` // compressed lines
+}
+
+// part is a piece of the rules that a step adds.
+type part struct {
+	name string
+	text []byte // encoded lines
+}
+
+// bucketOf returns the part that holds a rule.
+func bucketOf(l rule.Line, parts int) int {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, l.ID())
+	return int(h.Sum32() & uint32(parts-1))
+}
+
+func partition(lines []rule.Line, parts int) [][]rule.Line {
+	buckets := make([][]rule.Line, parts)
+	for _, l := range lines {
+		b := bucketOf(l, parts)
+		buckets[b] = append(buckets[b], l)
+	}
+	return buckets
+}
+
+// partName names a part after its content and its writer, so that nobody but its writer creates it
+// and a retired part never comes back.
+func partName(text []byte, writer string) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:]) + "-" + writer
+}
+
+// sameContent tells whether two lists name the same contents, whoever wrote the parts.
+func sameContent(a, b []string) bool {
+	return slices.EqualFunc(a, b, func(x, y string) bool { return digestOf(x) == digestOf(y) })
+}
+
+func digestOf(name string) string {
+	digest, _, _ := strings.Cut(name, "-")
+	return digest
+}
+
+// repartition encodes the parts that the differences touch; parts grow in number when one is too large.
+func (r *Revision) repartition(set *rule.Set, differences []rule.Difference, writer string) ([]string, []part, error) {
+	count := max(len(r.head.Parts), 1)
+	touched := make(map[int]bool)
+	for _, d := range differences {
+		touched[bucketOf(d.Line(), count)] = true
+	}
+	for ; count <= maxParts; count *= 2 {
+		buckets := partition(set.Lines(), count)
+		names, parts, fits, err := encodeBuckets(buckets, r.head.Parts, touched, writer)
+		if err != nil {
+			return nil, nil, err
+		}
+		if fits {
+			return names, parts, nil
+		}
+	}
+	return nil, nil, invalid.New("config: the rules need more than %d parts", maxParts)
+}
+
+func encodeBuckets(buckets [][]rule.Line, old []string, touched map[int]bool, writer string) ([]string, []part, bool, error) {
+	names := make([]string, len(buckets))
+	var parts []part
+	for i, lines := range buckets {
+		if len(old) == len(buckets) && !touched[i] {
+			names[i] = old[i]
+			continue
+		}
+		text, err := rule.EncodeLines(lines)
+		if err != nil {
+			return nil, nil, false, err
+		}
+		if len(text) > maxPartBytes {
+			return nil, nil, false, nil
+		}
+		names[i] = partName(text, writer)
+		parts = append(parts, part{names[i], text})
+	}
+	return names, parts, true, nil
+}
+
+// compress returns a part as it is stored.
+func compress(text []byte) (Part, error) {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(text); err != nil {
+		return Part{}, fmt.Errorf("config: unable to compress a part: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return Part{}, fmt.Errorf("config: unable to compress a part: %w", err)
+	}
+	return Part{Data: out.Bytes()}, nil
+}
+
+// lines checks a stored part against its name and reads it.
+func (p Part) lines(name string) ([]rule.Line, error) {
+	r, err := gzip.NewReader(bytes.NewReader(p.Data))
+	if err != nil {
+		return nil, invalid.Wrap(err, "config: unable to read part %s", name)
+	}
+	text, err := io.ReadAll(io.LimitReader(r, maxReadBytes))
+	if err != nil {
+		return nil, invalid.Wrap(err, "config: unable to read part %s", name)
+	}
+	if sum := sha256.Sum256(text); hex.EncodeToString(sum[:]) != digestOf(name) {
+		return nil, invalid.New("config: part %s has another digest", name)
+	}
+	lines, err := rule.DecodeLines(text)
+	if err != nil {
+		return nil, invalid.Wrap(err, "config: unable to read part %s", name)
+	}
+	return lines, nil
+}
+
+// part returns a part of the revision as it is stored.
+func (r *Revision) part(name string) (Part, error) {
+	i := slices.Index(r.head.Parts, name)
+	if i < 0 {
+		return Part{}, stale.New("config: part %s is not of revision %d", name, r.Number)
+	}
+	text, err := rule.EncodeLines(partition(r.Rules.Lines(), len(r.head.Parts))[i])
+	if err != nil {
+		return Part{}, err
+	}
+	return compress(text)
+}
--- /dev/null
+++ b/config/plan.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"context"
+	"crypto/ed25519"
+
+	"teaselgate/platform"
+	"teaselgate/rule"
+)
+
+// Plan is the difference between a rules file and the revision that its author saw.
+type Plan struct {
+	Base        uint64            // revision that the file is compared with
+	Current     uint64            // newest revision
+	Differences []rule.Difference // by kind and name
+	Guards      []Guard           // change rules that guard the differences
+	Conflicts   int               // rules that somebody else changed meanwhile
+
+	step    Step
+	current *Revision
+}
+
+// NewPlan compares rules with a revision; a nil base stands for the newest one.
+func NewPlan(ctx context.Context, p *platform.Client, rules *rule.Set, by string, base *uint64) (*Plan, error) {
+	_, current, err := readCurrent(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	return current.plan(rules, by, base)
+}
+
+func (r *Revision) plan(rules *rule.Set, by string, base *uint64) (*Plan, error) {
+	plan := &Plan{Base: r.Number, Current: r.Number, current: r}
+	from := r.Rules
+	if base != nil {
+		var err error
+		if from, err = r.at(*base); err != nil {
+			return nil, err
+		}
+		plan.Base = *base
+	}
+	plan.Differences = rule.Diff(from, rules)
+	plan.Guards = r.guards(plan.Differences)
+	plan.Conflicts = r.Rules.Conflicts(plan.Differences)
+	var err error
+	plan.step, err = newStep(plan.Base, by, plan.Differences)
+	return plan, err
+}
+
+// Change returns the unique id of the planned change.
+func (p *Plan) Change() string { return p.step.Change }
+
+// Approve signs the planned change.
+func (p *Plan) Approve(by string, secret ed25519.PrivateKey) SignedApproval {
+	return SignedApproval{Approval{by, ed25519.Sign(secret, p.step.statement())}, p.Base}
+}
+
+// Problems lists why the planned change can't be accepted without more approvals or at all.
+func (p *Plan) Problems() []rule.Problem {
+	_, problems, err := p.current.Rules.Apply(p.Differences)
+	if err != nil {
+		return nil
+	}
+	return problems
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -121,9 +121,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Now()
-	if now.Sub(f.platform) < hearingWindow {
-		return true
-	}
+	return now.Sub(f.platform) < hearingWindow || f.hearsPeers(now)
+}
+
+// HearsPeers tells whether the instance has heard at least half of the peers it tried, and at
+// least one, within the hearing window.
+func (f *Fleet) HearsPeers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hearsPeers(f.Now())
+}
+
+// hearsPeers counts the answered probes; the caller holds the lock.
+func (f *Fleet) hearsPeers(now time.Time) bool {
 	heard := make(map[string]bool)
 	for _, p := range f.probes {
 		if now.Sub(p.at) < hearingWindow {
--- a/instance/build_config.go
+++ b/instance/build_config.go
@@ -1,16 +1,29 @@
 package instance
 
 import (
+	"slices"
+
 	"github.com/thejerf/suture/v4"
 
 	"teaselgate/config"
+	"teaselgate/fleet"
 )
 
+// watchersPerZone is the number of instances in each availability zone that watch the platform's
+// head; the others learn of revisions from their peers.
+const watchersPerZone = 3
+
 // buildConfig makes the follower of the rules.
 func (i *Instance) buildConfig(supervisor *suture.Supervisor) error {
-	i.rules = &config.Follower{Platform: i.platform, Record: i.events.Record}
+	i.rules = config.NewFollower(i.platform)
+	i.rules.Record = i.events.Record
+	i.rules.Call = i.peers.Call
+	i.rules.Peers = i.peerAddresses
+	i.rules.Watches = i.watchesRules
+	i.rules.Lonely = func() bool { return !i.fleet.HearsPeers() }
+	i.rules.Heard = func() { i.fleet.HeardPlatform() }
 	supervisor.Add(i.rules)
-	return nil
+	return i.peerServer.Register(config.RPCName, i.rules.Receiver())
 }
 
 // revision returns the number of the revision in force, 0 before the first.
@@ -20,3 +33,28 @@
 	}
 	return 0
 }
+
+// peerAddresses lists all known peers that are not gone.
+func (i *Instance) peerAddresses() []string {
+	var out []string
+	for _, m := range i.fleet.Members() {
+		if m.State != fleet.Gone {
+			out = append(out, m.Peer)
+		}
+	}
+	out = append(out, i.Options.Peers...)
+	slices.Sort(out)
+	out = slices.Compact(out)
+	return slices.DeleteFunc(out, func(address string) bool { return address == i.PeerAddress() })
+}
+
+// watchesRules tells whether this instance is among the first of its availability zone.
+func (i *Instance) watchesRules() bool {
+	rank := 0
+	for _, m := range i.fleet.Live() {
+		if m.Zone == i.Options.Zone && m.Name < i.Options.Name {
+			rank++
+		}
+	}
+	return rank < watchersPerZone
+}
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -30,6 +30,7 @@
 	i.fleet.Seeds = i.Options.Peers
 	i.fleet.Revision = i.revision
 	i.fleet.Instances = i.platform.Instances
+	i.fleet.Behind = func(from fleet.Member, revision uint64) { i.rules.Nudge(from.Peer, revision) }
 	i.fleet.Record = i.events.Record
 	supervisor.Add(i.fleet)
 	return i.peerServer.Register(fleet.RPCName, i.fleet.Receiver())
--- a/rule/rule.go
+++ b/rule/rule.go
@@ -8,14 +8,15 @@
 
 // The kinds of rules.
 const (
-	KindFleet   Kind = "fleet"
-	KindChange  Kind = "change"
-	KindPool    Kind = "pool"
-	KindModel   Kind = "model"
-	KindServer  Kind = "server"
-	KindRoute   Kind = "route"
-	KindAccount Kind = "account"
-	KindKey     Kind = "key"
+	KindFleet    Kind = "fleet"
+	KindOperator Kind = "operator"
+	KindChange   Kind = "change"
+	KindPool     Kind = "pool"
+	KindModel    Kind = "model"
+	KindServer   Kind = "server"
+	KindRoute    Kind = "route"
+	KindAccount  Kind = "account"
+	KindKey      Kind = "key"
 )
 
 // Fleet holds the settings common to all instances.
@@ -24,6 +25,12 @@
 	Shards int    `yaml:"shards"` // number of allowance shards, a power of two
 }
 
+// Operator is a person who may ask for changes or approve them.
+type Operator struct {
+	Operator string `yaml:"operator"`
+	Key      string `yaml:"key"` // "ed25519:" and the public key in base64
+}
+
 // Change says who may change a kind of rule, and how many others must approve.
 type Change struct {
 	Change    Kind     `yaml:"change"`
@@ -150,29 +157,21 @@
 	Account string `yaml:"account"`
 }
 
-// Line is one rule as written.
-type Line struct {
-	Kind   Kind
-	Name   string
-	Text   string // the flow mapping without the comment
-	Reason string // the comment: who asked, and why
-	Number int    // line in its file, from 1
-}
-
 // Set is a checked set of rules. It is not changed once made.
 type Set struct {
-	lines    []Line
-	fleet    Fleet
-	changes  map[Kind]Change
-	pools    map[string]Pool
-	models   map[string]Model
-	servers  []Server
-	routes   []Route
-	accounts map[string]Account
-	keys     map[string]Key
-}
-
-// Lines returns all rules as written, in order.
+	lines     []Line // by kind and name
+	fleet     Fleet
+	operators map[string]Operator
+	changes   map[Kind]Change
+	pools     map[string]Pool
+	models    map[string]Model
+	servers   []Server
+	routes    []Route
+	accounts  map[string]Account
+	keys      map[string]Key
+}
+
+// Lines returns all rules as written, by kind and name.
 func (s *Set) Lines() []Line { return s.lines }
 
 // Fleet returns the settings common to all instances.
@@ -211,7 +210,16 @@
 	return c, ok
 }
 
-// Servers returns the servers of a pool, in the order of the file.
+// Changes returns the rules that guard changes, by kind.
+func (s *Set) Changes() map[Kind]Change { return s.changes }
+
+// Operator finds an operator by name.
+func (s *Set) Operator(name string) (Operator, bool) {
+	o, ok := s.operators[name]
+	return o, ok
+}
+
+// Servers returns the servers of a pool by name.
 func (s *Set) Servers(pool string) []Server {
 	var out []Server
 	for _, server := range s.servers {
--- a/rule/rule_parse.go
+++ b/rule/rule_parse.go
@@ -2,15 +2,25 @@
 
 import (
 	"bytes"
-	"errors"
+	"cmp"
 	"fmt"
+	"regexp"
+	"runtime"
+	"slices"
 	"strings"
+	"sync"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/token"
 )
 
+// linePrefix starts each rule in a file.
+const linePrefix = "- "
+
+// reasonForm is "who: why"; who may be followed by a date.
+var reasonForm = regexp.MustCompile(`^[^:\s][^:]*: *\S`)
+
 // Problem is one fault of a rules file, with its place.
 type Problem struct {
 	File   string
@@ -24,122 +34,133 @@
 	return fmt.Sprintf("%s:%d:%d: %s", p.File, p.Line, p.Column, p.Text)
 }
 
-// Parse reads a rules file and returns its rules with every problem found.
+func sortProblems(problems []Problem) {
+	slices.SortFunc(problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), cmp.Compare(a.Text, b.Text))
+	})
+}
+
+// Parse reads a rules file and returns its rules with every problem found, in the order of their places.
 func Parse(file string, text []byte) (*Set, []Problem) {
-	p := &parser{file: file, set: newSet(), names: make(map[string]int)}
-	for number, line := range bytes.Split(text, []byte("\n")) {
-		p.parseLine(number+1, strings.TrimRight(string(line), " \r\t"))
+	lines, problems := readLines(text)
+	set, found := Build(lines)
+	problems = append(problems, found...)
+	for i := range problems {
+		problems[i].File = file
+	}
+	sortProblems(problems)
+	return set, problems
+}
+
+// ParseLine reads one rule that was checked before.
+func ParseLine(text, reason string) (Line, error) {
+	line, problems := readLine(0, linePrefix+text+"   # "+reason)
+	if len(problems) > 0 {
+		return Line{}, fmt.Errorf("rule: unable to read %q: %s", text, problems[0].Text)
 	}
-	p.checkAll()
-	return p.set, p.problems
+	return line, nil
 }
 
-func newSet() *Set {
-	return &Set{
-		changes:  make(map[Kind]Change),
-		pools:    make(map[string]Pool),
-		models:   make(map[string]Model),
-		accounts: make(map[string]Account),
-		keys:     make(map[string]Key),
+// readLines reads the lines on all processors, since YAML takes tens of microseconds for each.
+func readLines(text []byte) ([]Line, []Problem) {
+	source := bytes.Split(text, []byte("\n"))
+	chunk := max(len(source)/runtime.GOMAXPROCS(0), 1)
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	var lines []Line
+	var problems []Problem
+	for start := 0; start < len(source); start += chunk {
+		end := min(start+chunk, len(source))
+		work.Go(func() {
+			l, p := readChunk(source[start:end], start+1)
+			mu.Lock()
+			defer mu.Unlock()
+			lines = append(lines, l...)
+			problems = append(problems, p...)
+		})
 	}
+	work.Wait()
+	return lines, problems
 }
 
-type parser struct {
-	file     string
-	set      *Set
-	names    map[string]int // line of each rule by kind and name
-	problems []Problem
+func readChunk(source [][]byte, first int) (lines []Line, problems []Problem) {
+	for i, raw := range source {
+		text := strings.TrimRight(string(raw), " \r\t")
+		if isBlank(text) {
+			continue
+		}
+		line, found := readLine(first+i, text)
+		problems = append(problems, found...)
+		if line.value != nil {
+			lines = append(lines, line)
+		}
+	}
+	return lines, problems
 }
 
-func (p *parser) fault(line, column int, format string, args ...any) {
-	p.problems = append(p.problems, Problem{p.file, line, column, fmt.Sprintf(format, args...)})
+func isBlank(text string) bool {
+	trimmed := strings.TrimSpace(text)
+	return trimmed == "" || strings.HasPrefix(trimmed, "#") || trimmed == "---"
 }
 
-func (p *parser) parseLine(number int, line string) {
-	trimmed := strings.TrimSpace(line)
-	if trimmed == "" || strings.HasPrefix(trimmed, "#") || trimmed == "---" {
-		return
-	}
-	if !strings.HasPrefix(line, "- {") {
-		p.fault(number, 1, "a rule is one line of the form \"- {kind: name, ...}   # who asked: why\"")
-		return
+// readLine reads one rule; a line whose mapping can't be read has no value.
+func readLine(number int, text string) (Line, []Problem) {
+	if !strings.HasPrefix(text, linePrefix+"{") {
+		return Line{}, []Problem{{Line: number, Column: 1, Text: `a rule is one line of the form "- {kind: name, ...}   # who: why"`}}
 	}
-	body, reason := splitComment(line)
-	if reason == "" {
-		p.fault(number, len(line)+1, "the rule has no comment; add \"# who asked: why\"")
+	var problems []Problem
+	body, reason, column := splitComment(text)
+	switch {
+	case reason == "":
+		problems = append(problems, Problem{Line: number, Column: column, Text: `the rule has no comment; add "# who: why"`})
+	case !reasonForm.MatchString(reason):
+		problems = append(problems, Problem{Line: number, Column: column, Text: `the comment has not the form "# who: why"`})
 	}
-	kind, name := firstKey(body)
-	p.decode(Line{Kind: kind, Name: name, Text: body, Reason: reason, Number: number})
+	line := Line{Text: body, Reason: reason, Number: number}
+	faults := line.decode()
+	return line, append(problems, faults...)
 }
 
-// splitComment separates the flow mapping from the comment behind it.
-func splitComment(line string) (body, comment string) {
+// splitComment separates the flow mapping from the comment behind it; column is the comment's place.
+func splitComment(line string) (body, comment string, column int) {
 	for _, t := range lexer.Tokenize(line) {
 		if t.Type == token.CommentType {
 			start := t.Position.Offset - 1
-			return strings.TrimSpace(line[2:start]), strings.TrimSpace(t.Value)
+			return strings.TrimSpace(line[len(linePrefix):start]), strings.TrimSpace(t.Value), start + 1
 		}
 	}
-	return strings.TrimSpace(line[2:]), ""
+	return strings.TrimSpace(line[len(linePrefix):]), "", len(line) + 1
 }
 
-// firstKey returns the first key of a flow mapping and its value.
-func firstKey(body string) (Kind, string) {
-	inner := strings.TrimPrefix(body, "{")
-	key, rest, _ := strings.Cut(inner, ":")
-	end := strings.IndexAny(rest, ",}")
-	if end < 0 {
-		end = len(rest)
-	}
-	value := strings.Trim(strings.TrimSpace(rest[:end]), `"'`)
-	return Kind(strings.TrimSpace(key)), value
+// firstKey returns the first key of a flow mapping.
+func firstKey(body string) Kind {
+	key, _, _ := strings.Cut(strings.TrimPrefix(body, "{"), ":")
+	return Kind(strings.TrimSpace(key))
 }
 
-func (p *parser) decode(line Line) {
-	s := p.set
-	switch line.Kind {
-	case KindFleet:
-		decodeInto(p, line, func(v Fleet) { s.fleet = v })
-	case KindChange:
-		decodeInto(p, line, func(v Change) { s.changes[v.Change] = v })
-	case KindPool:
-		decodeInto(p, line, func(v Pool) { s.pools[v.Pool] = v })
-	case KindModel:
-		decodeInto(p, line, func(v Model) { s.models[v.Model] = v })
-	case KindServer:
-		decodeInto(p, line, func(v Server) { s.servers = append(s.servers, v) })
-	case KindRoute:
-		decodeInto(p, line, func(v Route) { s.routes = append(s.routes, v) })
-	case KindAccount:
-		decodeInto(p, line, func(v Account) { s.accounts[v.Account] = v })
-	case KindKey:
-		decodeInto(p, line, func(v Key) { s.keys[v.Key] = v })
-	default:
-		p.fault(line.Number, len("- {")+1, "unknown kind of rule %q; allowed are fleet, change, pool, model, server, route, account, key", line.Kind)
+// decode fills in the kind, the name and the value from the text.
+func (l *Line) decode() []Problem {
+	l.Kind = firstKey(l.Text)
+	value := newValue(l.Kind)
+	if value == nil {
+		text := fmt.Sprintf("unknown kind of rule %q; allowed are %s", l.Kind, kindList())
+		return []Problem{{Line: l.Number, Column: len("- {") + 1, Text: text}}
 	}
-}
-
-func decodeInto[T any](p *parser, line Line, store func(T)) {
-	var v T
-	if err := yaml.UnmarshalWithOptions([]byte(line.Text), &v, yaml.Strict()); err != nil {
-		column, text := yamlProblem(err)
-		p.fault(line.Number, len("- ")+column, "%s", text)
-		return
+	if err := yaml.UnmarshalWithOptions([]byte(l.Text), value, yaml.Strict()); err != nil {
+		return l.decodeProblems(value, err)
 	}
-	id := string(line.Kind) + " " + line.Name
-	if earlier, ok := p.names[id]; ok {
-		p.fault(line.Number, 1, "%s is already given in line %d", id, earlier)
-		return
+	l.Name = nameOf(value)
+	if l.Name == "" {
+		return []Problem{{Line: l.Number, Column: len("- {") + 1, Text: string(l.Kind) + ": missing"}}
 	}
-	p.names[id] = line.Number
-	p.set.lines = append(p.set.lines, line)
-	store(v)
+	l.value = value
+	return nil
 }
 
-func yamlProblem(err error) (column int, text string) {
-	var located yaml.Error
-	if errors.As(err, &located) && located.GetToken() != nil {
-		return located.GetToken().Position.Column, located.GetMessage()
+func kindList() string {
+	names := make([]string, len(kindOrder))
+	for i, k := range kindOrder {
+		names[i] = string(k)
 	}
-	return 1, err.Error()
+	return strings.Join(names, ", ")
 }
--- /dev/null
+++ b/rule/rule_place.go
@@ -0,0 +1,95 @@
+package rule
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// kindOrder lists the kinds as they are named in errors.
+var kindOrder = []Kind{
+	KindFleet, KindOperator, KindChange, KindPool, KindModel, KindServer, KindRoute, KindAccount, KindKey,
+}
+
+// decodeProblems lists every unknown and every repeated field, or else the first fault of the YAML.
+func (l *Line) decodeProblems(value any, err error) []Problem {
+	known := fieldNames(value)
+	seen := make(map[string]bool)
+	var problems []Problem
+	for _, f := range l.fields() {
+		text := ""
+		switch {
+		case !known[f.name]:
+			text = fmt.Sprintf("unknown field %q", f.name)
+		case seen[f.name]:
+			text = fmt.Sprintf("field %q is given twice", f.name)
+		}
+		if text != "" {
+			problems = append(problems, Problem{Line: l.Number, Column: f.column, Text: text})
+		}
+		seen[f.name] = true
+	}
+	if len(problems) > 0 {
+		return problems
+	}
+	column, text := yamlProblem(err)
+	return []Problem{{Line: l.Number, Column: len(linePrefix) + column, Text: text}}
+}
+
+func yamlProblem(err error) (column int, text string) {
+	var located yaml.Error
+	if errors.As(err, &located) && located.GetToken() != nil {
+		return located.GetToken().Position.Column, located.GetMessage()
+	}
+	return 1, err.Error()
+}
+
+// field is one key of a flow mapping with its column in the file.
+type field struct {
+	name   string
+	column int
+}
+
+// fields lists the keys of the line; it is empty if the mapping can't be read.
+func (l *Line) fields() []field {
+	file, err := parser.ParseBytes([]byte(l.Text), 0, parser.AllowDuplicateMapKey())
+	if err != nil || len(file.Docs) == 0 {
+		return nil
+	}
+	mapping, ok := file.Docs[0].Body.(ast.MapNode)
+	if !ok {
+		return nil
+	}
+	var out []field
+	for entries := mapping.MapRange(); entries.Next(); {
+		t := entries.Key().GetToken()
+		out = append(out, field{t.Value, len(linePrefix) + t.Position.Column})
+	}
+	return out
+}
+
+// column returns the place of a field in the file, or of the rule if it lacks the field.
+func (l *Line) column(name string) int {
+	for _, f := range l.fields() {
+		if f.name == name {
+			return f.column
+		}
+	}
+	return 1
+}
+
+// fieldNames lists the YAML names of a struct's fields.
+func fieldNames(value any) map[string]bool {
+	names := make(map[string]bool)
+	t := reflect.TypeOf(value).Elem()
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+		names[name] = true
+	}
+	return names
+}
