--- /dev/null
+++ b/config/seed_test.go
@@ -0,0 +1,10 @@
+package config
+
+import (
+	"flag"
+
+	_ "pgregory.net/rapid"
+)
+
+// init fixes the seed of the random tests; -rapid.seed on the command line replaces it.
+func init() { _ = flag.Set("rapid.seed", "1") }
--- a/rule/rule_check.go
+++ b/rule/rule_check.go
@@ -19,7 +19,7 @@
 // Build makes a set of lines and reports repeated rules, dangling references and values that don't hold.
 func Build(lines []Line) (*Set, []Problem) {
 	lines = slices.Clone(lines)
-	slices.SortStableFunc(lines, func(a, b Line) int {
+	slices.SortFunc(lines, func(a, b Line) int {
 		if c := compareLines(a, b); c != 0 {
 			return c
 		}
@@ -38,7 +38,8 @@
 	for _, line := range unique {
 		c.set.put(line.value)
 	}
-	c.checkAll()
+	c.checkLines(unique)
+	c.checkGuards()
 	sortProblems(c.problems)
 	return c.set, c.problems
 }
@@ -69,12 +70,11 @@
 	})
 }
 
-// checkAll looks at each rule in the order of the set.
-func (c *checker) checkAll() {
-	server, route := 0, 0
+// checkLines looks at the given rules.
+func (c *checker) checkLines(lines []Line) {
 	paths := make(map[string]Line)
 	var fleet *Line
-	for _, line := range c.set.lines {
+	for _, line := range lines {
 		switch v := line.value.(type) {
 		case *Fleet:
 			c.checkFleet(line, fleet)
@@ -88,16 +88,13 @@
 		case *Model:
 			c.checkModel(line, c.set.models[line.Name])
 		case *Server:
-			c.checkServer(line, c.set.servers[server])
-			server++
+			c.checkServer(line, serverWithDefaults(*v))
 		case *Route:
-			c.checkRoute(line, c.set.routes[route], paths)
-			route++
+			c.checkRoute(line, routeWithDefaults(*v), paths)
 		case *Account:
 			c.checkAccount(line, c.set.accounts[line.Name])
 		case *Key:
 			c.checkKey(line, v)
 		}
 	}
-	c.checkGuards()
 }
--- a/rule/rule_diff.go
+++ b/rule/rule_diff.go
@@ -1,6 +1,7 @@
 package rule
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/joomcode/errorx"
@@ -74,18 +75,81 @@
 	return n
 }
 
-// Apply returns the set with the differences, which are in the order of Diff, and its problems.
+// Apply returns the set with the differences, which are in the order of Diff, and its problems. It
+// takes over the many accounts and keys that stay as they are.
 func (s *Set) Apply(differences []Difference) (*Set, []Problem, error) {
 	if n := s.Conflicts(differences); n > 0 {
 		return nil, nil, conflict.New("rule: %d rules are not what the change starts from", n)
 	}
+	c := &checker{set: newSet(nil)}
+	c.set.lines = s.merge(differences)
+	c.set.accounts = maps.Clone(s.accounts)
+	c.set.keys = maps.Clone(s.keys)
+	for _, d := range differences {
+		switch d.Line().Kind {
+		case KindAccount:
+			delete(c.set.accounts, d.Old.Name)
+		case KindKey:
+			delete(c.set.keys, d.Old.Name)
+		default:
+			continue
+		}
+		c.set.put(d.New.value)
+	}
+	others := c.set.others()
+	for _, line := range others {
+		c.set.put(line.value)
+	}
+	c.checkLines(others)
+	c.checkChanged(differences)
+	c.checkGuards()
+	sortProblems(c.problems)
+	return c.set, c.problems, nil
+}
+
+// checkChanged looks at the accounts and keys that a change adds, and at all keys if it removes accounts.
+func (c *checker) checkChanged(differences []Difference) {
+	removed := false
+	for _, d := range differences {
+		kind := d.Line().Kind
+		if kind != KindAccount && kind != KindKey {
+			continue
+		}
+		removed = removed || kind == KindAccount && d.New.Text == ""
+		if d.New.Text != "" {
+			c.checkLines([]Line{d.New})
+		}
+	}
+	if !removed {
+		return
+	}
+	for _, line := range c.set.lines {
+		if k, ok := line.value.(*Key); ok {
+			c.checkKeyAccount(line, k)
+		}
+	}
+}
+
+// others returns the lines that are neither accounts nor keys.
+func (s *Set) others() []Line {
+	var out []Line
+	for i := 0; i < len(s.lines); {
+		if kind := s.lines[i].Kind; kind == KindAccount || kind == KindKey {
+			end, _ := s.search(Line{Kind: kind + "\x00"})
+			i = end
+			continue
+		}
+		out = append(out, s.lines[i])
+		i++
+	}
+	return out
+}
+
+func (s *Set) merge(differences []Difference) []Line {
 	lines := make([]Line, 0, len(s.lines)+len(differences))
 	old := s.lines
 	for _, d := range differences {
-		at := 0
-		for at < len(old) && compareLines(old[at], d.Line()) < 0 {
-			at++
-		}
+		at, _ := slices.BinarySearchFunc(old, d.Line(), compareLines)
 		lines = append(lines, old[:at]...)
 		old = old[at:]
 		if d.Old.Text != "" {
@@ -95,8 +159,7 @@
 			lines = append(lines, d.New)
 		}
 	}
-	next, problems := Build(append(lines, old...))
-	return next, problems, nil
+	return append(lines, old...)
 }
 
 func (s *Set) search(line Line) (int, bool) {
--- a/rule/rule_line.go
+++ b/rule/rule_line.go
@@ -100,9 +100,7 @@
 		setDefault(&m.Place, PlaceCell)
 		s.models[m.Model] = m
 	case *Server:
-		server := *v
-		setDefault(&server.State, Live)
-		s.servers = append(s.servers, server)
+		s.servers = append(s.servers, serverWithDefaults(*v))
 	case *Route:
 		s.routes = append(s.routes, routeWithDefaults(*v))
 	case *Account:
@@ -114,6 +112,11 @@
 	}
 }
 
+func serverWithDefaults(s Server) Server {
+	setDefault(&s.State, Live)
+	return s
+}
+
 func routeWithDefaults(r Route) Route {
 	setDefault(&r.Calls, Idempotent)
 	setDefault(&r.Open, OpenNo)
--- a/rule/rule_values.go
+++ b/rule/rule_values.go
@@ -187,6 +187,10 @@
 	if _, err := hex.DecodeString(digits); !ok || err != nil || len(digits) != keyDigits || digits != strings.ToLower(digits) {
 		c.fault(line, "key", "key: not \"sha256:\" and %d hexadecimal digits in lower case; make one with teaselgate key new", keyDigits)
 	}
+	c.checkKeyAccount(line, k)
+}
+
+func (c *checker) checkKeyAccount(line Line, k *Key) {
 	if _, ok := c.set.accounts[k.Account]; !ok {
 		c.fault(line, "account", "account: there is no account %q", k.Account)
 	}
