--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -128,12 +128,20 @@
 func (f *Fleet) Connected() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.Now().Sub(f.platform) < hearingWindow || f.hearsPeers()
+	now := f.Now()
+	return now.Sub(f.platform) < hearingWindow || f.hearsPeers(now)
 }
 
-// hearsPeers tells whether at least half of the peers tried lately answered; the caller holds the lock.
-func (f *Fleet) hearsPeers() bool {
-	now := f.Now()
+// HearsPeers tells whether the instance has heard at least half of the peers it tried, and at
+// least one, within the hearing window.
+func (f *Fleet) HearsPeers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hearsPeers(f.Now())
+}
+
+// hearsPeers counts the peers that answered of those tried lately; the caller holds the lock.
+func (f *Fleet) hearsPeers(now time.Time) bool {
 	heard := make(map[string]bool)
 	for _, p := range f.probes {
 		if now.Sub(p.at) < hearingWindow {
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -127,7 +127,7 @@
 func (f *Fleet) pollWhenDue(ctx context.Context) {
 	f.mu.Lock()
 	now := f.Now()
-	due := now.Sub(f.polled) >= platformPolling || !f.hearsPeers()
+	due := now.Sub(f.polled) >= platformPolling || !f.hearsPeers(now)
 	if due {
 		f.polled = now
 	}
