--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -21,20 +20,22 @@
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/option"
+	"teaselgate/outcome"
 	"teaselgate/peer"
 	"teaselgate/platform"
 	"teaselgate/service"
 	"teaselgate/socket"
 )
 
-const shutdownTimeout = 30 * time.Second
-
 // Instance is one process of the fleet. Its exported fields are set before Run.
 type Instance struct {
 	Options *option.Options
 	Tokens  option.Secrets
 	Log     *logrus.Logger
 
+	BalancerDelay   time.Duration // between the end of readiness and the closing of the listener
+	ShutdownTimeout time.Duration // for requests in flight; zero means the usual one
+
 	incarnation uint64
 	events      *event.Recorder
 	platform    *platform.Client
@@ -47,6 +48,8 @@
 	handler     *entry.Handler
 	engines     *engine.Client
 	services    *service.Client
+	claims      *outcome.Claims
+	canceller   *outcome.Canceller
 	listeners   listeners
 	callerTLS   *certificate.Store // nil while the listener is plain
 	adminTLS    *certificate.Store // nil while the listener is plain
@@ -97,13 +100,15 @@
 	defer stop()
 	done := supervisor.ServeBackground(background)
 	caller, bounded := i.callerServer()
+	endRequests := i.prepareLeaving(caller)
+	defer endRequests(nil)
 	admin := i.adminServer()
 	go func() { _ = serveHTTP(caller, bounded, i.callerTLS) }()
 	go func() { _ = serveHTTP(admin, i.listeners.admin, i.adminTLS) }()
 	i.announce(background, fleet.Live)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
 	<-ctx.Done()
-	err := i.leave(background, caller)
+	err := i.leave(background, caller, endRequests)
 	admin.Close()
 	stop()
 	if stopped := <-done; !errors.Is(stopped, context.Canceled) {
@@ -144,23 +149,6 @@
 	return fmt.Sprintf("%s-%d", i.Options.Name, i.incarnation)
 }
 
-// leave stops taking requests and waits for those in flight.
-func (i *Instance) leave(ctx context.Context, caller *http.Server) error {
-	i.leaving.Store(true)
-	i.events.Record(event.Event{Code: event.InstanceLeaving})
-	i.announce(ctx, fleet.Leaving)
-	ctx, stop := context.WithTimeout(ctx, shutdownTimeout)
-	defer stop()
-	i.fleet.Leave(ctx)
-	if err := caller.Shutdown(ctx); err != nil {
-		return fmt.Errorf("instance: requests were cut at shutdown: %w", err)
-	}
-	i.fleet.End(ctx)
-	i.withdraw(ctx)
-	i.events.Record(event.Event{Code: event.InstanceStopped})
-	return nil
-}
-
 func (i *Instance) close() {
 	i.engines.Close()
 	i.services.Close()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -15,7 +15,6 @@
 
 // Limits of a peer connection.
 const (
-	dialTimeout  = 2 * time.Second
 	helloTimeout = 2 * time.Second
 )
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -86,8 +86,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: socket.Control}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := socket.Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
