Join the events of all instances into one causally ordered time line

Cause: events had only their instance's wall time; where clocks differ, an effect could stand before its cause, and no command joined the rings. A flood of equal refusals could fill the log. After: a hybrid logical clock stamp in events and in each call between instances; teaselgate timeline merges the rings (text, Chrome trace JSON, one request, a recent time). Equal log lines: 5 of 100 logged, all 100 kept and counted.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -58,7 +58,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newServe(), newCheck(), newApply(), newKey(), newStandin(), newDemo(), newVersion())
+	root.AddCommand(newServe(), newCheck(), newApply(), newKey(), newStandin(), newDemo(), newTimeline(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/cli/timeline.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"teaselgate/admin"
+	"teaselgate/event"
+	"teaselgate/platform"
+	"teaselgate/timeline"
+)
+
+// timelineFlags are the flags of the timeline command.
+type timelineFlags struct {
+	admin         []string
+	adminToken    string
+	authority     string
+	platform      string
+	platformToken string
+	filter        timeline.Filter
+	json          bool
+}
+
+func newTimeline() *cobra.Command {
+	var f timelineFlags
+	cmd := &cobra.Command{
+		Use:   "timeline",
+		Short: "Print the events of all instances as one ordered time line",
+		Long: "Reads the events that each instance keeps and prints them in one order: an event that another one caused\n" +
+			"stands after it, whatever the clocks of the machines say. The instances are those of the --admin flags or,\n" +
+			"with --platform, those of the platform's list. With --json the output opens in trace viewers.",
+		Example: "  teaselgate timeline --admin 10.0.0.1:8081 --admin 10.0.0.2:8081 --admin-token admin.token\n" +
+			"  teaselgate timeline --platform http://10.0.0.9:7000 --platform-token platform.token --admin-token admin.token --json > trace.json\n" +
+			"  teaselgate timeline --admin 10.0.0.1:8081 --admin-token admin.token --request 5f0c6a1e22d94b7c8a3b10ff --last 10m",
+		Args: exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
+	}
+	flags := cmd.Flags()
+	flags.StringSliceVar(&f.admin, "admin", nil, "address of an instance's admin listener; may be given several times")
+	flags.StringVar(&f.adminToken, "admin-token", "", "file with the operators' token")
+	flags.StringVar(&f.authority, "authority", "", "file with the authority (PEM) of admin listeners that use TLS")
+	flags.StringVar(&f.platform, "platform", "", "URL of the platform's object API, to find the instances")
+	flags.StringVar(&f.platformToken, "platform-token", "", "file with the platform's token")
+	flags.StringVar(&f.filter.Request, "request", "", "only events of the request with this id")
+	flags.DurationVar(&f.filter.Last, "last", 0, "only events of this recent time, such as 10m; 0 for all")
+	flags.BoolVar(&f.json, "json", false, "print JSON of the Chrome trace event format")
+	return cmd
+}
+
+func (f *timelineFlags) run(cmd *cobra.Command) error {
+	if len(f.admin) == 0 && f.platform == "" {
+		return usageError{errors.New("cli: timeline needs --admin or --platform")}
+	}
+	token, err := readToken(f.adminToken)
+	if err != nil {
+		return err
+	}
+	client, err := admin.NewClient(token, f.authority)
+	if err != nil {
+		return err
+	}
+	addresses, err := f.addresses(cmd.Context())
+	if err != nil {
+		return err
+	}
+	events, failures := timeline.Collect(cmd.Context(), addresses, func(ctx context.Context, address string) ([]event.Event, error) {
+		var ring []event.Event
+		err := client.Get(ctx, address, f.filter.Path(), &ring)
+		return ring, err
+	})
+	write := timeline.WriteText
+	if f.json {
+		write = timeline.WriteTrace
+	}
+	if err := write(cmd.OutOrStdout(), events); err != nil {
+		return err
+	}
+	if len(failures) > 0 {
+		return fmt.Errorf("cli: the time line is partial: %w", errors.Join(failures...))
+	}
+	return nil
+}
+
+// addresses joins the flags' addresses with those of the platform's list.
+func (f *timelineFlags) addresses(ctx context.Context) ([]string, error) {
+	if f.platform == "" {
+		return f.admin, nil
+	}
+	token, err := readToken(f.platformToken)
+	if err != nil {
+		return nil, err
+	}
+	list, err := platform.NewClient(f.platform, token).Instances(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("cli: unable to list the instances: %w", err)
+	}
+	addresses := f.admin
+	for _, i := range list {
+		addresses = append(addresses, i.Admin)
+	}
+	slices.Sort(addresses)
+	return slices.Compact(addresses), nil
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -1,7 +1,7 @@
 package event
 
 import (
-	"maps"
+	"fmt"
 
 	"github.com/sirupsen/logrus"
 )
@@ -9,6 +9,12 @@
 // Code is the number of a kind of event; numbers are never reused.
 type Code int
 
+// codesPerDuty is the size of each duty's range of numbers.
+const codesPerDuty = 100
+
+// Duty returns the number of the duty to which a kind of event belongs, 10 to 17.
+func (c Code) Duty() int { return int(c) / codesPerDuty }
+
 // Definition describes a kind of event.
 type Definition struct {
 	Name  string
@@ -22,7 +28,12 @@
 func join(groups ...map[Code]Definition) map[Code]Definition {
 	all := make(map[Code]Definition)
 	for _, group := range groups {
-		maps.Copy(all, group)
+		for code, definition := range group {
+			if _, taken := all[code]; taken {
+				panic(fmt.Sprintf("event: number %d is given twice", code))
+			}
+			all[code] = definition
+		}
 	}
 	return all
 }
--- /dev/null
+++ b/event/clock_test.go
@@ -0,0 +1,91 @@
+package event
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// skewed returns a clock whose machine is off by the given time.
+func skewed(now *time.Time, off time.Duration) *Clock {
+	return &Clock{Now: func() time.Time { return now.Add(off) }}
+}
+
+// TestCauseStandsBeforeEffect sends messages at random between machines whose clocks disagree by up to a day and
+// jump, and compares the stamps with vector clocks.
+func TestCauseStandsBeforeEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const machines = 4
+		now := time.Unix(1_800_000_000, 0)
+		offset := make([]time.Duration, machines)
+		clocks := make([]*Clock, machines)
+		for i := range clocks {
+			clocks[i] = &Clock{Now: func() time.Time { return now.Add(offset[i]) }}
+		}
+		type record struct {
+			stamp  Stamp
+			vector [machines]int
+		}
+		var vectors [machines][machines]int
+		var all []record
+		note := func(i int) Stamp {
+			vectors[i][i]++
+			stamp := clocks[i].Next()
+			all = append(all, record{stamp, vectors[i]})
+			return stamp
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, machines-1).Draw(t, "machine")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "µs")) * time.Microsecond)
+			case 1:
+				offset[i] = time.Duration(rapid.IntRange(-86400, 86400).Draw(t, "offset")) * time.Second
+			case 2:
+				note(i)
+			case 3:
+				to := rapid.IntRange(0, machines-1).Draw(t, "to")
+				stamp := note(i)
+				clocks[to].Observe(stamp)
+				for k := range vectors[to] {
+					vectors[to][k] = max(vectors[to][k], vectors[i][k])
+				}
+				note(to)
+			}
+		}
+		for _, a := range all {
+			for _, b := range all {
+				if a.vector != b.vector && precedes(a.vector[:], b.vector[:]) && a.stamp >= b.stamp {
+					t.Fatalf("unexpected order: cause %v at %v, effect %v at %v", a.vector, a.stamp, b.vector, b.stamp)
+				}
+			}
+		}
+	})
+}
+
+func precedes(a, b []int) bool {
+	for k := range a {
+		if a[k] > b[k] {
+			return false
+		}
+	}
+	return true
+}
+
+func TestStampsFollowTheWallClock(t *testing.T) {
+	now := time.Unix(1_800_000_000, 5000)
+	c := skewed(&now, 0)
+	first := c.Next()
+	if !first.Time().Equal(now) {
+		t.Errorf("unexpected time of a stamp, got %v instead of %v", first.Time(), now)
+	}
+	now = now.Add(-time.Hour)
+	if second := c.Next(); second != first+1 {
+		t.Errorf("unexpected stamp after the clock went back, got %v instead of %v", second, first+1)
+	}
+	c.Observe(maxStamp)
+	if third := c.Next(); third != first+2 {
+		t.Errorf("unexpected effect of an impossible stamp, got %v instead of %v", third, first+2)
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -2,6 +2,7 @@
 package event
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -15,7 +16,8 @@
 type Event struct {
 	Code     Code      `json:"code"`
 	Name     string    `json:"name"`
-	Time     time.Time `json:"time"`
+	Time     time.Time `json:"time"`     // by the instance's own clock
+	Stamp    Stamp     `json:"stamp"`    // orders the events of all instances
 	Sequence uint64    `json:"sequence"` // position in the instance's ring
 	Instance string    `json:"instance"`
 	Request  string    `json:"request,omitempty"`
@@ -29,15 +31,18 @@
 	Instance string
 	Log      *logrus.Logger
 	Now      func() time.Time
+	Clock    *Clock // shared with the calls to other instances
 
-	mu    sync.Mutex
-	ring  []Event
-	count uint64
+	mu      sync.Mutex
+	ring    []Event
+	count   uint64
+	counts  map[Code]uint64
+	repeats repeats
 }
 
 // NewRecorder returns a recorder that logs to the given logger.
 func NewRecorder(instance string, log *logrus.Logger) *Recorder {
-	return &Recorder{Instance: instance, Log: log, Now: time.Now}
+	return &Recorder{Instance: instance, Log: log, Now: time.Now, Clock: NewClock(), counts: make(map[Code]uint64)}
 }
 
 // Record adds an event to the ring and writes it to the log.
@@ -51,7 +56,9 @@
 	e.Instance = r.Instance
 	r.mu.Lock()
 	r.count++
+	r.counts[e.Code]++
 	e.Sequence = r.count
+	e.Stamp = r.Clock.Next()
 	if len(r.ring) < ringSize {
 		r.ring = append(r.ring, e)
 	} else {
@@ -65,12 +72,23 @@
 	if r.Log == nil || !r.Log.IsLevelEnabled(definition.Level) {
 		return
 	}
-	fields := logrus.Fields{"event": int(e.Code), "name": e.Name, "instance": e.Instance}
+	logged, held := r.repeats.admit(e, e.Time)
+	for key, n := range held {
+		again := Event{Code: key.code, Name: Catalogue[key.code].Name, Account: key.account, Server: key.server, Detail: key.detail}
+		r.entry(again).WithField("repeated", n).Log(Catalogue[key.code].Level, Catalogue[key.code].Text)
+	}
+	if logged {
+		r.entry(e).Log(definition.Level, definition.Text)
+	}
+}
+
+func (r *Recorder) entry(e Event) *logrus.Entry {
+	fields := logrus.Fields{"event": int(e.Code), "name": e.Name, "instance": r.Instance}
 	addField(fields, "request", e.Request)
 	addField(fields, "account", e.Account)
 	addField(fields, "server", e.Server)
 	addField(fields, "detail", e.Detail)
-	r.Log.WithFields(fields).Log(definition.Level, definition.Text)
+	return r.Log.WithFields(fields)
 }
 
 func addField(fields logrus.Fields, name, value string) {
@@ -91,3 +109,10 @@
 	out = append(out, r.ring[start:]...)
 	return append(out, r.ring[:start]...)
 }
+
+// Counts returns how often each kind of event was recorded, also those that left the ring.
+func (r *Recorder) Counts() map[Code]uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.counts)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -120,6 +120,11 @@
 	i.platform = platform.NewClient(i.Options.Platform, i.Tokens.Platform)
 	i.peers = peer.NewPool(i.Tokens.Peer)
 	i.peerServer = peer.NewServer(i.listeners.peer, i.Tokens.Peer)
+	stamps := peer.Stamps{
+		Next:    func() uint64 { return uint64(i.events.Clock.Next()) },
+		Observe: func(stamp uint64) { i.events.Clock.Observe(event.Stamp(stamp)) },
+	}
+	i.peers.Stamps, i.peerServer.Stamps = stamps, stamps
 	i.engines = engine.NewClient()
 	i.services = service.NewClient()
 	steps := []func(*suture.Supervisor) error{
--- a/instance/server.go
+++ b/instance/server.go
@@ -14,6 +14,7 @@
 
 	"teaselgate/certificate"
 	"teaselgate/limit"
+	"teaselgate/timeline"
 )
 
 // Limits of the admin listener.
@@ -81,8 +82,18 @@
 	}
 }
 
-func (i *Instance) getEvents(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(i.events.Events())
+// getEvents answers with the kept events, of one request or of a recent time if asked.
+func (i *Instance) getEvents(w http.ResponseWriter, r *http.Request) {
+	filter := timeline.Filter{Request: r.URL.Query().Get("request")}
+	if last := r.URL.Query().Get("last"); last != "" {
+		var err error
+		if filter.Last, err = time.ParseDuration(last); err != nil {
+			http.Error(w, "last: must be a time such as 30s", http.StatusBadRequest)
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(filter.Pick(i.events.Events(), time.Now()))
 }
 
 // requireAdmin lets only holders of the operators' token pass.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -38,6 +38,7 @@
 	Listener net.Listener
 	Token    string      // shared secret of the fleet
 	TLS      *tls.Config // nil for plain connections
+	Stamps   Stamps
 
 	rpc *rpc.Server
 }
@@ -83,13 +84,14 @@
 	if err := acceptHello(conn, s.Token); err != nil {
 		return
 	}
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeCodec(serverCodec{newCodec(conn, s.Stamps)})
 }
 
 // Pool holds one connection to each peer address.
 type Pool struct {
-	Token string
-	TLS   func(host string) *tls.Config // nil for plain connections
+	Token  string
+	TLS    func(host string) *tls.Config // nil for plain connections
+	Stamps Stamps
 
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
@@ -162,7 +164,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return rpc.NewClient(conn), nil
+	return rpc.NewClientWithCodec(clientCodec{newCodec(conn, p.Stamps)}), nil
 }
 
 func (p *Pool) drop(address string, client *rpc.Client) {
