Give metrics of an instance to Prometheus through tally

Cause: nothing was counted. After: requests by route, outcome and status, time to the first chunk and between chunks, requests in flight, connections, members by state, events by kind, the revision in force, on /metrics of the admin listener; docs/METRICS.md and the endpoint are compared with one catalogue by tests. /health now states the instance's own account and, as /metrics and /events, needs the operators' token; /ready does not.

--- /dev/null
+++ b/instance/build_metric.go
@@ -0,0 +1,98 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"teaselgate/event"
+	"teaselgate/fleet"
+	"teaselgate/metric"
+)
+
+// collectInterval is how often values that are not counted where they arise are taken over.
+const collectInterval = time.Second
+
+// buildMetrics makes the metrics and the service that keeps them current.
+func (i *Instance) buildMetrics(supervisor *suture.Supervisor) error {
+	i.metrics = metric.New()
+	supervisor.Add(&collector{instance: i, counts: make(map[event.Code]uint64)})
+	return nil
+}
+
+// collector takes over counts of events and states into the metrics.
+type collector struct {
+	instance *Instance
+	counts   map[event.Code]uint64 // as of the last time
+}
+
+// Serve collects until the context ends.
+func (c *collector) Serve(ctx context.Context) error {
+	tick := time.NewTicker(collectInterval)
+	defer tick.Stop()
+	for {
+		c.collect()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+func (c *collector) collect() {
+	i := c.instance
+	for code, n := range i.events.Counts() {
+		if n > c.counts[code] {
+			i.metrics.Events(int(code), event.Catalogue[code].Name, n-c.counts[code])
+			c.counts[code] = n
+		}
+	}
+	for state, n := range i.membersByState() {
+		i.metrics.Members(state, n)
+	}
+	i.metrics.Revision(i.revision())
+	i.metrics.InFlight(i.requests.InFlight())
+	i.metrics.Connections(i.connections.Open())
+}
+
+// membersByState counts the known instances; every state is present.
+func (i *Instance) membersByState() map[string]int {
+	counts := make(map[string]int)
+	for _, s := range []fleet.State{fleet.Live, fleet.Leaving, fleet.Suspect, fleet.Gone} {
+		counts[s.String()] = 0
+	}
+	for _, m := range i.fleet.Members() {
+		counts[m.State.String()]++
+	}
+	return counts
+}
+
+// health is an instance's account of itself.
+type health struct {
+	Name        string         `json:"name"`
+	Zone        string         `json:"zone"`
+	Ready       bool           `json:"ready"`
+	Leaving     bool           `json:"leaving"`
+	Revision    uint64         `json:"revision"`
+	InFlight    int64          `json:"in_flight"`
+	Connections int            `json:"connections"`
+	Members     map[string]int `json:"members"`
+}
+
+func (i *Instance) getHealth(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(health{
+		Name:        i.Options.Name,
+		Zone:        i.Options.Zone,
+		Ready:       i.ready(),
+		Leaving:     i.leaving.Load(),
+		Revision:    i.revision(),
+		InFlight:    i.requests.InFlight(),
+		Connections: i.connections.Open(),
+		Members:     i.membersByState(),
+	})
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,8 @@
 	"teaselgate/entry"
 	"teaselgate/event"
 	"teaselgate/fleet"
+	"teaselgate/limit"
+	"teaselgate/metric"
 	"teaselgate/option"
 	"teaselgate/peer"
 	"teaselgate/platform"
@@ -48,6 +50,9 @@
 	engines     *engine.Client
 	services    *service.Client
 	listeners   listeners
+	connections *limit.Listener
+	requests    *metric.Handler
+	metrics     *metric.Metrics
 	callerTLS   *certificate.Store // nil while the listener is plain
 	adminTLS    *certificate.Store // nil while the listener is plain
 	leaving     atomic.Bool
@@ -95,10 +100,10 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	done := supervisor.ServeBackground(background)
-	caller, bounded := i.callerServer()
+	caller := i.callerServer()
 	admin := i.adminServer()
-	go func() { _ = serveHTTP(caller, bounded, i.callerTLS) }()
+	done := supervisor.ServeBackground(background)
+	go func() { _ = serveHTTP(caller, i.connections, i.callerTLS) }()
 	go func() { _ = serveHTTP(admin, i.listeners.admin, i.adminTLS) }()
 	i.announce(background, fleet.Live)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
@@ -134,6 +139,7 @@
 		i.buildAllowance,
 		i.buildCell,
 		i.buildOutcome,
+		i.buildMetrics,
 	}
 	for _, step := range steps {
 		if err := step(supervisor); err != nil {
@@ -169,6 +175,7 @@
 	i.services.Close()
 	i.peers.Close()
 	i.platform.HTTP.CloseIdleConnections()
+	_ = i.metrics.Close()
 }
 
 func (i *Instance) recordFailure(e suture.Event) {
--- a/instance/server.go
+++ b/instance/server.go
@@ -14,6 +14,7 @@
 
 	"teaselgate/certificate"
 	"teaselgate/limit"
+	"teaselgate/metric"
 	"teaselgate/timeline"
 )
 
@@ -25,11 +26,24 @@
 	adminMaxBodyBytes   = 64 << 10
 )
 
-// callerServer makes the HTTP server for callers, and the listener that bounds their connections.
-func (i *Instance) callerServer() (*http.Server, net.Listener) {
+// callerServer makes the HTTP server for callers, with the listener that bounds their connections.
+func (i *Instance) callerServer() *http.Server {
 	server := limit.NewServer(i.handler, i.Options.Limit, i.events.Record)
+	i.requests = &metric.Handler{Next: server.Handler, Metrics: i.metrics, Route: i.routeName, Now: time.Now}
+	server.Handler = i.requests
 	server.ErrorLog = i.serverLog()
-	return server, limit.Bound(server, i.listeners.caller, i.Options.Limit.Connections, i.events.Record)
+	i.connections = limit.Bound(server, i.listeners.caller, i.Options.Limit.Connections, i.events.Record)
+	return server
+}
+
+// routeName names the route of a path for the metrics.
+func (i *Instance) routeName(path string) string {
+	revision := i.rules.Current()
+	if revision == nil {
+		return ""
+	}
+	route, _ := revision.Rules.Route(path)
+	return route.Route
 }
 
 // serveHTTP serves on a listener, by TLS if there is a certificate.
@@ -63,8 +77,9 @@
 // adminServer makes the HTTP server for operators.
 func (i *Instance) adminServer() *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /ready", i.getReady)
+	mux.HandleFunc("GET /health", i.requireAdmin(i.getHealth))
+	mux.HandleFunc("GET /metrics", i.requireAdmin(i.metrics.ServeHTTP))
 	mux.HandleFunc("GET /events", i.requireAdmin(i.getEvents))
 	return &http.Server{
 		Handler:           http.MaxBytesHandler(mux, adminMaxBodyBytes),
@@ -77,11 +92,16 @@
 }
 
 func (i *Instance) getReady(w http.ResponseWriter, _ *http.Request) {
-	if i.leaving.Load() || i.rules.Current() == nil {
+	if !i.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// ready tells whether the instance takes requests.
+func (i *Instance) ready() bool {
+	return !i.leaving.Load() && i.rules.Current() != nil
+}
+
 // getEvents answers with the kept events, of one request or of a recent time if asked.
 func (i *Instance) getEvents(w http.ResponseWriter, r *http.Request) {
 	filter := timeline.Filter{Request: r.URL.Query().Get("request")}
--- a/limit/listener.go
+++ b/limit/listener.go
@@ -82,6 +82,13 @@
 	return c
 }
 
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
 func (l *Listener) release() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/limit/server.go
+++ b/limit/server.go
@@ -27,7 +27,7 @@
 }
 
 // Bound counts the connections of a server's listener; the server must serve on what it returns.
-func Bound(server *http.Server, inner net.Listener, connections int, record func(event.Event)) net.Listener {
+func Bound(server *http.Server, inner net.Listener, connections int, record func(event.Event)) *Listener {
 	l := NewListener(inner, connections, record)
 	server.ConnState, server.ConnContext = l.ConnState, l.ConnContext
 	return l
--- /dev/null
+++ b/metric/catalogue.go
@@ -0,0 +1,69 @@
+package metric
+
+// Kind is how a metric behaves.
+type Kind string
+
+// The kinds of metrics.
+const (
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram"
+)
+
+// Definition describes a metric. Its full name begins with "teaselgate_".
+type Definition struct {
+	Name string
+	Kind Kind
+	Tags []string
+	Text string
+}
+
+// The metrics of an instance.
+var (
+	Requests = Definition{
+		"requests", Counter,
+		[]string{"route", "outcome", "status"},
+		"Requests of callers that ended. The outcome is `answered`, `broken` (cut in mid-answer), `cancelled` (the caller is gone) or that of the refusal: `not-run`, `unknown`, `ran`. The status is the HTTP status.",
+	}
+	RequestTime = Definition{
+		"request_seconds", Histogram,
+		[]string{"route"},
+		"Time from a request's header to the end of its answer.",
+	}
+	FirstChunk = Definition{
+		"first_chunk_seconds", Histogram,
+		[]string{"route"},
+		"Time from a request's header to the first chunk of a streamed answer, which holds the first token; the target is 0.77 s.",
+	}
+	ChunkGap = Definition{
+		"chunk_gap_seconds", Histogram, nil,
+		"Time between two chunks of a streamed answer; each holds a token, but for the last, which states the end. The target is 36 ms.",
+	}
+	InFlight = Definition{
+		"requests_in_flight", Gauge, nil,
+		"Requests that are being answered.",
+	}
+	Connections = Definition{
+		"connections", Gauge, nil,
+		"Open connections of callers; `limit.connections` bounds them.",
+	}
+	Events = Definition{
+		"events", Counter,
+		[]string{"number", "event"},
+		"Events by kind; docs/EVENTS.md lists them. Kinds that did not occur are absent.",
+	}
+	Members = Definition{
+		"members", Gauge,
+		[]string{"state"},
+		"Instances known, this one included, by state: live, leaving, suspect, gone.",
+	}
+	Revision = Definition{
+		"rules_revision", Gauge, nil,
+		"Revision of the rules in force; 0 before the first.",
+	}
+)
+
+// Catalogue lists every metric, in the order of docs/METRICS.md.
+var Catalogue = []Definition{
+	Requests, RequestTime, FirstChunk, ChunkGap, InFlight, Connections, Events, Members, Revision,
+}
