Document every command and its exit codes, and test both

The demo did not check that an order refused as not-run never ran. Conclusion: go test ./cli -update rewrites the pages after a change of a command.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -49,19 +51,56 @@
 	return ExitFailed
 }
 
+// newRoot makes the whole tree of commands.
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
-		Use:           "teaselgate",
-		Short:         "Routes requests between callers and separate prefill and decode pools",
+		Use:   "teaselgate",
+		Short: "Routes requests between callers and separate prefill and decode pools",
+		Long: "teaselgate routes requests between callers and backend servers: separate prefill and decode pools of model\n" +
+			"engines, and plain services. Operators drive it by a rules file.\n\n" +
+			"Exit codes: 0 all went well; 1 the command failed; 2 the command line is wrong.",
+		Example:       "  teaselgate demo\n  teaselgate serve --settings i1.yaml",
 		Version:       Version,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.CompletionOptions.HiddenDefaultCmd = true
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newServe(), newCheck(), newApply(), newKey(), newStandin(), newDemo(), newTimeline(), newLoad(), newVersion())
+	root.AddCommand(
+		newServe(),
+		newCheck(),
+		newApply(),
+		newKey(),
+		newStandin(),
+		newDemo(),
+		newTimeline(),
+		newLoad(),
+		newVersion(),
+	)
+	refuseBare(root)
+	for _, cmd := range root.Commands() {
+		if cmd.HasSubCommands() && !cmd.Runnable() {
+			refuseBare(cmd)
+		}
+	}
 	return root
 }
 
+// refuseBare completes a command that only holds others: without one of them the command line is wrong.
+func refuseBare(cmd *cobra.Command) {
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return usageError{fmt.Errorf("cli: unknown command %q for %q; --help lists them", args[0], cmd.CommandPath())}
+		}
+		_ = cmd.Help()
+		return usageError{fmt.Errorf("cli: %q needs a command", cmd.CommandPath())}
+	}
+	cmd.Args = cobra.ArbitraryArgs
+	if cmd.Example == "" {
+		cmd.Example = cmd.Commands()[0].Example
+	}
+}
+
 // exactArgs refuses any other number of arguments as bad usage.
 func exactArgs(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
@@ -72,14 +111,27 @@
 	}
 }
 
+// versionInfo is what the version command prints as JSON.
+type versionInfo struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
 func newVersion() *cobra.Command {
-	return &cobra.Command{
-		Use:   "version",
-		Short: "Print the version",
-		Args:  exactArgs(0),
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:     "version",
+		Short:   "Print the version",
+		Example: "  teaselgate version\n  teaselgate version --json",
+		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(versionInfo{Version, runtime.Version()})
+			}
 			fmt.Fprintln(cmd.OutOrStdout(), "teaselgate", Version)
 			return nil
 		},
 	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return cmd
 }
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,117 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/spf13/cobra"
+	"github.com/spf13/cobra/doc"
+)
+
+// execute runs a command line.
+func execute(args ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	code = Execute(args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	missing := filepath.Join(t.TempDir(), "missing.yaml")
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	if err := os.WriteFile(bad, []byte("colour: red\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		args string
+		want int
+		text string // in the output
+	}{
+		{"version", ExitOK, "teaselgate " + Version},
+		{"--version", ExitOK, Version},
+		{"--help", ExitOK, "Exit codes: 0"},
+		{"serve --help", ExitOK, "--settings"},
+		{"", ExitUsage, "needs a command"},
+		{"nonsense", ExitUsage, `unknown command "nonsense"`},
+		{"standin", ExitUsage, "needs a command"},
+		{"standin nonsense", ExitUsage, `unknown command "nonsense"`},
+		{"key nonsense", ExitUsage, `unknown command "nonsense"`},
+		{"version --nonsense", ExitUsage, "unknown flag"},
+		{"version extra", ExitUsage, "accepts 0 arg(s)"},
+		{"demo --length soon", ExitUsage, "invalid argument"},
+		{"check", ExitUsage, "accepts 1 arg(s)"},
+		{"check " + missing, ExitFailed, "unable to read the rules"},
+		{"check " + bad, ExitFailed, "bad.yaml:1:1: "},
+		{"serve --check --settings " + missing, ExitFailed, "unable to read the settings"},
+		{"serve --check --settings " + bad, ExitFailed, `bad.yaml:1:1: unknown setting "colour"`},
+		{"timeline", ExitUsage, "needs --admin or --platform"},
+		{"timeline --admin 127.0.0.1:1", ExitFailed, "the time line is partial"},
+		{"timeline --admin 127.0.0.1:1 --admin-token " + missing, ExitFailed, "unable to read a token"},
+	}
+	for _, test := range tests {
+		t.Run(test.args, func(t *testing.T) {
+			code, stdout, stderr := execute(strings.Fields(test.args)...)
+			if code != test.want || !strings.Contains(stdout+stderr, test.text) {
+				t.Errorf("unexpected exit code %d, output %s%s, instead of %d and %q", code, stdout, stderr, test.want, test.text)
+			}
+			if code != ExitOK && stderr == "" {
+				t.Error("unexpected silence on standard error about a failure")
+			}
+		})
+	}
+}
+
+func TestVersionAsJSON(t *testing.T) {
+	_, stdout, _ := execute("version", "--json")
+	var v versionInfo
+	if err := json.Unmarshal([]byte(stdout), &v); err != nil || v.Version != Version || v.Go == "" {
+		t.Errorf("unexpected version, got %s: %v", stdout, err)
+	}
+}
+
+func TestEveryCommandHasHelpAndExamples(t *testing.T) {
+	eachCommand(newRoot(), func(cmd *cobra.Command) {
+		if cmd.Short == "" || cmd.Example == "" {
+			t.Errorf("unexpected gap in the help of %q: short %q, example %q", cmd.CommandPath(), cmd.Short, cmd.Example)
+		}
+	})
+}
+
+func eachCommand(cmd *cobra.Command, visit func(*cobra.Command)) {
+	visit(cmd)
+	for _, child := range cmd.Commands() {
+		if child.Name() != "help" {
+			eachCommand(child, visit)
+		}
+	}
+}
+
+// The pages are rewritten by: go test ./cli -update.
+func TestPagesShowEveryCommand(t *testing.T) {
+	const dir = "../docs/commands"
+	golden := goldie.New(t, goldie.WithFixtureDir(dir), goldie.WithNameSuffix(""))
+	pages := make(map[string]bool)
+	eachCommand(newRoot(), func(cmd *cobra.Command) {
+		cmd.DisableAutoGenTag = true
+		var page bytes.Buffer
+		if err := doc.GenMarkdown(cmd, &page); err != nil {
+			t.Fatal(err)
+		}
+		name := strings.ReplaceAll(cmd.CommandPath(), " ", "_") + ".md"
+		pages[name] = true
+		golden.Assert(t, name, page.Bytes())
+	})
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		if !pages[e.Name()] {
+			t.Errorf("unexpected page %s of no command", e.Name())
+		}
+	}
+}
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -10,17 +10,19 @@
 
 func newDemo() *cobra.Command {
 	var length time.Duration
+	var asJSON bool
 	cmd := &cobra.Command{
 		Use:     "demo",
 		Short:   "Run the whole path on loopback and check its promises",
 		Long:    "Runs a platform stand-in, three instances, prefill and decode engines and an order service in one\nprocess, sends traffic of several client accounts, prints a table, and fails if a promise broke.",
-		Example: "  teaselgate demo --length 5s",
+		Example: "  teaselgate demo --length 5s\n  teaselgate demo --json",
 		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			d := &demo.Demo{Out: cmd.OutOrStdout(), Length: length}
+			d := &demo.Demo{Out: cmd.OutOrStdout(), Length: length, JSON: asJSON}
 			return d.Run(cmd.Context())
 		},
 	}
 	cmd.Flags().DurationVar(&length, "length", demo.DefaultLength, "how long traffic is sent")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	return cmd
 }
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -19,7 +19,11 @@
 const standinHeaderTimeout = 5 * time.Second
 
 func newStandin() *cobra.Command {
-	cmd := &cobra.Command{Use: "standin", Short: "Run a stand-in of an outside system, for trials and tests"}
+	cmd := &cobra.Command{
+		Use:     "standin",
+		Short:   "Run a stand-in of an outside system, for trials and tests",
+		Example: "  teaselgate standin platform --listen 127.0.0.1:7000",
+	}
 	cmd.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinService())
 	return cmd
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -30,6 +30,7 @@
 type Demo struct {
 	Out    io.Writer
 	Length time.Duration
+	JSON   bool // prints JSON instead of a table
 }
 
 // Run starts the fleet, sends traffic, prints the result and checks it.
@@ -46,16 +47,25 @@
 		Headroom: headroom,
 	}
 	summary, err := run.Do(ctx)
-	load.WriteAccounts(d.Out, summary)
-	for _, b := range summary.Broken {
-		fmt.Fprintln(d.Out, "broken:", b)
+	if len(summary.Accounts) > 0 {
+		err = errors.Join(err, d.print(summary))
 	}
 	if len(summary.Broken) > 0 {
 		return ErrPromiseBroken
 	}
-	if err != nil {
-		return err
+	return err
+}
+
+func (d *Demo) print(summary load.Summary) error {
+	if d.JSON {
+		return load.WriteJSON(d.Out, []load.Summary{summary})
+	}
+	load.WriteAccounts(d.Out, summary)
+	for _, b := range summary.Broken {
+		fmt.Fprintln(d.Out, "broken:", b)
+	}
+	if len(summary.Broken) == 0 {
+		fmt.Fprintln(d.Out, "all promises held")
 	}
-	fmt.Fprintln(d.Out, "all promises held")
 	return nil
 }
--- a/load/summary.go
+++ b/load/summary.go
@@ -205,10 +205,13 @@
 
 // addSite takes in what the site's backend servers saw.
 func (s *Summary) addSite(site *site.Site, answers []Answer) {
-	var confirmed []string
+	var confirmed, refused []string
 	useful := 0
 	for _, a := range answers {
 		if !a.Whole {
+			if a.Arrival.Class == rule.ClassOrder && a.Outcome == outcome.NotRun {
+				refused = append(refused, a.Arrival.ID)
+			}
 			continue
 		}
 		if a.Arrival.Class == rule.ClassOrder {
@@ -220,7 +223,7 @@
 	if all := site.PrefillTokens(); all > 0 {
 		s.WastedPrefill = max(0, 1-float64(useful)/float64(all))
 	}
-	s.Broken = site.Broken(confirmed)
+	s.Broken = site.Broken(confirmed, refused)
 	for _, f := range s.Faults {
 		s.Broken = append(s.Broken, fmt.Sprintf("an answer was not whole: %s", f))
 	}
--- a/standin/site/promise.go
+++ b/standin/site/promise.go
@@ -3,9 +3,10 @@
 import "fmt"
 
 // Broken lists the promises that did not hold at the backend servers; confirmed names the
-// orders that callers saw confirmed. It is called once no request is in flight.
-func (s *Site) Broken(confirmed []string) []string {
-	out := s.brokenOrders(confirmed)
+// orders that callers saw confirmed, refused those that they were told did not run. It is called
+// once no request is in flight.
+func (s *Site) Broken(confirmed, refused []string) []string {
+	out := s.brokenOrders(confirmed, refused)
 	for _, service := range s.services {
 		for _, leak := range service.Leaks() {
 			out = append(out, "a key reached a service in "+leak)
@@ -23,7 +24,7 @@
 }
 
 // brokenOrders compares the runs of each order with what callers were told.
-func (s *Site) brokenOrders(confirmed []string) []string {
+func (s *Site) brokenOrders(confirmed, refused []string) []string {
 	var out []string
 	runs := make(map[string]int)
 	for _, service := range s.services {
@@ -41,6 +42,11 @@
 			out = append(out, "order "+key+" was confirmed but never ran")
 		}
 	}
+	for _, key := range refused {
+		if runs[key] > 0 {
+			out = append(out, "order "+key+" ran although its refusal said not-run")
+		}
+	}
 	return out
 }
 
