--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,8 @@
 	"teaselgate/entry"
 	"teaselgate/event"
 	"teaselgate/fleet"
+	"teaselgate/limit"
+	"teaselgate/metric"
 	"teaselgate/option"
 	"teaselgate/outcome"
 	"teaselgate/peer"
@@ -51,6 +53,9 @@
 	claims      *outcome.Claims
 	canceller   *outcome.Canceller
 	listeners   listeners
+	connections *limit.Listener
+	requests    *metric.Handler
+	metrics     *metric.Metrics
 	callerTLS   *certificate.Store // nil while the listener is plain
 	adminTLS    *certificate.Store // nil while the listener is plain
 	leaving     atomic.Bool
@@ -98,12 +103,12 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	done := supervisor.ServeBackground(background)
-	caller, bounded := i.callerServer()
+	caller := i.callerServer()
 	endRequests := i.prepareLeaving(caller)
 	defer endRequests(nil)
 	admin := i.adminServer()
-	go func() { _ = serveHTTP(caller, bounded, i.callerTLS) }()
+	done := supervisor.ServeBackground(background)
+	go func() { _ = serveHTTP(caller, i.connections, i.callerTLS) }()
 	go func() { _ = serveHTTP(admin, i.listeners.admin, i.adminTLS) }()
 	i.announce(background, fleet.Live)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
@@ -125,6 +130,11 @@
 	i.platform = platform.NewClient(i.Options.Platform, i.Tokens.Platform)
 	i.peers = peer.NewPool(i.Tokens.Peer)
 	i.peerServer = peer.NewServer(i.listeners.peer, i.Tokens.Peer)
+	stamps := peer.Stamps{
+		Next:    func() uint64 { return uint64(i.events.Clock.Next()) },
+		Observe: func(stamp uint64) { i.events.Clock.Observe(event.Stamp(stamp)) },
+	}
+	i.peers.Stamps, i.peerServer.Stamps = stamps, stamps
 	i.engines = engine.NewClient()
 	i.services = service.NewClient()
 	steps := []func(*suture.Supervisor) error{
@@ -134,6 +144,7 @@
 		i.buildAllowance,
 		i.buildCell,
 		i.buildOutcome,
+		i.buildMetrics,
 	}
 	for _, step := range steps {
 		if err := step(supervisor); err != nil {
@@ -154,6 +165,7 @@
 	i.services.Close()
 	i.peers.Close()
 	i.platform.HTTP.CloseIdleConnections()
+	_ = i.metrics.Close()
 }
 
 func (i *Instance) recordFailure(e suture.Event) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -34,6 +34,7 @@
 	Listener net.Listener
 	Token    string      // shared secret of the fleet
 	TLS      *tls.Config // nil for plain connections
+	Stamps   Stamps
 
 	rpc *rpc.Server
 }
@@ -79,5 +80,5 @@
 	if err := acceptHello(conn, s.Token); err != nil {
 		return
 	}
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeCodec(serverCodec{newCodec(conn, s.Stamps)})
 }
