Add a target that rewrites the pages kept equal to the code

Cause: each duty brings events, commands and settings; the pages that tests keep equal (EVENTS, commands, METRICS, SETTINGS) must be rewritten at each merge. After: make pages, then the test is green.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 
 ci:
 	bash .ci/run
+
+# Rewrites the pages that tests keep equal to the code.
+pages:
+	go test ./event ./cli ./metric ./option -update
