Send only to ready instances, and let the dead hold nothing, when measuring

Cause: with an instance leaving, 103 calls hit a closed listener, since the generator knew no readiness as the platform's balancer does; a killed engine was counted as holding memory. Ruled out: requests cut by the instance (all 103 were refused connections made after its listener had closed).

--- a/load/runner.go
+++ b/load/runner.go
@@ -28,16 +28,21 @@
 	defer stop()
 	shape := r.Profile.shape(r.Place, r.Plan.Scale, r.Headroom)
 	shape.Log = quietLogger()
+	shape.BalancerDelay = balancerDelay
 	s, err := site.Start(ctx, shape)
 	if err != nil {
 		return Summary{}, err
 	}
 	caller := NewCaller(s.Keys(), stretch(r.Profile.ClientDelay, r.Plan.Scale))
 	start := time.Now()
-	var faults sync.WaitGroup
-	faults.Go(func() { r.Fault.inject(ctx, s, r.Plan.Length) })
-	answers := sendAll(ctx, caller, s.Addresses(), r.Profile.arrivals(r.Plan))
-	faults.Wait()
+	balance := newBalancer(s.Addresses())
+	following, stopFollowing := context.WithCancel(ctx)
+	var background sync.WaitGroup
+	background.Go(func() { balance.follow(following, s.Instances()) })
+	background.Go(func() { r.Fault.inject(ctx, s, r.Plan.Length) })
+	answers := sendAll(ctx, caller, balance, r.Profile.arrivals(r.Plan))
+	stopFollowing()
+	background.Wait()
 	elapsed := time.Since(start)
 	caller.Close()
 	err = s.Stop()
@@ -69,13 +74,13 @@
 	caller := NewCaller(t.Keys, stretch(r.Profile.ClientDelay, r.Plan.Scale))
 	defer caller.Close()
 	start := time.Now()
-	answers := sendAll(ctx, caller, t.Addresses, r.Profile.arrivals(r.Plan))
+	answers := sendAll(ctx, caller, newBalancer(t.Addresses), r.Profile.arrivals(r.Plan))
 	shape := r.Profile.shape(r.Place, r.Plan.Scale, r.Headroom)
 	return r.summarize(answers, time.Since(start), shape.Accounts), nil
 }
 
-// sendAll makes each call at its time, over the instances in turn, and waits for all answers.
-func sendAll(ctx context.Context, caller *Caller, addresses []string, arrivals []Arrival) []Answer {
+// sendAll makes each call at its time and waits for all answers.
+func sendAll(ctx context.Context, caller *Caller, balance *balancer, arrivals []Arrival) []Answer {
 	answers := make([]Answer, len(arrivals))
 	start := time.Now()
 	var calls sync.WaitGroup
@@ -84,7 +89,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		calls.Go(func() { answers[n] = caller.Call(ctx, addresses[n%len(addresses)], a) })
+		calls.Go(func() { answers[n] = caller.Call(ctx, balance.pick(), a) })
 	}
 	calls.Wait()
 	return answers
--- a/load/summary.go
+++ b/load/summary.go
@@ -136,7 +136,7 @@
 func (r Run) summarize(answers []Answer, elapsed time.Duration, accounts []site.Account) Summary {
 	s := Summary{
 		Profile: r.Profile.Name, Place: r.Place, Load: r.Plan.Load, Fault: r.Fault, Seed: r.Plan.Seed,
-		Codes: make(map[string]int),
+		Codes: make(map[string]int), Faults: []string{}, Broken: []string{},
 	}
 	buckets := newBuckets(accounts)
 	by := make(map[string]*gathering)
--- a/standin/site/shape.go
+++ b/standin/site/shape.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -36,6 +37,8 @@
 	Accounts  []Account
 	Tune      func(*standengine.Engine) // sets the figures of each engine; may be nil
 	Log       *logrus.Logger
+
+	BalancerDelay time.Duration // between an instance's end of readiness and the closing of its listener
 }
 
 // zone returns the availability zone of the nth part of a kind.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -43,6 +43,7 @@
 	services  []*standservice.Service
 
 	standins    map[string]*http.Server // by server name
+	killed      map[string]bool
 	stopEngines context.CancelFunc
 	running     sync.WaitGroup
 	mu          sync.Mutex
@@ -71,7 +72,7 @@
 
 // Start starts every part of a site and waits until the instances are ready.
 func Start(ctx context.Context, shape Shape) (*Site, error) {
-	s := &Site{shape: shape, standins: make(map[string]*http.Server), platform: standplatform.NewServer(Tokens.Platform)}
+	s := &Site{shape: shape, standins: make(map[string]*http.Server), killed: make(map[string]bool), platform: standplatform.NewServer(Tokens.Platform)}
 	at, err := s.serve(ctx, "platform", s.platform.Handler())
 	if err != nil {
 		return nil, err
@@ -182,7 +183,10 @@
 }
 
 // Kill ends a backend server or the platform at once, by name.
-func (s *Site) Kill(name string) { s.standins[name].Close() }
+func (s *Site) Kill(name string) {
+	s.killed[name] = true
+	s.standins[name].Close()
+}
 
 func (s *Site) startInstance(ctx context.Context, n int) error {
 	o := option.Default()
@@ -190,7 +194,7 @@
 	o.Zone = s.shape.zone(n)
 	o.Listen, o.Admin, o.Peer = loopback, loopback, loopback
 	o.Platform = s.base
-	i := &instance.Instance{Options: o, Tokens: Tokens, Log: s.shape.Log}
+	i := &instance.Instance{Options: o, Tokens: Tokens, Log: s.shape.Log, BalancerDelay: s.shape.BalancerDelay}
 	if err := i.Open(ctx); err != nil {
 		return err
 	}
