Take every form of a key out of a request; check it again before dispatch

Cause: only four headers were stripped; a key in the query, a cookie, a trailer, in base64 or percent codes went on to backend servers, and errors quoted it.

--- a/account/key.go
+++ b/account/key.go
@@ -6,19 +6,13 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
-	"net/http"
-	"strings"
 )
 
 const (
 	keyBytes  = 32
 	keyPrefix = "tg-"
-	bearer    = "bearer "
 )
 
-// credentialHeaders carry callers' keys and never reach a backend server.
-var credentialHeaders = []string{"Authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization"}
-
 // NewKey makes a random secret and the hash that a key rule holds.
 func NewKey() (secret, hash string) {
 	raw := make([]byte, keyBytes)
@@ -32,19 +26,3 @@
 	sum := sha256.Sum256([]byte(secret))
 	return "sha256:" + hex.EncodeToString(sum[:])
 }
-
-// FromRequest returns the secret that came with a request, or an empty string.
-func FromRequest(h http.Header) string {
-	authorization := h.Get("Authorization")
-	if len(authorization) > len(bearer) && strings.EqualFold(authorization[:len(bearer)], bearer) {
-		return strings.TrimSpace(authorization[len(bearer):])
-	}
-	return h.Get("X-Api-Key")
-}
-
-// Strip removes every credential header.
-func Strip(h http.Header) {
-	for _, name := range credentialHeaders {
-		h.Del(name)
-	}
-}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"teaselgate/account"
 	"teaselgate/allowance"
 	"teaselgate/cell"
 	"teaselgate/config"
@@ -30,6 +29,7 @@
 	Incarnation string // names this run of the instance at engines
 	Zone        string
 	Rules       func() *config.Revision
+	Connected   func() bool // whether a withdrawal of a key would reach the instance; nil means always
 	Admit       func(context.Context, rule.Account, int64) (*allowance.Charge, time.Time, error)
 	Place       func(context.Context, cell.Request) (*cell.Placement, error)
 	PickPlain   func(pool string, exclude []string) (rule.Server, error)
@@ -46,6 +46,7 @@
 	route   rule.Route
 	rules   *rule.Set
 	account rule.Account // empty on open routes
+	keyHash string       // of the key that came with the request
 }
 
 // ServeHTTP implements http.Handler.
@@ -56,7 +57,6 @@
 		h.refuse(w, c, err)
 		return
 	}
-	account.Strip(r.Header)
 	if c.route.Model != "" {
 		h.serveModel(w, r, c)
 		return
@@ -64,30 +64,6 @@
 	h.servePlain(w, r, c)
 }
 
-// authorize finds the route and the client account of the key that came with the request.
-func (h *Handler) authorize(c *call, r *http.Request) error {
-	revision := h.Rules()
-	if revision == nil {
-		return outcome.Refuse(http.StatusServiceUnavailable, "no-rules", "the instance has no rules yet")
-	}
-	c.rules = revision.Rules
-	route, ok := c.rules.Route(r.URL.Path)
-	if !ok {
-		return outcome.Refuse(http.StatusNotFound, "no-route", "no route leads to this path")
-	}
-	c.route = route
-	secret := account.FromRequest(r.Header)
-	if secret == "" && route.Open == rule.OpenYes {
-		return nil
-	}
-	name, ok := c.rules.KeyAccount(account.Hash(secret))
-	if !ok {
-		return outcome.Refuse(http.StatusUnauthorized, "bad-key", "the key is missing or not valid")
-	}
-	c.account, _ = c.rules.Account(name)
-	return nil
-}
-
 // admit charges tokens to the client account.
 func (h *Handler) admit(ctx context.Context, c *call, tokens int64) (*allowance.Charge, error) {
 	if c.account.Account == "" {
--- a/instance/build_outcome.go
+++ b/instance/build_outcome.go
@@ -14,6 +14,7 @@
 		Incarnation: i.owner(),
 		Zone:        i.Options.Zone,
 		Rules:       i.rules.Current,
+		Connected:   i.fleet.Connected,
 		Admit:       i.admit,
 		Place:       i.placer.Place,
 		PickPlain:   i.placer.Plain.PickPlain,
