Add plan, approve, apply with guards and wait, status, and operators' keys to the commands

Cause: apply took any change from anybody and nobody could see which instances have a revision in force.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -11,13 +11,16 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"teaselgate/config"
 )
 
 // Exit codes of the program.
 const (
-	ExitOK     = 0
-	ExitFailed = 1
-	ExitUsage  = 2
+	ExitOK      = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitUnknown = 2 // a change may or may not have been accepted; as with bad usage, it is safe to run it again
 )
 
 // Version is the program's version.
@@ -46,6 +49,9 @@
 	if errors.As(err, &usage) {
 		return ExitUsage
 	}
+	if errors.Is(err, config.ErrUnknown) {
+		return ExitUnknown
+	}
 	return ExitFailed
 }
 
@@ -58,7 +64,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newServe(), newCheck(), newApply(), newKey(), newStandin(), newDemo(), newLoad(), newVersion())
+	root.AddCommand(newServe(), newCheck(), newPlan(), newApprove(), newApply(), newStatus(), newKey(), newStandin(), newDemo(), newLoad(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/cli/key.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"teaselgate/account"
+)
+
+// secretMode lets only the owner read a secret's file.
+const secretMode = 0o600
+
+func newKey() *cobra.Command {
+	cmd := &cobra.Command{Use: "key", Short: "Make keys for client accounts and operators"}
+	cmd.AddCommand(newAccountKey(), newOperatorKey())
+	return cmd
+}
+
+func newAccountKey() *cobra.Command {
+	var name, reason string
+	cmd := &cobra.Command{
+		Use:     "new",
+		Short:   "Print a new key and its rule line; the key itself is stored nowhere",
+		Example: "  teaselgate key new --account dala-astana --reason 'aigerim: new shop'",
+		Args:    exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			secret, hash := account.NewKey()
+			fmt.Fprintf(cmd.OutOrStdout(), "key:  %s\nrule: - {key: %q, account: %s}   # %s\n", secret, hash, name, reason)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&name, "account", "ACCOUNT", "client account of the key")
+	cmd.Flags().StringVar(&reason, "reason", "who: why", "comment of the rule line")
+	return cmd
+}
+
+func newOperatorKey() *cobra.Command {
+	var name, reason, file string
+	cmd := &cobra.Command{
+		Use:     "operator",
+		Short:   "Make an operator's secret and print the rule line with its public key",
+		Example: "  teaselgate key operator --name aigerim --secret ~/.teaselgate-secret --reason 'marat: joins the team'",
+		Args:    exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				return usageError{fmt.Errorf("cli: --secret names the file for the new secret")}
+			}
+			secret, public := account.NewOperator()
+			out, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, secretMode)
+			if err != nil {
+				return fmt.Errorf("cli: unable to store the secret: %w", err)
+			}
+			defer out.Close()
+			if _, err := fmt.Fprintln(out, secret); err != nil {
+				return fmt.Errorf("cli: unable to store the secret: %w", err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "rule: - {operator: %s, key: %q}   # %s\n", name, public, reason)
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&name, "name", "NAME", "name of the operator")
+	cmd.Flags().StringVar(&file, "secret", "", "new file for the secret")
+	cmd.Flags().StringVar(&reason, "reason", "who: why", "comment of the rule line")
+	return cmd
+}
--- /dev/null
+++ b/config/status.go
@@ -0,0 +1,199 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"teaselgate/platform"
+)
+
+// StatusPath is the path of an instance's status at its admin listener.
+const StatusPath = "/status"
+
+// Limits of a survey.
+const (
+	surveyTimeout  = 2 * time.Second // for one instance
+	surveyParallel = 32
+	maxStatusBytes = 4 << 20
+	waitInterval   = 100 * time.Millisecond
+)
+
+// Status is what an instance tells operators of itself.
+type Status struct {
+	Instance  string     `json:"instance"`
+	Zone      string     `json:"zone"`
+	Ready     bool       `json:"ready"`     // whether it takes calls
+	Connected bool       `json:"connected"` // whether a withdrawal of a key would reach it
+	Revision  uint64     `json:"revision"`  // in force, 0 if none is
+	Change    string     `json:"change,omitempty"`
+	Rejected  *Rejection `json:"rejected,omitempty"` // newest revision that it refused
+	Members   []Member   `json:"members"`            // instances that it knows
+}
+
+// Member is an instance as another one knows it.
+type Member struct {
+	Name  string `json:"name"`
+	Zone  string `json:"zone"`
+	Admin string `json:"admin"`
+	State string `json:"state"`
+}
+
+// Status returns what the follower knows; the instance adds the rest.
+func (f *Follower) Status() Status {
+	s := Status{Rejected: f.Rejected()}
+	if current := f.Current(); current != nil {
+		s.Revision, s.Change = current.Number, current.Change()
+		if s.Rejected != nil && s.Rejected.Revision <= current.Number {
+			s.Rejected = nil
+		}
+	}
+	return s
+}
+
+// Report is what a survey learned of one instance.
+type Report struct {
+	Member
+	Status *Status `json:"status,omitempty"` // nil if it did not answer
+	Fault  string  `json:"fault,omitempty"`  // why it did not answer
+}
+
+// lags tells whether the instance does not have a revision in force yet. Leaving instances count
+// as long as they answer, since they still finish their calls.
+func (r Report) lags(revision uint64) bool {
+	if r.Status == nil {
+		return r.State == "live"
+	}
+	return r.Status.Revision < revision
+}
+
+// Surveyor asks instances for their status. Its exported fields are set before use.
+type Surveyor struct {
+	HTTP  *http.Client
+	Token string // of the operators
+}
+
+// Survey asks all instances at once.
+func (s *Surveyor) Survey(ctx context.Context, members []Member) []Report {
+	reports := make([]Report, len(members))
+	slots := make(chan struct{}, surveyParallel)
+	var asked sync.WaitGroup
+	for i, m := range members {
+		slots <- struct{}{}
+		asked.Go(func() {
+			defer func() { <-slots }()
+			reports[i] = s.ask(ctx, m)
+		})
+	}
+	asked.Wait()
+	slices.SortFunc(reports, func(a, b Report) int { return strings.Compare(a.Name, b.Name) })
+	return reports
+}
+
+func (s *Surveyor) ask(ctx context.Context, m Member) Report {
+	status, err := s.get(ctx, m.Admin)
+	if err != nil {
+		return Report{Member: m, Fault: err.Error()}
+	}
+	return Report{Member: m, Status: status}
+}
+
+func (s *Surveyor) get(ctx context.Context, admin string) (*Status, error) {
+	ctx, stop := context.WithTimeout(ctx, surveyTimeout)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+StatusPath, nil)
+	if err != nil {
+		return nil, fmt.Errorf("config: unable to ask %s: %w", admin, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Token)
+	resp, err := s.HTTP.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("config: no answer: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("config: answer with status %d", resp.StatusCode)
+	}
+	var status Status
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status); err != nil {
+		return nil, fmt.Errorf("config: unable to decode the status of %s: %w", admin, err)
+	}
+	return &status, nil
+}
+
+// Members lists the instances that the platform names, and those that the instances at the given
+// admin addresses know, by name.
+func (s *Surveyor) Members(ctx context.Context, p *platform.Client, admins []string) ([]Member, error) {
+	known := make(map[string]Member)
+	var failed error
+	if p != nil {
+		list, err := p.Instances(ctx)
+		failed = err
+		for _, i := range list {
+			known[i.Name] = memberOf(i)
+		}
+	}
+	for _, admin := range admins {
+		status, err := s.get(ctx, admin)
+		if err != nil {
+			failed = err
+			continue
+		}
+		for _, m := range status.Members {
+			known[m.Name] = m
+		}
+	}
+	if len(known) == 0 && failed != nil {
+		return nil, fmt.Errorf("config: unable to find the instances: %w", failed)
+	}
+	out := make([]Member, 0, len(known))
+	for _, m := range known {
+		if m.State != "gone" {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out, nil
+}
+
+func memberOf(i platform.Instance) Member {
+	return Member{Name: i.Name, Zone: i.Zone, Admin: i.Admin, State: i.State}
+}
+
+// Wait surveys the instances until none lags behind a revision or the context ends, and returns the last reports.
+func (s *Surveyor) Wait(ctx context.Context, members []Member, revision uint64) []Report {
+	for {
+		reports := s.Survey(ctx, members)
+		if len(Lagging(reports, revision)) == 0 || ctx.Err() != nil {
+			return reports
+		}
+		last := reports
+		pause(ctx, waitInterval)
+		if ctx.Err() != nil {
+			return last
+		}
+	}
+}
+
+// Lagging lists the instances that do not have a revision in force yet or do not answer.
+func Lagging(reports []Report, revision uint64) []string {
+	var out []string
+	for _, r := range reports {
+		if r.lags(revision) {
+			out = append(out, r.Name)
+		}
+	}
+	return out
+}
+
+// Newest reads the number of the newest revision from the platform.
+func Newest(ctx context.Context, p *platform.Client) (uint64, error) {
+	_, head, err := readHead(ctx, p)
+	return head.Revision, err
+}
--- a/instance/server.go
+++ b/instance/server.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"teaselgate/certificate"
+	"teaselgate/config"
 	"teaselgate/limit"
 )
 
@@ -64,6 +65,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /ready", i.getReady)
+	mux.HandleFunc("GET "+config.StatusPath, i.requireAdmin(i.getStatus))
 	mux.HandleFunc("GET /events", i.requireAdmin(i.getEvents))
 	return &http.Server{
 		Handler:           http.MaxBytesHandler(mux, adminMaxBodyBytes),
