--- a/entry/authorize_test.go
+++ b/entry/authorize_test.go
@@ -73,6 +73,7 @@
 	var text strings.Builder
 	text.WriteString("- {pool: p, duty: plain, slots: 9}   # marat: test\n" +
 		"- {route: closed, path: /closed, pool: p}   # marat: test\n" +
+		"- {route: once, path: /once, pool: p, calls: once}   # marat: test\n" +
 		"- {route: open, path: /open, pool: p, open: yes}   # marat: test\n" +
 		"- {account: shop, rate: 1000, burst: 1000}   # marat: test\n")
 	for _, secret := range keys {
@@ -128,6 +129,7 @@
 		PickPlain: func(string, []string) (rule.Server, error) { return rule.Server{Server: "s", At: at}, nil },
 		PlainDone: func(string, time.Duration, bool) {},
 		Services:  services,
+		Budget:    outcome.NewBudget(),
 		Record:    b.recorder.Record,
 		Now:       time.Now,
 	}
@@ -203,6 +205,9 @@
 func rawRequest(place, form byte, name, before, after string) string {
 	secret := before + forms[int(form)%len(forms)]() + after
 	path, header, trailer, own := "/closed", "", "", "Authorization: Bearer "+testSecret+"\r\n"
+	if place/9%2 == 1 {
+		path = "/once"
+	}
 	body, length := "order", "Content-Length: 5\r\n"
 	switch place % 9 {
 	case 0:
@@ -239,7 +244,7 @@
 		"Authorization", "authorization", "X-Api-Key", "Api-Key", "Proxy-Authorization", "Cookie", "X-Forwarded-Authorization",
 		"api_key", "key", "API_KEY", "access_token", "token", "Idempotency-Key", "Referer", "Trailer", "Connection",
 	}
-	for place := range byte(9) {
+	for place := range byte(18) {
 		for form := range byte(len(forms)) {
 			for _, name := range names {
 				f.Add(place, form, name, "", "")
--- a/instance/build_config.go
+++ b/instance/build_config.go
@@ -38,7 +38,7 @@
 func (i *Instance) peerAddresses() []string {
 	var out []string
 	for _, m := range i.fleet.Members() {
-		if m.State != fleet.Gone {
+		if m.State != fleet.Gone && m.State != fleet.Left {
 			out = append(out, m.Peer)
 		}
 	}
