--- a/cli/cli.go
+++ b/cli/cli.go
@@ -13,13 +13,16 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"teaselgate/config"
 )
 
 // Exit codes of the program.
 const (
-	ExitOK     = 0
-	ExitFailed = 1
-	ExitUsage  = 2
+	ExitOK      = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitUnknown = 2 // a change may or may not have been accepted; as with bad usage, it is safe to run it again
 )
 
 // Version is the program's version.
@@ -48,6 +51,9 @@
 	if errors.As(err, &usage) {
 		return ExitUsage
 	}
+	if errors.Is(err, config.ErrUnknown) {
+		return ExitUnknown
+	}
 	return ExitFailed
 }
 
@@ -69,7 +75,10 @@
 	root.AddCommand(
 		newServe(),
 		newCheck(),
+		newPlan(),
+		newApprove(),
 		newApply(),
+		newStatus(),
 		newKey(),
 		newStandin(),
 		newDemo(),
--- a/instance/server.go
+++ b/instance/server.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"teaselgate/certificate"
+	"teaselgate/config"
 	"teaselgate/limit"
 	"teaselgate/metric"
 	"teaselgate/timeline"
@@ -78,6 +79,7 @@
 func (i *Instance) adminServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", i.getReady)
+	mux.HandleFunc("GET "+config.StatusPath, i.requireAdmin(i.getStatus))
 	mux.HandleFunc("GET /health", i.requireAdmin(i.getHealth))
 	mux.HandleFunc("GET /metrics", i.requireAdmin(i.metrics.ServeHTTP))
 	mux.HandleFunc("GET /events", i.requireAdmin(i.getEvents))
