Describe the start by hand and run it as written

Cause: the README had two commands only; three serve processes with stand-ins of their own had never been run. After: README.md says what teaselgate is for, how to start 12 processes by hand with examples/, and how to deploy six instances; a test checks the example files. Stand-ins state at their end what they hold and saw, and fail on a broken promise; a stand-in engine started alone has the figures of the load profiles. docs/GLOSSARY.md is complete.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -115,3 +115,17 @@
 		}
 	}
 }
+
+// The files of the README's section on starting by hand must pass their checks.
+func TestExamplesAreGood(t *testing.T) {
+	for _, args := range []string{
+		"check ../examples/rules.yaml",
+		"serve --check --settings ../examples/i1.yaml",
+		"serve --check --settings ../examples/i2.yaml",
+		"serve --check --settings ../examples/i3.yaml",
+	} {
+		if code, stdout, stderr := execute(strings.Fields(args)...); code != ExitOK {
+			t.Errorf("unexpected exit code %d of %s: %s%s", code, args, stdout, stderr)
+		}
+	}
+}
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"teaselgate/load"
 	"teaselgate/rule"
 	standengine "teaselgate/standin/engine"
 	standplatform "teaselgate/standin/platform"
@@ -18,6 +19,8 @@
 
 const standinHeaderTimeout = 5 * time.Second
 
+var errPromiseBroken = errors.New("cli: a promise broke")
+
 func newStandin() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:     "standin",
@@ -33,51 +36,94 @@
 	cmd := &cobra.Command{
 		Use:     "platform",
 		Short:   "Run a stand-in of the platform's object API",
-		Example: "  teaselgate standin platform --listen 127.0.0.1:7000",
+		Example: "  teaselgate standin platform --listen 127.0.0.1:7000 --token platform.token",
 		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serveStandin(cmd, listen, standplatform.NewServer(token).Handler())
+			secret, err := readToken(token)
+			if err != nil {
+				return err
+			}
+			return serveStandin(cmd, listen, standplatform.NewServer(secret).Handler())
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
-	cmd.Flags().StringVar(&token, "token", "", "bearer token that callers must show")
+	cmd.Flags().StringVar(&token, "token", "", "file with the bearer token that callers must show")
 	return cmd
 }
 
 func newStandinEngine() *cobra.Command {
 	var listen, name, duty string
+	var fenced bool
 	cmd := &cobra.Command{
-		Use:     "engine",
-		Short:   "Run a stand-in of a model engine",
+		Use:   "engine",
+		Short: "Run a stand-in of a model engine",
+		Long: "Runs an engine with the figures of the load profiles. When it is stopped it states what it still holds and\n" +
+			"which credential headers reached it; both must be none, or it fails.",
 		Example: "  teaselgate standin engine --duty decode --listen 127.0.0.1:8001",
 		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if duty != string(rule.Prefill) && duty != string(rule.Decode) {
+				return usageError{fmt.Errorf("cli: --duty must be %s or %s", rule.Prefill, rule.Decode)}
+			}
 			e := standengine.NewEngine(name, rule.Duty(duty))
+			load.Tune(1)(e)
+			e.Fenced = fenced
 			go func() { _ = e.Run(cmd.Context()) }()
-			return serveStandin(cmd, listen, e.Handler())
+			if err := serveStandin(cmd, listen, e.Handler()); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d pieces held, credential headers seen: %v\n", e.HeldPieces(), e.Leaks())
+			if e.HeldPieces() > 0 || len(e.Leaks()) > 0 {
+				return errPromiseBroken
+			}
+			return nil
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
 	cmd.Flags().StringVar(&name, "name", "engine", "name of the engine")
-	cmd.Flags().StringVar(&duty, "duty", "decode", "prefill or decode")
+	cmd.Flags().StringVar(&duty, "duty", string(rule.Decode), "prefill or decode")
+	cmd.Flags().BoolVar(&fenced, "fenced", false, "refuse orders with an old fencing number")
 	return cmd
 }
 
 func newStandinService() *cobra.Command {
 	var listen string
 	cmd := &cobra.Command{
-		Use:     "service",
-		Short:   "Run a stand-in of a plain service",
+		Use:   "service",
+		Short: "Run a stand-in of a plain service",
+		Long: "Runs every call and counts the runs. When it is stopped it lists each call that ran, one a line, and states\n" +
+			"which credential headers reached it; it fails if a call ran twice or a header came.",
 		Example: "  teaselgate standin service --listen 127.0.0.1:9001",
 		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serveStandin(cmd, listen, standservice.NewService().Handler())
+			service := standservice.NewService()
+			if err := serveStandin(cmd, listen, service.Handler()); err != nil {
+				return err
+			}
+			return reportService(cmd, service)
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
 	return cmd
 }
 
+func reportService(cmd *cobra.Command, service *standservice.Service) error {
+	var err error
+	for key, n := range service.Runs() {
+		for range n {
+			fmt.Fprintln(cmd.OutOrStdout(), "ran", key)
+		}
+		if key != "" && n > 1 {
+			err = errPromiseBroken
+		}
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "credential headers seen: %v\n", service.Leaks())
+	if len(service.Leaks()) > 0 {
+		err = errPromiseBroken
+	}
+	return err
+}
+
 // serveStandin prints the bound address and serves until the command is told to stop.
 func serveStandin(cmd *cobra.Command, listen string, handler http.Handler) error {
 	var config net.ListenConfig
--- a/load/profile.go
+++ b/load/profile.go
@@ -101,8 +101,8 @@
 	return Profiles[i], nil
 }
 
-// tune gives an engine the figures of the profiles, with all times stretched by a scale.
-func tune(scale float64) func(*standengine.Engine) {
+// Tune gives an engine the figures of the profiles, with all times stretched by a scale.
+func Tune(scale float64) func(*standengine.Engine) {
 	return func(e *standengine.Engine) {
 		e.Slots = profileSlots
 		e.Pieces = profilePieces
@@ -139,7 +139,7 @@
 	const burstSeconds = 5
 	s := site.Shape{
 		Instances: p.Instances, Prefills: p.Prefills, Decodes: p.Decodes, Services: p.Services,
-		Zones: p.Zones, Place: place, Tune: tune(scale),
+		Zones: p.Zones, Place: place, Tune: Tune(scale),
 	}
 	for _, a := range p.Accounts {
 		rate := max(int64(p.tokenRate()*a.Part*headroom/scale), 1)
