--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -378,3 +379,29 @@
 		})
 	}
 }
+
+func TestStreamsPassOverHTTP2(t *testing.T) {
+	const chunks = 5
+	handler := NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for range chunks {
+			_, _ = io.WriteString(w, "token")
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				t.Errorf("unexpected error %v", err)
+			}
+		}
+	}), bounds, func(event.Event) {}).Handler
+	server := httptest.NewUnstartedServer(handler)
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	resp, err := server.Client().Post(server.URL, "text/plain", strings.NewReader("ask"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.ProtoMajor != 2 || string(text) != strings.Repeat("token", chunks) {
+		t.Errorf("unexpected answer by %s, got %q, %v", resp.Proto, text, err)
+	}
+}
