--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 test:
 	go test -race ./...
+	go test -run AtDesignSize ./fleet
 
 vet:
 	go vet ./...
@@ -26,3 +27,7 @@
 
 ci:
 	bash .ci/run
+
+# Rewrites the pages that tests keep equal to the code.
+pages:
+	go test ./event ./cli ./metric ./option -update
--- a/entry/model_body.go
+++ b/entry/model_body.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -11,10 +9,11 @@
 )
 
 const (
-	defaultMaxTokens = 256
-	limitMaxTokens   = 32768
-	bytesPerToken    = 4 // estimate used for charges and placement
-	chatSuffix       = "/chat/completions"
+	defaultMaxTokens   = 256
+	limitMaxTokens     = 32768
+	bytesPerToken      = 4        // estimate used for charges and placement
+	maxCompletionBytes = 16 << 20 // the settings may set a lower limit for all bodies
+	chatSuffix         = "/chat/completions"
 )
 
 // completion is what a caller asks of a model.
@@ -57,17 +56,16 @@
 	return (len(c.prompt) + bytesPerToken - 1) / bytesPerToken
 }
 
-func readCompletion(r *http.Request) (completion, error) {
+func readCompletion(w http.ResponseWriter, r *http.Request) (completion, error) {
 	if r.Method != http.MethodPost {
 		return completion{}, badRequest(http.StatusMethodNotAllowed, "bad-method", "completions take POST")
 	}
-	text, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return completion{}, badRequest(http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
-	}
+	text, err := readLimited(w, r, maxCompletionBytes+1)
 	if err != nil {
-		return completion{}, badRequest(http.StatusBadRequest, "bad-body", "the body could not be read")
+		return completion{}, err
+	}
+	if len(text) > maxCompletionBytes {
+		return completion{}, badRequest(http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
 	}
 	var b completionBody
 	if err := json.Unmarshal(text, &b); err != nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -23,20 +22,22 @@
 	"teaselgate/limit"
 	"teaselgate/metric"
 	"teaselgate/option"
+	"teaselgate/outcome"
 	"teaselgate/peer"
 	"teaselgate/platform"
 	"teaselgate/service"
 	"teaselgate/socket"
 )
 
-const shutdownTimeout = 30 * time.Second
-
 // Instance is one process of the fleet. Its exported fields are set before Run.
 type Instance struct {
 	Options *option.Options
 	Tokens  option.Secrets
 	Log     *logrus.Logger
 
+	BalancerDelay   time.Duration // between the end of readiness and the closing of the listener
+	ShutdownTimeout time.Duration // for requests in flight; zero means the usual one
+
 	incarnation uint64
 	events      *event.Recorder
 	platform    *platform.Client
@@ -49,6 +50,8 @@
 	handler     *entry.Handler
 	engines     *engine.Client
 	services    *service.Client
+	claims      *outcome.Claims
+	canceller   *outcome.Canceller
 	listeners   listeners
 	connections *limit.Listener
 	requests    *metric.Handler
@@ -101,6 +104,8 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	caller := i.callerServer()
+	endRequests := i.prepareLeaving(caller)
+	defer endRequests(nil)
 	admin := i.adminServer()
 	done := supervisor.ServeBackground(background)
 	go func() { _ = serveHTTP(caller, i.connections, i.callerTLS) }()
@@ -108,7 +113,7 @@
 	i.announce(background, fleet.Live)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
 	<-ctx.Done()
-	err := i.leave(background, caller)
+	err := i.leave(background, caller, endRequests)
 	admin.Close()
 	stop()
 	if stopped := <-done; !errors.Is(stopped, context.Canceled) {
@@ -155,21 +160,6 @@
 	return fmt.Sprintf("%s-%d", i.Options.Name, i.incarnation)
 }
 
-// leave stops taking requests and waits for those in flight.
-func (i *Instance) leave(ctx context.Context, caller *http.Server) error {
-	i.leaving.Store(true)
-	i.events.Record(event.Event{Code: event.InstanceLeaving})
-	i.announce(ctx, fleet.Leaving)
-	ctx, stop := context.WithTimeout(ctx, shutdownTimeout)
-	defer stop()
-	i.fleet.Leave(ctx)
-	if err := caller.Shutdown(ctx); err != nil {
-		return fmt.Errorf("instance: requests were cut at shutdown: %w", err)
-	}
-	i.events.Record(event.Event{Code: event.InstanceStopped})
-	return nil
-}
-
 func (i *Instance) close() {
 	i.engines.Close()
 	i.services.Close()
