--- /dev/null
+++ b/cell/core.go
@@ -0,0 +1,356 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"teaselgate/engine"
+	"teaselgate/rule"
+)
+
+// Targets and limits of a cell.
+const (
+	FirstTokenTarget    = 770 * time.Millisecond
+	BetweenTokensTarget = 36 * time.Millisecond
+
+	slowWait      = 30 * time.Second       // longest wait of slow work
+	retryWait     = 10 * time.Second       // longest wait of a request whose first place failed
+	firstMargin   = 60 * time.Millisecond  // kept free of the first token's target for the network and the first step
+	longAnswer    = 1.5                    // a prompt too long for the target may take this many times its idle time
+	lookahead     = 10 * time.Millisecond  // work kept ready at a prefill server
+	rebuildLimit  = time.Second            // a new dispatcher places at the latest after this time
+	placeLife     = 30 * time.Second       // a place is taken back this long after its predicted end
+	withdrawAfter = 2 * time.Second        // a waiting request that its instance does not ask for any more
+	zonePenalty   = 2 * time.Millisecond   // for work outside the availability zone of the instance
+	stepPenalty   = 200 * time.Microsecond // the same, against the length of a decode step
+	shedShare     = 0.9                    // share of the time left that the predicted wait may take
+)
+
+// Ask is what a dispatcher needs to know of a request.
+type Ask struct {
+	Key          string // request and attempt
+	Account      string
+	Weight       int
+	Class        rule.Class
+	PromptTokens int
+	MaxTokens    int
+	Prefix       string
+	Zone         string
+	Exclude      []string
+	Waited       time.Duration // before this dispatcher was asked
+}
+
+// Decision answers one Ask: a place, or an error with the time to come back.
+type Decision struct {
+	Key     string
+	Prefill string
+	Decode  string
+	Err     error
+	RetryIn time.Duration
+}
+
+// reservation is a place that was given.
+type reservation struct {
+	key          string
+	prefill      *prefillServer
+	decode       *decodeServer
+	pieces       int
+	promptTokens int
+	maxTokens    int
+	cached       int
+	prefix       string
+	work         work
+	before       *finish // of the request before it at the prefill server
+	finish       *finish
+	placed       time.Time
+	deadline     time.Time // the place is taken back if no report comes
+	endProgress  float64
+	startBatched float64
+	held         bool // found at a server by a new dispatcher
+}
+
+// Core decides on the places of one cell. It does not wait and starts nothing: time is passed in.
+type Core struct {
+	prefills []*prefillServer
+	decodes  []*decodeServer
+	slope    slopeModel
+	hints    hints
+	queue    *fairQueue
+	items    map[string]*item
+	placed   map[string]*reservation
+	rate     rateMeter // cost placed per second while requests wait
+	lateRate rateMeter
+	backlog  bool // requests were left waiting by the last step
+	started  time.Time
+	swept    time.Time
+	out      []Decision
+}
+
+// NewCore returns a core without servers.
+func NewCore(now time.Time) *Core {
+	return &Core{
+		hints:   newHints(),
+		queue:   newFairQueue(),
+		items:   make(map[string]*item),
+		placed:  make(map[string]*reservation),
+		started: now,
+		swept:   now,
+	}
+}
+
+// SetServers takes in the servers of the rules in force. Places at servers that are gone end with
+// their reports.
+func (c *Core) SetServers(now time.Time, prefills, decodes []rule.Server, pool rule.Pool) {
+	c.prefills = mergeServers(c.prefills, prefills,
+		func(p *prefillServer) *rule.Server { return &p.server },
+		func() *prefillServer { return &prefillServer{rate: c.prefillRate(), linkRate: initialLinkRate} })
+	c.decodes = mergeServers(c.decodes, decodes,
+		func(d *decodeServer) *rule.Server { return &d.server },
+		func() *decodeServer { return &decodeServer{steps: newStepModel(&c.slope), at: now} })
+	for _, d := range c.decodes {
+		d.slots, d.pieces = pool.Slots, pool.Pieces
+		d.limit = d.steps.limit(d.slots, BetweenTokensTarget)
+	}
+}
+
+// mergeServers keeps the state of servers that stay.
+func mergeServers[T any](old []*T, servers []rule.Server, field func(*T) *rule.Server, create func() *T) []*T {
+	known := make(map[string]*T, len(old))
+	for _, s := range old {
+		known[field(s).Server] = s
+	}
+	out := make([]*T, 0, len(servers))
+	for _, server := range servers {
+		s, ok := known[server.Server]
+		if !ok || field(s).At != server.At {
+			s = create()
+		}
+		*field(s) = server
+		out = append(out, s)
+	}
+	return out
+}
+
+// prefillRate returns the mean rate of the prefill servers.
+func (c *Core) prefillRate() float64 {
+	if len(c.prefills) == 0 {
+		return initialPrefillRate
+	}
+	sum := 0.0
+	for _, p := range c.prefills {
+		sum += p.rate
+	}
+	return sum / float64(len(c.prefills))
+}
+
+// Offer queues a request. A repeated offer of a waiting request changes nothing; one of a placed
+// request gives its place again.
+func (c *Core) Offer(now time.Time, ask Ask) {
+	if r, ok := c.placed[ask.Key]; ok {
+		if !r.held {
+			c.out = append(c.out, Decision{Key: ask.Key, Prefill: r.prefill.server.Server, Decode: r.decode.server.Server})
+			return
+		}
+		c.Release(now, ask.Key, Report{})
+	}
+	if _, ok := c.items[ask.Key]; ok {
+		return
+	}
+	i := c.newItem(now, ask)
+	if err, retry := c.admit(now, i); err != nil {
+		c.out = append(c.out, Decision{Key: ask.Key, Err: err, RetryIn: retry})
+		return
+	}
+	c.items[ask.Key] = i
+	c.queue.push(i)
+}
+
+func (c *Core) newItem(now time.Time, ask Ask) *item {
+	i := &item{ask: ask, account: c.queue.account(ask.Account, ask.Weight)}
+	i.cost = float64(ask.PromptTokens + outputCost*ask.MaxTokens)
+	i.arrived = now.Add(-ask.Waited)
+	idle := c.idleTime(ask)
+	budget := max(FirstTokenTarget-firstMargin-idle, time.Duration(longAnswer*float64(idle)))
+	i.useful = i.arrived.Add(budget)
+	i.limit = i.useful
+	switch {
+	case c.isRetry(i):
+		i.limit = now.Add(retryWait)
+	case !i.urgent():
+		i.limit = i.arrived.Add(slowWait)
+		i.late = now.After(i.useful)
+	}
+	return i
+}
+
+// idleTime is the time to compute and transfer a prompt in an idle cell.
+func (c *Core) idleTime(ask Ask) time.Duration {
+	tokens := float64(ask.PromptTokens)
+	return seconds(tokens/c.prefillRate() + tokens/initialLinkRate)
+}
+
+// Withdraw takes back a request that its caller does not want any more.
+func (c *Core) Withdraw(now time.Time, key string) {
+	if i, ok := c.items[key]; ok {
+		delete(c.items, key)
+		c.queue.remove(i)
+	}
+	c.Release(now, key, Report{})
+}
+
+// Release ends a place and learns from how it went.
+func (c *Core) Release(now time.Time, key string, report Report) {
+	r, ok := c.placed[key]
+	if !ok {
+		return
+	}
+	delete(c.placed, key)
+	r.decode.advance(now)
+	r.decode.remove(r)
+	if r.prefill == nil {
+		return
+	}
+	r.prefill.done(now, r, !report.Prefilled.IsZero())
+	if report.Placed.IsZero() {
+		return
+	}
+	c.learn(now, r, report)
+}
+
+func (c *Core) learn(now time.Time, r *reservation, report Report) {
+	d := r.decode
+	r.prefill.observe(now, r, report)
+	if !report.Prefilled.IsZero() {
+		c.hints.stored(now, r.prefill, r.prefix, report.Cached)
+	}
+	if !report.Imported.IsZero() && report.Generated > 0 {
+		took := report.Ended.Sub(report.Imported)
+		if span := now.Sub(r.placed).Seconds(); span > 0 {
+			d.steps.observe(now, (d.batched-r.startBatched)/span, took/time.Duration(report.Generated))
+			d.limit = d.steps.limit(d.slots, BetweenTokensTarget)
+		}
+	}
+	switch {
+	case report.Refused:
+		d.refused(now)
+	case report.BadDecode:
+		d.health.failed(now)
+	case report.BadPrefill:
+		r.prefill.health.failed(now)
+	}
+}
+
+// Step places what can be placed, refuses what can no longer be useful, and returns all decisions
+// since the last step.
+func (c *Core) Step(now time.Time) []Decision {
+	c.rate.advance(now, c.backlog)
+	c.lateRate.advance(now, c.backlog && c.queue.lateCost > 0)
+	c.sweep(now)
+	ready := c.ready(now)
+	if ready {
+		for _, d := range c.decodes {
+			d.advance(now)
+		}
+		for c.queue.length > 0 {
+			if c.queue.pick(c.lead(), func(i *item) bool { return c.place(now, i) }) == nil {
+				break
+			}
+		}
+	}
+	c.backlog = ready && c.queue.length > 0
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// lead is the cost by which urgent work may run ahead of its account's share.
+func (c *Core) lead() float64 {
+	return c.rate.perSecond() * queueClockShare / max(c.queue.weights, 1)
+}
+
+// Waiting returns the number of requests that wait.
+func (c *Core) Waiting() int { return c.queue.length }
+
+// place gives a request a place if there is one.
+func (c *Core) place(now time.Time, i *item) bool {
+	p, w, hit := c.choosePrefill(now, &i.ask)
+	if p == nil {
+		return false
+	}
+	pieces := piecesOf(i.ask)
+	d := c.chooseDecode(now, &i.ask, pieces, w.end.Sub(now))
+	if d == nil {
+		return false
+	}
+	r := &reservation{
+		key: i.ask.Key, prefill: p, decode: d, pieces: pieces, promptTokens: i.ask.PromptTokens,
+		maxTokens: i.ask.MaxTokens, cached: hit, prefix: i.ask.Prefix, work: w, placed: now,
+	}
+	p.book(r)
+	d.add(r, w.linkEnd.Sub(now))
+	r.deadline = w.linkEnd.Add(seconds(float64(r.maxTokens) * d.steps.step(d.slots))).Add(placeLife)
+	c.placed[r.key] = r
+	c.hints.stored(now, p, r.prefix, -1)
+	delete(c.items, r.key)
+	if c.backlog {
+		c.rate.add(i.cost)
+	}
+	if c.backlog && i.late {
+		c.lateRate.add(i.cost)
+	}
+	c.out = append(c.out, Decision{Key: r.key, Prefill: p.server.Server, Decode: d.server.Server})
+	return true
+}
+
+func piecesOf(ask Ask) int {
+	return (ask.PromptTokens + ask.MaxTokens + engine.PieceTokens - 1) / engine.PieceTokens
+}
+
+// choosePrefill returns the prefill server at which a prompt and its transfer end first.
+func (c *Core) choosePrefill(now time.Time, ask *Ask) (best *prefillServer, bestWork work, hit int) {
+	known := c.hints.prefixes[ask.Prefix]
+	var bestEnd time.Time
+	for _, p := range c.prefills {
+		if !p.usable(now) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
+			continue
+		}
+		found := min(cached(known, now, p), ask.PromptTokens)
+		w := p.plan(now, ask.PromptTokens, found)
+		if w.linkStart.Sub(w.end) > keptMargin {
+			continue
+		}
+		end := w.linkEnd
+		if p.server.Zone != ask.Zone {
+			end = end.Add(zonePenalty)
+		}
+		if best == nil || end.Before(bestEnd) {
+			best, bestWork, bestEnd, hit = p, w, end, found
+		}
+	}
+	return best, bestWork, hit
+}
+
+// chooseDecode returns the decode server with the shortest step among those that have room when the
+// prompt's KV cache is ready; room that is free already goes before room that is predicted.
+func (c *Core) chooseDecode(now time.Time, ask *Ask, pieces int, wait time.Duration) *decodeServer {
+	var best *decodeServer
+	var bestFree bool
+	var bestScore float64
+	for _, d := range c.decodes {
+		if !d.usable(now) || slices.Contains(ask.Exclude, d.server.Server) {
+			continue
+		}
+		fits, free := d.room(pieces, wait)
+		if !fits {
+			continue
+		}
+		score := d.steps.step(len(d.streams) + d.foreign + 1)
+		if d.server.Zone != ask.Zone {
+			score += stepPenalty.Seconds()
+		}
+		if best == nil || (free && !bestFree) || (free == bestFree && score < bestScore) {
+			best, bestFree, bestScore = d, free, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/cell/decode.go
@@ -0,0 +1,136 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"teaselgate/engine"
+	"teaselgate/rule"
+)
+
+// Constants of decode servers.
+const (
+	outlierFactor   = 1.8             // a server this many times slower than its pool gets work only as a trial
+	foreignLife     = 3 * time.Second // how long a report of unknown requests is believed
+	foreignShare    = 2               // unknown requests are believed up to the slots divided by this
+	ownWindow       = 2 * time.Second // the lag that a load report may have
+	predictedMargin = 30 * time.Millisecond
+	predictedFactor = 1.08 // on the predicted time to a stream's end
+)
+
+// decodeServer is the dispatcher's own account of a decode server.
+type decodeServer struct {
+	server  rule.Server
+	slots   int
+	pieces  int
+	steps   stepModel
+	health  health
+	streams []*reservation // by the progress at which they end
+	used    int            // pieces
+	limit   int            // batch that keeps the target
+	told    bool           // the server told what it holds
+
+	progress float64 // tokens that a stream could have had since the start
+	batched  float64 // batch, integrated over time in seconds
+	at       time.Time
+
+	foreign      int // slots of requests that others placed
+	foreignUntil time.Time
+	peaks        [2]int // largest own count in the present and the last window
+	peakEnd      time.Time
+}
+
+// advance brings the progress of the streams up to now.
+func (d *decodeServer) advance(now time.Time) {
+	dt := now.Sub(d.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	batch := len(d.streams)
+	d.progress += dt / d.steps.step(max(batch, 1))
+	d.batched += dt * float64(batch)
+	d.at = now
+	if now.After(d.peakEnd) {
+		d.peaks = [2]int{batch, d.peaks[0]}
+		d.peakEnd = now.Add(ownWindow)
+	}
+	if d.foreign > 0 && now.After(d.foreignUntil) {
+		d.foreign = 0
+	}
+}
+
+// add books a stream whose transfer ends after the given time.
+func (d *decodeServer) add(r *reservation, wait time.Duration) {
+	step := d.steps.step(len(d.streams) + 1)
+	r.endProgress = d.progress + wait.Seconds()/step + float64(r.maxTokens)
+	r.startBatched = d.batched
+	i, _ := slices.BinarySearchFunc(d.streams, r.endProgress, func(s *reservation, end float64) int {
+		if s.endProgress < end {
+			return -1
+		}
+		return 1
+	})
+	d.streams = slices.Insert(d.streams, i, r)
+	d.used += r.pieces
+	d.peaks[0] = max(d.peaks[0], len(d.streams))
+}
+
+// remove gives back what a stream held.
+func (d *decodeServer) remove(r *reservation) {
+	if i := slices.Index(d.streams, r); i >= 0 {
+		d.streams = slices.Delete(d.streams, i, i+1)
+		d.used -= r.pieces
+	}
+}
+
+// room tells whether a request fits when its transfer starts, a given time from now. Streams that
+// are predicted to end before that count as gone; those past their predicted end count as running.
+func (d *decodeServer) room(pieces int, wait time.Duration) (fits, free bool) {
+	slots, memory := d.limit-len(d.streams)-d.foreign, d.pieces-d.used-d.foreign
+	if slots > 0 && memory >= pieces {
+		return true, true
+	}
+	step := d.steps.step(len(d.streams))
+	horizon := (wait - predictedMargin).Seconds()
+	for _, s := range d.streams {
+		left := (s.endProgress - d.progress) * step * predictedFactor
+		if left > horizon {
+			break
+		}
+		if left <= 0 {
+			continue
+		}
+		slots++
+		memory += s.pieces
+		if slots > 0 && memory >= pieces {
+			return true, false
+		}
+	}
+	return false, false
+}
+
+// report takes in a load report, which may lag or lie: more requests than this dispatcher ever had
+// at once within the lag are taken for others', up to a share of the slots; fewer are not believed.
+func (d *decodeServer) report(now time.Time, l engine.Load) {
+	d.advance(now)
+	d.foreign = min(max(l.Slots-max(d.peaks[0], d.peaks[1]), 0), d.slots/foreignShare)
+	d.foreignUntil = now.Add(foreignLife)
+}
+
+// refused notes that the server had no room although the count said so.
+func (d *decodeServer) refused(now time.Time) {
+	d.foreign = min(d.foreign+1, d.slots/foreignShare)
+	d.foreignUntil = now.Add(foreignLife)
+}
+
+// usable tells whether the server may get a new request now.
+func (d *decodeServer) usable(now time.Time) bool {
+	if d.server.State != rule.Live || !d.health.usable(now) {
+		return false
+	}
+	if d.steps.factor < outlierFactor {
+		return true
+	}
+	d.steps.recover(now)
+	return len(d.streams) == 0 && now.Sub(d.steps.at) > trialInterval
+}
--- /dev/null
+++ b/cell/dispatcher.go
@@ -0,0 +1,222 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"teaselgate/engine"
+	"teaselgate/rule"
+)
+
+// Timing of a dispatcher.
+const (
+	askWait      = 250 * time.Millisecond // a Place call answers "waiting" after this time
+	stepInterval = 5 * time.Millisecond   // between steps while requests wait
+	pollCheck    = 100 * time.Millisecond
+	minPoll      = time.Second
+	pollSpacing  = 40 * time.Millisecond // a dispatcher polls each server once in this time per server
+	cellLife     = 30 * time.Second      // an unused cell is dropped after this time
+)
+
+// dispatcher gives out the places of one cell.
+type dispatcher struct {
+	id   ID
+	mu   sync.Mutex
+	core *Core
+	set  *rule.Set // that the core's servers are of
+
+	waiters map[string]*waiter
+	polls   map[string]time.Time // when a server is polled next
+	used    time.Time
+}
+
+// waiter stands for the instance that waits for a decision.
+type waiter struct {
+	answer chan Decision
+	seen   time.Time
+}
+
+func newDispatcher(id ID, now time.Time) *dispatcher {
+	return &dispatcher{
+		id:      id,
+		core:    NewCore(now),
+		waiters: make(map[string]*waiter),
+		polls:   make(map[string]time.Time),
+		used:    now,
+	}
+}
+
+// refresh takes the servers of the rules in force; the caller holds the lock.
+func (d *dispatcher) refresh(now time.Time, set *rule.Set) {
+	if set == nil || set == d.set {
+		return
+	}
+	d.set = set
+	decodes := set.Servers(d.id.Decode)
+	n := shares(len(decodes))
+	pool, _ := set.Pool(d.id.Decode)
+	d.core.SetServers(now, shareOf(set.Servers(d.id.Prefill), d.id.Share, n), shareOf(decodes, d.id.Share, n), pool)
+}
+
+// place queues an ask, or finds it again, and waits a while for the decision.
+func (d *dispatcher) place(ctx context.Context, now func() time.Time, set *rule.Set, ask Ask) PlaceReply {
+	d.mu.Lock()
+	at := now()
+	d.used = at
+	d.refresh(at, set)
+	w, ok := d.waiters[ask.Key]
+	if !ok {
+		w = &waiter{answer: make(chan Decision, 1)}
+		d.waiters[ask.Key] = w
+		d.core.Offer(at, ask)
+	}
+	w.seen = at
+	d.step(at)
+	waiting := d.core.Waiting()
+	d.mu.Unlock()
+	timer := time.NewTimer(askWait)
+	defer timer.Stop()
+	select {
+	case decision := <-w.answer:
+		return replyOf(decision, waiting)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return PlaceReply{Status: Waiting, Waiting: waiting}
+}
+
+// step runs the core and hands its decisions over; the caller holds the lock.
+func (d *dispatcher) step(now time.Time) {
+	for _, decision := range d.core.Step(now) {
+		w, ok := d.waiters[decision.Key]
+		if !ok {
+			d.core.Withdraw(now, decision.Key)
+			continue
+		}
+		delete(d.waiters, decision.Key)
+		w.answer <- decision
+	}
+}
+
+func replyOf(d Decision, waiting int) PlaceReply {
+	r := PlaceReply{Status: Placed, Prefill: d.Prefill, Decode: d.Decode, RetryIn: d.RetryIn, Waiting: waiting}
+	switch {
+	case errors.Is(d.Err, ErrShed):
+		r.Status = Shed
+	case d.Err != nil:
+		r.Status = NoServer
+	}
+	return r
+}
+
+// release takes places back.
+func (d *dispatcher) release(now time.Time, places []Released) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range places {
+		if _, waits := d.waiters[p.Key]; waits {
+			delete(d.waiters, p.Key)
+			d.core.Withdraw(now, p.Key)
+			continue
+		}
+		d.core.Release(now, p.Key, p.report())
+	}
+	d.step(now)
+}
+
+// tick steps the core and withdraws requests whose instance is gone; it tells whether any wait.
+func (d *dispatcher) tick(now time.Time, set *rule.Set) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(now, set)
+	for key, w := range d.waiters {
+		if now.Sub(w.seen) > withdrawAfter {
+			delete(d.waiters, key)
+			d.core.Withdraw(now, key)
+		}
+	}
+	d.step(now)
+	return d.core.Waiting() > 0
+}
+
+// idle tells whether the cell has not been used for long and holds nothing.
+func (d *dispatcher) idle(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.used) > cellLife && d.core.Waiting() == 0
+}
+
+// poll is one server to ask for its state.
+type poll struct {
+	server  rule.Server
+	duty    rule.Duty
+	held    bool   // ask for what it holds
+	after   uint64 // newest known cache event
+	results *dispatcher
+}
+
+// due lists the servers to poll now.
+func (d *dispatcher) due(now time.Time) []poll {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	interval := max(minPoll, time.Duration(len(d.core.prefills)+len(d.core.decodes))*pollSpacing)
+	var out []poll
+	for _, s := range d.core.decodes {
+		if d.dueServer(now, s.server.Server, interval) {
+			out = append(out, poll{server: s.server, duty: rule.Decode, held: s.needsHeld(), results: d})
+		}
+	}
+	for _, s := range d.core.prefills {
+		if d.dueServer(now, s.server.Server, interval) {
+			out = append(out, poll{server: s.server, duty: rule.Prefill, after: s.prefixes, results: d})
+		}
+	}
+	return out
+}
+
+func (d *dispatcher) dueServer(now time.Time, server string, interval time.Duration) bool {
+	if now.Before(d.polls[server]) {
+		return false
+	}
+	d.polls[server] = now.Add(interval)
+	return true
+}
+
+// run asks the server and takes in what it says.
+func (p poll) run(ctx context.Context, engines *engine.Client, now func() time.Time) error {
+	ctx, stop := context.WithTimeout(ctx, pollTimeout)
+	defer stop()
+	take, err := p.ask(ctx, engines)
+	d := p.results
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			d.core.PollFailed(now(), p.server.Server)
+		}
+		return err
+	}
+	take(now())
+	d.step(now())
+	return nil
+}
+
+// ask returns what is to be done with the server's answers, under the dispatcher's lock.
+func (p poll) ask(ctx context.Context, engines *engine.Client) (func(time.Time), error) {
+	core, server := p.results.core, p.server.Server
+	if p.duty == rule.Prefill {
+		events, err := engines.CacheEvents(ctx, p.server.At, p.after)
+		return func(now time.Time) { core.CacheEvents(now, server, events) }, err
+	}
+	load, err := engines.Load(ctx, p.server.At)
+	if err != nil || !p.held {
+		return func(now time.Time) { core.Load(now, server, load) }, err
+	}
+	held, err := engines.Requests(ctx, p.server.At, "")
+	return func(now time.Time) {
+		core.Held(now, server, held)
+		core.Load(now, server, load)
+	}, err
+}
--- /dev/null
+++ b/cell/hub.go
@@ -0,0 +1,160 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"teaselgate/engine"
+	"teaselgate/event"
+	"teaselgate/rule"
+)
+
+// Hub runs the dispatchers of the cells that this instance has. Its exported fields are set before
+// Serve.
+type Hub struct {
+	Rules   func() *rule.Set
+	Engines *engine.Client
+	Record  func(event.Event)
+	Now     func() time.Time
+
+	mu    sync.Mutex
+	cells map[ID]*dispatcher
+	wake  chan struct{}
+	polls sync.WaitGroup
+}
+
+// NewHub returns a hub without cells.
+func NewHub(rules func() *rule.Set, engines *engine.Client, record func(event.Event)) *Hub {
+	return &Hub{
+		Rules: rules, Engines: engines, Record: record, Now: time.Now,
+		cells: make(map[ID]*dispatcher), wake: make(chan struct{}, 1),
+	}
+}
+
+// Receiver answers the calls of other instances.
+type Receiver struct{ hub *Hub }
+
+// Receiver returns what is to be registered under RPCName.
+func (h *Hub) Receiver() *Receiver { return &Receiver{h} }
+
+// Place gives a place, or tells that the request waits.
+func (r *Receiver) Place(args PlaceArgs, reply *PlaceReply) error {
+	*reply = r.hub.Place(context.Background(), args)
+	return nil
+}
+
+// Release takes places back.
+func (r *Receiver) Release(args ReleaseArgs, _ *ReleaseReply) error {
+	r.hub.Release(args)
+	return nil
+}
+
+// Place gives a place, or tells that the request waits.
+func (h *Hub) Place(ctx context.Context, args PlaceArgs) PlaceReply {
+	d := h.dispatcher(args.Cell)
+	reply := d.place(ctx, h.Now, h.Rules(), args.Ask)
+	return reply
+}
+
+// Release takes places back.
+func (h *Hub) Release(args ReleaseArgs) {
+	h.mu.Lock()
+	d := h.cells[args.Cell]
+	h.mu.Unlock()
+	if d != nil {
+		d.release(h.Now(), args.Places)
+	}
+}
+
+// dispatcher finds a cell; an unknown one is taken over.
+func (h *Hub) dispatcher(id ID) *dispatcher {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d, ok := h.cells[id]
+	if !ok {
+		d = newDispatcher(id, h.Now())
+		h.cells[id] = d
+		h.Record(event.Event{Code: event.CellTaken, Detail: id.Prefill + " " + id.Decode})
+	}
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+	return d
+}
+
+func (h *Hub) dispatchers() []*dispatcher {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]*dispatcher, 0, len(h.cells))
+	for _, d := range h.cells {
+		out = append(out, d)
+	}
+	return out
+}
+
+// Serve steps the cells and polls their servers until the context ends.
+func (h *Hub) Serve(ctx context.Context) error {
+	defer h.polls.Wait()
+	timer := time.NewTimer(pollCheck)
+	defer timer.Stop()
+	next := h.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-h.wake:
+		case <-timer.C:
+		}
+		waiting := h.tick()
+		if now := h.Now(); !now.Before(next) || h.hasNew() {
+			h.poll(ctx)
+			next = now.Add(pollCheck)
+		}
+		if waiting {
+			timer.Reset(stepInterval)
+		} else {
+			timer.Reset(pollCheck)
+		}
+	}
+}
+
+// hasNew tells whether a cell has not been polled yet.
+func (h *Hub) hasNew() bool {
+	for _, d := range h.dispatchers() {
+		d.mu.Lock()
+		fresh := len(d.polls) == 0
+		d.mu.Unlock()
+		if fresh {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Hub) tick() (waiting bool) {
+	now := h.Now()
+	for _, d := range h.dispatchers() {
+		waiting = d.tick(now, h.Rules()) || waiting
+		if d.idle(now) {
+			h.mu.Lock()
+			delete(h.cells, d.id)
+			h.mu.Unlock()
+		}
+	}
+	return waiting
+}
+
+func (h *Hub) poll(ctx context.Context) {
+	now := h.Now()
+	for _, d := range h.dispatchers() {
+		for _, p := range d.due(now) {
+			h.polls.Go(func() {
+				if err := p.run(ctx, h.Engines, h.Now); err != nil && ctx.Err() == nil {
+					h.Record(event.Event{Code: event.PollFailed, Server: p.server.Server, Detail: err.Error()})
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/cell/message.go
@@ -0,0 +1,151 @@
+package cell
+
+import (
+	"hash/fnv"
+	"io"
+	"math"
+	"time"
+
+	"teaselgate/rule"
+)
+
+// RPCName is the name under which the dispatchers' methods are registered.
+const RPCName = "Cell"
+
+// ID names a cell: a share of a prefill pool and of a decode pool.
+type ID struct {
+	Prefill string
+	Decode  string
+	Share   int
+}
+
+// Status tells what became of an Ask.
+type Status uint8
+
+// The states of an Ask.
+const (
+	Waiting  Status = iota // ask again with the same key
+	Placed                 // the reply names the servers
+	Shed                   // it could not be answered in time
+	NoServer               // no server can take it
+)
+
+// PlaceArgs asks a dispatcher for a place.
+type PlaceArgs struct {
+	Cell ID
+	Ask  Ask
+}
+
+// PlaceReply answers PlaceArgs.
+type PlaceReply struct {
+	Status  Status
+	Prefill string
+	Decode  string
+	RetryIn time.Duration
+	Waiting int // requests that wait in the cell
+}
+
+// Released is a place given back. Times are counted from when the place was given; 0 means never.
+type Released struct {
+	Key        string
+	Prefilled  time.Duration
+	Imported   time.Duration
+	Ended      time.Duration
+	Generated  int
+	Cached     int
+	Refused    bool
+	BadPrefill bool
+	BadDecode  bool
+}
+
+// ReleaseArgs gives places of one cell back.
+type ReleaseArgs struct {
+	Cell   ID
+	Places []Released
+}
+
+// ReleaseReply answers ReleaseArgs.
+type ReleaseReply struct{}
+
+func releasedOf(key string, r Report) Released {
+	since := func(t time.Time) time.Duration {
+		if t.IsZero() || r.Placed.IsZero() {
+			return 0
+		}
+		return max(t.Sub(r.Placed), 1)
+	}
+	return Released{
+		Key: key, Prefilled: since(r.Prefilled), Imported: since(r.Imported), Ended: since(r.Ended),
+		Generated: r.Generated, Cached: r.Cached, Refused: r.Refused, BadPrefill: r.BadPrefill, BadDecode: r.BadDecode,
+	}
+}
+
+// report turns a released place into a report whose times count from an arbitrary start.
+func (r Released) report() Report {
+	start := time.Unix(1, 0)
+	at := func(d time.Duration) time.Time {
+		if d == 0 {
+			return time.Time{}
+		}
+		return start.Add(d)
+	}
+	out := Report{
+		Prefilled: at(r.Prefilled), Imported: at(r.Imported), Ended: at(r.Ended),
+		Generated: r.Generated, Cached: r.Cached, Refused: r.Refused, BadPrefill: r.BadPrefill, BadDecode: r.BadDecode,
+	}
+	if r.Ended > 0 {
+		out.Placed = start
+	}
+	return out
+}
+
+// weightOf is a rendezvous weight: the candidate with the greatest one has the cell.
+func weightOf(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		_, _ = io.WriteString(h, p)
+		_, _ = h.Write([]byte{0})
+	}
+	return mix(h.Sum64())
+}
+
+// mix spreads the differences of similar hashes over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// maxCellServers is the number of decode servers in one cell.
+const maxCellServers = 64
+
+// shares returns the number of cells that a decode pool is cut into.
+func shares(decodes int) int {
+	return max(int(math.Ceil(float64(decodes)/maxCellServers)), 1)
+}
+
+// shareOf keeps the servers of one share of a pool.
+func shareOf(servers []rule.Server, share, n int) []rule.Server {
+	if n == 1 {
+		return servers
+	}
+	out := make([]rule.Server, 0, len(servers)/n+1)
+	for _, s := range servers {
+		if shareIndex(s.Server, n) == share {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func shareIndex(server string, n int) int {
+	best, weight := 0, uint64(0)
+	for i := range n {
+		if w := weightOf(server, string(rune('0'+i))); w > weight {
+			best, weight = i, w
+		}
+	}
+	return best
+}
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -38,20 +38,36 @@
 type Placement struct {
 	Prefill rule.Server
 	Decode  rule.Server
+	Patient bool // a refused import is repeated: the slot was promised and is about to be free
 
 	release func(Report)
 }
 
 // Report tells the placer how an attempt went.
 type Report struct {
+	Placed     time.Time // when the place was given; the other times are compared with it
 	Prefilled  time.Time // when the prefill answered; zero if it did not
 	Imported   time.Time // when the transfer ended; zero if it did not
 	Ended      time.Time
-	Generated  int // tokens
+	Generated  int  // tokens
+	Cached     int  // prompt tokens that the prefill found in its cache
+	Refused    bool // the decode server had no room
 	BadPrefill bool
 	BadDecode  bool
 }
 
+// Refusal is an error of a placement that tells when to come back.
+type Refusal struct {
+	Err     error
+	RetryAt time.Time
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.Err.Error() }
+
+// Unwrap returns the reason.
+func (r *Refusal) Unwrap() error { return r.Err }
+
 // Release gives the places back.
 func (p *Placement) Release(r Report) {
 	if p.release != nil {
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -1,24 +1,276 @@
 package cell
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
 
+	"teaselgate/event"
+	"teaselgate/fleet"
 	"teaselgate/rule"
 )
 
-// Placer places model work by the policy that each model's rule names. Its exported fields are
-// set before use.
+// Timing of the calls to dispatchers.
+const (
+	answerTimeout  = 600 * time.Millisecond // for one call, which may wait askWait at the dispatcher
+	releaseTimeout = time.Second
+	rankLife       = 200 * time.Millisecond // how long the order of a cell's dispatchers is kept
+	loadLife       = 5 * time.Second        // how long a cell's reported load is believed
+	maxDispatchers = 3                      // asked for one request
+	releaseBuffer  = 1024
+)
+
+// Placer places model work by the policy that each model's rule names. Its exported fields are set
+// before Serve.
 type Placer struct {
 	Baseline *Baseline
 	Plain    *Plain
+	Hub      *Hub
+	Self     string                // name of this instance
+	Live     func() []fleet.Member // instances that take new duties
+	Call     func(ctx context.Context, address, method string, args, reply any) error
+	Random   func(n int) int
+
+	mu       sync.Mutex
+	ranks    map[ID]rank
+	loads    map[ID]load
+	releases chan releaseTo
+	sending  sync.WaitGroup
+}
+
+// rank is the order in which a cell's dispatchers are asked.
+type rank struct {
+	members []fleet.Member
+	until   time.Time
+}
+
+// load is what a cell's dispatcher reported last.
+type load struct {
+	waiting int
+	until   time.Time
+}
+
+// releaseTo is a place to give back at another instance.
+type releaseTo struct {
+	address string
+	cell    ID
+	place   Released
+}
+
+// NewPlacer returns a placer whose cells are run by a hub.
+func NewPlacer(rules func() *rule.Set, hub *Hub) *Placer {
+	return &Placer{
+		Baseline: NewBaseline(rules),
+		Plain:    NewPlain(rules),
+		Hub:      hub,
+		Random:   rand.IntN,
+		ranks:    make(map[ID]rank),
+		loads:    make(map[ID]load),
+		releases: make(chan releaseTo, releaseBuffer),
+	}
 }
 
 // Place finds backend servers for one attempt.
 func (p *Placer) Place(ctx context.Context, r Request) (*Placement, error) {
-	return p.Baseline.Place(ctx, r)
+	if r.Model.Place != rule.PlaceCell {
+		return p.Baseline.Place(ctx, r)
+	}
+	arrived := p.Hub.Now()
+	id := p.chooseCell(r)
+	asked := 0
+	for asked < maxDispatchers {
+		ranked := p.dispatchers(id)
+		if asked >= len(ranked) {
+			break
+		}
+		m := ranked[asked]
+		reply, err := p.ask(ctx, m, id, askOf(r, p.Hub.Now().Sub(arrived)))
+		if ctx.Err() != nil {
+			p.giveBack(m, id, Released{Key: r.ID})
+			return nil, ctx.Err()
+		}
+		if err != nil {
+			p.Hub.Record(event.Event{Code: event.DispatcherSilent, Request: r.ID, Server: m.Name, Detail: err.Error()})
+			p.giveBack(m, id, Released{Key: r.ID})
+			asked++
+			continue
+		}
+		if reply.Status == Waiting {
+			p.moved(m, id, r.ID, asked)
+			continue
+		}
+		placement, err := p.finish(m, id, r, reply)
+		if placement != nil || err != nil {
+			return placement, err
+		}
+		asked++
+	}
+	return nil, shed.New("cell: no dispatcher of %s answers", id.Decode)
+}
+
+// moved withdraws a waiting request from a dispatcher that has lost its cell to another instance.
+func (p *Placer) moved(m fleet.Member, id ID, key string, asked int) {
+	if ranked := p.dispatchers(id); asked < len(ranked) && ranked[asked].Name != m.Name {
+		p.giveBack(m, id, Released{Key: key})
+	}
+}
+
+// finish turns a reply into a placement. It returns nothing when the rules in force here say that a
+// server is leaving or unknown; another dispatcher is asked then.
+func (p *Placer) finish(m fleet.Member, id ID, r Request, reply PlaceReply) (*Placement, error) {
+	switch reply.Status {
+	case Shed:
+		return nil, &Refusal{Err: shed.New("cell: the request could not be answered in time"), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
+	case NoServer:
+		return nil, &Refusal{Err: noServer.New("cell: no server can take the request"), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
+	}
+	rules := p.Hub.Rules()
+	prefill, ok1 := liveServer(rules, r.Model.Prefill, reply.Prefill)
+	decode, ok2 := liveServer(rules, r.Model.Decode, reply.Decode)
+	if !ok1 || !ok2 {
+		p.giveBack(m, id, Released{Key: r.ID})
+		return nil, nil
+	}
+	placed := p.Hub.Now()
+	release := func(report Report) {
+		report.Placed = placed
+		p.giveBack(m, id, releasedOf(r.ID, report))
+	}
+	return &Placement{Prefill: prefill, Decode: decode, Patient: true, release: release}, nil
+}
+
+func liveServer(rules *rule.Set, pool, name string) (rule.Server, bool) {
+	servers := liveServers(rules, pool, nil)
+	i := slices.IndexFunc(servers, func(s rule.Server) bool { return s.Server == name })
+	if i < 0 {
+		return rule.Server{}, false
+	}
+	return servers[i], true
+}
+
+func askOf(r Request, waited time.Duration) Ask {
+	return Ask{
+		Key: r.ID, Account: r.Account, Weight: r.Weight, Class: r.Class, PromptTokens: r.PromptTokens,
+		MaxTokens: r.MaxTokens, Prefix: r.Prefix, Zone: r.Zone, Exclude: r.Exclude, Waited: waited,
+	}
+}
+
+// ask calls a dispatcher, directly if it is this instance's own.
+func (p *Placer) ask(ctx context.Context, m fleet.Member, id ID, ask Ask) (PlaceReply, error) {
+	args := PlaceArgs{Cell: id, Ask: ask}
+	if m.Name == p.Self {
+		return p.note(id, p.Hub.Place(ctx, args)), nil
+	}
+	ctx, stop := context.WithTimeout(ctx, answerTimeout)
+	defer stop()
+	var reply PlaceReply
+	if err := p.Call(ctx, m.Peer, RPCName+".Place", args, &reply); err != nil {
+		return reply, err
+	}
+	return p.note(id, reply), nil
+}
+
+func (p *Placer) note(id ID, r PlaceReply) PlaceReply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads[id] = load{r.Waiting, p.Hub.Now().Add(loadLife)}
+	return r
+}
+
+// chooseCell returns the less loaded of two random cells of a model's pools.
+func (p *Placer) chooseCell(r Request) ID {
+	id := ID{Prefill: r.Model.Prefill, Decode: r.Model.Decode}
+	n := 1
+	if rules := p.Hub.Rules(); rules != nil {
+		n = shares(len(rules.Servers(id.Decode)))
+	}
+	if n == 1 {
+		return id
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Hub.Now()
+	id.Share = chooseTwo(n, p.Random, func(share int) float64 {
+		l := p.loads[ID{id.Prefill, id.Decode, share}]
+		if now.After(l.until) {
+			return 0
+		}
+		return float64(l.waiting)
+	})
+	return id
+}
+
+// dispatchers lists the instances that may have a cell, the one that should have it first.
+func (p *Placer) dispatchers(id ID) []fleet.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Hub.Now()
+	r, ok := p.ranks[id]
+	if !ok || now.After(r.until) {
+		r = rank{rankMembers(p.Live(), id), now.Add(rankLife)}
+		p.ranks[id] = r
+	}
+	return r.members
+}
+
+func rankMembers(members []fleet.Member, id ID) []fleet.Member {
+	weights := make(map[string]uint64, len(members))
+	for _, m := range members {
+		weights[m.Name] = weightOf(id.Prefill, id.Decode, string(rune('0'+id.Share)), m.Name)
+	}
+	slices.SortFunc(members, func(a, b fleet.Member) int {
+		return cmp.Or(cmp.Compare(weights[b.Name], weights[a.Name]), cmp.Compare(a.Name, b.Name))
+	})
+	return members[:min(len(members), maxDispatchers)]
+}
+
+// giveBack returns a place. A report to another instance is sent in the background; one that is
+// lost is made up for by the place's deadline.
+func (p *Placer) giveBack(m fleet.Member, id ID, r Released) {
+	if m.Name == p.Self {
+		p.Hub.Release(ReleaseArgs{Cell: id, Places: []Released{r}})
+		return
+	}
+	select {
+	case p.releases <- releaseTo{m.Peer, id, r}:
+	default:
+	}
+}
+
+// Serve sends places back to other instances, those that came together in one call, until the
+// context ends.
+func (p *Placer) Serve(ctx context.Context) error {
+	defer p.sending.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case first := <-p.releases:
+			p.send(ctx, first)
+		}
+	}
+}
+
+type releaseKey struct {
+	address string
+	cell    ID
 }
 
-// NewPlacer returns a placer that reads the servers from the rules.
-func NewPlacer(rules func() *rule.Set) *Placer {
-	return &Placer{Baseline: NewBaseline(rules), Plain: NewPlain(rules)}
+func (p *Placer) send(ctx context.Context, first releaseTo) {
+	groups := map[releaseKey][]Released{{first.address, first.cell}: {first.place}}
+	for len(p.releases) > 0 {
+		r := <-p.releases
+		key := releaseKey{r.address, r.cell}
+		groups[key] = append(groups[key], r.place)
+	}
+	for key, places := range groups {
+		p.sending.Go(func() {
+			ctx, stop := context.WithTimeout(ctx, releaseTimeout)
+			defer stop()
+			_ = p.Call(ctx, key.address, RPCName+".Release", ReleaseArgs{key.cell, places}, &ReleaseReply{})
+		})
+	}
 }
--- /dev/null
+++ b/cell/prefill.go
@@ -0,0 +1,127 @@
+package cell
+
+import (
+	"time"
+
+	"teaselgate/rule"
+)
+
+// Constants of prefill servers.
+const (
+	initialPrefillRate = 20000.0 // tokens per second, before the first sample
+	initialLinkRate    = 40000.0 // tokens per second
+	rateLearning       = 0.15    // weight of a new sample
+	maxRateRatio       = 4.0     // bound on the trust in one sample
+	rateRecovery       = 20 * time.Second
+	minSample          = 10 * time.Millisecond  // shorter samples are mostly network time
+	idleMargin         = 30 * time.Millisecond  // a server this long past its predicted end has nothing to do
+	keptMargin         = 400 * time.Millisecond // a result waits at most this long for its link
+)
+
+// prefillServer is the dispatcher's own account of a prefill server and its outgoing link.
+type prefillServer struct {
+	server   rule.Server
+	health   health
+	rate     float64   // tokens per second
+	linkRate float64   // tokens per second
+	free     time.Time // when the work placed so far ends
+	linkFree time.Time // when the transfers placed so far end
+	pending  int
+	last     *finish   // of the newest request
+	at       time.Time // of the newest sample
+	prefixes uint64    // sequence of the newest cache event
+}
+
+// work is what a request costs at a prefill server.
+type work struct {
+	start, end, linkStart, linkEnd time.Time
+	idle                           bool // the server had nothing to do
+}
+
+// plan returns when a prompt would be computed and transferred.
+func (p *prefillServer) plan(now time.Time, tokens, cached int) work {
+	var w work
+	w.start = later(now, p.free)
+	w.idle = now.Sub(p.free) > idleMargin
+	w.end = w.start.Add(seconds(float64(tokens-cached) / p.rate))
+	w.linkStart = later(w.end, p.linkFree)
+	w.linkEnd = w.linkStart.Add(seconds(float64(tokens) / p.linkRate))
+	return w
+}
+
+func (p *prefillServer) book(r *reservation) {
+	r.before, r.finish = p.last, &finish{}
+	p.last = r.finish
+	p.free, p.linkFree = r.work.end, r.work.linkEnd
+	p.pending++
+}
+
+// observe takes in how long a prefill and its transfer took. The prefill's own time starts when the
+// one before it ended; it is not known while that one's report is still to come.
+func (p *prefillServer) observe(now time.Time, r *reservation, report Report) {
+	if report.Prefilled.IsZero() {
+		return
+	}
+	end := r.placed.Add(report.Prefilled.Sub(report.Placed))
+	r.finish.at = end
+	if start, known := r.prefillStart(); known {
+		p.rate = learnRate(p.rate, r.promptTokens-report.Cached, end.Sub(start))
+		p.at = now
+	}
+	if !report.Imported.IsZero() && r.work.linkStart.Equal(r.work.end) {
+		p.linkRate = learnRate(p.linkRate, r.promptTokens, report.Imported.Sub(report.Prefilled))
+	}
+}
+
+// finish is the true end of a prefill; zero until it is reported.
+type finish struct{ at time.Time }
+
+// prefillStart returns when the server began with a prompt.
+func (r *reservation) prefillStart() (time.Time, bool) {
+	switch {
+	case r.work.idle:
+		return r.placed, true
+	case r.before == nil || r.before.at.IsZero():
+		return time.Time{}, false
+	default:
+		return later(r.placed, r.before.at), true
+	}
+}
+
+// learnRate moves a rate towards a sample.
+func learnRate(rate float64, tokens int, took time.Duration) float64 {
+	if took < minSample || tokens <= 0 {
+		return rate
+	}
+	sample := float64(tokens) / took.Seconds()
+	sample = min(max(sample, rate/maxRateRatio), rate*maxRateRatio)
+	return rate + rateLearning*(sample-rate)
+}
+
+// done notes that the request needs the server no more; lost work is taken off the backlog.
+func (p *prefillServer) done(now time.Time, r *reservation, prefilled bool) {
+	p.pending--
+	if !prefilled && r.work.end.After(now) {
+		p.free = p.free.Add(-r.work.end.Sub(later(r.work.start, now)))
+	}
+}
+
+// recover lets an unused server's rate return to the pool's, so that it is tried again.
+func (p *prefillServer) recover(now time.Time, pool float64) {
+	if !p.at.IsZero() && now.Sub(p.at) > rateRecovery && p.rate < pool {
+		p.rate, p.at = pool, now
+	}
+}
+
+func (p *prefillServer) usable(now time.Time) bool {
+	return p.server.State == rule.Live && p.health.usable(now)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/cell/rebuild.go
@@ -0,0 +1,103 @@
+package cell
+
+import (
+	"time"
+
+	"teaselgate/engine"
+)
+
+// ready tells whether the core may place: the servers told what they hold, or took too long.
+func (c *Core) ready(now time.Time) bool {
+	if now.Sub(c.started) >= rebuildLimit {
+		return true
+	}
+	for _, d := range c.decodes {
+		if !d.told && d.health.usable(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Held takes in what a decode server holds. Requests that this core did not place keep their slots
+// until a later list does not name them.
+func (c *Core) Held(now time.Time, server string, held []engine.Held) {
+	d := c.decode(server)
+	if d == nil {
+		return
+	}
+	d.advance(now)
+	d.told = true
+	listed := make(map[string]bool, len(held))
+	for _, h := range held {
+		listed[h.Attempt] = true
+		if _, ok := c.placed[h.Attempt]; ok {
+			continue
+		}
+		r := &reservation{key: h.Attempt, decode: d, pieces: h.Pieces, maxTokens: heldTokens, placed: now, held: true}
+		r.deadline = now.Add(placeLife)
+		d.add(r, 0)
+		c.placed[h.Attempt] = r
+	}
+	for _, r := range append([]*reservation(nil), d.streams...) {
+		if r.held && !listed[r.key] {
+			c.Release(now, r.key, Report{})
+		}
+	}
+}
+
+// heldTokens stands for the unknown rest of a request found at a server.
+const heldTokens = 1 << 20
+
+// NeedsHeld tells whether a decode server should list what it holds.
+func (d *decodeServer) needsHeld() bool {
+	if !d.told {
+		return true
+	}
+	for _, r := range d.streams {
+		if r.held {
+			return true
+		}
+	}
+	return false
+}
+
+// Load takes in a load report of a decode server.
+func (c *Core) Load(now time.Time, server string, l engine.Load) {
+	if d := c.decode(server); d != nil {
+		d.health.answered()
+		d.report(now, l)
+	}
+}
+
+// CacheEvents takes in cache events of a prefill server.
+func (c *Core) CacheEvents(now time.Time, server string, events []engine.CacheEvent) {
+	for _, p := range c.prefills {
+		if p.server.Server == server {
+			p.health.answered()
+			p.recover(now, c.prefillRate())
+			c.hints.events(now, p, events)
+		}
+	}
+}
+
+// PollFailed notes a server that did not answer a poll.
+func (c *Core) PollFailed(now time.Time, server string) {
+	if d := c.decode(server); d != nil {
+		d.health.failed(now)
+	}
+	for _, p := range c.prefills {
+		if p.server.Server == server {
+			p.health.failed(now)
+		}
+	}
+}
+
+func (c *Core) decode(server string) *decodeServer {
+	for _, d := range c.decodes {
+		if d.server.Server == server {
+			return d
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cell/shed.go
@@ -0,0 +1,167 @@
+package cell
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	sweepInterval = 20 * time.Millisecond
+	minRetry      = time.Second
+	maxRetry      = 30 * time.Second
+	rateWindow    = 3 * time.Second
+	rateWarmup    = 0.3 // seconds of waiting requests before the rate is believed
+	minLateShare  = 1.0 / (slowShare * lateShare)
+)
+
+// rateMeter measures cost per second over the time in which requests wait.
+type rateMeter struct {
+	cost, span float64
+	at         time.Time
+}
+
+func (m *rateMeter) advance(now time.Time, waiting bool) {
+	if !m.at.IsZero() && waiting {
+		dt := now.Sub(m.at).Seconds()
+		keep := math.Exp(-dt / rateWindow.Seconds())
+		m.cost *= keep
+		m.span = m.span*keep + dt
+	}
+	m.at = now
+}
+
+func (m *rateMeter) add(cost float64) { m.cost += cost }
+
+// perSecond returns 0 until enough was seen.
+func (m *rateMeter) perSecond() float64 {
+	if m.span < rateWarmup {
+		return 0
+	}
+	return m.cost / m.span
+}
+
+// admit refuses a new request that would wait in vain.
+func (c *Core) admit(now time.Time, i *item) (error, time.Duration) {
+	if len(c.decodes) == 0 || len(c.prefills) == 0 {
+		return noServer.New("cell: no server in the cell"), minRetry
+	}
+	if piecesOf(i.ask) > c.decodes[0].pieces {
+		return noServer.New("cell: the request needs more memory than any decode server has"), maxRetry
+	}
+	wait := c.predictWait(i)
+	if c.queue.length >= maxQueue && !c.makeRoom(i) {
+		return shed.New("cell: the queue is full"), retryIn(wait)
+	}
+	if c.isRetry(i) {
+		return nil, 0
+	}
+	if left := i.limit.Sub(now); wait.Seconds() > shedShare*left.Seconds() {
+		return shed.New("cell: the wait of %v would be too long", wait.Round(time.Millisecond)), retryIn(wait)
+	}
+	return nil, 0
+}
+
+// isRetry tells whether a request was placed before and failed through no fault of its caller.
+func (c *Core) isRetry(i *item) bool { return len(i.ask.Exclude) > 0 }
+
+// predictWait estimates a new request's wait from the cost ahead of it: by its account's share of the
+// cell, and at most until all urgent, or all, requests that wait now are placed.
+func (c *Core) predictWait(i *item) time.Duration {
+	rate := c.rate.perSecond()
+	if rate == 0 {
+		return 0
+	}
+	q, a := c.queue, i.account
+	if i.late {
+		return seconds(q.lateCost / max(c.lateRate.perSecond(), rate*minLateShare))
+	}
+	if !i.urgent() {
+		return 0
+	}
+	weights := q.weights
+	if a.urgent.len()+a.slowLen() == 0 {
+		weights += a.weight
+	}
+	own := (a.urgentCost/a.weight + max(a.tag-q.clock-c.lead(), 0)) * weights
+	return seconds(min(own, q.cost[0]) / rate)
+}
+
+// makeRoom refuses the newest slow request of the account with the most waiting cost per weight, so
+// that an account that fills the queue does not shut out the others.
+func (c *Core) makeRoom(i *item) bool {
+	var worst *accountQueue
+	for _, a := range c.queue.accounts {
+		if worst == nil || (a.urgentCost+a.slowCost)/a.weight > (worst.urgentCost+worst.slowCost)/worst.weight {
+			worst = a
+		}
+	}
+	if worst == nil || worst == i.account {
+		return false
+	}
+	for _, f := range []*fifo[*item]{&worst.late, &worst.fresh, &worst.urgent} {
+		if n := f.len(); n > 0 {
+			c.refuse(f.items[n-1], shed.New("cell: the queue is full"), minRetry)
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) refuse(i *item, err error, retry time.Duration) {
+	delete(c.items, i.ask.Key)
+	c.queue.remove(i)
+	c.out = append(c.out, Decision{Key: i.ask.Key, Err: err, RetryIn: retry})
+}
+
+func retryIn(wait time.Duration) time.Duration { return min(max(wait, minRetry), maxRetry) }
+
+// sweep refuses waiting requests whose time is over and takes back places without a report.
+func (c *Core) sweep(now time.Time) {
+	if now.Sub(c.swept) < sweepInterval {
+		return
+	}
+	c.swept = now
+	for _, i := range c.overdue(now) {
+		if now.After(i.limit) {
+			c.refuse(i, shed.New("cell: no place in time"), retryIn(c.predictWait(i)))
+		} else {
+			c.turnLate(now, i)
+		}
+	}
+	for _, r := range c.placed {
+		if now.After(r.deadline) {
+			c.Release(now, r.key, Report{})
+		}
+	}
+	c.queue.forget()
+}
+
+// overdue lists the waiting requests that passed their limit or target, oldest first.
+func (c *Core) overdue(now time.Time) []*item {
+	var out []*item
+	for _, i := range c.items {
+		if now.After(i.limit) || (!i.late && !i.urgent() && !c.isRetry(i) && now.After(i.useful)) {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b *item) int {
+		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.ask.Key, b.ask.Key))
+	})
+	return out
+}
+
+// turnLate moves slow work past its target behind other slow work, or refuses it if even that would
+// take too long.
+func (c *Core) turnLate(now time.Time, i *item) {
+	late := *i
+	late.late = true
+	if wait := c.predictWait(&late); now.Add(wait).After(i.limit) {
+		c.refuse(i, shed.New("cell: the wait of %v would be too long", wait.Round(time.Millisecond)), retryIn(wait))
+		return
+	}
+	c.queue.remove(i)
+	i.late = true
+	c.queue.push(i)
+}
--- /dev/null
+++ b/cell/step.go
@@ -0,0 +1,99 @@
+package cell
+
+import "time"
+
+// Constants of the step-time model.
+const (
+	stepLearning   = 0.2                    // weight of a new sample
+	initialStep    = 15 * time.Millisecond  // before the first sample
+	initialSlope   = 0.0005                 // seconds added to a step by one stream
+	stepForgetting = 0.995                  // weight that old samples of the pool keep
+	stepRecovery   = 20 * time.Second       // time constant of the return of an unused server to the pool's mean
+	stepMargin     = 0.92                   // share of the target that a full batch may take
+	maxStepRatio   = 20.0                   // bound on the trust in one measured step
+	minStep        = 100 * time.Microsecond // below this a sample is taken as an error of measurement
+)
+
+// slopeModel learns for a pool by how much one more stream lengthens a decode step: a straight line
+// through samples of batch and step time that are forgotten exponentially.
+type slopeModel struct {
+	n, x, y, xx, xy float64
+}
+
+func (m *slopeModel) observe(batch, step float64) {
+	m.n = m.n*stepForgetting + 1
+	m.x = m.x*stepForgetting + batch
+	m.y = m.y*stepForgetting + step
+	m.xx = m.xx*stepForgetting + batch*batch
+	m.xy = m.xy*stepForgetting + batch*step
+}
+
+// slope returns seconds per stream; until the batches differ enough, the initial one.
+func (m *slopeModel) slope() float64 {
+	const minSamples, minVariance = 20, 1
+	if m.n < minSamples {
+		return initialSlope
+	}
+	variance := m.xx/m.n - (m.x/m.n)*(m.x/m.n)
+	if variance < minVariance {
+		return initialSlope
+	}
+	covariance := m.xy/m.n - (m.x/m.n)*(m.y/m.n)
+	return max(covariance/variance, 0)
+}
+
+// mean returns the pool's mean step at a batch.
+func (m *slopeModel) mean(batch float64) float64 {
+	if m.n == 0 {
+		return initialStep.Seconds()
+	}
+	return max(m.y/m.n+m.slope()*(batch-m.x/m.n), minStep.Seconds())
+}
+
+// stepModel is the step time of one server as a factor on its pool's mean.
+type stepModel struct {
+	pool   *slopeModel
+	factor float64
+	at     time.Time // of the newest sample
+}
+
+func newStepModel(pool *slopeModel) stepModel {
+	return stepModel{pool: pool, factor: 1}
+}
+
+// step returns the expected step time in seconds with a batch of streams.
+func (m *stepModel) step(batch int) float64 {
+	return m.factor * m.pool.mean(float64(batch))
+}
+
+// observe takes in the mean step of a stream with the mean batch it ran in.
+func (m *stepModel) observe(now time.Time, batch float64, step time.Duration) {
+	if step < minStep {
+		return
+	}
+	ratio := step.Seconds() / m.pool.mean(batch)
+	ratio = min(max(ratio, 1/maxStepRatio), maxStepRatio)
+	m.factor += stepLearning * (ratio - m.factor)
+	if m.factor < outlierFactor {
+		m.pool.observe(batch, step.Seconds())
+	}
+	m.at = now
+}
+
+// recover lets the factor of a server without new samples return to the pool's mean, so that a
+// server that was slow is tried again.
+func (m *stepModel) recover(now time.Time) {
+	if idle := now.Sub(m.at); !m.at.IsZero() && idle > stepRecovery {
+		m.factor = 1
+		m.at = now
+	}
+}
+
+// limit returns the largest batch, up to slots, at which a step keeps the target.
+func (m *stepModel) limit(slots int, target time.Duration) int {
+	allowed := target.Seconds() * stepMargin
+	for slots > 1 && m.step(slots) > allowed {
+		slots--
+	}
+	return slots
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -17,7 +17,7 @@
 }
 
 // Catalogue lists every kind of event.
-var Catalogue = join(instanceEvents, configEvents, requestEvents, fleetEvents)
+var Catalogue = join(instanceEvents, configEvents, requestEvents, fleetEvents, cellEvents)
 
 func join(groups ...map[Code]Definition) map[Code]Definition {
 	all := make(map[Code]Definition)
--- /dev/null
+++ b/event/cell_events.go
@@ -0,0 +1,16 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Codes of the placing of work.
+const (
+	CellTaken        Code = 1401
+	DispatcherSilent Code = 1402
+	PollFailed       Code = 1403
+)
+
+var cellEvents = map[Code]Definition{
+	CellTaken:        {"cell-taken", logrus.InfoLevel, "this instance is the dispatcher of a cell"},
+	DispatcherSilent: {"dispatcher-silent", logrus.WarnLevel, "a cell's dispatcher does not answer; the next one is asked"},
+	PollFailed:       {"poll-failed", logrus.WarnLevel, "a backend server did not answer a poll; it gets no new work for a while"},
+}
--- a/instance/build_cell.go
+++ b/instance/build_cell.go
@@ -7,7 +7,13 @@
 )
 
 // buildCell makes the part that places requests on backend servers.
-func (i *Instance) buildCell(*suture.Supervisor) error {
-	i.placer = cell.NewPlacer(i.rules.Rules)
-	return nil
+func (i *Instance) buildCell(supervisor *suture.Supervisor) error {
+	hub := cell.NewHub(i.rules.Rules, i.engines, i.events.Record)
+	i.placer = cell.NewPlacer(i.rules.Rules, hub)
+	i.placer.Self = i.Options.Name
+	i.placer.Live = i.fleet.Live
+	i.placer.Call = i.peers.Call
+	supervisor.Add(hub)
+	supervisor.Add(i.placer)
+	return i.peerServer.Register(cell.RPCName, hub.Receiver())
 }
