--- a/cell/core.go
+++ b/cell/core.go
@@ -101,9 +101,12 @@
 // SetServers takes in the servers of the rules in force. Places at servers that are gone end with
 // their reports.
 func (c *Core) SetServers(now time.Time, prefills, decodes []rule.Server, pool rule.Pool) {
+	prefill, link := c.rates()
 	c.prefills = mergeServers(c.prefills, prefills,
 		func(p *prefillServer) *rule.Server { return &p.server },
-		func() *prefillServer { return &prefillServer{rate: c.prefillRate(), linkRate: initialLinkRate} })
+		func() *prefillServer {
+			return &prefillServer{rate: rate{perSecond: prefill}, linkRate: rate{perSecond: link}}
+		})
 	c.decodes = mergeServers(c.decodes, decodes,
 		func(d *decodeServer) *rule.Server { return &d.server },
 		func() *decodeServer { return &decodeServer{steps: newStepModel(&c.slope), at: now} })
@@ -131,16 +134,23 @@
 	return out
 }
 
-// prefillRate returns the mean rate of the prefill servers.
-func (c *Core) prefillRate() float64 {
-	if len(c.prefills) == 0 {
-		return initialPrefillRate
+// rates returns the mean rates of the prefill servers and their links, of those learnt if there are.
+func (c *Core) rates() (prefill, link float64) {
+	return meanRate(c.prefills, initialPrefillRate, func(p *prefillServer) rate { return p.rate }),
+		meanRate(c.prefills, initialLinkRate, func(p *prefillServer) rate { return p.linkRate })
+}
+
+func meanRate(servers []*prefillServer, initial float64, of func(*prefillServer) rate) float64 {
+	sum, n := 0.0, 0.0
+	for _, p := range servers {
+		if r := of(p); r.learnt {
+			sum, n = sum+r.perSecond, n+1
+		}
 	}
-	sum := 0.0
-	for _, p := range c.prefills {
-		sum += p.rate
+	if n == 0 {
+		return initial
 	}
-	return sum / float64(len(c.prefills))
+	return sum / n
 }
 
 // Offer queues a request. A repeated offer of a waiting request changes nothing; one of a placed
@@ -185,8 +195,8 @@
 
 // idleTime is the time to compute and transfer a prompt in an idle cell.
 func (c *Core) idleTime(ask Ask) time.Duration {
-	tokens := float64(ask.PromptTokens)
-	return seconds(tokens/c.prefillRate() + tokens/initialLinkRate)
+	prefill, link := c.rates()
+	return seconds(float64(ask.PromptTokens)/prefill + float64(ask.PromptTokens)/link)
 }
 
 // Withdraw takes back a request that its caller does not want any more.
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -61,7 +61,7 @@
 }
 
 // place queues an ask, or finds it again, and waits a while for the decision.
-func (d *dispatcher) place(ctx context.Context, now func() time.Time, set *rule.Set, ask Ask) PlaceReply {
+func (d *dispatcher) place(ctx context.Context, now func() time.Time, set *rule.Set, ask Ask, nudge func()) PlaceReply {
 	d.mu.Lock()
 	at := now()
 	d.used = at
@@ -76,6 +76,9 @@
 	d.step(at)
 	waiting := d.core.Waiting()
 	d.mu.Unlock()
+	if waiting > 0 {
+		nudge()
+	}
 	timer := time.NewTimer(askWait)
 	defer timer.Stop()
 	select {
--- a/cell/hub.go
+++ b/cell/hub.go
@@ -53,8 +53,7 @@
 // Place gives a place, or tells that the request waits.
 func (h *Hub) Place(ctx context.Context, args PlaceArgs) PlaceReply {
 	d := h.dispatcher(args.Cell)
-	reply := d.place(ctx, h.Now, h.Rules(), args.Ask)
-	return reply
+	return d.place(ctx, h.Now, h.Rules(), args.Ask, h.nudge)
 }
 
 // Release takes places back.
@@ -77,11 +76,15 @@
 		h.cells[id] = d
 		h.Record(event.Event{Code: event.CellTaken, Detail: id.Prefill + " " + id.Decode})
 	}
+	return d
+}
+
+// nudge lets Serve run a step soon.
+func (h *Hub) nudge() {
 	select {
 	case h.wake <- struct{}{}:
 	default:
 	}
-	return d
 }
 
 func (h *Hub) dispatchers() []*dispatcher {
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -80,6 +81,7 @@
 	}
 	arrived := p.Hub.Now()
 	id := p.chooseCell(r)
+	r.ID = fmt.Sprintf("%s-%d", r.ID, len(r.Exclude)+1)
 	asked := 0
 	for asked < maxDispatchers {
 		ranked := p.dispatchers(id)
@@ -106,7 +108,7 @@
 		if placement != nil || err != nil {
 			return placement, err
 		}
-		asked++
+		r.Exclude = append(slices.Clone(r.Exclude), reply.Prefill, reply.Decode)
 	}
 	return nil, shed.New("cell: no dispatcher of %s answers", id.Decode)
 }
@@ -119,7 +121,7 @@
 }
 
 // finish turns a reply into a placement. It returns nothing when the rules in force here say that a
-// server is leaving or unknown; another dispatcher is asked then.
+// server is leaving or unknown; the request is asked for again without these servers then.
 func (p *Placer) finish(m fleet.Member, id ID, r Request, reply PlaceReply) (*Placement, error) {
 	switch reply.Status {
 	case Shed:
--- a/cell/prefill.go
+++ b/cell/prefill.go
@@ -9,7 +9,7 @@
 // Constants of prefill servers.
 const (
 	initialPrefillRate = 20000.0 // tokens per second, before the first sample
-	initialLinkRate    = 40000.0 // tokens per second
+	initialLinkRate    = 40000.0 // tokens per second, before the first sample
 	rateLearning       = 0.15    // weight of a new sample
 	maxRateRatio       = 4.0     // bound on the trust in one sample
 	rateRecovery       = 20 * time.Second
@@ -22,8 +22,8 @@
 type prefillServer struct {
 	server   rule.Server
 	health   health
-	rate     float64   // tokens per second
-	linkRate float64   // tokens per second
+	rate     rate
+	linkRate rate
 	free     time.Time // when the work placed so far ends
 	linkFree time.Time // when the transfers placed so far end
 	pending  int
@@ -43,9 +43,9 @@
 	var w work
 	w.start = later(now, p.free)
 	w.idle = now.Sub(p.free) > idleMargin
-	w.end = w.start.Add(seconds(float64(tokens-cached) / p.rate))
+	w.end = w.start.Add(seconds(float64(tokens-cached) / p.rate.perSecond))
 	w.linkStart = later(w.end, p.linkFree)
-	w.linkEnd = w.linkStart.Add(seconds(float64(tokens) / p.linkRate))
+	w.linkEnd = w.linkStart.Add(seconds(float64(tokens) / p.linkRate.perSecond))
 	return w
 }
 
@@ -65,11 +65,11 @@
 	end := r.placed.Add(report.Prefilled.Sub(report.Placed))
 	r.finish.at = end
 	if start, known := r.prefillStart(); known {
-		p.rate = learnRate(p.rate, r.promptTokens-report.Cached, end.Sub(start))
+		p.rate.learn(r.promptTokens-report.Cached, end.Sub(start))
 		p.at = now
 	}
 	if !report.Imported.IsZero() && r.work.linkStart.Equal(r.work.end) {
-		p.linkRate = learnRate(p.linkRate, r.promptTokens, report.Imported.Sub(report.Prefilled))
+		p.linkRate.learn(r.promptTokens, report.Imported.Sub(report.Prefilled))
 	}
 }
 
@@ -88,14 +88,24 @@
 	}
 }
 
-// learnRate moves a rate towards a sample.
-func learnRate(rate float64, tokens int, took time.Duration) float64 {
+// rate is tokens per second, learnt from samples.
+type rate struct {
+	perSecond float64
+	learnt    bool
+}
+
+// learn moves the rate towards a sample; the first one replaces the initial rate.
+func (r *rate) learn(tokens int, took time.Duration) {
 	if took < minSample || tokens <= 0 {
-		return rate
+		return
 	}
 	sample := float64(tokens) / took.Seconds()
-	sample = min(max(sample, rate/maxRateRatio), rate*maxRateRatio)
-	return rate + rateLearning*(sample-rate)
+	if !r.learnt {
+		*r = rate{sample, true}
+		return
+	}
+	sample = min(max(sample, r.perSecond/maxRateRatio), r.perSecond*maxRateRatio)
+	r.perSecond += rateLearning * (sample - r.perSecond)
 }
 
 // done notes that the request needs the server no more; lost work is taken off the backlog.
@@ -108,8 +118,8 @@
 
 // recover lets an unused server's rate return to the pool's, so that it is tried again.
 func (p *prefillServer) recover(now time.Time, pool float64) {
-	if !p.at.IsZero() && now.Sub(p.at) > rateRecovery && p.rate < pool {
-		p.rate, p.at = pool, now
+	if !p.at.IsZero() && now.Sub(p.at) > rateRecovery && p.rate.perSecond < pool {
+		p.rate.perSecond, p.at = pool, now
 	}
 }
 
--- a/cell/rebuild.go
+++ b/cell/rebuild.go
@@ -75,7 +75,8 @@
 	for _, p := range c.prefills {
 		if p.server.Server == server {
 			p.health.answered()
-			p.recover(now, c.prefillRate())
+			prefill, _ := c.rates()
+			p.recover(now, prefill)
 			c.hints.events(now, p, events)
 		}
 	}
