Test the core with random schedules and the dispatcher's loss in virtual time

Cause: the promises need a check that is not the code itself. rapid drives the core with lost and doubled reports, lying loads and vanishing servers against an own count; synctest runs two instances, kills the dispatcher and expects places within a second; queue tests hold weights and the bound on starvation. Before: no test of the core. Conclusion: the first form of the oracle counted requests that start later than the one it judged; it now counts at the start of each transfer, which is when an engine takes the slot.

--- /dev/null
+++ b/cell/core_test.go
@@ -0,0 +1,247 @@
+package cell
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"teaselgate/engine"
+	"teaselgate/rule"
+)
+
+func servers(pool string, n int) []rule.Server {
+	out := make([]rule.Server, 0, n)
+	for i := range n {
+		name := fmt.Sprintf("%s%d", pool, i)
+		out = append(out, rule.Server{Server: name, Pool: pool, Zone: "a", At: name, State: rule.Live})
+	}
+	return out
+}
+
+func testCore(now time.Time, prefills, decodes int) *Core {
+	c := NewCore(now)
+	c.SetServers(now, servers("p", prefills), servers("d", decodes), rule.Pool{Slots: 3, Pieces: 6})
+	for i := range decodes {
+		c.Held(now, fmt.Sprintf("d%d", i), nil)
+	}
+	return c
+}
+
+// coreMachine drives a core with random requests, reports and losses, and counts what it promised.
+type coreMachine struct {
+	now     time.Time
+	core    *Core
+	offered map[string]bool // whether the decision came
+	placed  []string
+	n       int
+}
+
+func (m *coreMachine) step(t *rapid.T) {
+	for _, d := range m.core.Step(m.now) {
+		done, known := m.offered[d.Key]
+		if !known || done {
+			t.Fatalf("unexpected decision on %s, known %v, answered before %v", d.Key, known, done)
+		}
+		m.offered[d.Key] = true
+		if d.Err == nil {
+			m.placed = append(m.placed, d.Key)
+			m.checkRoom(t, m.core.placed[d.Key])
+		}
+	}
+}
+
+// checkRoom counts, by itself, the requests that hold memory when a new one's transfer starts. With
+// no reports the core expects the initial step time of every server.
+func (m *coreMachine) checkRoom(t *rapid.T, placed *reservation) {
+	start := placed.work.end
+	slots, pieces := 0, 0
+	for _, r := range m.core.placed {
+		if r.decode != placed.decode || r.work.end.After(start) {
+			continue
+		}
+		end := m.now
+		if r.prefill != nil {
+			end = r.work.linkEnd.Add(time.Duration(r.maxTokens) * initialStep)
+		}
+		if r == placed || end.After(start) || !end.After(m.now) {
+			slots++
+			pieces += r.pieces
+		}
+	}
+	if slots > placed.decode.slots || pieces > placed.decode.pieces {
+		t.Fatalf("unexpected promise at %s: %d slots of %d, %d pieces of %d",
+			placed.decode.server.Server, slots, placed.decode.slots, pieces, placed.decode.pieces)
+	}
+}
+
+func (m *coreMachine) offer(t *rapid.T) {
+	m.n++
+	key := fmt.Sprint(m.n)
+	m.offered[key] = false
+	m.core.Offer(m.now, Ask{
+		Key:          key,
+		Account:      rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"),
+		Weight:       rapid.IntRange(0, 4).Draw(t, "weight"),
+		Class:        rapid.SampledFrom([]rule.Class{rule.ClassOrder, rule.ClassInteractive, rule.ClassSummary}).Draw(t, "class"),
+		PromptTokens: rapid.IntRange(1, 30000).Draw(t, "prompt"),
+		MaxTokens:    rapid.IntRange(1, 300).Draw(t, "output"),
+	})
+	m.step(t)
+}
+
+func TestCorePromisesNoMoreThanThereIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(0, 0)
+		m := &coreMachine{now: start, core: testCore(start, 2, 3), offered: make(map[string]bool)}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": m.offer,
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+				m.step(t)
+			},
+			"release": func(t *rapid.T) {
+				if len(m.placed) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(m.placed)-1).Draw(t, "which")
+				m.core.Release(m.now, m.placed[i], Report{})
+				m.step(t)
+			},
+			"bad decode": func(t *rapid.T) {
+				if len(m.placed) > 0 {
+					m.core.Release(m.now, m.placed[len(m.placed)-1], Report{Placed: m.now, Ended: m.now, BadDecode: true})
+				}
+				m.step(t)
+			},
+			"report": func(t *rapid.T) {
+				slots := rapid.IntRange(0, 50).Draw(t, "slots")
+				m.core.Load(m.now, fmt.Sprintf("d%d", rapid.IntRange(0, 2).Draw(t, "server")), engine.Load{Slots: slots})
+				m.step(t)
+			},
+			"servers change": func(t *rapid.T) {
+				n := rapid.IntRange(1, 3).Draw(t, "decodes")
+				m.core.SetServers(m.now, servers("p", 2), servers("d", n), rule.Pool{Slots: 3, Pieces: 6})
+				m.step(t)
+			},
+			"": func(t *rapid.T) {
+				for _, d := range m.core.decodes {
+					pieces := 0
+					for _, r := range d.streams {
+						pieces += r.pieces
+					}
+					if pieces != d.used {
+						t.Fatalf("unexpected pieces in use %d instead of %d", d.used, pieces)
+					}
+				}
+			},
+		})
+		for range 800 {
+			m.now = m.now.Add(100 * time.Millisecond)
+			m.step(t)
+		}
+		for key, done := range m.offered {
+			if !done {
+				t.Fatalf("unexpected silence on request %s", key)
+			}
+		}
+		if m.core.Waiting() != 0 || len(m.core.placed) != 0 || len(m.core.items) != 0 {
+			t.Fatalf("unexpected rest: %d waiting, %d placed, %d items", m.core.Waiting(), len(m.core.placed), len(m.core.items))
+		}
+	})
+}
+
+// serveBacklog keeps accounts' queues full and returns the cost that each was given.
+func serveBacklog(q *fairQueue, picks int, refill func(account string, urgent bool) *item) map[string]float64 {
+	out := make(map[string]float64)
+	for range picks {
+		i := q.pick(0, func(*item) bool { return true })
+		out[i.account.name+" "+string(i.ask.Class)] += i.cost
+		q.push(refill(i.account.name, i.urgent()))
+	}
+	return out
+}
+
+func TestQueueSharesByWeightAndStarvesNoOne(t *testing.T) {
+	q := newFairQueue()
+	weights := map[string]int{"big": 3, "small": 1, "slow": 1}
+	fill := func(account string, urgent bool) *item {
+		i := &item{ask: Ask{Class: rule.ClassInteractive}, cost: 1000, account: q.account(account, weights[account])}
+		if !urgent {
+			i.ask.Class = rule.ClassSummary
+		}
+		return i
+	}
+	for range 50 { // the big account sends far more than its share
+		q.push(fill("big", true))
+	}
+	q.push(fill("small", true))
+	q.push(fill("slow", false))
+	served := serveBacklog(q, 5000, fill)
+	big, small, slow := served["big interactive"], served["small interactive"], served["slow summary"]
+	if ratio := big / small; ratio < 2.9 || ratio > 3.1 {
+		t.Errorf("unexpected ratio of urgent work %v instead of 3", ratio)
+	}
+	if ratio := slow / small; ratio < 0.9 {
+		t.Errorf("unexpected share of slow work %v of an equal account's instead of at least 0.9", ratio)
+	}
+}
+
+func TestUrgentWorkLeavesABoundToSlowWork(t *testing.T) {
+	q := newFairQueue()
+	fill := func(account string, urgent bool) *item {
+		i := &item{ask: Ask{Class: rule.ClassInteractive}, cost: 1000, account: q.account(account, 1)}
+		if !urgent {
+			i.ask.Class = rule.ClassSummary
+		}
+		return i
+	}
+	q.push(fill("one", true))
+	q.push(fill("one", false))
+	served := serveBacklog(q, 900, fill)
+	if part := served["one summary"] / 900000; part < 1.0/(urgentRun+1) {
+		t.Errorf("unexpected part of slow work %v instead of at least 1/%d", part, urgentRun+1)
+	}
+}
+
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := testCore(now, 2, 2)
+	leaving := servers("d", 2)
+	leaving[0].State = rule.Leaving
+	c.SetServers(now, servers("p", 2), leaving, rule.Pool{Slots: 3, Pieces: 6})
+	for n := range 20 {
+		c.Offer(now, Ask{Key: fmt.Sprint(n), Class: rule.ClassInteractive, PromptTokens: 10, MaxTokens: 10})
+		for _, d := range c.Step(now) {
+			if d.Decode == "d0" {
+				t.Errorf("unexpected place at the leaving server")
+			}
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+}
+
+func TestShedRequestComesBackLater(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := testCore(now, 1, 1)
+	var refused []Decision
+	for n := range 400 {
+		c.Offer(now, Ask{Key: fmt.Sprint(n), Account: "a", Class: rule.ClassInteractive, PromptTokens: 2000, MaxTokens: 100})
+		for _, d := range c.Step(now) {
+			if d.Err != nil {
+				refused = append(refused, d)
+			}
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	if len(refused) == 0 {
+		t.Fatal("unexpected absence of refusals")
+	}
+	for _, d := range refused {
+		if !errors.Is(d.Err, ErrShed) || d.RetryIn < minRetry {
+			t.Errorf("unexpected refusal %v with retry in %v", d.Err, d.RetryIn)
+		}
+	}
+}
--- /dev/null
+++ b/cell/placer_test.go
@@ -0,0 +1,234 @@
+package cell
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"teaselgate/engine"
+	"teaselgate/event"
+	"teaselgate/fleet"
+	"teaselgate/rule"
+)
+
+// fakeFleet is two instances whose calls to each other and to engines stay in memory.
+type fakeFleet struct {
+	mu    sync.Mutex
+	hubs  map[string]*Hub
+	dead  map[string]bool
+	held  map[string]int // requests held by server address
+	set   *rule.Set
+	names []string
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func newFakeFleet(t *testing.T) *fakeFleet {
+	f := &fakeFleet{hubs: make(map[string]*Hub), dead: make(map[string]bool), held: make(map[string]int), names: []string{"i1", "i2"}}
+	f.set = parseRules(t, f.rules("live"))
+	return f
+}
+
+func (f *fakeFleet) rules(state string) string {
+	return "- {pool: p, duty: prefill, slots: 1}   # test: t\n- {pool: d, duty: decode, slots: 4, pieces: 20}   # test: t\n" +
+		"- {server: p0, pool: p, zone: a, at: \"10.0.0.1:1\"}   # test: t\n" +
+		"- {server: d0, pool: d, zone: a, at: \"10.0.0.2:1\", state: " + state + "}   # test: t\n" +
+		"- {server: d1, pool: d, zone: a, at: \"10.0.0.3:1\"}   # test: t\n"
+}
+
+func (f *fakeFleet) current() *rule.Set {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.set
+}
+
+// engineAnswer answers the polls of a dispatcher.
+func (f *fakeFleet) engineAnswer(r *http.Request) (*http.Response, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var answer any = []engine.CacheEvent{}
+	switch r.URL.Path {
+	case engine.LoadPath:
+		answer = engine.Load{Slots: f.held[r.URL.Host]}
+	case engine.RequestsPath:
+		list := []engine.Held{}
+		for n := range f.held[r.URL.Host] {
+			list = append(list, engine.Held{Attempt: fmt.Sprintf("%s-%d", r.URL.Host, n), Pieces: 1})
+		}
+		answer = list
+	}
+	text, err := json.Marshal(answer)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(text)), Request: r}, err
+}
+
+func (f *fakeFleet) call(_ context.Context, address, method string, args, reply any) error {
+	f.mu.Lock()
+	hub, dead := f.hubs[address], f.dead[address]
+	f.mu.Unlock()
+	if dead {
+		return errors.New("no answer")
+	}
+	if strings.HasSuffix(method, ".Place") {
+		return hub.Receiver().Place(args.(PlaceArgs), reply.(*PlaceReply))
+	}
+	return hub.Receiver().Release(args.(ReleaseArgs), reply.(*ReleaseReply))
+}
+
+// start runs the hub and the placer of one instance.
+func (f *fakeFleet) start(ctx context.Context, name string, running *sync.WaitGroup) *Placer {
+	client := &engine.Client{HTTP: &http.Client{Transport: roundTrip(f.engineAnswer)}}
+	hub := NewHub(f.current, client, func(event.Event) {})
+	f.hubs[name] = hub
+	p := NewPlacer(f.current, hub)
+	p.Self = name
+	p.Call = f.call
+	p.Live = func() []fleet.Member {
+		out := make([]fleet.Member, 0, len(f.names))
+		for _, n := range f.names {
+			out = append(out, fleet.Member{Name: n, Peer: n})
+		}
+		return out
+	}
+	running.Go(func() { _ = hub.Serve(ctx) })
+	running.Go(func() { _ = p.Serve(ctx) })
+	return p
+}
+
+var cellModel = rule.Model{Model: "chat", Prefill: "p", Decode: "d", Place: rule.PlaceCell}
+
+func ask(id string, class rule.Class) Request {
+	return Request{ID: id, Account: "a", Weight: 1, Class: class, Model: cellModel, PromptTokens: 100, MaxTokens: 50, Zone: "a"}
+}
+
+// inFleet runs a test with two instances in virtual time; owner is the cell's dispatcher.
+func inFleet(t *testing.T, test func(t *testing.T, f *fakeFleet, owner, other *Placer)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		placers := map[string]*Placer{"i1": f.start(ctx, "i1", &running), "i2": f.start(ctx, "i2", &running)}
+		first := rankMembers(placers["i1"].Live(), ID{Prefill: "p", Decode: "d"})
+		test(t, f, placers[first[0].Name], placers[first[1].Name])
+		stop()
+		running.Wait()
+	})
+}
+
+func TestDispatcherIsRebuiltWithinASecond(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet, owner, other *Placer) {
+		if _, err := other.Place(t.Context(), ask("r1", rule.ClassInteractive)); err != nil {
+			t.Fatal(err)
+		}
+		f.mu.Lock()
+		f.dead[owner.Self] = true
+		f.held["10.0.0.2:1"] = 4 // d0 is full with requests that the lost dispatcher placed
+		f.mu.Unlock()
+		start := time.Now()
+		for n := range 4 {
+			p, err := other.Place(t.Context(), ask(fmt.Sprintf("s%d", n), rule.ClassInteractive))
+			if err != nil || p.Decode.Server != "d1" {
+				t.Fatalf("unexpected place %+v with error %v instead of d1", p, err)
+			}
+		}
+		if took := time.Since(start); took > time.Second {
+			t.Errorf("unexpected time to place after the loss: %v instead of at most a second", took)
+		}
+	})
+}
+
+func TestWaitingRequestGetsTheFreedSlot(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet, owner, other *Placer) {
+		f.held["10.0.0.2:1"], f.held["10.0.0.3:1"] = 4, 4
+		done := make(chan error, 1)
+		go func() {
+			_, err := other.Place(t.Context(), ask("r1", rule.ClassSummary))
+			done <- err
+		}()
+		synctest.Wait()
+		select {
+		case err := <-done:
+			t.Fatalf("unexpected answer %v while all slots are taken", err)
+		default:
+		}
+		f.mu.Lock()
+		f.held["10.0.0.3:1"] = 3
+		f.mu.Unlock()
+		if err := <-done; err != nil {
+			t.Errorf("unexpected error %v after a slot became free", err)
+		}
+		_ = owner
+	})
+}
+
+func TestCancelledRequestLeavesNothing(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet, owner, other *Placer) {
+		f.held["10.0.0.2:1"], f.held["10.0.0.3:1"] = 4, 4
+		ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+		defer cancel()
+		if _, err := other.Place(ctx, ask("r1", rule.ClassSummary)); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("unexpected error %v instead of the caller's", err)
+		}
+		synctest.Wait()
+		d := owner.Hub.dispatcher(ID{Prefill: "p", Decode: "d"})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if len(d.waiters) != 0 || d.core.Waiting() != 0 {
+			t.Errorf("unexpected rest: %d waiters, %d waiting", len(d.waiters), d.core.Waiting())
+		}
+	})
+}
+
+func TestLeavingServerIsAvoidedAtOnce(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet, owner, other *Placer) {
+		if _, err := owner.Place(t.Context(), ask("r0", rule.ClassInteractive)); err != nil {
+			t.Fatal(err)
+		}
+		f.mu.Lock()
+		f.set = parseRules(t, f.rules("leaving"))
+		f.mu.Unlock()
+		for n := range 4 {
+			p, err := other.Place(t.Context(), ask(fmt.Sprintf("r%d", n+1), rule.ClassInteractive))
+			if err != nil || p.Decode.Server != "d1" {
+				t.Errorf("unexpected place %+v with error %v instead of d1", p, err)
+			}
+			if err == nil {
+				p.Release(Report{})
+			}
+		}
+	})
+}
+
+func TestReleaseFreesThePlaceAtAnotherInstance(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet, owner, other *Placer) {
+		p, err := other.Place(t.Context(), ask("r1", rule.ClassInteractive))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := owner.Hub.dispatcher(ID{Prefill: "p", Decode: "d"})
+		placed := func() int {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return len(d.core.placed)
+		}
+		if n := placed(); n != 1 {
+			t.Errorf("unexpected places %d instead of 1", n)
+		}
+		now := time.Now()
+		p.Release(Report{Prefilled: now, Imported: now, Ended: now, Generated: 5})
+		synctest.Wait()
+		if n := placed(); n != 0 {
+			t.Errorf("unexpected places %d instead of 0", n)
+		}
+	})
+}
