Repeat refused imports of predicted slots and tell callers when to come back

Cause: a slot that is predicted to be free may be some milliseconds late; a new prefill elsewhere would waste the first. The entry repeats such an import every 20 ms for at most 400 ms, only for placements that rest on a prediction, and a shed request carries the dispatcher's estimate as Retry-After.

--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -47,7 +47,6 @@
 	accounts                    map[string]*benchAccount
 	worst, jain                 float64
 	first                       []time.Duration
-	late                        int
 	limits                      map[string]int // why requests were not good
 }
 
--- a/cell/core.go
+++ b/cell/core.go
@@ -167,7 +167,7 @@
 		return
 	}
 	i := c.newItem(now, ask)
-	if err, retry := c.admit(now, i); err != nil {
+	if retry, err := c.admit(now, i); err != nil {
 		c.out = append(c.out, Decision{Key: ask.Key, Err: err, RetryIn: retry})
 		return
 	}
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -2,10 +2,13 @@
 package cell
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"teaselgate/engine"
 	"teaselgate/rule"
 )
 
@@ -68,6 +71,31 @@
 // Unwrap returns the reason.
 func (r *Refusal) Unwrap() error { return r.Err }
 
+// Timing of repeated imports.
+const (
+	importPause    = 20 * time.Millisecond
+	importPatience = 400 * time.Millisecond // after the prefill, whose result is kept for under a second
+)
+
+// RepeatRefused runs an import that the decode server may refuse because the slot that was predicted
+// to be free is not yet. Placements without such a prediction run it once.
+func (p *Placement) RepeatRefused(ctx context.Context, prefilled time.Time, transfer func() error) error {
+	until := prefilled.Add(importPatience)
+	for {
+		err := transfer()
+		if !p.Patient || !errors.Is(err, engine.ErrBusy) || time.Now().After(until) {
+			return err
+		}
+		timer := time.NewTimer(importPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		case <-timer.C:
+		}
+	}
+}
+
 // Release gives the places back.
 func (p *Placement) Release(r Report) {
 	if p.release != nil {
--- a/cell/placer_test.go
+++ b/cell/placer_test.go
@@ -62,7 +62,7 @@
 	case engine.LoadPath:
 		answer = engine.Load{Slots: f.held[r.URL.Host]}
 	case engine.RequestsPath:
-		list := []engine.Held{}
+		list := make([]engine.Held, 0, f.held[r.URL.Host])
 		for n := range f.held[r.URL.Host] {
 			list = append(list, engine.Held{Attempt: fmt.Sprintf("%s-%d", r.URL.Host, n), Pieces: 1})
 		}
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -18,7 +18,7 @@
 	}
 	for _, load := range []float64{0.7, 0.9, 1.0, 1.3} {
 		for _, place := range policies {
-			var goods []float64
+			goods := make([]float64, 0, 5)
 			for seed := range uint64(5) {
 				b := bench{place: place, seed: seed, load: load, prefills: 8, decodes: 12, length: 20 * time.Second, summary: 0.3}
 				r := b.run()
--- a/cell/queue.go
+++ b/cell/queue.go
@@ -27,7 +27,6 @@
 	useful  time.Time // the first token meets its target if placed until then
 	limit   time.Time // end of the wait
 	late    bool      // slow work past its target
-	gone    bool      // withdrawn
 }
 
 func (i *item) urgent() bool { return i.ask.Class != rule.ClassSummary }
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -42,25 +42,25 @@
 	return m.cost / m.span
 }
 
-// admit refuses a new request that would wait in vain.
-func (c *Core) admit(now time.Time, i *item) (error, time.Duration) {
+// admit refuses a new request that would wait in vain; with an error comes the time to come back.
+func (c *Core) admit(now time.Time, i *item) (time.Duration, error) {
 	if len(c.decodes) == 0 || len(c.prefills) == 0 {
-		return noServer.New("cell: no server in the cell"), minRetry
+		return minRetry, noServer.New("cell: no server in the cell")
 	}
 	if piecesOf(i.ask) > c.decodes[0].pieces {
-		return noServer.New("cell: the request needs more memory than any decode server has"), maxRetry
+		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
 	}
 	wait := c.predictWait(i)
 	if c.queue.length >= maxQueue && !c.makeRoom(i) {
-		return shed.New("cell: the queue is full"), retryIn(wait)
+		return retryIn(wait), shed.New("cell: the queue is full")
 	}
 	if c.isRetry(i) {
-		return nil, 0
+		return 0, nil
 	}
 	if left := i.limit.Sub(now); wait.Seconds() > shedShare*left.Seconds() {
-		return shed.New("cell: the wait of %v would be too long", wait.Round(time.Millisecond)), retryIn(wait)
+		return retryIn(wait), shed.New("cell: the wait of %v would be too long", wait.Round(time.Millisecond))
 	}
-	return nil, 0
+	return 0, nil
 }
 
 // isRetry tells whether a request was placed before and failed through no fault of its caller.
--- a/entry/model.go
+++ b/entry/model.go
@@ -102,6 +102,10 @@
 	if errors.Is(err, cell.ErrShed) {
 		refusal.Code = "shed"
 	}
+	var later *cell.Refusal
+	if errors.As(err, &later) {
+		refusal = refusal.WithRetry(later.RetryAt)
+	}
 	return refusal
 }
 
@@ -153,12 +157,17 @@
 		return err
 	}
 	a.report.Prefilled = h.Now()
-	_, err = h.Engines.Import(ctx, a.place.Decode.At, engine.Import{
-		Attempt: a.id, Owner: h.Incarnation, Source: a.place.Prefill.At, Handle: prefilled.Handle,
-		Tokens: prefilled.Tokens, MaxTokens: a.ask.maxTokens, Priority: priority,
+	a.report.Cached = prefilled.Cached
+	err = a.place.RepeatRefused(ctx, a.report.Prefilled, func() error {
+		_, err := h.Engines.Import(ctx, a.place.Decode.At, engine.Import{
+			Attempt: a.id, Owner: h.Incarnation, Source: a.place.Prefill.At, Handle: prefilled.Handle,
+			Tokens: prefilled.Tokens, MaxTokens: a.ask.maxTokens, Priority: priority,
+		})
+		return err
 	})
 	if err != nil {
 		a.report.BadDecode = true
+		a.report.Refused = errors.Is(err, engine.ErrBusy)
 		return err
 	}
 	a.report.Imported = h.Now()
