Report the first transfers at once, so that a new dispatcher learns within a second

Cause: reports come at the end of streams, seconds after the start; until then a new dispatcher planned with a third of the true prefill rate and held 55 requests back. A placement may now ask for a report right after the transfer.

--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -105,20 +105,24 @@
 	report         Report
 	expires        time.Time
 	computed       int
-	ready          bool
+	ready, early   bool
 }
 
-// Figures of the fake engines, as in standin/engine.
+// Figures of the fake engines and of the traffic, as in the profile dala of package load.
 const (
-	benchSlots  = 20
-	benchPieces = 100
-	benchStep   = 8 * time.Millisecond
-	benchSlope  = 500 * time.Microsecond
-	benchPrompt = 1000.0 // mean tokens
-	benchOutput = 100.0  // mean tokens
-	benchKept   = 800 * time.Millisecond
-	benchHop    = time.Millisecond
-	benchShared = 128 // tokens of a shared prefix
+	benchSlots      = 20
+	benchPieces     = 60
+	benchRate       = 60000.0  // prompt tokens per second
+	benchLink       = 131072.0 // tokens per second
+	benchStep       = 10 * time.Millisecond
+	benchSlope      = time.Millisecond
+	benchPromptLow  = 30
+	benchPromptHigh = 20000
+	benchOutputLow  = 16
+	benchOutputHigh = 350
+	benchKept       = 800 * time.Millisecond
+	benchHop        = time.Millisecond
+	benchShared     = 128 // tokens of a shared prefix
 )
 
 var benchStart = time.Unix(0, 0)
@@ -180,11 +184,18 @@
 // rate is the requests per second at which the busier of the two pools is full.
 func (b *bench) rate() float64 {
 	step := benchStep + benchSlots*benchSlope
-	decode := float64(b.decodes) * benchSlots / step.Seconds() / benchOutput
-	prefill := float64(b.prefills) * initialPrefillRate / benchPrompt
+	decode := float64(b.decodes) * benchSlots / step.Seconds() / meanOf(benchOutputLow, benchOutputHigh)
+	prefill := float64(b.prefills) * benchRate / meanOf(benchPromptLow, benchPromptHigh)
 	return min(decode, prefill)
 }
 
+// meanOf is the mean of a length whose logarithm is uniform.
+func meanOf(low, high float64) float64 { return (high - low) / math.Log(high/low) }
+
+func (b *bench) draw(low, high float64) int {
+	return int(low * math.Pow(high/low, b.random.Float64()))
+}
+
 func (b *bench) startAccount(name string, weight float64) {
 	b.result.accounts[name] = &benchAccount{weight: weight}
 	rate := b.rate() * b.load * weight / 11
@@ -203,10 +214,9 @@
 }
 
 func (b *bench) arrive(account string) {
-	const sigma = 1.2
-	prompt := int(math.Exp(math.Log(benchPrompt) - sigma*sigma/2 + sigma*b.random.NormFloat64()))
-	r := &benchRequest{account: account, class: rule.ClassInteractive, prompt: min(max(prompt, 20), 30000), arrived: b.now}
-	r.output = 20 + b.random.IntN(2*int(benchOutput)-40)
+	r := &benchRequest{account: account, class: rule.ClassInteractive, arrived: b.now}
+	r.prompt = b.draw(benchPromptLow, benchPromptHigh)
+	r.output = b.draw(benchOutputLow, benchOutputHigh)
 	if b.random.Float64() < b.summary {
 		r.class = rule.ClassSummary
 	}
--- a/cell/benchengine_test.go
+++ b/cell/benchengine_test.go
@@ -17,7 +17,7 @@
 			b.fail(r, "shed")
 			continue
 		}
-		r.report.Placed = b.now
+		r.report.Placed, r.early = b.now, d.Early
 		b.prefillAt(r, d.Prefill, d.Decode)
 	}
 	if b.core.Waiting() > 0 && !b.ticking {
@@ -58,7 +58,7 @@
 		}
 		e.cache[r.prefix] = true
 	}
-	e.free = later(b.now.Add(benchHop), e.free).Add(seconds(float64(tokens) / initialPrefillRate * e.slowdown))
+	e.free = later(b.now.Add(benchHop), e.free).Add(seconds(float64(tokens) / benchRate * e.slowdown))
 	b.result.prefillTokens += tokens
 	r.computed = tokens
 	b.at(e.free.Sub(b.now), func() {
@@ -93,10 +93,13 @@
 	}
 	e.streams = append(e.streams, r)
 	p := b.engines[r.prefill]
-	p.linkFree = later(b.now, p.linkFree).Add(seconds(float64(r.prompt) / initialLinkRate * p.slowdown))
+	p.linkFree = later(b.now, p.linkFree).Add(seconds(float64(r.prompt) / benchLink * p.slowdown))
 	b.at(p.linkFree.Sub(b.now), func() {
 		r.report.Imported = b.now
 		r.ready = true
+		if r.early {
+			b.core.Progress(b.now, r.key, r.report)
+		}
 		b.decodeStep(e)
 	})
 }
--- a/cell/core.go
+++ b/cell/core.go
@@ -45,6 +45,7 @@
 	Key     string
 	Prefill string
 	Decode  string
+	Early   bool // a report is wanted as soon as the transfer has ended
 	Err     error
 	RetryIn time.Duration
 }
@@ -66,6 +67,8 @@
 	deadline     time.Time // the place is taken back if no report comes
 	endProgress  float64
 	startBatched float64
+	early        bool // a report is wanted as soon as the transfer has ended
+	prefilled    bool // the prefill was reported
 	held         bool // found at a server by a new dispatcher
 }
 
@@ -158,7 +161,7 @@
 func (c *Core) Offer(now time.Time, ask Ask) {
 	if r, ok := c.placed[ask.Key]; ok {
 		if !r.held {
-			c.out = append(c.out, Decision{Key: ask.Key, Prefill: r.prefill.server.Server, Decode: r.decode.server.Server})
+			c.out = append(c.out, r.decision())
 			return
 		}
 		c.Release(now, ask.Key, Report{})
@@ -208,6 +211,22 @@
 	c.Release(now, key, Report{})
 }
 
+// Progress learns from a prefill and its transfer while the place is still held.
+func (c *Core) Progress(now time.Time, key string, report Report) {
+	if r, ok := c.placed[key]; ok && r.prefill != nil {
+		c.learnPrefill(now, r, report)
+	}
+}
+
+func (c *Core) learnPrefill(now time.Time, r *reservation, report Report) {
+	if r.prefilled || report.Prefilled.IsZero() {
+		return
+	}
+	r.prefilled = true
+	r.prefill.observe(now, r, report)
+	c.hints.stored(now, r.prefill, r.prefix, report.Cached)
+}
+
 // Release ends a place and learns from how it went.
 func (c *Core) Release(now time.Time, key string, report Report) {
 	r, ok := c.placed[key]
@@ -229,10 +248,7 @@
 
 func (c *Core) learn(now time.Time, r *reservation, report Report) {
 	d := r.decode
-	r.prefill.observe(now, r, report)
-	if !report.Prefilled.IsZero() {
-		c.hints.stored(now, r.prefill, r.prefix, report.Cached)
-	}
+	c.learnPrefill(now, r, report)
 	if !report.Imported.IsZero() && report.Generated > 0 {
 		took := report.Ended.Sub(report.Imported)
 		if span := now.Sub(r.placed).Seconds(); span > 0 {
@@ -308,10 +324,15 @@
 	if c.backlog && i.late {
 		c.lateRate.add(i.cost)
 	}
-	c.out = append(c.out, Decision{Key: r.key, Prefill: p.server.Server, Decode: d.server.Server})
+	r.early = p.wantsReport(now)
+	c.out = append(c.out, r.decision())
 	return true
 }
 
+func (r *reservation) decision() Decision {
+	return Decision{Key: r.key, Prefill: r.prefill.server.Server, Decode: r.decode.server.Server, Early: r.early}
+}
+
 func piecesOf(ask Ask) int {
 	return (ask.PromptTokens + ask.MaxTokens + engine.PieceTokens - 1) / engine.PieceTokens
 }
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -104,7 +104,7 @@
 }
 
 func replyOf(d Decision, waiting int) PlaceReply {
-	r := PlaceReply{Status: Placed, Prefill: d.Prefill, Decode: d.Decode, RetryIn: d.RetryIn, Waiting: waiting}
+	r := PlaceReply{Status: Placed, Prefill: d.Prefill, Decode: d.Decode, Early: d.Early, RetryIn: d.RetryIn, Waiting: waiting}
 	switch {
 	case errors.Is(d.Err, ErrShed):
 		r.Status = Shed
@@ -119,6 +119,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range places {
+		if p.Imported > 0 && p.Ended == 0 {
+			d.core.Progress(now, p.Key, p.report())
+			continue
+		}
 		if _, waits := d.waiters[p.Key]; waits {
 			delete(d.waiters, p.Key)
 			d.core.Withdraw(now, p.Key)
--- a/cell/message.go
+++ b/cell/message.go
@@ -41,6 +41,7 @@
 	Status  Status
 	Prefill string
 	Decode  string
+	Early   bool // a report is wanted as soon as the transfer has ended
 	RetryIn time.Duration
 	Waiting int // requests that wait in the cell
 }
@@ -93,7 +94,7 @@
 		Prefilled: at(r.Prefilled), Imported: at(r.Imported), Ended: at(r.Ended),
 		Generated: r.Generated, Cached: r.Cached, Refused: r.Refused, BadPrefill: r.BadPrefill, BadDecode: r.BadDecode,
 	}
-	if r.Ended > 0 {
+	if r.Ended > 0 || r.Imported > 0 {
 		out.Placed = start
 	}
 	return out
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -43,7 +43,8 @@
 	Decode  rule.Server
 	Patient bool // a refused import is repeated: the slot was promised and is about to be free
 
-	release func(Report)
+	release  func(Report)
+	progress func(Report) // may be nil
 }
 
 // Report tells the placer how an attempt went.
@@ -96,6 +97,13 @@
 	}
 }
 
+// Progress reports an attempt whose transfer has ended, if the placer wants to know.
+func (p *Placement) Progress(r Report) {
+	if p.progress != nil {
+		p.progress(r)
+	}
+}
+
 // Release gives the places back.
 func (p *Placement) Release(r Report) {
 	if p.release != nil {
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -141,7 +141,11 @@
 		report.Placed = placed
 		p.giveBack(m, id, releasedOf(r.ID, report))
 	}
-	return &Placement{Prefill: prefill, Decode: decode, Patient: true, release: release}, nil
+	placement := &Placement{Prefill: prefill, Decode: decode, Patient: true, release: release}
+	if reply.Early {
+		placement.progress = release
+	}
+	return placement, nil
 }
 
 func liveServer(rules *rule.Set, pool, name string) (rule.Server, bool) {
--- a/cell/policy_test.go
+++ b/cell/policy_test.go
@@ -20,7 +20,7 @@
 		for _, place := range policies {
 			goods := make([]float64, 0, 5)
 			for seed := range uint64(5) {
-				b := bench{place: place, seed: seed, load: load, prefills: 8, decodes: 12, length: 20 * time.Second, summary: 0.3}
+				b := bench{place: place, seed: seed, load: load, prefills: 5, decodes: 15, length: 20 * time.Second, summary: 0.4}
 				r := b.run()
 				goods = append(goods, float64(r.good)/20)
 				if seed == 0 {
--- a/cell/prefill.go
+++ b/cell/prefill.go
@@ -8,10 +8,11 @@
 
 // Constants of prefill servers.
 const (
-	initialPrefillRate = 20000.0 // tokens per second, before the first sample
-	initialLinkRate    = 40000.0 // tokens per second, before the first sample
-	rateLearning       = 0.15    // weight of a new sample
-	maxRateRatio       = 4.0     // bound on the trust in one sample
+	initialPrefillRate = 20000.0     // tokens per second, before the first sample
+	initialLinkRate    = 40000.0     // tokens per second, before the first sample
+	rateLearning       = 0.15        // weight of a new sample
+	maxRateRatio       = 4.0         // bound on the trust in one sample
+	rateAge            = time.Second // after which a fresh sample is wanted at once
 	rateRecovery       = 20 * time.Second
 	minSample          = 10 * time.Millisecond  // shorter samples are mostly network time
 	idleMargin         = 30 * time.Millisecond  // a server this long past its predicted end has nothing to do
@@ -59,9 +60,6 @@
 // observe takes in how long a prefill and its transfer took. The prefill's own time starts when the
 // one before it ended; it is not known while that one's report is still to come.
 func (p *prefillServer) observe(now time.Time, r *reservation, report Report) {
-	if report.Prefilled.IsZero() {
-		return
-	}
 	end := r.placed.Add(report.Prefilled.Sub(report.Placed))
 	r.finish.at = end
 	if start, known := r.prefillStart(); known {
@@ -123,6 +121,12 @@
 	}
 }
 
+// wantsReport tells whether the next transfer should be reported at once: the rates are not learnt,
+// or old.
+func (p *prefillServer) wantsReport(now time.Time) bool {
+	return !p.rate.learnt || !p.linkRate.learnt || now.Sub(p.at) > rateAge
+}
+
 func (p *prefillServer) usable(now time.Time) bool {
 	return p.server.State == rule.Live && p.health.usable(now)
 }
--- a/cell/step.go
+++ b/cell/step.go
@@ -5,7 +5,7 @@
 // Constants of the step-time model.
 const (
 	stepLearning   = 0.2                    // weight of a new sample
-	initialStep    = 15 * time.Millisecond  // before the first sample
+	initialStep    = 30 * time.Millisecond  // before the first sample
 	initialSlope   = 0.0005                 // seconds added to a step by one stream
 	stepForgetting = 0.995                  // weight that old samples of the pool keep
 	stepRecovery   = 20 * time.Second       // time constant of the return of an unused server to the pool's mean
--- a/entry/model.go
+++ b/entry/model.go
@@ -171,6 +171,7 @@
 		return err
 	}
 	a.report.Imported = h.Now()
+	a.place.Progress(a.report)
 	return a.decode(ctx)
 }
 
