--- a/cell/core.go
+++ b/cell/core.go
@@ -63,8 +63,8 @@
 	work         work
 	before       *finish // of the request before it at the prefill server
 	finish       *finish
-	placed       time.Time
-	deadline     time.Time // the place is taken back if no report comes
+	placed       instant
+	deadline     instant // the place is taken back if no report comes
 	endProgress  float64
 	startBatched float64
 	early        bool // a report is wanted as soon as the transfer has ended
@@ -84,13 +84,13 @@
 	rate     rateMeter // cost placed per second while requests wait
 	lateRate rateMeter
 	backlog  bool // requests were left waiting by the last step
-	started  time.Time
-	swept    time.Time
+	started  instant
+	swept    instant
 	out      []Decision
 }
 
 // NewCore returns a core without servers.
-func NewCore(now time.Time) *Core {
+func NewCore(now instant) *Core {
 	return &Core{
 		hints:   newHints(),
 		queue:   newFairQueue(),
@@ -103,7 +103,7 @@
 
 // SetServers takes in the servers of the rules in force. Places at servers that are gone end with
 // their reports.
-func (c *Core) SetServers(now time.Time, prefills, decodes []rule.Server, pool rule.Pool) {
+func (c *Core) SetServers(now instant, prefills, decodes []rule.Server, pool rule.Pool) {
 	prefill, link := c.rates()
 	c.prefills = mergeServers(c.prefills, prefills,
 		func(p *prefillServer) *rule.Server { return &p.server },
@@ -158,7 +158,7 @@
 
 // Offer queues a request. A repeated offer of a waiting request changes nothing; one of a placed
 // request gives its place again.
-func (c *Core) Offer(now time.Time, ask Ask) {
+func (c *Core) Offer(now instant, ask Ask) {
 	if r, ok := c.placed[ask.Key]; ok {
 		if !r.held {
 			c.out = append(c.out, r.decision())
@@ -178,7 +178,7 @@
 	c.queue.push(i)
 }
 
-func (c *Core) newItem(now time.Time, ask Ask) *item {
+func (c *Core) newItem(now instant, ask Ask) *item {
 	i := &item{ask: ask, account: c.queue.account(ask.Account, ask.Weight)}
 	i.cost = float64(ask.PromptTokens + outputCost*ask.MaxTokens)
 	i.arrived = now.Add(-ask.Waited)
@@ -203,7 +203,7 @@
 }
 
 // Withdraw takes back a request that its caller does not want any more.
-func (c *Core) Withdraw(now time.Time, key string) {
+func (c *Core) Withdraw(now instant, key string) {
 	if i, ok := c.items[key]; ok {
 		delete(c.items, key)
 		c.queue.remove(i)
@@ -212,13 +212,13 @@
 }
 
 // Progress learns from a prefill and its transfer while the place is still held.
-func (c *Core) Progress(now time.Time, key string, report Report) {
+func (c *Core) Progress(now instant, key string, report Report) {
 	if r, ok := c.placed[key]; ok && r.prefill != nil {
 		c.learnPrefill(now, r, report)
 	}
 }
 
-func (c *Core) learnPrefill(now time.Time, r *reservation, report Report) {
+func (c *Core) learnPrefill(now instant, r *reservation, report Report) {
 	if r.prefilled || report.Prefilled.IsZero() {
 		return
 	}
@@ -228,7 +228,7 @@
 }
 
 // Release ends a place and learns from how it went.
-func (c *Core) Release(now time.Time, key string, report Report) {
+func (c *Core) Release(now instant, key string, report Report) {
 	r, ok := c.placed[key]
 	if !ok {
 		return
@@ -246,7 +246,7 @@
 	c.learn(now, r, report)
 }
 
-func (c *Core) learn(now time.Time, r *reservation, report Report) {
+func (c *Core) learn(now instant, r *reservation, report Report) {
 	d := r.decode
 	c.learnPrefill(now, r, report)
 	if !report.Imported.IsZero() && report.Generated > 0 {
@@ -268,7 +268,7 @@
 
 // Step places what can be placed, refuses what can no longer be useful, and returns all decisions
 // since the last step.
-func (c *Core) Step(now time.Time) []Decision {
+func (c *Core) Step(now instant) []Decision {
 	c.rate.advance(now, c.backlog)
 	c.lateRate.advance(now, c.backlog && c.queue.lateCost > 0)
 	c.sweep(now)
@@ -298,7 +298,7 @@
 func (c *Core) Waiting() int { return c.queue.length }
 
 // place gives a request a place if there is one.
-func (c *Core) place(now time.Time, i *item) bool {
+func (c *Core) place(now instant, i *item) bool {
 	p, w, hit := c.choosePrefill(now, &i.ask)
 	if p == nil {
 		return false
@@ -338,9 +338,9 @@
 }
 
 // choosePrefill returns the prefill server at which a prompt and its transfer end first.
-func (c *Core) choosePrefill(now time.Time, ask *Ask) (best *prefillServer, bestWork work, hit int) {
+func (c *Core) choosePrefill(now instant, ask *Ask) (best *prefillServer, bestWork work, hit int) {
 	known := c.hints.prefixes[ask.Prefix]
-	var bestEnd time.Time
+	var bestEnd instant
 	for _, p := range c.prefills {
 		if !p.usable(now) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
 			continue
@@ -363,7 +363,7 @@
 
 // chooseDecode returns the decode server with the shortest step among those that have room when the
 // prompt's KV cache is ready; room that is free already goes before room that is predicted.
-func (c *Core) chooseDecode(now time.Time, ask *Ask, pieces int, wait time.Duration) *decodeServer {
+func (c *Core) chooseDecode(now instant, ask *Ask, pieces int, wait time.Duration) *decodeServer {
 	var best *decodeServer
 	var bestFree bool
 	var bestScore float64
--- a/cell/decode.go
+++ b/cell/decode.go
@@ -32,16 +32,16 @@
 
 	progress float64 // tokens that a stream could have had since the start
 	batched  float64 // batch, integrated over time in seconds
-	at       time.Time
+	at       instant
 
 	foreign      int // slots of requests that others placed
-	foreignUntil time.Time
+	foreignUntil instant
 	peaks        [2]int // largest own count in the present and the last window
-	peakEnd      time.Time
+	peakEnd      instant
 }
 
 // advance brings the progress of the streams up to now.
-func (d *decodeServer) advance(now time.Time) {
+func (d *decodeServer) advance(now instant) {
 	dt := now.Sub(d.at).Seconds()
 	if dt <= 0 {
 		return
@@ -111,20 +111,20 @@
 
 // report takes in a load report, which may lag or lie: more requests than this dispatcher ever had
 // at once within the lag are taken for others', up to a share of the slots; fewer are not believed.
-func (d *decodeServer) report(now time.Time, l engine.Load) {
+func (d *decodeServer) report(now instant, l engine.Load) {
 	d.advance(now)
 	d.foreign = min(max(l.Slots-max(d.peaks[0], d.peaks[1]), 0), d.slots/foreignShare)
 	d.foreignUntil = now.Add(foreignLife)
 }
 
 // refused notes that the server had no room although the count said so.
-func (d *decodeServer) refused(now time.Time) {
+func (d *decodeServer) refused(now instant) {
 	d.foreign = min(d.foreign+1, d.slots/foreignShare)
 	d.foreignUntil = now.Add(foreignLife)
 }
 
 // usable tells whether the server may get a new request now.
-func (d *decodeServer) usable(now time.Time) bool {
+func (d *decodeServer) usable(now instant) bool {
 	if d.server.State != rule.Live || !d.health.usable(now) {
 		return false
 	}
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -22,10 +22,11 @@
 
 // dispatcher gives out the places of one cell.
 type dispatcher struct {
-	id   ID
-	mu   sync.Mutex
-	core *Core
-	set  *rule.Set // that the core's servers are of
+	id      ID
+	started time.Time
+	mu      sync.Mutex
+	core    *Core
+	set     *rule.Set // that the core's servers are of
 
 	waiters map[string]*waiter
 	polls   map[string]time.Time // when a server is polled next
@@ -41,13 +42,17 @@
 func newDispatcher(id ID, now time.Time) *dispatcher {
 	return &dispatcher{
 		id:      id,
-		core:    NewCore(now),
+		started: now,
+		core:    NewCore(clockStart),
 		waiters: make(map[string]*waiter),
 		polls:   make(map[string]time.Time),
 		used:    now,
 	}
 }
 
+// clock returns a time on the core's clock.
+func (d *dispatcher) clock(t time.Time) instant { return clockStart.Add(t.Sub(d.started)) }
+
 // refresh takes the servers of the rules in force; the caller holds the lock.
 func (d *dispatcher) refresh(now time.Time, set *rule.Set) {
 	if set == nil || set == d.set {
@@ -57,7 +62,7 @@
 	decodes := set.Servers(d.id.Decode)
 	n := shares(len(decodes))
 	pool, _ := set.Pool(d.id.Decode)
-	d.core.SetServers(now, shareOf(set.Servers(d.id.Prefill), d.id.Share, n), shareOf(decodes, d.id.Share, n), pool)
+	d.core.SetServers(d.clock(now), shareOf(set.Servers(d.id.Prefill), d.id.Share, n), shareOf(decodes, d.id.Share, n), pool)
 }
 
 // place queues an ask, or finds it again, and waits a while for the decision.
@@ -70,7 +75,7 @@
 	if !ok {
 		w = &waiter{answer: make(chan Decision, 1)}
 		d.waiters[ask.Key] = w
-		d.core.Offer(at, ask)
+		d.core.Offer(d.clock(at), ask)
 	}
 	w.seen = at
 	d.step(at)
@@ -92,10 +97,10 @@
 
 // step runs the core and hands its decisions over; the caller holds the lock.
 func (d *dispatcher) step(now time.Time) {
-	for _, decision := range d.core.Step(now) {
+	for _, decision := range d.core.Step(d.clock(now)) {
 		w, ok := d.waiters[decision.Key]
 		if !ok {
-			d.core.Withdraw(now, decision.Key)
+			d.core.Withdraw(d.clock(now), decision.Key)
 			continue
 		}
 		delete(d.waiters, decision.Key)
@@ -120,15 +125,15 @@
 	defer d.mu.Unlock()
 	for _, p := range places {
 		if p.Imported > 0 && p.Ended == 0 {
-			d.core.Progress(now, p.Key, p.report())
+			d.core.Progress(d.clock(now), p.Key, p.report())
 			continue
 		}
 		if _, waits := d.waiters[p.Key]; waits {
 			delete(d.waiters, p.Key)
-			d.core.Withdraw(now, p.Key)
+			d.core.Withdraw(d.clock(now), p.Key)
 			continue
 		}
-		d.core.Release(now, p.Key, p.report())
+		d.core.Release(d.clock(now), p.Key, p.report())
 	}
 	d.step(now)
 }
@@ -141,7 +146,7 @@
 	for key, w := range d.waiters {
 		if now.Sub(w.seen) > withdrawAfter {
 			delete(d.waiters, key)
-			d.core.Withdraw(now, key)
+			d.core.Withdraw(d.clock(now), key)
 		}
 	}
 	d.step(now)
@@ -201,28 +206,28 @@
 	defer d.mu.Unlock()
 	if err != nil {
 		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			d.core.PollFailed(now(), p.server.Server)
+			d.core.PollFailed(d.clock(now()), p.server.Server)
 		}
 		return err
 	}
-	take(now())
+	take(d.clock(now()))
 	d.step(now())
 	return nil
 }
 
 // ask returns what is to be done with the server's answers, under the dispatcher's lock.
-func (p poll) ask(ctx context.Context, engines *engine.Client) (func(time.Time), error) {
+func (p poll) ask(ctx context.Context, engines *engine.Client) (func(instant), error) {
 	core, server := p.results.core, p.server.Server
 	if p.duty == rule.Prefill {
 		events, err := engines.CacheEvents(ctx, p.server.At, p.after)
-		return func(now time.Time) { core.CacheEvents(now, server, events) }, err
+		return func(now instant) { core.CacheEvents(now, server, events) }, err
 	}
 	load, err := engines.Load(ctx, p.server.At)
 	if err != nil || !p.held {
-		return func(now time.Time) { core.Load(now, server, load) }, err
+		return func(now instant) { core.Load(now, server, load) }, err
 	}
 	held, err := engines.Requests(ctx, p.server.At, "")
-	return func(now time.Time) {
+	return func(now instant) {
 		core.Held(now, server, held)
 		core.Load(now, server, load)
 	}, err
--- a/cell/health.go
+++ b/cell/health.go
@@ -9,14 +9,14 @@
 
 // health tells whether a server answers. A failed call pauses it; an answered poll ends the pause.
 type health struct {
-	retry time.Time // end of the pause
+	retry instant // end of the pause
 	pause time.Duration
 }
 
-func (h *health) usable(now time.Time) bool { return !h.retry.After(now) }
+func (h *health) usable(now instant) bool { return !h.retry.After(now) }
 
 // failed notes a call that the server did not answer.
-func (h *health) failed(now time.Time) {
+func (h *health) failed(now instant) {
 	h.pause = min(max(2*h.pause, minPause), maxPause)
 	h.retry = now.Add(h.pause)
 }
--- a/cell/hint.go
+++ b/cell/hint.go
@@ -19,7 +19,7 @@
 type hint struct {
 	server *prefillServer
 	tokens int
-	until  time.Time
+	until  instant
 }
 
 // hints is what a dispatcher knows of prefix caches: where it sent prefixes itself, and the servers'
@@ -34,7 +34,7 @@
 }
 
 // stored notes that a server has, or will have, a prefix. Tokens below 0 mean not known.
-func (h *hints) stored(now time.Time, p *prefillServer, prefix string, tokens int) {
+func (h *hints) stored(now instant, p *prefillServer, prefix string, tokens int) {
 	if prefix == "" {
 		return
 	}
@@ -77,13 +77,13 @@
 	list := h.prefixes[prefix]
 	for i := range list {
 		if list[i].server == p {
-			list[i].until = time.Time{}
+			list[i].until = instant(0)
 		}
 	}
 }
 
 // cached returns the tokens of a prefix that a server probably has.
-func cached(list []hint, now time.Time, p *prefillServer) int {
+func cached(list []hint, now instant, p *prefillServer) int {
 	for i := range list {
 		if list[i].server == p && list[i].until.After(now) {
 			return list[i].tokens
@@ -93,7 +93,7 @@
 }
 
 // events takes in a server's cache events. After a gap the older hints on the server end soon.
-func (h *hints) events(now time.Time, p *prefillServer, events []engine.CacheEvent) {
+func (h *hints) events(now instant, p *prefillServer, events []engine.CacheEvent) {
 	for _, e := range events {
 		if e.Sequence <= p.prefixes {
 			continue
@@ -110,7 +110,7 @@
 	}
 }
 
-func (h *hints) shorten(until time.Time, p *prefillServer) {
+func (h *hints) shorten(until instant, p *prefillServer) {
 	for _, list := range h.prefixes {
 		for i := range list {
 			if list[i].server == p && list[i].until.After(until) {
--- a/cell/prefill.go
+++ b/cell/prefill.go
@@ -25,22 +25,22 @@
 	health   health
 	rate     rate
 	linkRate rate
-	free     time.Time // when the work placed so far ends
-	linkFree time.Time // when the transfers placed so far end
+	free     instant // when the work placed so far ends
+	linkFree instant // when the transfers placed so far end
 	pending  int
-	last     *finish   // of the newest request
-	at       time.Time // of the newest sample
-	prefixes uint64    // sequence of the newest cache event
+	last     *finish // of the newest request
+	at       instant // of the newest sample
+	prefixes uint64  // sequence of the newest cache event
 }
 
 // work is what a request costs at a prefill server.
 type work struct {
-	start, end, linkStart, linkEnd time.Time
+	start, end, linkStart, linkEnd instant
 	idle                           bool // the server had nothing to do
 }
 
 // plan returns when a prompt would be computed and transferred.
-func (p *prefillServer) plan(now time.Time, tokens, cached int) work {
+func (p *prefillServer) plan(now instant, tokens, cached int) work {
 	var w work
 	w.start = later(now, p.free)
 	w.idle = now.Sub(p.free) > idleMargin
@@ -59,28 +59,28 @@
 
 // observe takes in how long a prefill and its transfer took. The prefill's own time starts when the
 // one before it ended; it is not known while that one's report is still to come.
-func (p *prefillServer) observe(now time.Time, r *reservation, report Report) {
+func (p *prefillServer) observe(now instant, r *reservation, report Report) {
 	end := r.placed.Add(report.Prefilled.Sub(report.Placed))
 	r.finish.at = end
 	if start, known := r.prefillStart(); known {
 		p.rate.learn(r.promptTokens-report.Cached, end.Sub(start))
 		p.at = now
 	}
-	if !report.Imported.IsZero() && r.work.linkStart.Equal(r.work.end) {
+	if !report.Imported.IsZero() && r.work.linkStart == r.work.end {
 		p.linkRate.learn(r.promptTokens, report.Imported.Sub(report.Prefilled))
 	}
 }
 
 // finish is the true end of a prefill; zero until it is reported.
-type finish struct{ at time.Time }
+type finish struct{ at instant }
 
 // prefillStart returns when the server began with a prompt.
-func (r *reservation) prefillStart() (time.Time, bool) {
+func (r *reservation) prefillStart() (instant, bool) {
 	switch {
 	case r.work.idle:
 		return r.placed, true
 	case r.before == nil || r.before.at.IsZero():
-		return time.Time{}, false
+		return instant(0), false
 	default:
 		return later(r.placed, r.before.at), true
 	}
@@ -107,7 +107,7 @@
 }
 
 // done notes that the request needs the server no more; lost work is taken off the backlog.
-func (p *prefillServer) done(now time.Time, r *reservation, prefilled bool) {
+func (p *prefillServer) done(now instant, r *reservation, prefilled bool) {
 	p.pending--
 	if !prefilled && r.work.end.After(now) {
 		p.free = p.free.Add(-r.work.end.Sub(later(r.work.start, now)))
@@ -115,7 +115,7 @@
 }
 
 // recover lets an unused server's rate return to the pool's, so that it is tried again.
-func (p *prefillServer) recover(now time.Time, pool float64) {
+func (p *prefillServer) recover(now instant, pool float64) {
 	if !p.at.IsZero() && now.Sub(p.at) > rateRecovery && p.rate.perSecond < pool {
 		p.rate.perSecond, p.at = pool, now
 	}
@@ -123,19 +123,10 @@
 
 // wantsReport tells whether the next transfer should be reported at once: the rates are not learnt,
 // or old.
-func (p *prefillServer) wantsReport(now time.Time) bool {
+func (p *prefillServer) wantsReport(now instant) bool {
 	return !p.rate.learnt || !p.linkRate.learnt || now.Sub(p.at) > rateAge
 }
 
-func (p *prefillServer) usable(now time.Time) bool {
+func (p *prefillServer) usable(now instant) bool {
 	return p.server.State == rule.Live && p.health.usable(now)
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/cell/queue.go
+++ b/cell/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"time"
 
 	"teaselgate/rule"
 )
@@ -23,10 +22,10 @@
 	ask     Ask
 	cost    float64 // prompt tokens
 	account *accountQueue
-	arrived time.Time
-	useful  time.Time // the first token meets its target if placed until then
-	limit   time.Time // end of the wait
-	late    bool      // slow work past its target
+	arrived instant
+	useful  instant // the first token meets its target if placed until then
+	limit   instant // end of the wait
+	late    bool    // slow work past its target
 }
 
 func (i *item) urgent() bool { return i.ask.Class != rule.ClassSummary }
--- a/cell/rebuild.go
+++ b/cell/rebuild.go
@@ -1,13 +1,11 @@
 package cell
 
 import (
-	"time"
-
 	"teaselgate/engine"
 )
 
 // ready tells whether the core may place: the servers told what they hold, or took too long.
-func (c *Core) ready(now time.Time) bool {
+func (c *Core) ready(now instant) bool {
 	if now.Sub(c.started) >= rebuildLimit {
 		return true
 	}
@@ -21,7 +19,7 @@
 
 // Held takes in what a decode server holds. Requests that this core did not place keep their slots
 // until a later list does not name them.
-func (c *Core) Held(now time.Time, server string, held []engine.Held) {
+func (c *Core) Held(now instant, server string, held []engine.Held) {
 	d := c.decode(server)
 	if d == nil {
 		return
@@ -63,7 +61,7 @@
 }
 
 // Load takes in a load report of a decode server.
-func (c *Core) Load(now time.Time, server string, l engine.Load) {
+func (c *Core) Load(now instant, server string, l engine.Load) {
 	if d := c.decode(server); d != nil {
 		d.health.answered()
 		d.report(now, l)
@@ -71,7 +69,7 @@
 }
 
 // CacheEvents takes in cache events of a prefill server.
-func (c *Core) CacheEvents(now time.Time, server string, events []engine.CacheEvent) {
+func (c *Core) CacheEvents(now instant, server string, events []engine.CacheEvent) {
 	for _, p := range c.prefills {
 		if p.server.Server == server {
 			p.health.answered()
@@ -83,7 +81,7 @@
 }
 
 // PollFailed notes a server that did not answer a poll.
-func (c *Core) PollFailed(now time.Time, server string) {
+func (c *Core) PollFailed(now instant, server string) {
 	if d := c.decode(server); d != nil {
 		d.health.failed(now)
 	}
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -19,10 +19,10 @@
 // rateMeter measures cost per second over the time in which requests wait.
 type rateMeter struct {
 	cost, span float64
-	at         time.Time
+	at         instant
 }
 
-func (m *rateMeter) advance(now time.Time, waiting bool) {
+func (m *rateMeter) advance(now instant, waiting bool) {
 	if !m.at.IsZero() && waiting {
 		dt := now.Sub(m.at).Seconds()
 		keep := math.Exp(-dt / rateWindow.Seconds())
@@ -43,7 +43,7 @@
 }
 
 // admit refuses a new request that would wait in vain; with an error comes the time to come back.
-func (c *Core) admit(now time.Time, i *item) (time.Duration, error) {
+func (c *Core) admit(now instant, i *item) (time.Duration, error) {
 	if len(c.decodes) == 0 || len(c.prefills) == 0 {
 		return minRetry, noServer.New("cell: no server in the cell")
 	}
@@ -118,7 +118,7 @@
 func retryIn(wait time.Duration) time.Duration { return min(max(wait, minRetry), maxRetry) }
 
 // sweep refuses waiting requests whose time is over and takes back places without a report.
-func (c *Core) sweep(now time.Time) {
+func (c *Core) sweep(now instant) {
 	if now.Sub(c.swept) < sweepInterval {
 		return
 	}
@@ -139,7 +139,7 @@
 }
 
 // overdue lists the waiting requests that passed their limit or target, oldest first.
-func (c *Core) overdue(now time.Time) []*item {
+func (c *Core) overdue(now instant) []*item {
 	var out []*item
 	for _, i := range c.items {
 		if now.After(i.limit) || (!i.late && !i.urgent() && !c.isRetry(i) && now.After(i.useful)) {
@@ -147,14 +147,14 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *item) int {
-		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.ask.Key, b.ask.Key))
+		return cmp.Or(cmp.Compare(a.arrived, b.arrived), cmp.Compare(a.ask.Key, b.ask.Key))
 	})
 	return out
 }
 
 // turnLate moves slow work past its target behind other slow work, or refuses it if even that would
 // take too long.
-func (c *Core) turnLate(now time.Time, i *item) {
+func (c *Core) turnLate(now instant, i *item) {
 	late := *i
 	late.late = true
 	if wait := c.predictWait(&late); now.Add(wait).After(i.limit) {
--- a/cell/step.go
+++ b/cell/step.go
@@ -54,7 +54,7 @@
 type stepModel struct {
 	pool   *slopeModel
 	factor float64
-	at     time.Time // of the newest sample
+	at     instant // of the newest sample
 }
 
 func newStepModel(pool *slopeModel) stepModel {
@@ -67,7 +67,7 @@
 }
 
 // observe takes in the mean step of a stream with the mean batch it ran in.
-func (m *stepModel) observe(now time.Time, batch float64, step time.Duration) {
+func (m *stepModel) observe(now instant, batch float64, step time.Duration) {
 	if step < minStep {
 		return
 	}
@@ -82,7 +82,7 @@
 
 // recover lets the factor of a server without new samples return to the pool's mean, so that a
 // server that was slow is tried again.
-func (m *stepModel) recover(now time.Time) {
+func (m *stepModel) recover(now instant) {
 	if idle := now.Sub(m.at); !m.at.IsZero() && idle > stepRecovery {
 		m.factor = 1
 		m.at = now
