--- a/cell/core.go
+++ b/cell/core.go
@@ -271,6 +271,7 @@
 func (c *Core) Step(now instant) []Decision {
 	c.rate.advance(now, c.backlog)
 	c.lateRate.advance(now, c.backlog && c.queue.lateCost > 0)
+	c.queue.credit = c.lead()
 	c.sweep(now)
 	ready := c.ready(now)
 	if ready {
--- a/cell/queue.go
+++ b/cell/queue.go
@@ -124,6 +124,7 @@
 	urgent   accountHeap
 	slow     accountHeap
 	clock    float64 // virtual time
+	credit   float64 // unused share that an account may make up for
 	length   int
 	weights  float64 // of the accounts that wait
 	cost     [2]float64
@@ -151,7 +152,7 @@
 func (q *fairQueue) push(i *item) {
 	a := i.account
 	if a.urgent.len()+a.slowLen() == 0 {
-		a.tag = max(a.tag, q.clock)
+		a.tag = max(a.tag, q.clock-q.credit)
 		q.weights += a.weight
 	}
 	a.fifoOf(i).push(i)
@@ -194,7 +195,7 @@
 func (q *fairQueue) taken(i *item) {
 	a := i.account
 	q.clock = max(q.clock, q.least())
-	a.tag = max(a.tag, q.clock) + i.cost/a.weight
+	a.tag += i.cost / a.weight
 	q.picks++
 	if i.urgent() {
 		a.run++
@@ -270,7 +271,7 @@
 // forget drops idle accounts whose use lies in the past.
 func (q *fairQueue) forget() {
 	for name, a := range q.accounts {
-		if a.urgent.len()+a.slowLen() == 0 && a.tag <= q.clock {
+		if a.urgent.len()+a.slowLen() == 0 && a.tag <= q.clock-q.credit {
 			delete(q.accounts, name)
 		}
 	}
