Place the demo's model work by cells

Cause: the demo and the sites of the load tool started from rules with place: least, so that nobody saw the policy at work.

--- a/standin/site/shape.go
+++ b/standin/site/shape.go
@@ -15,7 +15,7 @@
 //go:embed rules.yaml
 var baseRules string
 
-const basePlace = "place: least"
+const basePlace = "place: cell"
 
 // Account is a client account of the site, with its rule's values.
 type Account struct {
