--- a/entry/model.go
+++ b/entry/model.go
@@ -164,5 +164,9 @@
 	if errors.Is(err, cell.ErrShed) {
 		refusal.Code = "shed"
 	}
+	var later *cell.Refusal
+	if errors.As(err, &later) {
+		refusal = refusal.WithRetry(later.RetryAt)
+	}
 	return refusal.WithOutcome(ran)
 }
