--- a/entry/handler.go
+++ b/entry/handler.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"teaselgate/account"
 	"teaselgate/allowance"
 	"teaselgate/cell"
 	"teaselgate/config"
@@ -24,16 +23,14 @@
 // RequestHeader carries the request's id in every answer.
 const RequestHeader = "Teaselgate-Request"
 
-const (
-	requestIDBytes = 12
-	maxBodyBytes   = 16 << 20
-)
+const requestIDBytes = 12
 
 // Handler answers callers. Its exported fields are set before it serves.
 type Handler struct {
 	Incarnation string // names this run of the instance at engines
 	Zone        string
 	Rules       func() *config.Revision
+	Connected   func() bool // whether a withdrawal of a key would reach the instance; nil means always
 	Admit       func(context.Context, rule.Account, int64) (*allowance.Charge, time.Time, error)
 	Place       func(context.Context, cell.Request) (*cell.Placement, error)
 	PickPlain   func(pool string, exclude []string) (rule.Server, error)
@@ -74,8 +71,6 @@
 		h.refuse(w, c, err)
 		return
 	}
-	account.Strip(r.Header)
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	if c.route.Model != "" {
 		h.serveModel(w, r, c)
 		return
@@ -83,31 +78,6 @@
 	h.servePlain(w, r, c)
 }
 
-// authorize finds the route and the client account of the key that came with the request.
-func (h *Handler) authorize(c *call, r *http.Request) error {
-	revision := h.Rules()
-	if revision == nil {
-		return outcome.Refuse(http.StatusServiceUnavailable, "no-rules", "the instance has no rules yet")
-	}
-	c.rules = revision.Rules
-	route, ok := c.rules.Route(r.URL.Path)
-	if !ok {
-		return outcome.Refuse(http.StatusNotFound, "no-route", "no route leads to this path")
-	}
-	c.route = route
-	secret := account.FromRequest(r.Header)
-	if secret == "" && route.Open == rule.OpenYes {
-		return nil
-	}
-	name, ok := c.rules.KeyAccount(account.Hash(secret))
-	if !ok {
-		return outcome.Refuse(http.StatusUnauthorized, "bad-key", "the key is missing or not valid")
-	}
-	c.account, _ = c.rules.Account(name)
-	c.keyHash = account.Hash(secret)
-	return nil
-}
-
 // admit charges tokens to the client account.
 func (h *Handler) admit(ctx context.Context, c *call, tokens int64) (*allowance.Charge, error) {
 	if c.account.Account == "" {
@@ -124,18 +94,6 @@
 	return charge, nil
 }
 
-// checkAlive stops a call whose key was withdrawn since it was admitted.
-func (h *Handler) checkAlive(c *call) error {
-	if c.keyHash == "" {
-		return nil
-	}
-	name, ok := h.Rules().Rules.KeyAccount(c.keyHash)
-	if !ok || name != c.account.Account {
-		return outcome.Refuse(http.StatusUnauthorized, "key-withdrawn", "the key was withdrawn before the request ran")
-	}
-	return nil
-}
-
 func (h *Handler) refuse(w http.ResponseWriter, c *call, err error) {
 	refusal := outcome.AsRefusal(err)
 	h.Record(event.Event{
--- a/entry/model_body.go
+++ b/entry/model_body.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	defaultMaxTokens = 256
-	limitMaxTokens   = 32768
-	bytesPerToken    = 4 // estimate used for charges and placement
-	chatSuffix       = "/chat/completions"
+	defaultMaxTokens   = 256
+	limitMaxTokens     = 32768
+	bytesPerToken      = 4        // estimate used for charges and placement
+	maxCompletionBytes = 16 << 20 // the settings may set a lower limit for all bodies
+	chatSuffix         = "/chat/completions"
 )
 
 // completion is what a caller asks of a model.
@@ -59,10 +60,13 @@
 	if r.Method != http.MethodPost {
 		return completion{}, badRequest(http.StatusMethodNotAllowed, "bad-method", "completions take POST")
 	}
-	text, err := readLimited(w, r, maxBodyBytes+1)
+	text, err := readLimited(w, r, maxCompletionBytes+1)
 	if err != nil {
 		return completion{}, err
 	}
+	if len(text) > maxCompletionBytes {
+		return completion{}, badRequest(http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
+	}
 	var b completionBody
 	if err := json.Unmarshal(text, &b); err != nil {
 		return completion{}, badRequest(http.StatusBadRequest, "bad-json", "the body is not valid JSON: "+err.Error())
--- a/instance/build_outcome.go
+++ b/instance/build_outcome.go
@@ -44,6 +44,7 @@
 		Incarnation: i.owner(),
 		Zone:        i.Options.Zone,
 		Rules:       i.rules.Current,
+		Connected:   i.fleet.Connected,
 		Admit:       i.admit,
 		Place:       i.placer.Place,
 		PickPlain:   i.placer.Plain.PickPlain,
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -50,6 +50,8 @@
 	time.Sleep(i.BalancerDelay)
 	err := i.finishRequests(ctx, caller, endRequests)
 	i.drain(ctx)
+	i.fleet.End(ctx)
+	i.withdraw(ctx)
 	i.events.Record(event.Event{Code: event.InstanceStopped})
 	return err
 }
--- a/instance/server.go
+++ b/instance/server.go
@@ -3,44 +3,119 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
+	"io"
+	"log"
+	"net"
 	"net/http"
+	"strings"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"teaselgate/certificate"
+	"teaselgate/config"
+	"teaselgate/limit"
+	"teaselgate/metric"
+	"teaselgate/timeline"
 )
 
-// Limits of the listeners.
+// Limits of the admin listener.
 const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	adminHeaderTimeout  = 5 * time.Second
+	adminWriteTimeout   = 30 * time.Second
+	adminMaxHeaderBytes = 64 << 10
+	adminMaxBodyBytes   = 64 << 10
 )
 
-// callerServer makes the HTTP server for callers.
+// callerServer makes the HTTP server for callers, with the listener that bounds their connections.
 func (i *Instance) callerServer() *http.Server {
-	return &http.Server{
-		Handler:           i.handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	server := limit.NewServer(i.handler, i.Options.Limit, i.events.Record)
+	i.requests = &metric.Handler{Next: server.Handler, Metrics: i.metrics, Route: i.routeName, Now: time.Now}
+	server.Handler = i.requests
+	server.ErrorLog = i.serverLog()
+	i.connections = limit.Bound(server, i.listeners.caller, i.Options.Limit.Connections, i.events.Record)
+	return server
+}
+
+// routeName names the route of a path for the metrics.
+func (i *Instance) routeName(path string) string {
+	revision := i.rules.Current()
+	if revision == nil {
+		return ""
+	}
+	route, _ := revision.Rules.Route(path)
+	return route.Route
+}
+
+// serveHTTP serves on a listener, by TLS if there is a certificate.
+func serveHTTP(server *http.Server, listener net.Listener, secure *certificate.Store) error {
+	if secure == nil {
+		return server.Serve(listener)
+	}
+	server.TLSConfig = secure.Server()
+	return server.ServeTLS(listener, "", "")
+}
+
+// serverLog passes the notes of net/http on at the lowest level; callers cause most of them.
+func (i *Instance) serverLog() *log.Logger {
+	out := i.Log
+	if out == nil {
+		out = logrus.New()
+		out.SetOutput(io.Discard)
 	}
+	return log.New(debugWriter{out}, "", 0)
+}
+
+// debugWriter logs each line at the debug level.
+type debugWriter struct{ log *logrus.Logger }
+
+// Write implements io.Writer.
+func (d debugWriter) Write(p []byte) (int, error) {
+	d.log.Debug(strings.TrimSpace(string(p)))
+	return len(p), nil
 }
 
 // adminServer makes the HTTP server for operators.
 func (i *Instance) adminServer() *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /ready", i.getReady)
+	mux.HandleFunc("GET "+config.StatusPath, i.requireAdmin(i.getStatus))
+	mux.HandleFunc("GET /health", i.requireAdmin(i.getHealth))
+	mux.HandleFunc("GET /metrics", i.requireAdmin(i.metrics.ServeHTTP))
 	mux.HandleFunc("GET /events", i.requireAdmin(i.getEvents))
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(mux, adminMaxBodyBytes),
+		ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout:       adminHeaderTimeout,
+		WriteTimeout:      adminWriteTimeout,
+		MaxHeaderBytes:    adminMaxHeaderBytes,
+		ErrorLog:          i.serverLog(),
+	}
 }
 
 func (i *Instance) getReady(w http.ResponseWriter, _ *http.Request) {
-	if i.leaving.Load() || i.rules.Current() == nil {
+	if !i.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-func (i *Instance) getEvents(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(i.events.Events())
+// ready tells whether the instance takes requests.
+func (i *Instance) ready() bool {
+	return !i.leaving.Load() && i.rules.Current() != nil
+}
+
+// getEvents answers with the kept events, of one request or of a recent time if asked.
+func (i *Instance) getEvents(w http.ResponseWriter, r *http.Request) {
+	filter := timeline.Filter{Request: r.URL.Query().Get("request")}
+	if last := r.URL.Query().Get("last"); last != "" {
+		var err error
+		if filter.Last, err = time.ParseDuration(last); err != nil {
+			http.Error(w, "last: must be a time such as 30s", http.StatusBadRequest)
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(filter.Pick(i.events.Events(), time.Now()))
 }
 
 // requireAdmin lets only holders of the operators' token pass.
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -2,6 +2,7 @@
 package socket
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"syscall"
@@ -33,6 +34,15 @@
 	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control}
 }
 
+// Listen opens a TCP listener with that configuration.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	listener, err := ListenConfig().Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("socket: unable to listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
 // control sets TCP_USER_TIMEOUT; accepted sockets inherit it from their listener.
 func control(network, address string, raw syscall.RawConn) error {
 	var optionErr error
--- a/standin/site/shape.go
+++ b/standin/site/shape.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,7 +16,7 @@
 //go:embed rules.yaml
 var baseRules string
 
-const basePlace = "place: least"
+const basePlace = "place: cell"
 
 // Account is a client account of the site, with its rule's values.
 type Account struct {
@@ -36,6 +37,8 @@
 	Accounts  []Account
 	Tune      func(*standengine.Engine) // sets the figures of each engine; may be nil
 	Log       *logrus.Logger
+
+	BalancerDelay time.Duration // between an instance's end of readiness and the closing of its listener
 }
 
 // zone returns the availability zone of the nth part of a kind.
