--- a/entry/answer.go
+++ b/entry/answer.go
@@ -66,7 +66,7 @@
 	return &answer{
 		w:          w,
 		controller: http.NewResponseController(w),
-		timeout:    h.WriteTimeout,
+		timeout:    h.chunkTimeout(),
 		call:       c,
 		ask:        ask,
 		created:    h.Now(),
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"teaselgate/event"
@@ -12,10 +13,16 @@
 
 // Timing of the exchange with a caller.
 const (
-	DefaultWriteTimeout = 10 * time.Second
-	bodyTimeout         = 30 * time.Second // for the whole body of a request
+	writeTimeout = 10 * time.Second // for one chunk to a slow caller
+	bodyTimeout  = 30 * time.Second // for the whole body of a request
 )
 
+// copyBuffers holds the buffers of answers in progress.
+var copyBuffers = sync.Pool{New: func() any {
+	buffer := make([]byte, copyBufferBytes)
+	return &buffer
+}}
+
 // readLimited reads up to limit bytes of a request's body, within a deadline.
 func readLimited(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	controller := http.NewResponseController(w)
@@ -32,6 +39,14 @@
 	return text, nil
 }
 
+// chunkTimeout returns the time that a caller has for one chunk.
+func (h *Handler) chunkTimeout() time.Duration {
+	if h.WriteTimeout > 0 {
+		return h.WriteTimeout
+	}
+	return writeTimeout
+}
+
 // copyHeader passes the header of a service's answer on.
 func copyHeader(w http.ResponseWriter, resp *http.Response) {
 	removeHopHeaders(resp.Header)
@@ -48,10 +63,12 @@
 func (h *Handler) copyAnswer(w http.ResponseWriter, c *call, resp *http.Response) {
 	copyHeader(w, resp)
 	controller := http.NewResponseController(w)
-	buffer := make([]byte, copyBufferBytes)
+	pooled := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(pooled)
+	buffer := *pooled
 	for {
 		n, err := resp.Body.Read(buffer)
-		_ = controller.SetWriteDeadline(time.Now().Add(h.WriteTimeout))
+		_ = controller.SetWriteDeadline(time.Now().Add(h.chunkTimeout()))
 		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 			h.Record(event.Event{Code: event.RequestCancelled, Request: c.id, Account: c.account.Account})
 			panic(http.ErrAbortHandler)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -43,7 +43,7 @@
 	Record      func(event.Event)
 	Now         func() time.Time
 
-	WriteTimeout time.Duration // for one chunk to a slow caller
+	WriteTimeout time.Duration // for one chunk to a slow caller; zero means the usual one
 
 	running sync.Map // ids of the attempts in progress
 }
--- a/instance/build_outcome.go
+++ b/instance/build_outcome.go
@@ -56,8 +56,6 @@
 		Cancel:      i.canceller.Cancel,
 		Record:      i.events.Record,
 		Now:         time.Now,
-
-		WriteTimeout: entry.DefaultWriteTimeout,
 	}
 }
 
