--- a/load/runner.go
+++ b/load/runner.go
@@ -34,7 +34,6 @@
 		return Summary{}, err
 	}
 	caller := NewCaller(s.Keys(), stretch(r.Profile.ClientDelay, r.Plan.Scale))
-	start := time.Now()
 	balance := newBalancer(s.Addresses())
 	following, stopFollowing := context.WithCancel(ctx)
 	var background sync.WaitGroup
@@ -43,10 +42,9 @@
 	answers := sendAll(ctx, caller, balance, r.Profile.arrivals(r.Plan))
 	stopFollowing()
 	background.Wait()
-	elapsed := time.Since(start)
 	caller.Close()
 	err = s.Stop()
-	summary := r.summarize(answers, elapsed, shape.Accounts)
+	summary := r.summarize(answers, shape.Accounts)
 	summary.addSite(s, answers)
 	return summary, err
 }
@@ -73,10 +71,9 @@
 	}
 	caller := NewCaller(t.Keys, stretch(r.Profile.ClientDelay, r.Plan.Scale))
 	defer caller.Close()
-	start := time.Now()
 	answers := sendAll(ctx, caller, newBalancer(t.Addresses), r.Profile.arrivals(r.Plan))
 	shape := r.Profile.shape(r.Place, r.Plan.Scale, r.Headroom)
-	return r.summarize(answers, time.Since(start), shape.Accounts), nil
+	return r.summarize(answers, shape.Accounts), nil
 }
 
 // sendAll makes each call at its time and waits for all answers.
--- a/load/summary.go
+++ b/load/summary.go
@@ -54,7 +54,7 @@
 	Fault         Fault            `json:"fault"`
 	Seed          uint64           `json:"seed"`
 	Accounts      []AccountSummary `json:"accounts"`
-	Goodput       float64          `json:"goodput"`        // good completions a second
+	Goodput       float64          `json:"goodput"`        // good completions for each second of sending
 	GoodPart      float64          `json:"good_part"`      // good completions over completions sent
 	GoodClass     float64          `json:"good_chat_part"` // good interactive completions over those sent
 	WastedPrefill float64          `json:"wasted_prefill"` // prefill tokens that led to no whole answer, over all
@@ -133,7 +133,7 @@
 }
 
 // summarize sums up the answers of a run.
-func (r Run) summarize(answers []Answer, elapsed time.Duration, accounts []site.Account) Summary {
+func (r Run) summarize(answers []Answer, accounts []site.Account) Summary {
 	s := Summary{
 		Profile: r.Profile.Name, Place: r.Place, Load: r.Plan.Load, Fault: r.Fault, Seed: r.Plan.Seed,
 		Codes: make(map[string]int), Faults: []string{}, Broken: []string{},
@@ -159,7 +159,7 @@
 		s.noteProblem(a)
 	}
 	s.GoodClass = part(goodChats, chats)
-	s.total(by, elapsed, inside)
+	s.total(by, r.Plan.Length, inside)
 	s.share(r.Profile)
 	return s
 }
@@ -174,7 +174,7 @@
 }
 
 // total adds the client accounts up.
-func (s *Summary) total(by map[string]*gathering, elapsed time.Duration, inside int) {
+func (s *Summary) total(by map[string]*gathering, sending time.Duration, inside int) {
 	all := newGathering("")
 	refused := 0
 	for _, g := range by {
@@ -188,7 +188,7 @@
 		s.Accounts = append(s.Accounts, g.AccountSummary)
 	}
 	slices.SortFunc(s.Accounts, func(a, b AccountSummary) int { return b.AskedTokens - a.AskedTokens })
-	s.Goodput = float64(all.Good) / elapsed.Seconds()
+	s.Goodput = float64(all.Good) / sending.Seconds()
 	s.GoodPart = part(all.Good, all.Completions)
 	s.FalseRefusals = part(refused, inside)
 	s.First, s.Between = quantiles(all.first), quantiles(all.between)
--- /dev/null
+++ b/standin/site/cost_test.go
@@ -0,0 +1,59 @@
+package site
+
+import (
+	"io"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// idleLength is how long idle instances are watched.
+const idleLength = 20 * time.Second
+
+// BenchmarkIdleInstance measures what control costs an instance that serves nothing: processor time as a part of
+// one core, heap, and calls at the platform. The stand-in of the platform runs in the same process and is counted in.
+func BenchmarkIdleInstance(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for b.Loop() {
+		base := heapBytes()
+		s, err := Start(b.Context(), Shape{Instances: 9, Zones: []string{"a", "b", "c"}, Log: log})
+		if err != nil {
+			b.Fatal(err)
+		}
+		<-time.After(idleLength / 4) // the instances find each other
+		before, calls := cpuTime(), total(s.Platform().Calls())
+		<-time.After(idleLength)
+		instances := float64(len(s.Instances()))
+		b.ReportMetric(100*(cpuTime()-before).Seconds()/idleLength.Seconds()/instances, "%core/instance")
+		b.ReportMetric(float64(heapBytes()-base)/(1<<20)/instances, "MiB/instance")
+		b.ReportMetric(float64(total(s.Platform().Calls())-calls)/idleLength.Seconds()/instances, "calls/s/instance")
+		if err := s.Stop(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func total(calls map[string]int) int {
+	sum := 0
+	for _, n := range calls {
+		sum += n
+	}
+	return sum
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
