Cache prefixes of several lengths; publish their events late and with gaps

Cause: the stand-in cached the first 512 bytes of a prompt alone (128 tokens), so that prefix sharing could not matter, its events were neither late nor lossy, its list of them grew for ever, and prefills ran in no order of priority; the dispatcher looked for the raw text under the hash's name and never found it. Engines and entries now name prefixes of 512 bytes and each doubling up to 64 KB by the same hash; a dispatcher trusts a server's hints as far as they came true.

--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -122,7 +122,7 @@
 	benchOutputHigh = 350
 	benchKept       = 800 * time.Millisecond
 	benchHop        = time.Millisecond
-	benchShared     = 128 // tokens of a shared prefix
+	benchShared     = 2048 // tokens of a shared prefix
 )
 
 var benchStart = time.Unix(0, 0)
@@ -239,7 +239,7 @@
 		b.ids[r.key] = r
 		b.core.Offer(b.clock(), Ask{
 			Key: r.key, Account: r.account, Weight: weight, Class: r.class, PromptTokens: r.prompt,
-			MaxTokens: r.output, Prefix: r.prefix, Zone: "a", Exclude: r.exclude, Waited: b.now.Sub(r.arrived),
+			MaxTokens: r.output, Prefixes: r.prefixes(), Zone: "a", Exclude: r.exclude, Waited: b.now.Sub(r.arrived),
 		})
 		b.step()
 		return
--- a/cell/benchengine_test.go
+++ b/cell/benchengine_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -53,11 +54,13 @@
 	e := b.engines[prefill]
 	tokens := r.prompt
 	if r.prefix != "" {
-		if e.cache[r.prefix] {
-			r.report.Cached = min(r.prompt, benchShared)
-			tokens -= r.report.Cached
+		for n, prefix := range r.prefixes() {
+			if e.cache[prefix] {
+				r.report.Cached = engine.PrefixTokens(n)
+			}
+			e.cache[prefix] = true
 		}
-		e.cache[r.prefix] = true
+		tokens -= r.report.Cached
 	}
 	e.free = laterTime(b.now.Add(benchHop), e.free).Add(seconds(float64(tokens) / benchRate * e.slowdown))
 	b.result.prefillTokens += tokens
@@ -69,6 +72,18 @@
 	})
 }
 
+// prefixes names the prefixes of a prompt of which one was drawn from the shared ones.
+func (r *benchRequest) prefixes() []string {
+	if r.prefix == "" {
+		return nil
+	}
+	var out []string
+	for n := 0; engine.PrefixTokens(n) <= min(benchShared, r.prompt); n++ {
+		out = append(out, fmt.Sprintf("%s-%d", r.prefix, n))
+	}
+	return out
+}
+
 // importAt takes a slot at the decode server; for cells, a refusal is repeated for a while, as the entry does.
 func (b *bench) importAt(r *benchRequest) {
 	const pause, patience = 20 * time.Millisecond, 500 * time.Millisecond
--- a/cell/core.go
+++ b/cell/core.go
@@ -34,7 +34,7 @@
 	Class        rule.Class
 	PromptTokens int
 	MaxTokens    int
-	Prefix       string
+	Prefixes     []string
 	Zone         string
 	Exclude      []string
 	Waited       time.Duration // before this dispatcher was asked
@@ -59,7 +59,7 @@
 	promptTokens int
 	maxTokens    int
 	cached       int
-	prefix       string
+	prefixes     []string
 	work         work
 	before       *finish // of the request before it at the prefill server
 	finish       *finish
@@ -108,7 +108,7 @@
 	c.prefills = mergeServers(c.prefills, prefills,
 		func(p *prefillServer) *rule.Server { return &p.server },
 		func() *prefillServer {
-			return &prefillServer{rate: rate{perSecond: prefill}, linkRate: rate{perSecond: link}}
+			return &prefillServer{rate: rate{perSecond: prefill}, linkRate: rate{perSecond: link}, trust: 1}
 		})
 	c.decodes = mergeServers(c.decodes, decodes,
 		func(d *decodeServer) *rule.Server { return &d.server },
@@ -224,7 +224,6 @@
 	}
 	r.prefilled = true
 	r.prefill.observe(now, r, report)
-	c.hints.stored(now, r.prefill, r.prefix, report.Cached)
 }
 
 // Release ends a place and learns from how it went.
@@ -311,13 +310,13 @@
 	}
 	r := &reservation{
 		key: i.ask.Key, prefill: p, decode: d, pieces: pieces, promptTokens: i.ask.PromptTokens,
-		maxTokens: i.ask.MaxTokens, cached: hit, prefix: i.ask.Prefix, work: w, placed: now,
+		maxTokens: i.ask.MaxTokens, cached: hit, prefixes: i.ask.Prefixes, work: w, placed: now,
 	}
 	p.book(r)
 	d.add(r, w.linkEnd.Sub(now))
 	r.deadline = w.linkEnd.Add(seconds(float64(r.maxTokens) * d.steps.step(d.slots))).Add(placeLife)
 	c.placed[r.key] = r
-	c.hints.stored(now, p, r.prefix, -1)
+	c.hints.stored(now, p, r.prefixes)
 	delete(c.items, r.key)
 	if c.backlog {
 		c.rate.add(i.cost)
@@ -340,13 +339,13 @@
 
 // choosePrefill returns the prefill server at which a prompt and its transfer end first.
 func (c *Core) choosePrefill(now instant, ask *Ask) (best *prefillServer, bestWork work, hit int) {
-	known := c.hints.prefixes[ask.Prefix]
+	hits := c.hints.find(now, ask.Prefixes)
 	var bestEnd instant
 	for _, p := range c.prefills {
 		if !p.usable(now) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
 			continue
 		}
-		found := min(cached(known, now, p), ask.PromptTokens)
+		found := min(cached(hits, p), ask.PromptTokens)
 		w := p.plan(now, ask.PromptTokens, found)
 		if w.linkStart.Sub(w.end) > keptMargin {
 			continue
--- a/cell/decision_test.go
+++ b/cell/decision_test.go
@@ -70,7 +70,7 @@
 	messages := map[string]any{
 		"place": PlaceArgs{Cell: id, Ask: Ask{
 			Key: "0123456789abcdef01234567-1", Account: "dala-almaty", Weight: 3, Class: rule.ClassInteractive,
-			PromptTokens: 3000, MaxTokens: 200, Prefix: "8a7b6c5d", Zone: "ala-a", Waited: time.Millisecond,
+			PromptTokens: 3000, MaxTokens: 200, Prefixes: []string{"8a7b6c5d", "12345678", "9abcdef0", "0fedcba9"}, Zone: "ala-a", Waited: time.Millisecond,
 		}},
 		"reply":   PlaceReply{Status: Placed, Prefill: "p12", Decode: "d34"},
 		"release": ReleaseArgs{Cell: id, Places: []Released{{Key: "0123456789abcdef01234567-1", Prefilled: 1e8, Imported: 2e8, Ended: 3e9, Generated: 180}}},
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -32,8 +32,8 @@
 	Model        rule.Model
 	PromptTokens int
 	MaxTokens    int
-	Prefix       string // hash of the prompt's prefix; empty for short prompts
-	Zone         string // availability zone of the instance that asks
+	Prefixes     []string // hashes of the prompt's prefixes, as in engine.PrefixHashes
+	Zone         string   // availability zone of the instance that asks
 	Exclude      []string
 }
 
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -160,7 +160,7 @@
 func askOf(r Request, waited time.Duration) Ask {
 	return Ask{
 		Key: r.ID, Account: r.Account, Weight: r.Weight, Class: r.Class, PromptTokens: r.PromptTokens,
-		MaxTokens: r.MaxTokens, Prefix: r.Prefix, Zone: r.Zone, Exclude: r.Exclude, Waited: waited,
+		MaxTokens: r.MaxTokens, Prefixes: r.Prefixes, Zone: r.Zone, Exclude: r.Exclude, Waited: waited,
 	}
 }
 
--- a/cell/prefill.go
+++ b/cell/prefill.go
@@ -14,6 +14,7 @@
 	maxRateRatio       = 4.0         // bound on the trust in one sample
 	rateAge            = time.Second // after which a fresh sample is wanted at once
 	rateRecovery       = 20 * time.Second
+	trustLearning      = 0.1                    // weight of a new sample
 	minSample          = 10 * time.Millisecond  // shorter samples are mostly network time
 	idleMargin         = 30 * time.Millisecond  // a server this long past its predicted end has nothing to do
 	keptMargin         = 400 * time.Millisecond // a result waits at most this long for its link
@@ -30,6 +31,7 @@
 	pending  int
 	last     *finish // of the newest request
 	at       instant // of the newest sample
+	trust    float64 // part of the expected cached tokens that was found
 	prefixes uint64  // sequence of the newest cache event
 }
 
@@ -62,6 +64,9 @@
 func (p *prefillServer) observe(now instant, r *reservation, report Report) {
 	end := r.placed.Add(report.Prefilled.Sub(report.Placed))
 	r.finish.at = end
+	if r.cached > 0 {
+		p.trust += trustLearning * (min(float64(report.Cached)/float64(r.cached), 1) - p.trust)
+	}
 	if start, known := r.prefillStart(); known {
 		p.rate.learn(r.promptTokens-report.Cached, end.Sub(start))
 		p.at = now
--- /dev/null
+++ b/engine/prefix.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+)
+
+// Lengths of the prefixes that engines cache: each twice the one before.
+const (
+	firstPrefixBytes = 512
+	lastPrefixBytes  = 64 << 10
+)
+
+// PrefixHashes returns the hashes of a prompt's prefixes as engines name them in their cache events:
+// FNV-1a of 32 bits over the first 512 bytes, 1,024 bytes and so on, shortest first.
+func PrefixHashes(prompt string) []string {
+	var out []string
+	h := fnv.New32a()
+	done := 0
+	for n := firstPrefixBytes; n <= min(len(prompt), lastPrefixBytes); n *= 2 {
+		_, _ = io.WriteString(h, prompt[done:n])
+		done = n
+		out = append(out, fmt.Sprintf("%08x", h.Sum32()))
+	}
+	return out
+}
+
+// PrefixTokens returns the tokens that the nth prefix of a prompt covers, from 0.
+func PrefixTokens(n int) int { return firstPrefixBytes << n / bytesPerToken }
--- a/entry/model.go
+++ b/entry/model.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"teaselgate/cell"
+	"teaselgate/engine"
 	"teaselgate/event"
 	"teaselgate/outcome"
 	"teaselgate/rule"
@@ -17,7 +18,6 @@
 	maxModelAttempts = 3 // before the first token
 	maxResumes       = 1 // after it
 	modelTimeout     = 15 * time.Minute
-	prefixBytes      = 512
 )
 
 // ErrLeaving is the cause of the end of requests that still run at the shutdown deadline.
@@ -150,9 +150,7 @@
 		Zone:         m.handler.Zone,
 		Exclude:      m.exclude,
 	}
-	if len(m.ask.prompt) >= prefixBytes {
-		r.Prefix = m.ask.prompt[:prefixBytes]
-	}
+	r.Prefixes = engine.PrefixHashes(m.ask.prompt)
 	return r
 }
 
--- a/standin/engine/decode.go
+++ b/standin/engine/decode.go
@@ -263,15 +263,7 @@
 
 func (e *Engine) getEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	events := []api.CacheEvent{}
-	for _, v := range e.cache.events {
-		if v.Sequence > after {
-			events = append(events, v)
-		}
-	}
-	answer(w, events)
+	answer(w, e.eventsAfter(after))
 }
 
 func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -29,6 +29,8 @@
 	LinkRate      int64         // bytes per second out of this engine
 	TokenBytes    int64         // bytes of KV cache per token
 	LoadLag       time.Duration // age of the load report
+	EventLag      time.Duration // age of the newest published cache event
+	EventLoss     int           // one cache event in so many is lost; 0 means none
 	Fenced        bool          // refuses orders with an old fencing number
 
 	Hook fault.Hook // decides at each step of a call
@@ -38,7 +40,7 @@
 	exports  map[string]*export
 	cache    prefixCache
 	used     int // pieces in use
-	queue    chan struct{}
+	queue    prefillQueue
 	link     sync.Mutex
 	wake     chan struct{}
 	loads    []loadSample
@@ -120,9 +122,10 @@
 		LinkRate:      5 << 30,
 		TokenBytes:    128 << 10,
 		LoadLag:       500 * time.Millisecond,
+		EventLag:      300 * time.Millisecond,
+		EventLoss:     50,
 		attempts:      make(map[string]*attempt),
 		exports:       make(map[string]*export),
-		queue:         make(chan struct{}, 1),
 		wake:          make(chan struct{}, 1),
 	}
 }
--- a/standin/engine/prefill.go
+++ b/standin/engine/prefill.go
@@ -9,18 +9,6 @@
 	"teaselgate/standin/fault"
 )
 
-// prefixBytes is the length of a prompt's prefix that the cache works with.
-const prefixBytes = 512
-
-// prefixCache keeps the prefixes of the newest prompts within a number of tokens.
-type prefixCache struct {
-	order    []string
-	tokens   map[string]int
-	total    int
-	sequence uint64
-	events   []api.CacheEvent
-}
-
 func (e *Engine) postPrefill(w http.ResponseWriter, r *http.Request) {
 	m, ok := readMessage[api.Prefill](w, r)
 	if !ok {
@@ -29,16 +17,14 @@
 	if e.Hook.At(w, r, fault.Step{Name: StepPrefill, Attempt: m.Attempt}) == fault.Refuse {
 		return
 	}
-	select {
-	case e.queue <- struct{}{}:
-	case <-r.Context().Done():
+	if !e.queue.enter(r.Context(), m.Priority) {
 		return
 	}
 	tokens := CountTokens(m.Prompt) + CountTokens(m.Continue)
 	cached := e.lookup(m.Prompt)
 	work := time.Duration(tokens-cached) * time.Second / time.Duration(e.PrefillRate)
 	done := sleep(r.Context(), e.scaled(work))
-	<-e.queue
+	e.queue.leave()
 	if !done {
 		return
 	}
@@ -136,45 +122,3 @@
 	Tokens int    `json:"tokens"`
 	Bytes  int64  `json:"bytes"`
 }
-
-// lookup returns the prompt's tokens found in the prefix cache and stores the prefix.
-func (e *Engine) lookup(prompt string) int {
-	if len(prompt) < prefixBytes {
-		return 0
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	c := &e.cache
-	prefix := seedOf(prompt[:prefixBytes])
-	if tokens, ok := c.tokens[prefix]; ok {
-		return tokens
-	}
-	c.add(prefix, CountTokens(prompt[:prefixBytes]))
-	for c.total > e.CacheTokens {
-		c.evict()
-	}
-	return 0
-}
-
-func (c *prefixCache) add(prefix string, tokens int) {
-	if c.tokens == nil {
-		c.tokens = make(map[string]int)
-	}
-	c.tokens[prefix] = tokens
-	c.order = append(c.order, prefix)
-	c.total += tokens
-	c.note(prefix, true)
-}
-
-func (c *prefixCache) evict() {
-	oldest := c.order[0]
-	c.order = c.order[1:]
-	c.total -= c.tokens[oldest]
-	delete(c.tokens, oldest)
-	c.note(oldest, false)
-}
-
-func (c *prefixCache) note(prefix string, stored bool) {
-	c.sequence++
-	c.events = append(c.events, api.CacheEvent{Sequence: c.sequence, Prefix: prefix, Stored: stored})
-}
