Serve the newest fresh summary once the oldest is about to be late

Reserves of 0, 250 and 400 ms tried: 100 ms kept. Conclusion: the flooding account itself stays the worst served; its late summaries are served, but are not goodput.

--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -155,7 +155,7 @@
 	b.rules, _ = rule.Parse("bench.yaml", []byte(text))
 	b.core = NewCore(b.clock())
 	pool, _ := b.rules.Pool("d")
-	b.core.SetServers(b.clock(), b.rules.Servers("p"), b.rules.Servers("d"), pool)
+	b.core.SetServers(b.clock(), b.rules.Servers("p"), b.rules.Servers("d"), pool, testTargets)
 	for range 3 {
 		baseline := NewBaseline(func() *rule.Set { return b.rules })
 		baseline.Now = func() time.Time { return b.now }
--- a/cell/benchengine_test.go
+++ b/cell/benchengine_test.go
@@ -171,9 +171,9 @@
 	a.done += r.cost()
 	b.result.first = append(b.result.first, first)
 	switch {
-	case first > FirstTokenTarget:
+	case first > rule.DefaultFirst:
 		b.result.limits["first token late"]++
-	case between > BetweenTokensTarget:
+	case between > rule.DefaultBetween:
 		b.result.limits["between tokens late"]++
 	default:
 		b.result.good++
--- a/cell/core.go
+++ b/cell/core.go
@@ -8,12 +8,8 @@
 	"teaselgate/rule"
 )
 
-// Targets and limits of a cell.
+// Limits of a cell.
 const (
-	FirstTokenTarget    = 770 * time.Millisecond
-	BetweenTokensTarget = 36 * time.Millisecond
-
-	slowWait      = 30 * time.Second       // longest wait of slow work
 	retryWait     = 10 * time.Second       // longest wait of a request whose first place failed
 	firstMargin   = 60 * time.Millisecond  // kept free of the first token's target for the network and the first step
 	longAnswer    = 1.5                    // a prompt too long for the target may take this many times its idle time
@@ -72,10 +68,18 @@
 	held         bool // found at a server by a new dispatcher
 }
 
+// Targets are what a cell works towards.
+type Targets struct {
+	First   time.Duration // until the first token
+	Between time.Duration // between tokens
+	Wait    time.Duration // longest wait of slow work
+}
+
 // Core decides on the places of one cell. It does not wait and starts nothing: time is passed in.
 type Core struct {
 	prefills []*prefillServer
 	decodes  []*decodeServer
+	targets  Targets
 	slope    slopeModel
 	hints    hints
 	queue    *fairQueue
@@ -103,7 +107,8 @@
 
 // SetServers takes in the servers of the rules in force. Places at servers that are gone end with
 // their reports.
-func (c *Core) SetServers(now instant, prefills, decodes []rule.Server, pool rule.Pool) {
+func (c *Core) SetServers(now instant, prefills, decodes []rule.Server, pool rule.Pool, targets Targets) {
+	c.targets = targets
 	prefill, link := c.rates()
 	c.prefills = mergeServers(c.prefills, prefills,
 		func(p *prefillServer) *rule.Server { return &p.server },
@@ -115,7 +120,7 @@
 		func() *decodeServer { return &decodeServer{steps: newStepModel(&c.slope), at: now} })
 	for _, d := range c.decodes {
 		d.slots, d.pieces = pool.Slots, pool.Pieces
-		d.limit = d.steps.limit(d.slots, BetweenTokensTarget)
+		d.limit = d.steps.limit(d.slots, c.targets.Between)
 	}
 }
 
@@ -183,14 +188,14 @@
 	i.cost = float64(ask.PromptTokens + outputCost*ask.MaxTokens)
 	i.arrived = now.Add(-ask.Waited)
 	idle := c.idleTime(ask)
-	budget := max(FirstTokenTarget-firstMargin-idle, time.Duration(longAnswer*float64(idle)))
+	budget := max(c.targets.First-firstMargin-idle, time.Duration(longAnswer*float64(idle)))
 	i.useful = i.arrived.Add(budget)
 	i.limit = i.useful
 	switch {
 	case c.isRetry(i):
 		i.limit = now.Add(retryWait)
 	case !i.urgent():
-		i.limit = i.arrived.Add(slowWait)
+		i.limit = i.arrived.Add(c.targets.Wait)
 		i.late = now.After(i.useful)
 	}
 	return i
@@ -252,7 +257,7 @@
 		took := report.Ended.Sub(report.Imported)
 		if span := now.Sub(r.placed).Seconds(); span > 0 {
 			d.steps.observe(now, (d.batched-r.startBatched)/span, took/time.Duration(report.Generated))
-			d.limit = d.steps.limit(d.slots, BetweenTokensTarget)
+			d.limit = d.steps.limit(d.slots, c.targets.Between)
 		}
 	}
 	switch {
@@ -278,7 +283,7 @@
 			d.advance(now)
 		}
 		for c.queue.length > 0 {
-			if c.queue.pick(c.lead(), func(i *item) bool { return c.place(now, i) }) == nil {
+			if c.queue.pick(now, c.lead(), func(i *item) bool { return c.place(now, i) }) == nil {
 				break
 			}
 		}
--- a/cell/core_test.go
+++ b/cell/core_test.go
@@ -12,6 +12,8 @@
 	"teaselgate/rule"
 )
 
+var testTargets = Targets{rule.DefaultFirst, rule.DefaultBetween, rule.DefaultWait}
+
 func servers(pool string, n int) []rule.Server {
 	out := make([]rule.Server, 0, n)
 	for i := range n {
@@ -23,7 +25,7 @@
 
 func testCore(now instant, prefills, decodes int) *Core {
 	c := NewCore(now)
-	c.SetServers(now, servers("p", prefills), servers("d", decodes), rule.Pool{Slots: 3, Pieces: 6})
+	c.SetServers(now, servers("p", prefills), servers("d", decodes), rule.Pool{Slots: 3, Pieces: 6}, testTargets)
 	for i := range decodes {
 		c.Held(now, fmt.Sprintf("d%d", i), nil)
 	}
@@ -123,7 +125,7 @@
 			},
 			"servers change": func(t *rapid.T) {
 				n := rapid.IntRange(1, 3).Draw(t, "decodes")
-				m.core.SetServers(m.now, servers("p", 2), servers("d", n), rule.Pool{Slots: 3, Pieces: 6})
+				m.core.SetServers(m.now, servers("p", 2), servers("d", n), rule.Pool{Slots: 3, Pieces: 6}, testTargets)
 				m.step(t)
 			},
 			"": func(t *rapid.T) {
@@ -157,7 +159,7 @@
 func serveBacklog(q *fairQueue, picks int, refill func(account string, urgent bool) *item) map[string]float64 {
 	out := make(map[string]float64)
 	for range picks {
-		i := q.pick(0, func(*item) bool { return true })
+		i := q.pick(clockStart, 0, func(*item) bool { return true })
 		out[i.account.name+" "+string(i.ask.Class)] += i.cost
 		q.push(refill(i.account.name, i.urgent()))
 	}
@@ -211,7 +213,7 @@
 	c := testCore(now, 2, 2)
 	leaving := servers("d", 2)
 	leaving[0].State = rule.Leaving
-	c.SetServers(now, servers("p", 2), leaving, rule.Pool{Slots: 3, Pieces: 6})
+	c.SetServers(now, servers("p", 2), leaving, rule.Pool{Slots: 3, Pieces: 6}, testTargets)
 	for n := range 20 {
 		c.Offer(now, Ask{Key: fmt.Sprint(n), Class: rule.ClassInteractive, PromptTokens: 10, MaxTokens: 10})
 		for _, d := range c.Step(now) {
--- a/cell/decision_test.go
+++ b/cell/decision_test.go
@@ -14,7 +14,7 @@
 // busyCore is a core whose decode servers are about half full.
 func busyCore(now instant, decodes int) *Core {
 	c := NewCore(now)
-	c.SetServers(now, servers("p", decodes/3+1), servers("d", decodes), rule.Pool{Slots: 20, Pieces: 100})
+	c.SetServers(now, servers("p", decodes/3+1), servers("d", decodes), rule.Pool{Slots: 20, Pieces: 100}, testTargets)
 	for _, d := range c.decodes {
 		c.Held(now, d.server.Server, nil)
 		for n := range 10 {
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -61,7 +61,23 @@
 	decodes := set.Servers(d.id.Decode)
 	n := shares(len(decodes))
 	pool, _ := set.Pool(d.id.Decode)
-	d.core.SetServers(d.clock(now), shareOf(set.Servers(d.id.Prefill), d.id.Share, n), shareOf(decodes, d.id.Share, n), pool)
+	d.core.SetServers(d.clock(now), shareOf(set.Servers(d.id.Prefill), d.id.Share, n), shareOf(decodes, d.id.Share, n), pool, targetsOf(set, d.id))
+}
+
+// targetsOf returns the tightest targets of the models that share a cell's pools.
+func targetsOf(set *rule.Set, id ID) Targets {
+	t := Targets{rule.DefaultFirst, rule.DefaultBetween, rule.DefaultWait}
+	found := false
+	for _, m := range set.Models() {
+		if m.Prefill != id.Prefill || m.Decode != id.Decode {
+			continue
+		}
+		if !found {
+			t, found = Targets{m.First, m.Between, m.Wait}, true
+		}
+		t = Targets{min(t.First, m.First), min(t.Between, m.Between), min(t.Wait, m.Wait)}
+	}
+	return t
 }
 
 // place queues an ask, or finds it again, and waits a while for the decision.
--- a/cell/queue.go
+++ b/cell/queue.go
@@ -2,19 +2,21 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"teaselgate/rule"
 )
 
 // Constants of the queue.
 const (
-	maxQueue        = 4096 // requests
-	outputCost      = 16   // cost of a generated token in prompt tokens
-	maxBypass       = 8    // accounts whose head does not fit that are passed over in one step
-	slowShare       = 8    // one pick in so many goes to slow work that waits
-	lateShare       = 4    // one pick of slow work in so many goes to work past its target
-	urgentRun       = 8    // picks of an account's urgent work before one of its slow work
-	queueClockShare = 0.5  // seconds of the cell by which urgent work may run ahead of an account's share
+	maxQueue        = 4096                   // requests
+	outputCost      = 16                     // cost of a generated token in prompt tokens
+	maxBypass       = 8                      // accounts whose head does not fit that are passed over in one step
+	slowShare       = 8                      // one pick in so many goes to slow work that waits
+	lateShare       = 4                      // one pick of slow work in so many goes to work past its target
+	freshReserve    = 100 * time.Millisecond // less time left to the oldest fresh work means that the newest goes first
+	urgentRun       = 8                      // picks of an account's urgent work before one of its slow work
+	queueClockShare = 0.5                    // seconds of the cell by which urgent work may run ahead of an account's share
 )
 
 // item is a waiting request.
@@ -45,7 +47,7 @@
 }
 
 // head returns the request that an account sends next for one of the two heaps.
-func (a *accountQueue) head(slow bool) *item {
+func (a *accountQueue) head(now instant, slow bool) *item {
 	if !slow && a.run >= urgentRun && a.slowLen() > 0 {
 		slow = true
 	}
@@ -56,7 +58,10 @@
 	if takeLate && a.late.len() > 0 {
 		return a.late.first()
 	}
-	return a.fresh.first()
+	if oldest := a.fresh.first(); now.Before(oldest.useful.Add(-freshReserve)) {
+		return oldest
+	}
+	return a.fresh.last()
 }
 
 func (a *accountQueue) slowLen() int { return a.fresh.len() + a.late.len() }
@@ -225,7 +230,7 @@
 }
 
 // pick offers waiting requests in fair order until one is taken; it passes over a few that do not fit.
-func (q *fairQueue) pick(ahead float64, try func(*item) bool) *item {
+func (q *fairQueue) pick(now instant, ahead float64, try func(*item) bool) *item {
 	var passed []*accountQueue
 	var taken *item
 	for len(passed) < maxBypass && taken == nil {
@@ -233,7 +238,7 @@
 		if a == nil {
 			break
 		}
-		i := a.head(slow)
+		i := a.head(now, slow)
 		if try(i) {
 			taken = i
 			break
@@ -286,6 +291,8 @@
 
 func (f *fifo[T]) first() T { return f.items[0] }
 
+func (f *fifo[T]) last() T { return f.items[len(f.items)-1] }
+
 func (f *fifo[T]) push(v T) { f.items = append(f.items, v) }
 
 func (f *fifo[T]) remove(v T) {
