Let a model's rule name its targets: first, between, wait

Cause: 770 ms, 36 ms and 30 s were constants of the dispatcher, though each site and each time scale has its own. Before: no knob; after: checked fields with the former values as defaults (go test ./rule ./cell), a value of 0 or less is refused with its column.

--- a/rule/rule.go
+++ b/rule/rule.go
@@ -1,7 +1,10 @@
 // Package rule reads the rules file: one rule a line, each with a comment on who asked for it and why.
 package rule
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // Kind names a kind of rule; it is the first key of the rule's line.
 type Kind string
@@ -63,8 +66,19 @@
 	Prefill string `yaml:"prefill"`
 	Decode  string `yaml:"decode"`
 	Place   Place  `yaml:"place"`
+
+	First   time.Duration `yaml:"first"`   // target for the first token
+	Between time.Duration `yaml:"between"` // target for the time between tokens
+	Wait    time.Duration `yaml:"wait"`    // longest wait of a summary for a place
 }
 
+// Targets of a model that names none.
+const (
+	DefaultFirst   = 770 * time.Millisecond
+	DefaultBetween = 36 * time.Millisecond
+	DefaultWait    = 30 * time.Second
+)
+
 // Place is the policy that picks backend servers.
 type Place string
 
--- a/rule/rule_line.go
+++ b/rule/rule_line.go
@@ -98,6 +98,9 @@
 	case *Model:
 		m := *v
 		setDefault(&m.Place, PlaceCell)
+		setDefault(&m.First, DefaultFirst)
+		setDefault(&m.Between, DefaultBetween)
+		setDefault(&m.Wait, DefaultWait)
 		s.models[m.Model] = m
 	case *Server:
 		s.servers = append(s.servers, serverWithDefaults(*v))
--- a/rule/rule_test.go
+++ b/rule/rule_test.go
@@ -70,6 +70,7 @@
 		{`{model: x, prefill: none, decode: dec}`, `7:14: prefill: there is no pool "none"`},
 		{`{model: x, prefill: dec, decode: dec}`, `7:14: prefill: pool "dec" has duty decode, not prefill`},
 		{`{model: x, prefill: pre, decode: dec, place: best}`, `7:41: place: "best" is not cell, robin, least or ewma`},
+		{`{model: x, prefill: pre, decode: dec, wait: -1s}`, `7:41: wait: -1s is not above 0`},
 		{`{server: x, pool: none, at: "10.0.0.1:1"}`, `7:15: pool: there is no pool "none"`},
 		{`{server: x, pool: pre, at: "host:1"}`, `7:26: at: "host:1" is not an IP number and port`},
 		{`{server: x, pool: pre, at: "10.0.0.1:1", state: off}`, `7:44: state: "off" is not live or leaving`},
--- a/rule/rule_values.go
+++ b/rule/rule_values.go
@@ -8,6 +8,7 @@
 	"math/bits"
 	"net"
 	"strings"
+	"time"
 )
 
 const (
@@ -107,6 +108,14 @@
 	default:
 		c.fault(line, "place", "place: %q is not cell, robin, least or ewma", m.Place)
 	}
+	for _, field := range []struct {
+		name  string
+		value time.Duration
+	}{{"first", m.First}, {"between", m.Between}, {"wait", m.Wait}} {
+		if field.value <= 0 {
+			c.fault(line, field.name, "%s: %s is not above 0", field.name, field.value)
+		}
+	}
 }
 
 func (c *checker) checkPoolDuty(line Line, field, name string, duty Duty) {
