--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,7 +76,7 @@
 	a.report.Imported = a.handler.Now()
 	a.place.Progress(a.report)
 	err = a.runDecode(ctx)
-	a.report.BadDecode = err != nil && ctx.Err() == nil && !errors.Is(err, errCaller)
+	a.report.BadDecode = err != nil && ctx.Err() == nil && !errors.Is(err, errCaller) && !errors.Is(err, withdrawnKey)
 	return err
 }
 
@@ -119,6 +119,9 @@
 			return nil
 		}
 		a.report.Generated++
+		if err := a.handler.checkKey(a.out.call); err != nil {
+			return err
+		}
 		return a.out.token(c.Text)
 	})
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -95,6 +95,9 @@
 		if err == nil || ctx.Err() != nil || errors.Is(err, errCaller) {
 			return err
 		}
+		if errors.Is(err, withdrawnKey) {
+			return withdrawnKey.WithOutcome(outcome.Ran)
+		}
 		if a.reached {
 			m.ran = outcome.Unknown
 		}
