Give orders to engines under one fenced lease per group of pools

Cause: nothing ordered engines. After: one holder per group of pools by a platform lease that carries no time, fencing number = version of the taking write, a wait of 12 s before the first order where engines don't check; role changes by pressure with hysteresis, drained first, never below what the pool's load needs; loads of a model's version or adapter. Conclusion: a pause of more than 12 s just between check and sending is open at engines that ignore fences. A stand-in prefill engine now reports its one slot and its queue, which pressure is measured by.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -23,7 +23,7 @@
 }
 
 // Catalogue lists every kind of event.
-var Catalogue = join(instanceEvents, configEvents, requestEvents, fleetEvents, outcomeEvents)
+var Catalogue = join(instanceEvents, configEvents, requestEvents, fleetEvents, outcomeEvents, orderEvents)
 
 func join(groups ...map[Code]Definition) map[Code]Definition {
 	all := make(map[Code]Definition)
--- a/instance/build_cell.go
+++ b/instance/build_cell.go
@@ -8,6 +8,6 @@
 
 // buildCell makes the part that places requests on backend servers.
 func (i *Instance) buildCell(*suture.Supervisor) error {
-	i.placer = cell.NewPlacer(i.rules.Rules)
+	i.placer = cell.NewPlacer(i.serverRules)
 	return nil
 }
--- /dev/null
+++ b/instance/build_order.go
@@ -0,0 +1,46 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/thejerf/suture/v4"
+
+	"teaselgate/order"
+	"teaselgate/rule"
+)
+
+// buildOrder makes the part that gives orders to engines, and the one that follows what became of them.
+func (i *Instance) buildOrder(supervisor *suture.Supervisor) error {
+	i.moves = &order.Follower{Watch: i.platform.Watch}
+	supervisor.Add(i.moves)
+	supervisor.Add(&order.Service{Rules: i.rules.Rules, NewHolder: i.newHolder})
+	return nil
+}
+
+// newHolder makes the part that works for one group of pools while this instance holds its lease.
+func (i *Instance) newHolder(group string) *order.Holder {
+	lease := &order.Lease{
+		Name:     group,
+		Holder:   i.owner(),
+		Get:      i.platform.Get,
+		Update:   i.platform.Update,
+		Wait:     func() time.Duration { return order.FirstWait(i.rules.Rules(), group) },
+		NewClaim: uuid.NewString,
+		Now:      time.Now,
+	}
+	return &order.Holder{
+		Group:   group,
+		Lease:   lease,
+		Engines: order.Engines{Order: i.engines.Order, Load: i.engines.Load, Requests: i.engines.Requests},
+		Rules:   i.rules.Rules,
+		Chosen:  func() bool { return !i.leaving.Load() && i.chosen("order "+group) },
+		Record:  i.events.Record,
+		Now:     time.Now,
+	}
+}
+
+// serverRules returns the rules in force with each server in the pool where it stands now.
+func (i *Instance) serverRules() *rule.Set {
+	return i.moves.Apply(i.rules.Rules())
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,6 +22,7 @@
 	"teaselgate/limit"
 	"teaselgate/metric"
 	"teaselgate/option"
+	"teaselgate/order"
 	"teaselgate/outcome"
 	"teaselgate/peer"
 	"teaselgate/platform"
@@ -56,6 +57,7 @@
 	connections *limit.Listener
 	requests    *metric.Handler
 	metrics     *metric.Metrics
+	moves       *order.Follower
 	callerTLS   *certificate.Store // nil while the listener is plain
 	adminTLS    *certificate.Store // nil while the listener is plain
 	leaving     atomic.Bool
@@ -141,6 +143,7 @@
 		i.buildCertificates,
 		i.buildConfig,
 		i.buildFleet,
+		i.buildOrder,
 		i.buildAllowance,
 		i.buildCell,
 		i.buildOutcome,
--- a/rule/rule.go
+++ b/rule/rule.go
@@ -63,6 +63,8 @@
 	Prefill string `yaml:"prefill"`
 	Decode  string `yaml:"decode"`
 	Place   Place  `yaml:"place"`
+	Version string `yaml:"version"` // that engines are ordered to load; empty leaves it to them
+	Adapter string `yaml:"adapter"` // that engines are ordered to load; empty for none
 }
 
 // Place is the policy that picks backend servers.
--- a/standin/engine/decode.go
+++ b/standin/engine/decode.go
@@ -9,6 +9,7 @@
 	"time"
 
 	api "teaselgate/engine"
+	"teaselgate/rule"
 	"teaselgate/standin/fault"
 )
 
@@ -237,6 +238,11 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	current := api.Load{Slots: len(e.attempts), SlotsMax: e.Slots, Pieces: e.used, PiecesMax: e.Pieces}
+	if e.Duty == rule.Prefill {
+		// One prompt is computed at a time; results that wait for their import take memory, but no slot.
+		busy := int(e.waiting.Load())
+		current.Slots, current.SlotsMax, current.QueueDepth = min(busy, 1), 1, max(busy-1, 0)
+	}
 	e.loads = append(e.loads, loadSample{now, current})
 	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.LoadLag {
 		e.loads = e.loads[1:]
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	api "teaselgate/engine"
@@ -39,6 +40,7 @@
 	cache    prefixCache
 	used     int // pieces in use
 	queue    chan struct{}
+	waiting  atomic.Int64 // prefills that are computed or wait
 	link     sync.Mutex
 	wake     chan struct{}
 	loads    []loadSample
--- a/standin/engine/prefill.go
+++ b/standin/engine/prefill.go
@@ -29,6 +29,8 @@
 	if e.Hook.At(w, r, fault.Step{Name: StepPrefill, Attempt: m.Attempt}) == fault.Refuse {
 		return
 	}
+	e.waiting.Add(1)
+	defer e.waiting.Add(-1)
 	select {
 	case e.queue <- struct{}{}:
 	case <-r.Context().Done():
