--- a/order/holder.go
+++ b/order/holder.go
@@ -45,7 +45,7 @@
 	known   bool // whether record and version are the platform's
 	stand   standing
 	drained drain
-	steps   int // since the last measurement
+	steps   int       // since the last measurement
 	rest    time.Time // no role change before
 	trends  map[string]*trend
 	skip    map[string]time.Time // servers whose load order failed, until when
