Bound the memory of request bodies that are held at once

Cause: a body for a model is read whole, up to 16 MB, before its account is charged: some hundred callers with good keys could take all memory of an instance. After: limit.memory (64 MiB) bounds what is held over all callers; one above it is refused as not-run with Retry-After. Bodies for plain services stream and are not counted. Measured: in faked time, of three bodies of 400 KiB where 1 MiB is allowed the third is refused, and one sent after the others ended is taken. A TLS handshake that stays silent is cut after limit.begin (tested too). Conclusion: JSON decoding holds about twice the body besides; 64 MiB leaves room for that in 256 MB.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"teaselgate/event"
+	"teaselgate/outcome"
 )
 
 // Timing of the exchange with a caller.
@@ -25,6 +26,10 @@
 	if errors.As(err, &tooLarge) {
 		return nil, badRequest(http.StatusRequestEntityTooLarge, "body-too-large", "the body is too large")
 	}
+	var refusal *outcome.Refusal
+	if errors.As(err, &refusal) {
+		return nil, refusal
+	}
 	if err != nil {
 		return nil, badRequest(http.StatusBadRequest, "bad-body", "the body could not be read")
 	}
--- a/instance/server.go
+++ b/instance/server.go
@@ -15,6 +15,7 @@
 	"teaselgate/certificate"
 	"teaselgate/limit"
 	"teaselgate/metric"
+	"teaselgate/rule"
 	"teaselgate/timeline"
 )
 
@@ -28,7 +29,7 @@
 
 // callerServer makes the HTTP server for callers, with the listener that bounds their connections.
 func (i *Instance) callerServer() *http.Server {
-	server := limit.NewServer(i.handler, i.Options.Limit, i.events.Record)
+	server := limit.NewServer(i.handler, i.Options.Limit, i.buffersBody, i.events.Record)
 	i.requests = &metric.Handler{Next: server.Handler, Metrics: i.metrics, Route: i.routeName, Now: time.Now}
 	server.Handler = i.requests
 	server.ErrorLog = i.serverLog()
@@ -36,16 +37,22 @@
 	return server
 }
 
-// routeName names the route of a path for the metrics.
-func (i *Instance) routeName(path string) string {
+// route finds the route of a path; it is empty if there is none.
+func (i *Instance) route(path string) rule.Route {
 	revision := i.rules.Current()
 	if revision == nil {
-		return ""
+		return rule.Route{}
 	}
 	route, _ := revision.Rules.Route(path)
-	return route.Route
+	return route
 }
 
+// routeName names the route of a path for the metrics.
+func (i *Instance) routeName(path string) string { return i.route(path).Route }
+
+// buffersBody tells whether requests to a path are held whole; those to plain services are passed on as they come.
+func (i *Instance) buffersBody(path string) bool { return i.route(path).Model != "" }
+
 // serveHTTP serves on a listener, by TLS if there is a certificate.
 func serveHTTP(server *http.Server, listener net.Listener, secure *certificate.Store) error {
 	if secure == nil {
--- a/limit/handler.go
+++ b/limit/handler.go
@@ -6,23 +6,28 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"teaselgate/event"
 	"teaselgate/outcome"
 )
 
-// crowdedRetry is when a caller refused for want of connections may come back.
-const crowdedRetry = time.Second
+// retryAfter is when a caller refused for want of connections or memory may come back.
+const retryAfter = time.Second
 
 // Handler bounds how long each request waits for its caller. Its exported fields are set before it serves.
 type Handler struct {
-	Next   http.Handler
-	Stall  time.Duration
-	Pace   int64 // bytes per second
-	Body   int64 // bytes
-	Record func(event.Event)
-	Now    func() time.Time
+	Next     http.Handler
+	Stall    time.Duration
+	Pace     int64                  // bytes per second
+	Body     int64                  // bytes
+	Memory   int64                  // bytes of bodies that are held at once
+	Buffered func(path string) bool // whether the body of a request to a path is held whole
+	Record   func(event.Event)
+	Now      func() time.Time
+
+	held atomic.Int64 // bytes
 }
 
 // ServeHTTP implements http.Handler.
@@ -30,7 +35,7 @@
 	if isCrowded(r.Context()) {
 		w.Header().Set("Connection", "close")
 		h.refuse(w, outcome.Refuse(http.StatusServiceUnavailable, "too-many-connections", "the instance has too many connections").
-			WithRetry(h.Now().Add(crowdedRetry)))
+			WithRetry(h.Now().Add(retryAfter)))
 		return
 	}
 	if r.ContentLength > h.Body {
@@ -45,6 +50,8 @@
 		body := &bodyReader{ReadCloser: r.Body, handler: h, control: control, pacer: newPacer(h.Stall, h.Pace)}
 		// Also bounds what the server discards of a body that nobody reads.
 		_ = control.SetReadDeadline(body.pacer.deadline(h.Now()))
+		body.buffered = h.Buffered(r.URL.Path)
+		defer body.release()
 		r.Body = http.MaxBytesReader(w, body, h.Body)
 	}
 	out := &answerWriter{ResponseWriter: w, handler: h, control: control, pacer: newPacer(h.Stall, h.Pace)}
@@ -66,9 +73,27 @@
 // bodyReader reads a request's body within the pacer's deadline.
 type bodyReader struct {
 	io.ReadCloser
-	handler *Handler
-	control *http.ResponseController
-	pacer   *pacer
+	handler  *Handler
+	control  *http.ResponseController
+	pacer    *pacer
+	buffered bool
+	held     int64 // bytes
+}
+
+// release gives the memory of the body back.
+func (b *bodyReader) release() { b.handler.held.Add(-b.held) }
+
+// hold counts bytes of a body that is kept, and refuses those above the bound.
+func (b *bodyReader) hold(n int) error {
+	if !b.buffered {
+		return nil
+	}
+	b.held += int64(n)
+	if b.handler.held.Add(int64(n)) <= b.handler.Memory {
+		return nil
+	}
+	return outcome.Refuse(http.StatusServiceUnavailable, "too-many-bodies", "the instance holds too many request bodies").
+		WithRetry(b.handler.Now().Add(retryAfter))
 }
 
 // Read implements io.Reader.
@@ -83,6 +108,9 @@
 	} else if err != nil {
 		b.handler.noteStall(err, "body")
 	}
+	if refusal := b.hold(n); refusal != nil {
+		return n, refusal
+	}
 	return n, err
 }
 
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -77,7 +79,7 @@
 func startBench(t *testing.T, bounds option.Limit, next http.HandlerFunc) *bench {
 	t.Helper()
 	b := &bench{pipeListener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}}
-	b.server = NewServer(next, bounds, b.record)
+	b.server = NewServer(next, bounds, isModel, b.record)
 	listener := Bound(b.server, b.pipeListener, bounds.Connections, b.record)
 	go func() { _ = b.server.Serve(listener) }()
 	t.Cleanup(func() {
@@ -91,12 +93,15 @@
 	Connections: 2,
 	Header:      4 << 10,
 	Body:        1 << 20,
+	Memory:      1 << 20,
 	Begin:       5 * time.Second,
 	Stall:       10 * time.Second,
 	Pace:        1 << 10,
 	Idle:        time.Minute,
 }
 
+func isModel(path string) bool { return path == "/model" }
+
 // closedAfter reads until the server closes the connection, and returns when that was.
 func closedAfter(conn net.Conn) time.Duration {
 	start := time.Now()
@@ -390,7 +395,7 @@
 				t.Errorf("unexpected error %v", err)
 			}
 		}
-	}), bounds, func(event.Event) {}).Handler
+	}), bounds, isModel, func(event.Event) {}).Handler
 	server := httptest.NewUnstartedServer(handler)
 	server.EnableHTTP2 = true
 	server.StartTLS()
@@ -405,3 +410,67 @@
 		t.Errorf("unexpected answer by %s, got %q, %v", resp.Proto, text, err)
 	}
 }
+
+func TestBodiesHeldAtOnceAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wide := bounds
+		wide.Connections = 10
+		hold := make(chan struct{})
+		var refused, whole atomic.Int64
+		b := startBench(t, wide, func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.Copy(io.Discard, r.Body)
+			var refusal *outcome.Refusal
+			if errors.As(err, &refusal) {
+				refused.Add(1)
+				refusal.Write(w, time.Now())
+				return
+			}
+			whole.Add(1)
+			<-hold
+		})
+		body := strings.Repeat("x", 400<<10)
+		send := func(path string) net.Conn {
+			conn := b.dial()
+			feed(t, conn, func() {
+				_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+			})
+			synctest.Wait()
+			return conn
+		}
+		first := send("/model")
+		send("/model")
+		if got := receive(t, send("/model")); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" ||
+			got.header.Get(outcome.Header) != string(outcome.NotRun) {
+			t.Errorf("unexpected answer to a third body of 400 KiB where 1 MiB is allowed: %v", got)
+		}
+		// Bodies that are passed on are not counted.
+		send("/plain")
+		if refused.Load() != 1 || whole.Load() != 3 {
+			t.Errorf("unexpected requests, %d refused and %d whole instead of 1 and 3", refused.Load(), whole.Load())
+		}
+		close(hold)
+		receive(t, first)
+		synctest.Wait()
+		again := send("/model")
+		if got := receive(t, again); got.status != http.StatusOK {
+			t.Errorf("unexpected refusal after the memory was given back: %v", got)
+		}
+	})
+}
+
+func TestSilentHandshakeIsCut(t *testing.T) {
+	lender := httptest.NewTLSServer(nil)
+	defer lender.Close()
+	synctest.Test(t, func(t *testing.T) {
+		server := NewServer(http.NotFoundHandler(), bounds, isModel, func(event.Event) {})
+		server.TLSConfig = &tls.Config{Certificates: lender.TLS.Certificates}
+		inner := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		go func() { _ = server.ServeTLS(Bound(server, inner, bounds.Connections, func(event.Event) {}), "", "") }()
+		conn := inner.dial()
+		if got := closedAfter(conn); got != bounds.Begin {
+			t.Errorf("unexpected time until the cut, got %v instead of %v", got, bounds.Begin)
+		}
+		server.Close()
+		conn.Close()
+	})
+}
--- a/limit/server.go
+++ b/limit/server.go
@@ -9,16 +9,19 @@
 	"teaselgate/option"
 )
 
-// NewServer makes an HTTP server for callers with all bounds of the settings.
-func NewServer(next http.Handler, bounds option.Limit, record func(event.Event)) *http.Server {
+// NewServer makes an HTTP server for callers with all bounds of the settings; buffered tells for which paths a body is
+// held whole.
+func NewServer(next http.Handler, bounds option.Limit, buffered func(path string) bool, record func(event.Event)) *http.Server {
 	return &http.Server{
 		Handler: &Handler{
-			Next:   next,
-			Stall:  bounds.Stall,
-			Pace:   bounds.Pace,
-			Body:   bounds.Body,
-			Record: record,
-			Now:    time.Now,
+			Next:     next,
+			Stall:    bounds.Stall,
+			Pace:     bounds.Pace,
+			Body:     bounds.Body,
+			Memory:   bounds.Memory,
+			Buffered: buffered,
+			Record:   record,
+			Now:      time.Now,
 		},
 		ReadHeaderTimeout: bounds.Begin,
 		IdleTimeout:       bounds.Idle,
--- a/option/field.go
+++ b/option/field.go
@@ -109,6 +109,10 @@
 		Name: "limit.body", check: checkCount, at: func(o *Options) any { return &o.Limit.Body },
 		Text: "Largest request body, in bytes.",
 	},
+	{
+		Name: "limit.memory", check: checkCount, at: func(o *Options) any { return &o.Limit.Memory },
+		Text: "Bytes of request bodies for models that are held at once, over all callers; those above it are told `too-many-bodies`. Bodies for plain services are passed on as they come and not counted.",
+	},
 	{
 		Name: "limit.begin", check: checkTime, at: func(o *Options) any { return &o.Limit.Begin },
 		Text: "Time in which a caller must have sent the whole request header, and the TLS handshake.",
--- a/option/option.go
+++ b/option/option.go
@@ -46,6 +46,7 @@
 	Connections int           `yaml:"connections"`
 	Header      int           `yaml:"header"` // bytes
 	Body        int64         `yaml:"body"`   // bytes
+	Memory      int64         `yaml:"memory"` // bytes
 	Begin       time.Duration `yaml:"begin"`
 	Stall       time.Duration `yaml:"stall"`
 	Pace        int64         `yaml:"pace"` // bytes per second
@@ -65,6 +66,7 @@
 			Connections: 8192,
 			Header:      64 << 10,
 			Body:        16 << 20,
+			Memory:      64 << 20,
 			Begin:       5 * time.Second,
 			Stall:       10 * time.Second,
 			Pace:        4 << 10,
