End an instance whose listener fails, and leave nothing behind after a failed start

Cause: an error of the callers' or admin listener was dropped, and the process lived on without it; a start that failed kept its listeners and the goroutines of the metrics. After: Run leaves in good order and returns the error, so that the process supervisor restarts it; goleak finds nothing after a failed start (it found the metrics' goroutine before).

--- /dev/null
+++ b/instance/failure_test.go
@@ -0,0 +1,59 @@
+package instance_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"teaselgate/instance"
+	"teaselgate/option"
+	standplatform "teaselgate/standin/platform"
+	"teaselgate/standin/site"
+)
+
+func options(base string) *option.Options {
+	o := option.Default()
+	o.Name, o.Zone, o.Platform = "i1", "ala-a", base
+	o.Listen, o.Admin, o.Peer = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	return o
+}
+
+func TestFailedStartLeavesNothingBehind(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	o := options("http://127.0.0.1:1")
+	o.TLS = option.TLS{Certificate: "missing.pem", Key: "missing.pem"}
+	i := &instance.Instance{Options: o, Tokens: site.Tokens}
+	if err := i.Open(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := i.Run(t.Context()); err == nil || !strings.Contains(err.Error(), "certificate: unable to read") {
+		t.Errorf("unexpected end of an instance without its certificate: %v", err)
+	}
+	listener, err := net.Listen("tcp", i.Address())
+	if err != nil {
+		t.Fatalf("unexpected listener left open: %v", err)
+	}
+	listener.Close()
+}
+
+func TestInstanceEndsWithAListener(t *testing.T) {
+	store := httptest.NewServer(standplatform.NewServer(site.Tokens.Platform).Handler())
+	defer store.Close()
+	i := &instance.Instance{Options: options(store.URL), Tokens: site.Tokens}
+	if err := i.Open(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(t.Context()) }()
+	poll(t, func() bool {
+		return call(http.DefaultClient, http.MethodGet, "http://"+i.AdminAddress()+"/ready", "", nil).err == nil
+	})
+	i.CloseCallers()
+	if err := <-ended; err == nil || !strings.Contains(err.Error(), "a listener failed") {
+		t.Errorf("unexpected end of an instance that lost its listener: %v", err)
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -101,8 +101,12 @@
 func (i *Instance) Run(ctx context.Context) error {
 	supervisor := suture.New(i.Options.Name, suture.Spec{EventHook: i.recordFailure})
 	if err := i.build(supervisor); err != nil {
+		i.closeListeners()
+		i.close()
 		return err
 	}
+	ctx, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	caller := i.callerServer()
@@ -110,12 +114,12 @@
 	defer endRequests(nil)
 	admin := i.adminServer()
 	done := supervisor.ServeBackground(background)
-	go func() { _ = serveHTTP(caller, i.connections, i.callerTLS) }()
-	go func() { _ = serveHTTP(admin, i.listeners.admin, i.adminTLS) }()
+	go func() { fail(serveHTTP(caller, i.connections, i.callerTLS)) }()
+	go func() { fail(serveHTTP(admin, i.listeners.admin, i.adminTLS)) }()
 	i.announce(background, fleet.Live)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
 	<-ctx.Done()
-	err := i.leave(background, caller, endRequests)
+	err := errors.Join(listenerFailure(ctx), i.leave(background, caller, endRequests))
 	admin.Close()
 	stop()
 	if stopped := <-done; !errors.Is(stopped, context.Canceled) {
@@ -168,7 +172,24 @@
 	i.services.Close()
 	i.peers.Close()
 	i.platform.HTTP.CloseIdleConnections()
-	_ = i.metrics.Close()
+	if i.metrics != nil {
+		_ = i.metrics.Close()
+	}
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range []net.Listener{i.listeners.caller, i.listeners.admin, i.listeners.peer} {
+		l.Close()
+	}
+}
+
+// listenerFailure returns the error of a listener that ended the instance, if one did.
+func listenerFailure(ctx context.Context) error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, context.Canceled) || errors.Is(cause, context.DeadlineExceeded) {
+		return nil
+	}
+	return fmt.Errorf("instance: a listener failed: %w", cause)
 }
 
 func (i *Instance) recordFailure(e suture.Event) {
--- a/standin/engine/decode.go
+++ b/standin/engine/decode.go
@@ -293,6 +293,9 @@
 	}
 	e.fence = max(e.fence, m.Fence)
 	e.orders = append(e.orders, m)
+	if m.Role != "" {
+		e.Duty = rule.Duty(m.Role)
+	}
 	answer(w, struct{}{})
 }
 
--- /dev/null
+++ b/standin/engine/order_test.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	api "teaselgate/engine"
+	"teaselgate/rule"
+)
+
+func TestOrdersAreFencedIfTheEngineChecks(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		e := NewEngine("p0", rule.Prefill)
+		e.Fenced = fenced
+		server := httptest.NewServer(e.Handler())
+		client := api.NewClient()
+		at := strings.TrimPrefix(server.URL, "http://")
+		steps := []struct {
+			order api.Order
+			stale bool
+		}{
+			{api.Order{Fence: 5, Role: "decode", Model: "chat"}, false},
+			{api.Order{Fence: 4, Role: "prefill"}, fenced},
+			{api.Order{Fence: 5, Version: "v2"}, false},
+			{api.Order{Fence: 6, Adapter: "cuts"}, false},
+		}
+		for _, step := range steps {
+			err := client.Order(t.Context(), at, step.order)
+			if step.stale != errors.Is(err, api.ErrStale) || !step.stale && err != nil {
+				t.Errorf("unexpected answer to %v where fenced is %v: %v", step.order, fenced, err)
+			}
+		}
+		load, err := client.Load(t.Context(), at)
+		if err != nil || fenced != (load.SlotsMax == e.Slots) {
+			t.Errorf("unexpected load after the role change where fenced is %v: %v, %v", fenced, load, err)
+		}
+		client.Close()
+		server.Close()
+	}
+}
