--- a/cell/placement.go
+++ b/cell/placement.go
@@ -2,10 +2,13 @@
 package cell
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"teaselgate/engine"
 	"teaselgate/rule"
 )
 
@@ -38,20 +41,69 @@
 type Placement struct {
 	Prefill rule.Server
 	Decode  rule.Server
+	Patient bool // a refused import is repeated: the slot was promised and is about to be free
 
-	release func(Report)
+	release  func(Report)
+	progress func(Report) // may be nil
 }
 
 // Report tells the placer how an attempt went.
 type Report struct {
+	Placed     time.Time // when the place was given; the other times are compared with it
 	Prefilled  time.Time // when the prefill answered; zero if it did not
 	Imported   time.Time // when the transfer ended; zero if it did not
 	Ended      time.Time
-	Generated  int // tokens
+	Generated  int  // tokens
+	Cached     int  // prompt tokens that the prefill found in its cache
+	Refused    bool // the decode server had no room
 	BadPrefill bool
 	BadDecode  bool
 }
 
+// Refusal is an error of a placement that tells when to come back.
+type Refusal struct {
+	Err     error
+	RetryAt time.Time
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.Err.Error() }
+
+// Unwrap returns the reason.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+// Timing of repeated imports.
+const (
+	importPause    = 20 * time.Millisecond
+	importPatience = 400 * time.Millisecond // after the prefill, whose result is kept for under a second
+)
+
+// RepeatRefused runs an import that the decode server may refuse because the slot that was predicted
+// to be free is not yet. Placements without such a prediction run it once.
+func (p *Placement) RepeatRefused(ctx context.Context, prefilled time.Time, transfer func() error) error {
+	until := prefilled.Add(importPatience)
+	for {
+		err := transfer()
+		if !p.Patient || !errors.Is(err, engine.ErrBusy) || time.Now().After(until) {
+			return err
+		}
+		timer := time.NewTimer(importPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		case <-timer.C:
+		}
+	}
+}
+
+// Progress reports an attempt whose transfer has ended, if the placer wants to know.
+func (p *Placement) Progress(r Report) {
+	if p.progress != nil {
+		p.progress(r)
+	}
+}
+
 // Release gives the places back.
 func (p *Placement) Release(r Report) {
 	if p.release != nil {
--- a/entry/model.go
+++ b/entry/model.go
@@ -95,6 +95,9 @@
 		if err == nil || ctx.Err() != nil || errors.Is(err, errCaller) {
 			return err
 		}
+		if errors.Is(err, withdrawnKey) {
+			return withdrawnKey.WithOutcome(outcome.Ran)
+		}
 		if a.reached {
 			m.ran = outcome.Unknown
 		}
@@ -161,5 +164,9 @@
 	if errors.Is(err, cell.ErrShed) {
 		refusal.Code = "shed"
 	}
+	var later *cell.Refusal
+	if errors.As(err, &later) {
+		refusal = refusal.WithRetry(later.RetryAt)
+	}
 	return refusal.WithOutcome(ran)
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -23,7 +23,15 @@
 }
 
 // Catalogue lists every kind of event.
-var Catalogue = join(instanceEvents, configEvents, requestEvents, fleetEvents, outcomeEvents, orderEvents)
+var Catalogue = join(
+	instanceEvents,
+	configEvents,
+	requestEvents,
+	cellEvents,
+	fleetEvents,
+	outcomeEvents,
+	orderEvents,
+)
 
 func join(groups ...map[Code]Definition) map[Code]Definition {
 	all := make(map[Code]Definition)
