--- a/rule/rule.go
+++ b/rule/rule.go
@@ -66,15 +66,12 @@
 	Prefill string `yaml:"prefill"`
 	Decode  string `yaml:"decode"`
 	Place   Place  `yaml:"place"`
-<<<<<<< HEAD
+	Version string `yaml:"version"` // that engines are ordered to load; empty leaves it to them
+	Adapter string `yaml:"adapter"` // that engines are ordered to load; empty for none
 
 	First   time.Duration `yaml:"first"`   // target for the first token
 	Between time.Duration `yaml:"between"` // target for the time between tokens
 	Wait    time.Duration `yaml:"wait"`    // longest wait of a summary for a place
-=======
-	Version string `yaml:"version"` // that engines are ordered to load; empty leaves it to them
-	Adapter string `yaml:"adapter"` // that engines are ordered to load; empty for none
->>>>>>> f90ddfbd2029a9f1da9088bfc6234f0fb25b4ece
 }
 
 // Targets of a model that names none.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -41,12 +41,8 @@
 	exports  map[string]*export
 	cache    prefixCache
 	used     int // pieces in use
-<<<<<<< HEAD
 	queue    prefillQueue
-=======
-	queue    chan struct{}
 	waiting  atomic.Int64 // prefills that are computed or wait
->>>>>>> f90ddfbd2029a9f1da9088bfc6234f0fb25b4ece
 	link     sync.Mutex
 	wake     chan struct{}
 	loads    []loadSample
--- a/standin/engine/prefill.go
+++ b/standin/engine/prefill.go
@@ -17,15 +17,9 @@
 	if e.Hook.At(w, r, fault.Step{Name: StepPrefill, Attempt: m.Attempt}) == fault.Refuse {
 		return
 	}
-<<<<<<< HEAD
-	if !e.queue.enter(r.Context(), m.Priority) {
-=======
 	e.waiting.Add(1)
 	defer e.waiting.Add(-1)
-	select {
-	case e.queue <- struct{}{}:
-	case <-r.Context().Done():
->>>>>>> f90ddfbd2029a9f1da9088bfc6234f0fb25b4ece
+	if !e.queue.enter(r.Context(), m.Priority) {
 		return
 	}
 	tokens := CountTokens(m.Prompt) + CountTokens(m.Continue)
