--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,13 @@
 # Rewrites the pages that tests keep equal to the code.
 pages:
 	go test ./event ./cli ./metric ./option -update
+	go test -run TestFaultPage ./outcome -update
+
+# Random walks over the whole path with many seeds; SEED=0 takes a new one.
+SEED ?= 0
+WALKS ?= 5000
+.PHONY: long-path
+long-path:
+	go test -race -timeout 4h -run TestWalk ./outcome -rapid.checks=$(WALKS) -rapid.seed=$(SEED)
+	go test -run XXX -fuzz FuzzCompletionBody -fuzztime 5m ./entry
+	go test -run XXX -fuzz FuzzReadChunks -fuzztime 5m ./engine
--- a/outcome/walk_test.go
+++ b/outcome/walk_test.go
@@ -90,7 +90,7 @@
 }
 
 func drawStrikes(r *rapid.T) []*strike {
-	var out []*strike
+	out := make([]*strike, 0, maxWalkFaults)
 	for range rapid.IntRange(0, maxWalkFaults).Draw(r, "faults") {
 		out = append(out, &strike{
 			step:   rapid.SampledFrom(walkSteps).Draw(r, "step"),
