--- a/outcome/bench_test.go
+++ b/outcome/bench_test.go
@@ -425,4 +425,5 @@
 		stop()
 	}
 	b.running.Wait()
+	http.DefaultClient.CloseIdleConnections() // those between two engines
 }
--- a/outcome/pairs_test.go
+++ b/outcome/pairs_test.go
@@ -29,6 +29,16 @@
 	return out
 }
 
+// killPool ends all servers of a pool, the given one last, so that none is left when its call fails.
+func (b *bench) killPool(last *backend) {
+	for _, be := range b.pool(last.pool) {
+		if be != last {
+			be.kill()
+		}
+	}
+	last.kill()
+}
+
 func platformDown(b *bench) { b.platform.SetFaults(standplatform.Faults{Outage: true}) }
 
 var pairs = []pair{
@@ -79,16 +89,12 @@
 		be.kill()
 		return fault.Break
 	}, "broken"},
-	{"all decode servers end in mid-stream", stream, "token", func(b *bench, _ *backend, _ *pending) fault.Action {
-		for _, be := range b.pool("decode") {
-			be.kill()
-		}
+	{"all decode servers end in mid-stream", stream, "token", func(b *bench, be *backend, _ *pending) fault.Action {
+		b.killPool(be)
 		return fault.Break
 	}, "broken"},
-	{"all prefill servers end", complete, "prefill", func(b *bench, _ *backend, _ *pending) fault.Action {
-		for _, be := range b.pool("prefill") {
-			be.kill()
-		}
+	{"all prefill servers end", complete, "prefill", func(b *bench, be *backend, _ *pending) fault.Action {
+		b.killPool(be)
 		return fault.Break
 	}, "unknown"},
 	{"decode server's process ends, then the caller goes away", stream, "token", func(b *bench, be *backend, p *pending) fault.Action {
