Charge a call by its outcome: nothing if not run, all if it may have run

Cause: a shed completion was charged its prompt although nothing ran, so an account under pressure was refused as over its rate on top; a plain call whose answer was lost was given back whole although it may have run, so an account could run more than its rate. Before: the second shed call of an account with one call's burst got over-rate; two unknown calls ran on a burst of one. After: three of three are shed, the second unknown call is refused; both tests failed before the change. Conclusion: the charge follows the outcome told to the caller.

--- /dev/null
+++ b/entry/charge_test.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"teaselgate/account"
+	"teaselgate/allowance"
+	"teaselgate/cell"
+	"teaselgate/config"
+	"teaselgate/event"
+	"teaselgate/outcome"
+	"teaselgate/rule"
+	"teaselgate/service"
+)
+
+// meteredHandler charges an account that has a burst, and a rate of next to nothing.
+func meteredHandler(t *testing.T, burst int, at string) *Handler {
+	t.Helper()
+	text := "- {pool: plain, duty: plain, slots: 9}   # marat: test\n" +
+		"- {pool: pre, duty: prefill, slots: 1}   # marat: test\n" +
+		"- {pool: dec, duty: decode, slots: 1, pieces: 9}   # marat: test\n" +
+		"- {model: m, prefill: pre, decode: dec}   # marat: test\n" +
+		"- {route: model, path: /model, model: m}   # marat: test\n" +
+		"- {route: once, path: /once, pool: plain, calls: once}   # marat: test\n" +
+		fmt.Sprintf("- {account: shop, rate: 1, burst: %d}   # marat: test\n", burst) +
+		fmt.Sprintf("- {key: %q, account: shop}   # marat: test\n", account.Hash(testSecret))
+	rules, problems := rule.Parse("test", []byte(text))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	services := service.NewClient()
+	t.Cleanup(services.Close)
+	static := allowance.NewStatic(func() int { return 1 })
+	start := time.Now()
+	static.Now = func() time.Time { return start }
+	return &Handler{
+		Rules:     func() *config.Revision { return &config.Revision{Number: 1, Rules: rules} },
+		Connected: func() bool { return true },
+		Admit:     static.Take,
+		Place: func(context.Context, cell.Request) (*cell.Placement, error) {
+			return nil, cell.ErrShed
+		},
+		PickPlain: func(string, []string) (rule.Server, error) { return rule.Server{Server: "s", At: at}, nil },
+		PlainDone: func(string, time.Duration, bool) {},
+		Services:  services,
+		Budget:    outcome.NewBudget(),
+		Record:    func(event.Event) {},
+		Now:       time.Now,
+	}
+}
+
+// refusalCode makes a call and returns the code of its refusal.
+func refusalCode(t *testing.T, h http.Handler, path, body string) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+testSecret)
+	h.ServeHTTP(w, r)
+	var answer struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), &answer); err != nil {
+		t.Fatalf("unexpected answer %q: %v", w.Body.String(), err)
+	}
+	return answer.Error.Code
+}
+
+func TestCallThatDidNotRunCostsNothing(t *testing.T) {
+	h := meteredHandler(t, 110, "") // 10 tokens of prompt, 100 of answer
+	body := `{"prompt": "` + strings.Repeat("x", 40) + `", "max_tokens": 100}`
+	for n := range 3 {
+		if got := refusalCode(t, h, "/model", body); got != "shed" {
+			t.Errorf("unexpected refusal %d, got %s instead of shed", n, got)
+		}
+	}
+}
+
+func TestCallThatMayHaveRunIsCharged(t *testing.T) {
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	h := meteredHandler(t, 1, server.Listener.Addr().String())
+	for _, want := range []string{"no-answer", "over-rate"} {
+		if got := refusalCode(t, h, "/once", "order"); got != want {
+			t.Errorf("unexpected refusal, got %s instead of %s", got, want)
+		}
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("unexpected runs, got %d instead of 1", n)
+	}
+}
--- a/entry/model.go
+++ b/entry/model.go
@@ -44,7 +44,7 @@
 	out := newAnswer(w, c, ask, h.Now())
 	run := &modelRun{handler: h, call: c, ask: ask, out: out, ran: outcome.NotRun}
 	err = run.serve(ctx)
-	charge.Settle(int64(ask.promptTokens() + out.tokens))
+	charge.Settle(costOf(err, ask.promptTokens()+out.tokens))
 	h.endModel(r.Context(), c, out, err)
 }
 
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -40,13 +40,21 @@
 		err = h.serveIdempotent(w, r, c)
 	}
 	if err != nil {
-		charge.Settle(0)
+		charge.Settle(costOf(err, plainCallTokens))
 		h.refuse(w, c, err)
 		return
 	}
 	charge.Settle(plainCallTokens)
 }
 
+// costOf returns what a call costs its account: nothing only if it is certain not to have run.
+func costOf(err error, tokens int) int64 {
+	if err != nil && outcome.AsRefusal(err).Outcome == outcome.NotRun {
+		return 0
+	}
+	return int64(tokens)
+}
+
 // serveIdempotent sends a call, again on other servers if need be, until one answers.
 func (h *Handler) serveIdempotent(w http.ResponseWriter, r *http.Request, c *call) error {
 	body, err := readBody(w, r, maxReplayBytes)
