Let a model's rule keep the roles of its engines

Cause: operators had no way to stop role changes but to redraw their pools. After: roles: keep in the model's rule; without it engines may move. Tested in faked time: ten minutes of one-sided pressure change nothing.

--- a/order/holder_test.go
+++ b/order/holder_test.go
@@ -98,6 +98,18 @@
 	})
 }
 
+func TestRolesAreKeptIfTheRuleSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, true, ", roles: keep")
+		s.press(0.1, 0.95)
+		defer run(t, s.holder("a", true))()
+		wait(10 * time.Minute)
+		if got := s.count(event.RoleChangeStarted); got != 0 {
+			t.Errorf("unexpected role changes, got %d instead of none", got)
+		}
+	})
+}
+
 func TestSwingingPressureChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, true, "")
--- a/order/move.go
+++ b/order/move.go
@@ -73,6 +73,9 @@
 // balance measures the pressure of each model's pools and starts a role change if one is due.
 func (h *Holder) balance(ctx context.Context, set *rule.Set, group Group) {
 	for _, model := range group.Models {
+		if model.Roles == rule.RolesKeep {
+			continue
+		}
 		names := [2]string{model.Prefill, model.Decode}
 		var pools [2]pressure
 		var reports [2][]report
--- a/rule/rule.go
+++ b/rule/rule.go
@@ -65,8 +65,18 @@
 	Place   Place  `yaml:"place"`
 	Version string `yaml:"version"` // that engines are ordered to load; empty leaves it to them
 	Adapter string `yaml:"adapter"` // that engines are ordered to load; empty for none
+	Roles   Roles  `yaml:"roles"`   // empty means move
 }
 
+// Roles says whether engines may be ordered from one of a model's pools to the other.
+type Roles string
+
+// The values of Roles.
+const (
+	RolesMove Roles = "move"
+	RolesKeep Roles = "keep"
+)
+
 // Place is the policy that picks backend servers.
 type Place string
 
--- a/rule/rule_test.go
+++ b/rule/rule_test.go
@@ -69,6 +69,7 @@
 		{`{pool: x, duty: wash, slots: 1}`, `7:13: duty: "wash" is not prefill, decode or plain`},
 		{`{model: x, prefill: none, decode: dec}`, `7:14: prefill: there is no pool "none"`},
 		{`{model: x, prefill: dec, decode: dec}`, `7:14: prefill: pool "dec" has duty decode, not prefill`},
+		{`{model: x, prefill: pre, decode: dec, place: cell, roles: swap}`, `7:54: roles: "swap" is not move or keep`},
 		{`{model: x, prefill: pre, decode: dec, place: best}`, `7:41: place: "best" is not cell, robin, least or ewma`},
 		{`{server: x, pool: none, at: "10.0.0.1:1"}`, `7:15: pool: there is no pool "none"`},
 		{`{server: x, pool: pre, at: "host:1"}`, `7:26: at: "host:1" is not an IP number and port`},
--- a/rule/rule_values.go
+++ b/rule/rule_values.go
@@ -107,6 +107,9 @@
 	default:
 		c.fault(line, "place", "place: %q is not cell, robin, least or ewma", m.Place)
 	}
+	if m.Roles != "" && m.Roles != RolesMove && m.Roles != RolesKeep {
+		c.fault(line, "roles", "roles: %q is not move or keep", m.Roles)
+	}
 }
 
 func (c *checker) checkPoolDuty(line Line, field, name string, duty Duty) {
