Ask other instances for moved engines when starting in an outage

After: it takes the newest records of up to three peers. Measured: in faked time it places by the newest of three peers, of which one is gone, at its first try; go test -race ./order ./instance pass.

--- a/instance/build_order.go
+++ b/instance/build_order.go
@@ -12,10 +12,10 @@
 
 // buildOrder makes the part that gives orders to engines, and the one that follows what became of them.
 func (i *Instance) buildOrder(supervisor *suture.Supervisor) error {
-	i.moves = &order.Follower{Watch: i.platform.Watch}
+	i.moves = &order.Follower{Watch: i.platform.Watch, Peers: i.peerAddresses, Call: i.peers.Call}
 	supervisor.Add(i.moves)
 	supervisor.Add(&order.Service{Rules: i.rules.Rules, NewHolder: i.newHolder})
-	return nil
+	return i.peerServer.Register(order.RPCName, i.moves.Receiver())
 }
 
 // newHolder makes the part that works for one group of pools while this instance holds its lease.
--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -293,7 +293,11 @@
 	t.Helper()
 	f := &Follower{}
 	if o, err := s.Get(t.Context(), RecordKind, group); err == nil {
-		f.take(o)
+		var record Record
+		if err := json.Unmarshal(o.Data, &record); err != nil {
+			t.Fatal(err)
+		}
+		f.take(group, Known{o.Version, record})
 	}
 	server, ok := findServer(f.Apply(s.rules()), name)
 	if !ok {
--- a/order/follower.go
+++ b/order/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -10,48 +11,103 @@
 	"teaselgate/rule"
 )
 
-// retryDelay is the pause after a failed watch.
-const retryDelay = time.Second
+// RPCName is the name under which the follower's methods are registered for other instances.
+const RPCName = "Order"
+
+// Times of following the records.
+const (
+	retryDelay  = time.Second
+	peerTimeout = time.Second
+	askedPeers  = 3 // in each round
+)
+
+// Known is a record with the version of its object.
+type Known struct {
+	Version uint64
+	Record  Record
+}
 
 // Follower knows where servers stand that holders have moved. Its exported fields are set before Serve.
 type Follower struct {
 	Watch func(ctx context.Context, kind string, after uint64) (platform.List, error)
+	Peers func() []string // addresses of some other instances, asked while the platform is down
+	Call  func(ctx context.Context, address, method string, args, reply any) error
 
 	mu      sync.Mutex
-	records map[string]Record // by group
-	input   *rule.Set         // of the last Apply
+	records map[string]Known // by group
+	input   *rule.Set        // of the last Apply
 	output  *rule.Set
 }
 
-// Serve follows the records until the context ends. While the platform is down, the last ones stand.
+// Serve follows the records until the context ends. While the platform is down, it asks other instances for theirs,
+// so that one that starts in an outage does not place work by the rules alone.
 func (f *Follower) Serve(ctx context.Context) error {
 	var seen uint64
+	asked := false // nothing changes in an outage, so that one answer is enough
 	for ctx.Err() == nil {
 		list, err := f.Watch(ctx, RecordKind, seen)
 		if err != nil {
+			asked = asked || f.askPeers(ctx)
 			pause(ctx, retryDelay)
 			continue
 		}
+		asked = false
 		for _, o := range list.Objects {
-			f.take(o)
+			var record Record
+			if o.Deleted || json.Unmarshal(o.Data, &record) == nil {
+				f.take(o.Name, Known{o.Version, record})
+			}
 		}
 		seen = list.Version
 	}
 	return ctx.Err()
 }
 
-func (f *Follower) take(o platform.Object) {
-	var record Record
-	if !o.Deleted && json.Unmarshal(o.Data, &record) != nil {
-		return
+// askPeers takes the records of some other instances and returns true if one of them answered.
+func (f *Follower) askPeers(ctx context.Context) (answered bool) {
+	ctx, stop := context.WithTimeout(ctx, peerTimeout)
+	defer stop()
+	for n, address := range f.Peers() {
+		if n == askedPeers {
+			break
+		}
+		var reply map[string]Known
+		if f.Call(ctx, address, RPCName+".Records", struct{}{}, &reply) != nil {
+			continue
+		}
+		answered = true
+		for group, known := range reply {
+			f.take(group, known)
+		}
 	}
+	return answered
+}
+
+// take keeps a record unless a newer one is known.
+func (f *Follower) take(group string, known Known) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.records == nil {
-		f.records = make(map[string]Record)
+		f.records = make(map[string]Known)
 	}
-	f.records[o.Name] = record
-	f.input = nil
+	if known.Version > f.records[group].Version {
+		f.records[group] = known
+		f.input = nil
+	}
+}
+
+// Receiver answers calls of other instances.
+type Receiver struct{ follower *Follower }
+
+// Receiver returns what is to be registered under RPCName.
+func (f *Follower) Receiver() *Receiver { return &Receiver{f} }
+
+// Records answers with all that the instance knows.
+func (r *Receiver) Records(_ struct{}, reply *map[string]Known) error {
+	r.follower.mu.Lock()
+	defer r.follower.mu.Unlock()
+	*reply = maps.Clone(r.follower.records)
+	return nil
 }
 
 // Apply returns rules in which each moved server stands in its new pool, and a server that is drained is leaving.
@@ -63,9 +119,9 @@
 		return f.output
 	}
 	f.input, f.output = set, set
-	for _, record := range f.records {
-		if len(record.Moves) > 0 {
-			f.output = f.output.WithServers(record.apply)
+	for _, known := range f.records {
+		if len(known.Record.Moves) > 0 {
+			f.output = f.output.WithServers(known.Record.apply)
 		}
 	}
 	return f.output
--- a/order/holder_test.go
+++ b/order/holder_test.go
@@ -315,15 +315,27 @@
 	})
 }
 
+// follow starts a follower; the returned function ends it.
+func follow(t *testing.T, f *Follower) func() {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx) }()
+	return func() {
+		stop()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("unexpected end %v", err)
+		}
+	}
+}
+
 func TestFollowerSeesMovesAndKeepsThemInAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, true, "")
-		f := &Follower{Watch: s.Watch}
-		ctx, stop := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- f.Serve(ctx) }()
+		f := &Follower{Watch: s.Watch, Peers: func() []string { return nil }}
+		defer follow(t, f)()
 		record := Record{Moves: map[string]Move{"p0": {From: "prefill", Pool: "decode"}}}
-		if _, err := s.Update(ctx, RecordKind, group, 0, record); err != nil {
+		if _, err := s.Update(t.Context(), RecordKind, group, 0, record); err != nil {
 			t.Fatal(err)
 		}
 		synctest.Wait()
@@ -337,9 +349,33 @@
 		if first, second := f.Apply(s.set), f.Apply(s.set); first != second {
 			t.Error("unexpected new set without a change")
 		}
-		stop()
-		if err := <-ended; !errors.Is(err, context.Canceled) {
-			t.Errorf("unexpected end %v", err)
+	})
+}
+
+func TestFollowerThatStartsInAnOutageAsksPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, true, "")
+		s.outage = true
+		known := func(version uint64, pool string) Known {
+			return Known{version, Record{Moves: map[string]Move{"p0": {From: "prefill", Pool: pool}}}}
+		}
+		peers := map[string]*Follower{"older": {}, "newer": {}}
+		peers["older"].take(group, known(7, "prefill"))
+		peers["newer"].take(group, known(9, "decode"))
+		f := &Follower{
+			Watch: s.Watch,
+			Peers: func() []string { return []string{"gone", "newer", "older"} },
+			Call: func(_ context.Context, address, method string, _, reply any) error {
+				if peers[address] == nil || method != RPCName+".Records" {
+					return errors.New("unreachable")
+				}
+				return peers[address].Receiver().Records(struct{}{}, reply.(*map[string]Known))
+			},
+		}
+		defer follow(t, f)()
+		synctest.Wait()
+		if got := len(f.Apply(s.set).Servers("decode")); got != 3 {
+			t.Errorf("unexpected decode servers, got %d instead of 3", got)
 		}
 	})
 }
--- a/order/size_test.go
+++ b/order/size_test.go
@@ -36,9 +36,11 @@
 	return set
 }
 
+var oneMove = Known{Version: 1, Record: Record{Moves: map[string]Move{"m0prefill0": {From: "m0-prefill", Pool: "m0-decode"}}}}
+
 // BenchmarkApplyKept measures what each use of the rules costs while nothing changes.
 func BenchmarkApplyKept(b *testing.B) {
-	set, f := largeRules(b), &Follower{records: map[string]Record{"m0-decode": {Moves: map[string]Move{"m0prefill0": {From: "m0-prefill", Pool: "m0-decode"}}}}}
+	set, f := largeRules(b), &Follower{records: map[string]Known{"m0-decode": oneMove}}
 	b.ReportAllocs()
 	for b.Loop() {
 		f.Apply(set)
@@ -47,7 +49,7 @@
 
 // BenchmarkApplyChanged measures what a change of a record or of the rules costs.
 func BenchmarkApplyChanged(b *testing.B) {
-	set, f := largeRules(b), &Follower{records: map[string]Record{"m0-decode": {Moves: map[string]Move{"m0prefill0": {From: "m0-prefill", Pool: "m0-decode"}}}}}
+	set, f := largeRules(b), &Follower{records: map[string]Known{"m0-decode": oneMove}}
 	b.ReportAllocs()
 	for b.Loop() {
 		f.input = nil
