Give trials only to servers that fail calls but answer polls; show cells in the metrics

Cause: an answered poll ended the pause of a server whose calls all fail, so that such a server took requests again at once. After three failed calls in a row only a call that goes well ends it, one request at a time. Before: the new test saw the failing server get 200 of 200 requests in 20 s; after: at most 10 (go test ./cell -run Trials). Gauges cell_waiting, cell_used and cell_slots by decode pool.

--- a/cell/core.go
+++ b/cell/core.go
@@ -228,6 +228,7 @@
 		return
 	}
 	r.prefilled = true
+	r.prefill.health.worked()
 	r.prefill.observe(now, r, report)
 }
 
@@ -264,9 +265,11 @@
 	case report.Refused:
 		d.refused(now)
 	case report.BadDecode:
-		d.health.failed(now)
+		d.health.callFailed(now)
+	case report.Generated > 0:
+		d.health.worked()
 	case report.BadPrefill:
-		r.prefill.health.failed(now)
+		r.prefill.health.callFailed(now)
 	}
 }
 
--- a/cell/core_test.go
+++ b/cell/core_test.go
@@ -247,3 +247,41 @@
 		}
 	}
 }
+
+func TestEqualServersAreChosenInTheSameZone(t *testing.T) {
+	now := clockStart
+	c := testCore(now, 3, 3)
+	for i, zone := range []string{"a", "b", "c"} {
+		c.prefills[i].server.Zone, c.decodes[i].server.Zone = zone, zone
+	}
+	c.Offer(now, Ask{Key: "k", Class: rule.ClassInteractive, PromptTokens: 10, MaxTokens: 10, Zone: "b"})
+	d := c.Step(now)
+	if len(d) != 1 || d[0].Prefill != "p1" || d[0].Decode != "d1" {
+		t.Errorf("unexpected place %v instead of p1 and d1", d)
+	}
+}
+
+// TestServerThatFailsCallsButAnswersPollsGetsTrials covers a server whose polls work and whose calls do not.
+func TestServerThatFailsCallsButAnswersPollsGetsTrials(t *testing.T) {
+	now := clockStart
+	c := testCore(now, 1, 2)
+	atBad := 0
+	for n := range 200 {
+		now = now.Add(100 * time.Millisecond)
+		key := fmt.Sprint(n)
+		c.Offer(now, Ask{Key: key, Class: rule.ClassInteractive, PromptTokens: 10, MaxTokens: 10})
+		for _, d := range c.Step(now) {
+			report := Report{Placed: time.Unix(1, 0), Prefilled: time.Unix(1, 0), Ended: time.Unix(1, 0)}
+			if d.Decode == "d0" {
+				atBad++
+				report.BadDecode = true
+			}
+			c.Release(now, d.Key, report)
+		}
+		c.Load(now, "d0", engine.Load{})
+		c.Load(now, "d1", engine.Load{})
+	}
+	if atBad < maxFailures || atBad > 10 {
+		t.Errorf("unexpected requests at the failing server in 20s: %d instead of %d to 10", atBad, maxFailures)
+	}
+}
--- a/cell/decode.go
+++ b/cell/decode.go
@@ -125,7 +125,7 @@
 
 // usable tells whether the server may get a new request now.
 func (d *decodeServer) usable(now instant) bool {
-	if d.server.State != rule.Live || !d.health.usable(now) {
+	if d.server.State != rule.Live || !d.health.usable(now) || (d.health.trial() && len(d.streams) > 0) {
 		return false
 	}
 	if d.steps.factor < outlierFactor {
--- a/cell/hub.go
+++ b/cell/hub.go
@@ -104,6 +104,33 @@
 	return out
 }
 
+// State is what the cells of a decode pool at this instance hold.
+type State struct {
+	Waiting int // requests
+	Used    int // slots given out
+	Slots   int // slots that may be given out
+}
+
+// States returns the state by decode pool.
+func (h *Hub) States() map[string]State {
+	out := make(map[string]State)
+	now := h.Now()
+	for _, d := range h.dispatchers() {
+		s := out[d.id.Decode]
+		d.mu.Lock()
+		s.Waiting += d.core.Waiting()
+		for _, server := range d.core.decodes {
+			s.Used += len(server.streams)
+			if server.health.usable(d.clock(now)) {
+				s.Slots += server.limit
+			}
+		}
+		d.mu.Unlock()
+		out[d.id.Decode] = s
+	}
+	return out
+}
+
 // Serve steps the cells and polls their servers until the context ends.
 func (h *Hub) Serve(ctx context.Context) error {
 	defer h.polls.Wait()
--- a/cell/rebuild.go
+++ b/cell/rebuild.go
@@ -63,7 +63,7 @@
 // Load takes in a load report of a decode server.
 func (c *Core) Load(now instant, server string, l engine.Load) {
 	if d := c.decode(server); d != nil {
-		d.health.answered()
+		d.health.polled()
 		d.report(now, l)
 	}
 }
@@ -72,7 +72,7 @@
 func (c *Core) CacheEvents(now instant, server string, events []engine.CacheEvent) {
 	for _, p := range c.prefills {
 		if p.server.Server == server {
-			p.health.answered()
+			p.health.polled()
 			prefill, _ := c.rates()
 			p.recover(now, prefill)
 			c.hints.events(now, p, events)
--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -54,11 +54,25 @@
 	for state, n := range i.membersByState() {
 		i.metrics.Members(state, n)
 	}
+	i.collectCells()
 	i.metrics.Revision(i.revision())
 	i.metrics.InFlight(i.requests.InFlight())
 	i.metrics.Connections(i.connections.Open())
 }
 
+// collectCells takes over the state of the dispatchers; a pool that has none here shows 0.
+func (i *Instance) collectCells() {
+	rules := i.rules.Rules()
+	if rules == nil {
+		return
+	}
+	states := i.placer.Hub.States()
+	for _, m := range rules.Models() {
+		s := states[m.Decode]
+		i.metrics.Cell(m.Decode, s.Waiting, s.Used, s.Slots)
+	}
+}
+
 // membersByState counts the known instances; every state is present.
 func (i *Instance) membersByState() map[string]int {
 	counts := make(map[string]int)
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -63,7 +63,27 @@
 	}
 )
 
+// The metrics of placing work. A pool that another instance dispatches shows 0 here.
+var (
+	CellWaiting = Definition{
+		"cell_waiting", Gauge,
+		[]string{"pool"},
+		"Requests that wait at this instance's dispatcher for a place at the decode pool.",
+	}
+	CellUsed = Definition{
+		"cell_used", Gauge,
+		[]string{"pool"},
+		"Slots of the decode pool that this instance's dispatcher has given out.",
+	}
+	CellSlots = Definition{
+		"cell_slots", Gauge,
+		[]string{"pool"},
+		"Slots of the decode pool that this instance's dispatcher may give out: of working servers, as far as the time between tokens keeps its target.",
+	}
+)
+
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	Requests, RequestTime, FirstChunk, ChunkGap, InFlight, Connections, Events, Members, Revision,
+	CellWaiting, CellUsed, CellSlots,
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -111,3 +111,11 @@
 
 // Revision states which revision of the rules is in force.
 func (m *Metrics) Revision(number uint64) { m.revision.Update(float64(number)) }
+
+// Cell states what this instance's dispatchers of a decode pool have waiting, given out and in all.
+func (m *Metrics) Cell(pool string, waiting, used, slots int) {
+	scope := m.scope.Tagged(map[string]string{"pool": pool})
+	scope.Gauge(CellWaiting.Name).Update(float64(waiting))
+	scope.Gauge(CellUsed.Name).Update(float64(used))
+	scope.Gauge(CellSlots.Name).Update(float64(slots))
+}
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -68,6 +68,7 @@
 	m.InFlight(1)
 	m.Connections(2)
 	m.Revision(7)
+	m.Cell("chat-decode", 1, 2, 3)
 	text := scrape(t, m)
 	kinds := make(map[string]Kind)
 	for _, match := range typeLine.FindAllStringSubmatch(text, -1) {
