Bring a decode server's progress up to date only where a decision needs it

Cause: every step advanced all servers and fitted the step model's line anew, though most decisions find a free slot and need neither.

--- a/cell/core.go
+++ b/cell/core.go
@@ -96,6 +96,7 @@
 // NewCore returns a core without servers.
 func NewCore(now instant) *Core {
 	return &Core{
+		slope:   newSlopeModel(),
 		hints:   newHints(),
 		queue:   newFairQueue(),
 		items:   make(map[string]*item),
@@ -282,9 +283,6 @@
 	c.sweep(now)
 	ready := c.ready(now)
 	if ready {
-		for _, d := range c.decodes {
-			d.advance(now)
-		}
 		for c.queue.length > 0 {
 			if c.queue.pick(now, c.lead(), func(i *item) bool { return c.place(now, i) }) == nil {
 				break
@@ -321,6 +319,7 @@
 		maxTokens: i.ask.MaxTokens, cached: hit, prefixes: i.ask.Prefixes, work: w, placed: now,
 	}
 	p.book(r)
+	d.advance(now)
 	d.add(r, w.linkEnd.Sub(now))
 	r.deadline = w.linkEnd.Add(seconds(float64(r.maxTokens) * d.steps.step(d.slots))).Add(placeLife)
 	c.placed[r.key] = r
@@ -379,11 +378,11 @@
 		if !d.usable(now) || slices.Contains(ask.Exclude, d.server.Server) {
 			continue
 		}
-		fits, free := d.room(pieces, wait)
+		fits, free := d.room(now, pieces, wait)
 		if !fits {
 			continue
 		}
-		score := d.steps.step(len(d.streams) + d.foreign + 1)
+		score := d.steps.step(len(d.streams) + d.others(now) + 1)
 		if d.server.Zone != ask.Zone {
 			score += stepPenalty.Seconds()
 		}
--- a/cell/decode.go
+++ b/cell/decode.go
@@ -54,9 +54,14 @@
 		d.peaks = [2]int{batch, d.peaks[0]}
 		d.peakEnd = now.Add(ownWindow)
 	}
-	if d.foreign > 0 && now.After(d.foreignUntil) {
-		d.foreign = 0
+}
+
+// others returns the slots that other dispatchers' requests are believed to take.
+func (d *decodeServer) others(now instant) int {
+	if now.After(d.foreignUntil) {
+		return 0
 	}
+	return d.foreign
 }
 
 // add books a stream whose transfer ends after the given time.
@@ -85,11 +90,13 @@
 
 // room tells whether a request fits when its transfer starts, a given time from now. Streams that
 // are predicted to end before that count as gone; those past their predicted end count as running.
-func (d *decodeServer) room(pieces int, wait time.Duration) (fits, free bool) {
-	slots, memory := d.limit-len(d.streams)-d.foreign, d.pieces-d.used-d.foreign
+func (d *decodeServer) room(now instant, pieces int, wait time.Duration) (fits, free bool) {
+	others := d.others(now)
+	slots, memory := d.limit-len(d.streams)-others, d.pieces-d.used-others
 	if slots > 0 && memory >= pieces {
 		return true, true
 	}
+	d.advance(now)
 	step := d.steps.step(len(d.streams))
 	horizon := (wait - predictedMargin).Seconds()
 	for _, s := range d.streams {
@@ -119,7 +126,7 @@
 
 // refused notes that the server had no room although the count said so.
 func (d *decodeServer) refused(now instant) {
-	d.foreign = min(d.foreign+1, d.slots/foreignShare)
+	d.foreign = min(d.others(now)+1, d.slots/foreignShare)
 	d.foreignUntil = now.Add(foreignLife)
 }
 
--- a/cell/step.go
+++ b/cell/step.go
@@ -18,6 +18,11 @@
 // through samples of batch and step time that are forgotten exponentially.
 type slopeModel struct {
 	n, x, y, xx, xy float64
+	base, slope     float64 // of the line, in seconds
+}
+
+func newSlopeModel() slopeModel {
+	return slopeModel{base: initialStep.Seconds()}
 }
 
 func (m *slopeModel) observe(batch, step float64) {
@@ -26,16 +31,15 @@
 	m.y = m.y*stepForgetting + step
 	m.xx = m.xx*stepForgetting + batch*batch
 	m.xy = m.xy*stepForgetting + batch*step
+	m.slope = m.fit()
+	m.base = m.y/m.n - m.slope*m.x/m.n
 }
 
-// slope returns seconds per stream; until the batches differ enough, the initial one.
-func (m *slopeModel) slope() float64 {
+// fit returns seconds per stream; until the batches differ enough, the initial value.
+func (m *slopeModel) fit() float64 {
 	const minSamples, minVariance = 20, 1
-	if m.n < minSamples {
-		return initialSlope
-	}
 	variance := m.xx/m.n - (m.x/m.n)*(m.x/m.n)
-	if variance < minVariance {
+	if m.n < minSamples || variance < minVariance {
 		return initialSlope
 	}
 	covariance := m.xy/m.n - (m.x/m.n)*(m.y/m.n)
@@ -44,10 +48,7 @@
 
 // mean returns the pool's mean step at a batch.
 func (m *slopeModel) mean(batch float64) float64 {
-	if m.n == 0 {
-		return initialStep.Seconds()
-	}
-	return max(m.y/m.n+m.slope()*(batch-m.x/m.n), minStep.Seconds())
+	return max(m.base+m.slope*batch, minStep.Seconds())
 }
 
 // stepModel is the step time of one server as a factor on its pool's mean.
