--- a/rule/rule_values.go
+++ b/rule/rule_values.go
@@ -116,6 +116,9 @@
 			c.fault(line, field.name, "%s: %s is not above 0", field.name, field.value)
 		}
 	}
+	if m.Roles != "" && m.Roles != RolesMove && m.Roles != RolesKeep {
+		c.fault(line, "roles", "roles: %q is not move or keep", m.Roles)
+	}
 }
 
 func (c *checker) checkPoolDuty(line Line, field, name string, duty Duty) {
