--- a/config/follower.go
+++ b/config/follower.go
@@ -20,7 +20,7 @@
 	pulse          = time.Second
 	pulseTimeout   = time.Second
 	watchedPolling = 2 * time.Second  // of an instance that watches: its watch may have gone silent for good
-	relayedPolling = 20 * time.Second // of one that does not
+	relayedPolling = 3 * time.Second  // of one that does not: all those that watch may be cut off
 )
 
 // Follower puts each newer revision in force. Its exported fields are set before Serve.
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -39,7 +39,7 @@
 func drawActs(t *rapid.T) []act {
 	kinds := []string{
 		"edit", "edit", "edit", "key", "key", "key", "bulk", "outage", "mend", "mend", "delay", "lose", "lose", "lose",
-		"cut platform", "cut platform", "join platform", "cut pair", "cut pair", "join pair", "kill", "start",
+		"cut platform", "cut platform", "join platform", "cut pair", "cut pair", "join pair", "kill", "start", "silence", "silence",
 	}
 	pauses := []time.Duration{0, 0, 20, 100, 700, 3000, 9000}
 	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
@@ -147,6 +147,10 @@
 		n.link.set(a.kind == "cut platform")
 	case "cut pair", "join pair":
 		w.setPair(a.node, a.other, a.kind == "cut pair")
+	case "silence":
+		for _, n := range w.nodes {
+			n.link.silence()
+		}
 	case "kill":
 		w.kill(n)
 	case "start":
--- a/config/world_test.go
+++ b/config/world_test.go
@@ -49,6 +49,13 @@
 	l.cut = cut
 }
 
+// silence leaves every pending call without an answer; new ones work.
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts++
+}
+
 // RoundTrip implements http.RoundTripper with the faults of the world.
 func (l *link) RoundTrip(req *http.Request) (*http.Response, error) {
 	faults := l.world.faults()
@@ -62,6 +69,7 @@
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
 	}
 	resp, err := l.world.carry(req)
+	time.Sleep(hopDelay + faults.delay)
 	if _, after := l.state(); after != before {
 		<-req.Context().Done()
 		return nil, req.Context().Err()
