--- a/config/follower.go
+++ b/config/follower.go
@@ -19,8 +19,8 @@
 	retryDelay     = 500 * time.Millisecond
 	pulse          = time.Second
 	pulseTimeout   = time.Second
-	watchedPolling = 2 * time.Second  // of an instance that watches: its watch may have gone silent for good
-	relayedPolling = 3 * time.Second  // of one that does not: all those that watch may be cut off
+	watchedPolling = 2 * time.Second // of an instance that watches: its watch may have gone silent for good
+	relayedPolling = 3 * time.Second // of one that does not: all those that watch may be cut off
 )
 
 // Follower puts each newer revision in force. Its exported fields are set before Serve.
--- a/config/part.go
+++ b/config/part.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"slices"
 	"strings"
@@ -31,18 +30,29 @@
 	text []byte // encoded lines
 }
 
-// bucketOf returns the part that holds a rule.
+// bucketOf returns the part that holds a rule, by the FNV-1a hash of its kind and name.
 func bucketOf(l rule.Line, parts int) int {
-	h := fnv.New32a()
-	_, _ = io.WriteString(h, l.ID())
-	return int(h.Sum32() & uint32(parts-1))
+	const offset, prime = uint32(2166136261), uint32(16777619)
+	h := offset
+	for _, text := range [...]string{string(l.Kind), " ", l.Name} {
+		for i := range len(text) {
+			h = (h ^ uint32(text[i])) * prime
+		}
+	}
+	return int(h & uint32(parts-1))
 }
 
 func partition(lines []rule.Line, parts int) [][]rule.Line {
+	return gather(lines, parts, nil)
+}
+
+// gather returns the lines of the wanted parts; nil wants all.
+func gather(lines []rule.Line, parts int, wanted map[int]bool) [][]rule.Line {
 	buckets := make([][]rule.Line, parts)
 	for _, l := range lines {
-		b := bucketOf(l, parts)
-		buckets[b] = append(buckets[b], l)
+		if b := bucketOf(l, parts); wanted == nil || wanted[b] {
+			buckets[b] = append(buckets[b], l)
+		}
 	}
 	return buckets
 }
@@ -71,8 +81,11 @@
 	for _, d := range differences {
 		touched[bucketOf(d.Line(), count)] = true
 	}
+	if len(r.head.Parts) == 0 {
+		touched = nil
+	}
 	for ; count <= maxParts; count *= 2 {
-		buckets := partition(set.Lines(), count)
+		buckets := gather(set.Lines(), count, touched)
 		names, parts, fits, err := encodeBuckets(buckets, r.head.Parts, touched, writer)
 		if err != nil {
 			return nil, nil, err
@@ -80,6 +93,7 @@
 		if fits {
 			return names, parts, nil
 		}
+		touched = nil
 	}
 	return nil, nil, invalid.New("config: the rules need more than %d parts", maxParts)
 }
@@ -88,7 +102,7 @@
 	names := make([]string, len(buckets))
 	var parts []part
 	for i, lines := range buckets {
-		if len(old) == len(buckets) && !touched[i] {
+		if touched != nil && !touched[i] {
 			names[i] = old[i]
 			continue
 		}
@@ -144,7 +158,7 @@
 	if i < 0 {
 		return Part{}, stale.New("config: part %s is not of revision %d", name, r.Number)
 	}
-	text, err := rule.EncodeLines(partition(r.Rules.Lines(), len(r.head.Parts))[i])
+	text, err := rule.EncodeLines(gather(r.Rules.Lines(), len(r.head.Parts), map[int]bool{i: true})[i])
 	if err != nil {
 		return Part{}, err
 	}
