--- a/rule/rule.go
+++ b/rule/rule.go
@@ -1,7 +1,10 @@
 // Package rule reads the rules file: one rule a line, each with a comment on who asked for it and why.
 package rule
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // Kind names a kind of rule; it is the first key of the rule's line.
 type Kind string
@@ -63,8 +66,31 @@
 	Prefill string `yaml:"prefill"`
 	Decode  string `yaml:"decode"`
 	Place   Place  `yaml:"place"`
+	Version string `yaml:"version"` // that engines are ordered to load; empty leaves it to them
+	Adapter string `yaml:"adapter"` // that engines are ordered to load; empty for none
+	Roles   Roles  `yaml:"roles"`   // empty means move
+
+	First   time.Duration `yaml:"first"`   // target for the first token
+	Between time.Duration `yaml:"between"` // target for the time between tokens
+	Wait    time.Duration `yaml:"wait"`    // longest wait of a summary for a place
 }
 
+// Targets of a model that names none.
+const (
+	DefaultFirst   = 770 * time.Millisecond
+	DefaultBetween = 36 * time.Millisecond
+	DefaultWait    = 30 * time.Second
+)
+
+// Roles says whether engines may be ordered from one of a model's pools to the other.
+type Roles string
+
+// The values of Roles.
+const (
+	RolesMove Roles = "move"
+	RolesKeep Roles = "keep"
+)
+
 // Place is the policy that picks backend servers.
 type Place string
 
--- a/standin/engine/decode.go
+++ b/standin/engine/decode.go
@@ -9,6 +9,7 @@
 	"time"
 
 	api "teaselgate/engine"
+	"teaselgate/rule"
 	"teaselgate/standin/fault"
 )
 
@@ -237,6 +238,11 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	current := api.Load{Slots: len(e.attempts), SlotsMax: e.Slots, Pieces: e.used, PiecesMax: e.Pieces}
+	if e.Duty == rule.Prefill {
+		// One prompt is computed at a time; results that wait for their import take memory, but no slot.
+		busy := int(e.waiting.Load())
+		current.Slots, current.SlotsMax, current.QueueDepth = min(busy, 1), 1, max(busy-1, 0)
+	}
 	e.loads = append(e.loads, loadSample{now, current})
 	for len(e.loads) > 1 && now.Sub(e.loads[1].at) >= e.LoadLag {
 		e.loads = e.loads[1:]
@@ -263,15 +269,7 @@
 
 func (e *Engine) getEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	events := []api.CacheEvent{}
-	for _, v := range e.cache.events {
-		if v.Sequence > after {
-			events = append(events, v)
-		}
-	}
-	answer(w, events)
+	answer(w, e.eventsAfter(after))
 }
 
 func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
@@ -287,6 +285,9 @@
 	}
 	e.fence = max(e.fence, m.Fence)
 	e.orders = append(e.orders, m)
+	if m.Role != "" {
+		e.Duty = rule.Duty(m.Role)
+	}
 	answer(w, struct{}{})
 }
 
