--- a/instance/config_bench_test.go
+++ b/instance/config_bench_test.go
@@ -23,8 +23,8 @@
 	benchInterval  = 2 * time.Millisecond // between looks at an instance
 )
 
-// startSite starts a site with one plain service.
-func startSite(b *testing.B) (*site.Site, *platform.Client) {
+// startBenchSite starts a site with one plain service.
+func startBenchSite(b *testing.B) (*site.Site, *platform.Client) {
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
 	s, err := site.Start(b.Context(), site.Shape{
@@ -77,7 +77,7 @@
 // BenchmarkInForce measures the time from the start of apply until a change is in force on nine
 // instances, and the platform's calls for each change.
 func BenchmarkInForce(b *testing.B) {
-	s, client := startSite(b)
+	s, client := startBenchSite(b)
 	surveyor := &config.Surveyor{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, Token: site.Tokens.Admin}
 	var times []time.Duration
 	n := 0
@@ -97,7 +97,7 @@
 // BenchmarkWithdrawal measures the time from the start of apply until a withdrawn key is refused
 // by nine instances.
 func BenchmarkWithdrawal(b *testing.B) {
-	s, client := startSite(b)
+	s, client := startBenchSite(b)
 	var times []time.Duration
 	for b.Loop() {
 		secret, hash := account.NewKey()
