--- a/instance/config_bench_test.go
+++ b/instance/config_bench_test.go
@@ -103,19 +103,19 @@
 		secret, hash := account.NewKey()
 		with := s.Rules() + fmt.Sprintf("- {key: %q, account: shop}   # bench: to be withdrawn\n", hash)
 		applyText(b, client, with)
-		everywhere(b, s, func(ctx context.Context, i *site.Instance) bool { return call(ctx, i, secret) == http.StatusOK })
+		everywhere(b, s, func(ctx context.Context, i *site.Instance) bool { return status(ctx, i, secret) == http.StatusOK })
 		start := time.Now()
 		applyText(b, client, s.Rules())
 		end := everywhere(b, s, func(ctx context.Context, i *site.Instance) bool {
-			return call(ctx, i, secret) == http.StatusUnauthorized
+			return status(ctx, i, secret) == http.StatusUnauthorized
 		})
 		times = append(times, end.Sub(start))
 	}
 	reportTimes(b, times)
 }
 
-// call sends an order with a key and returns the status.
-func call(ctx context.Context, i *site.Instance, secret string) int {
+// status sends an order with a key and returns the status.
+func status(ctx context.Context, i *site.Instance, secret string) int {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.Address()+"/orders", nil)
 	if err != nil {
 		return 0
