Let a late read of a body leave the next request alone

Cause: a transport to a plain service may read on in a request's body after the answer was passed on; its read deadline then hit the kept connection, and with it the next request.

--- a/limit/handler.go
+++ b/limit/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,7 +52,7 @@
 		// Also bounds what the server discards of a body that nobody reads.
 		_ = control.SetReadDeadline(body.pacer.deadline(h.Now()))
 		body.buffered = h.Buffered(r.URL.Path)
-		defer body.release()
+		defer body.end()
 		r.Body = http.MaxBytesReader(w, body, h.Body)
 	}
 	out := &answerWriter{ResponseWriter: w, handler: h, control: control, pacer: newPacer(h.Stall, h.Pace)}
@@ -77,17 +78,41 @@
 	control  *http.ResponseController
 	pacer    *pacer
 	buffered bool
-	held     int64 // bytes
+
+	mu    sync.Mutex
+	ended bool
+	held  int64 // bytes
+}
+
+// end gives the memory of the body back. A transport that still reads may not touch the connection any more, which
+// may already serve the next request.
+func (b *bodyReader) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	b.handler.held.Add(-b.held)
 }
 
-// release gives the memory of the body back.
-func (b *bodyReader) release() { b.handler.held.Add(-b.held) }
+// setDeadline bounds the next read; it returns false once the request has ended.
+func (b *bodyReader) setDeadline(at time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended {
+		_ = b.control.SetReadDeadline(at)
+	}
+	return !b.ended
+}
 
 // hold counts bytes of a body that is kept, and refuses those above the bound.
 func (b *bodyReader) hold(n int) error {
 	if !b.buffered {
 		return nil
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return nil
+	}
 	b.held += int64(n)
 	if b.handler.held.Add(int64(n)) <= b.handler.Memory {
 		return nil
@@ -99,12 +124,14 @@
 // Read implements io.Reader.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	start := b.handler.Now()
-	_ = b.control.SetReadDeadline(b.pacer.deadline(start))
+	if !b.setDeadline(b.pacer.deadline(start)) {
+		return 0, http.ErrBodyReadAfterClose
+	}
 	n, err := b.ReadCloser.Read(p)
 	b.pacer.spend(b.handler.Now().Sub(start), n)
 	if errors.Is(err, io.EOF) {
 		// The server reads on in the background, to notice a caller that goes away.
-		_ = b.control.SetReadDeadline(time.Time{})
+		b.setDeadline(time.Time{})
 	} else if err != nil {
 		b.handler.noteStall(err, "body")
 	}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -474,3 +474,25 @@
 		conn.Close()
 	})
 }
+
+// A transport may go on reading a request's body after the answer to it has been passed on.
+func TestLateReadLeavesTheNextRequestAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := make(chan struct{})
+		b := startBench(t, bounds, func(_ http.ResponseWriter, r *http.Request) {
+			go func() {
+				<-late
+				_, _ = io.Copy(io.Discard, r.Body)
+			}()
+		})
+		conn := b.dial()
+		defer conn.Close()
+		exchange(t, conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nlamb")
+		synctest.Wait()
+		close(late)
+		pause(2 * bounds.Stall)
+		if got := exchange(t, conn, get); got.status != http.StatusOK {
+			t.Errorf("unexpected answer on a kept connection: %v", got)
+		}
+	})
+}
