--- a/cell/core.go
+++ b/cell/core.go
@@ -8,12 +8,8 @@
 	"teaselgate/rule"
 )
 
-// Targets and limits of a cell.
+// Limits of a cell.
 const (
-	FirstTokenTarget    = 770 * time.Millisecond
-	BetweenTokensTarget = 36 * time.Millisecond
-
-	slowWait      = 30 * time.Second       // longest wait of slow work
 	retryWait     = 10 * time.Second       // longest wait of a request whose first place failed
 	firstMargin   = 60 * time.Millisecond  // kept free of the first token's target for the network and the first step
 	longAnswer    = 1.5                    // a prompt too long for the target may take this many times its idle time
@@ -34,7 +30,7 @@
 	Class        rule.Class
 	PromptTokens int
 	MaxTokens    int
-	Prefix       string
+	Prefixes     []string
 	Zone         string
 	Exclude      []string
 	Waited       time.Duration // before this dispatcher was asked
@@ -59,7 +55,7 @@
 	promptTokens int
 	maxTokens    int
 	cached       int
-	prefix       string
+	prefixes     []string
 	work         work
 	before       *finish // of the request before it at the prefill server
 	finish       *finish
@@ -72,10 +68,18 @@
 	held         bool // found at a server by a new dispatcher
 }
 
+// Targets are what a cell works towards.
+type Targets struct {
+	First   time.Duration // until the first token
+	Between time.Duration // between tokens
+	Wait    time.Duration // longest wait of slow work
+}
+
 // Core decides on the places of one cell. It does not wait and starts nothing: time is passed in.
 type Core struct {
 	prefills []*prefillServer
 	decodes  []*decodeServer
+	targets  Targets
 	slope    slopeModel
 	hints    hints
 	queue    *fairQueue
@@ -103,19 +107,20 @@
 
 // SetServers takes in the servers of the rules in force. Places at servers that are gone end with
 // their reports.
-func (c *Core) SetServers(now instant, prefills, decodes []rule.Server, pool rule.Pool) {
+func (c *Core) SetServers(now instant, prefills, decodes []rule.Server, pool rule.Pool, targets Targets) {
+	c.targets = targets
 	prefill, link := c.rates()
 	c.prefills = mergeServers(c.prefills, prefills,
 		func(p *prefillServer) *rule.Server { return &p.server },
 		func() *prefillServer {
-			return &prefillServer{rate: rate{perSecond: prefill}, linkRate: rate{perSecond: link}}
+			return &prefillServer{rate: rate{perSecond: prefill}, linkRate: rate{perSecond: link}, trust: 1}
 		})
 	c.decodes = mergeServers(c.decodes, decodes,
 		func(d *decodeServer) *rule.Server { return &d.server },
 		func() *decodeServer { return &decodeServer{steps: newStepModel(&c.slope), at: now} })
 	for _, d := range c.decodes {
 		d.slots, d.pieces = pool.Slots, pool.Pieces
-		d.limit = d.steps.limit(d.slots, BetweenTokensTarget)
+		d.limit = d.steps.limit(d.slots, c.targets.Between)
 	}
 }
 
@@ -183,14 +188,14 @@
 	i.cost = float64(ask.PromptTokens + outputCost*ask.MaxTokens)
 	i.arrived = now.Add(-ask.Waited)
 	idle := c.idleTime(ask)
-	budget := max(FirstTokenTarget-firstMargin-idle, time.Duration(longAnswer*float64(idle)))
+	budget := max(c.targets.First-firstMargin-idle, time.Duration(longAnswer*float64(idle)))
 	i.useful = i.arrived.Add(budget)
 	i.limit = i.useful
 	switch {
 	case c.isRetry(i):
 		i.limit = now.Add(retryWait)
 	case !i.urgent():
-		i.limit = i.arrived.Add(slowWait)
+		i.limit = i.arrived.Add(c.targets.Wait)
 		i.late = now.After(i.useful)
 	}
 	return i
@@ -224,7 +229,6 @@
 	}
 	r.prefilled = true
 	r.prefill.observe(now, r, report)
-	c.hints.stored(now, r.prefill, r.prefix, report.Cached)
 }
 
 // Release ends a place and learns from how it went.
@@ -253,7 +257,7 @@
 		took := report.Ended.Sub(report.Imported)
 		if span := now.Sub(r.placed).Seconds(); span > 0 {
 			d.steps.observe(now, (d.batched-r.startBatched)/span, took/time.Duration(report.Generated))
-			d.limit = d.steps.limit(d.slots, BetweenTokensTarget)
+			d.limit = d.steps.limit(d.slots, c.targets.Between)
 		}
 	}
 	switch {
@@ -279,7 +283,7 @@
 			d.advance(now)
 		}
 		for c.queue.length > 0 {
-			if c.queue.pick(c.lead(), func(i *item) bool { return c.place(now, i) }) == nil {
+			if c.queue.pick(now, c.lead(), func(i *item) bool { return c.place(now, i) }) == nil {
 				break
 			}
 		}
@@ -311,13 +315,13 @@
 	}
 	r := &reservation{
 		key: i.ask.Key, prefill: p, decode: d, pieces: pieces, promptTokens: i.ask.PromptTokens,
-		maxTokens: i.ask.MaxTokens, cached: hit, prefix: i.ask.Prefix, work: w, placed: now,
+		maxTokens: i.ask.MaxTokens, cached: hit, prefixes: i.ask.Prefixes, work: w, placed: now,
 	}
 	p.book(r)
 	d.add(r, w.linkEnd.Sub(now))
 	r.deadline = w.linkEnd.Add(seconds(float64(r.maxTokens) * d.steps.step(d.slots))).Add(placeLife)
 	c.placed[r.key] = r
-	c.hints.stored(now, p, r.prefix, -1)
+	c.hints.stored(now, p, r.prefixes)
 	delete(c.items, r.key)
 	if c.backlog {
 		c.rate.add(i.cost)
@@ -340,13 +344,13 @@
 
 // choosePrefill returns the prefill server at which a prompt and its transfer end first.
 func (c *Core) choosePrefill(now instant, ask *Ask) (best *prefillServer, bestWork work, hit int) {
-	known := c.hints.prefixes[ask.Prefix]
+	hits := c.hints.find(now, ask.Prefixes)
 	var bestEnd instant
 	for _, p := range c.prefills {
 		if !p.usable(now) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
 			continue
 		}
-		found := min(cached(known, now, p), ask.PromptTokens)
+		found := min(cached(hits, p), ask.PromptTokens)
 		w := p.plan(now, ask.PromptTokens, found)
 		if w.linkStart.Sub(w.end) > keptMargin {
 			continue
--- a/cli/timeline.go
+++ b/cli/timeline.go
@@ -14,6 +14,9 @@
 	"teaselgate/timeline"
 )
 
+// errNoInstances says that nothing could be asked.
+var errNoInstances = errors.New("cli: the platform lists no instances; name them by --admin")
+
 // timelineFlags are the flags of the timeline command.
 type timelineFlags struct {
 	admin         []string
@@ -102,6 +105,9 @@
 	for _, i := range list {
 		addresses = append(addresses, i.Admin)
 	}
+	if len(addresses) == 0 {
+		return nil, errNoInstances
+	}
 	slices.Sort(addresses)
 	return slices.Compact(addresses), nil
 }
--- a/rule/rule_values.go
+++ b/rule/rule_values.go
@@ -8,6 +8,7 @@
 	"math/bits"
 	"net"
 	"strings"
+	"time"
 )
 
 const (
@@ -110,6 +111,14 @@
 	if m.Roles != "" && m.Roles != RolesMove && m.Roles != RolesKeep {
 		c.fault(line, "roles", "roles: %q is not move or keep", m.Roles)
 	}
+	for _, field := range []struct {
+		name  string
+		value time.Duration
+	}{{"first", m.First}, {"between", m.Between}, {"wait", m.Wait}} {
+		if field.value <= 0 {
+			c.fault(line, field.name, "%s: %s is not above 0", field.name, field.value)
+		}
+	}
 }
 
 func (c *checker) checkPoolDuty(line Line, field, name string, duty Duty) {
