Test mutual TLS between whole instances

Cause: only the calls were tested, not that peer-tls of the settings reaches them. After: of three instances two with certificates of one authority take each other for live and the third for lost, and the third knows itself alone. The stand-in of an authority serves both tests of certificates.

--- a/certificate/store_test.go
+++ b/certificate/store_test.go
@@ -2,83 +2,34 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
 	"errors"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	"teaselgate/event"
 	"teaselgate/peer"
+	"teaselgate/standin/authority"
 )
 
-// authority signs certificates for tests.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	pem         []byte
-}
-
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t *testing.T) *authority.Authority {
 	t.Helper()
-	key := newKey(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	a, err := authority.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	certificate, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &authority{certificate, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+	return a
 }
 
-func newKey(t *testing.T) *ecdsa.PrivateKey {
+// issue writes a certificate into a directory.
+func issue(t *testing.T, a *authority.Authority, dir string, serial int64) authority.Files {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-// files are the paths of one certificate.
-type files struct{ chain, key, authority string }
-
-// write issues a certificate for 127.0.0.1 into a directory.
-func (a *authority) write(t *testing.T, dir string, serial int64) files {
-	t.Helper()
-	key := newKey(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	private, err := x509.MarshalECPrivateKey(key)
+	files, err := a.Issue(dir, serial)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := files{filepath.Join(dir, "chain.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "authority.pem")}
-	writeFile(t, f.chain, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
-	writeFile(t, f.key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: private}))
-	writeFile(t, f.authority, a.pem)
-	return f
+	return files
 }
 
 func writeFile(t *testing.T, file string, text []byte) {
@@ -89,12 +40,12 @@
 }
 
 // store loads a store whose events are collected.
-func store(t *testing.T, f files, withAuthority bool) (*Store, *[]event.Code) {
+func store(t *testing.T, f authority.Files, withAuthority bool) (*Store, *[]event.Code) {
 	t.Helper()
 	var codes []event.Code
-	s := &Store{CertificateFile: f.chain, KeyFile: f.key, Record: func(e event.Event) { codes = append(codes, e.Code) }}
+	s := &Store{CertificateFile: f.Certificate, KeyFile: f.Key, Record: func(e event.Event) { codes = append(codes, e.Code) }}
 	if withAuthority {
-		s.AuthorityFile = f.authority
+		s.AuthorityFile = f.Authority
 	}
 	if err := s.Load(); err != nil {
 		t.Fatal(err)
@@ -120,11 +71,9 @@
 
 func TestNewCertificateIsUsedWithoutRestart(t *testing.T) {
 	a, dir := newAuthority(t), t.TempDir()
-	s, codes := store(t, a.write(t, dir, 2), false)
+	s, codes := store(t, issue(t, a, dir, 2), false)
 	server := s.Server()
-	roots := x509.NewCertPool()
-	roots.AddCert(a.certificate)
-	client := &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"}
+	client := &tls.Config{RootCAs: a.Pool(), ServerName: "127.0.0.1"}
 	steps := []struct {
 		name   string
 		change func()
@@ -133,11 +82,11 @@
 	}{
 		{"first", func() {}, 2, 0},
 		{"unchanged", s.poll, 2, 0},
-		{"new pair", func() { a.write(t, dir, 3); s.poll() }, 3, 1},
+		{"new pair", func() { issue(t, a, dir, 3); s.poll() }, 3, 1},
 		{"bad pair", func() { writeFile(t, s.KeyFile, []byte("x")); s.poll() }, 3, 2},
 		{"same bad pair", s.poll, 3, 2},
 		{"file gone", func() { _ = os.Remove(s.CertificateFile); s.poll() }, 3, 3},
-		{"good again", func() { a.write(t, dir, 4); s.poll() }, 4, 4},
+		{"good again", func() { issue(t, a, dir, 4); s.poll() }, 4, 4},
 	}
 	for _, step := range steps {
 		step.change()
@@ -156,11 +105,11 @@
 }
 
 func TestLoadRefusesBadFiles(t *testing.T) {
-	f := newAuthority(t).write(t, t.TempDir(), 2)
+	f := issue(t, newAuthority(t), t.TempDir(), 2)
 	tests := map[string]*Store{
-		"missing":       {CertificateFile: f.chain + "x", KeyFile: f.key},
-		"no key":        {CertificateFile: f.chain, KeyFile: f.chain},
-		"bad authority": {CertificateFile: f.chain, KeyFile: f.key, AuthorityFile: f.key},
+		"missing":       {CertificateFile: f.Certificate + "x", KeyFile: f.Key},
+		"no key":        {CertificateFile: f.Certificate, KeyFile: f.Certificate},
+		"bad authority": {CertificateFile: f.Certificate, KeyFile: f.Key, AuthorityFile: f.Key},
 	}
 	for name, s := range tests {
 		if err := s.Load(); err == nil {
@@ -180,9 +129,9 @@
 
 func TestInstancesCallEachOtherByMutualTLS(t *testing.T) {
 	fleet, stranger := newAuthority(t), newAuthority(t)
-	server, _ := store(t, fleet.write(t, t.TempDir(), 2), true)
-	ours, _ := store(t, fleet.write(t, t.TempDir(), 3), true)
-	theirs, _ := store(t, stranger.write(t, t.TempDir(), 4), true)
+	server, _ := store(t, issue(t, fleet, t.TempDir(), 2), true)
+	ours, _ := store(t, issue(t, fleet, t.TempDir(), 3), true)
+	theirs, _ := store(t, issue(t, stranger, t.TempDir(), 4), true)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/instance/shutdown_test.go
+++ b/instance/shutdown_test.go
@@ -161,6 +161,8 @@
 	Ready    bool  `json:"ready"`
 	Leaving  bool  `json:"leaving"`
 	InFlight int64 `json:"in_flight"`
+
+	Members map[string]int `json:"members"`
 }
 
 func getHealth(t *testing.T, client *http.Client, admin string) health {
--- a/instance/tls_test.go
+++ b/instance/tls_test.go
@@ -3,51 +3,26 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"teaselgate/admin"
 	"teaselgate/event"
 	"teaselgate/instance"
 	"teaselgate/option"
+	"teaselgate/standin/authority"
 	standplatform "teaselgate/standin/platform"
 	"teaselgate/standin/site"
 )
 
-// writeCertificate writes a certificate for 127.0.0.1 with its key.
-func writeCertificate(t *testing.T) option.TLS {
-	t.Helper()
-	lender := httptest.NewTLSServer(nil)
-	defer lender.Close()
-	pair := lender.TLS.Certificates[0]
-	key, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
-	if err != nil {
-		t.Fatal(err)
-	}
-	files := option.TLS{Certificate: filepath.Join(t.TempDir(), "chain.pem"), Key: filepath.Join(t.TempDir(), "key.pem")}
-	for file, block := range map[string]*pem.Block{
-		files.Certificate: {Type: "CERTIFICATE", Bytes: pair.Certificate[0]},
-		files.Key:         {Type: "PRIVATE KEY", Bytes: key},
-	} {
-		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	return files
-}
-
 func TestListenersSpeakTLS(t *testing.T) {
 	store := httptest.NewServer(standplatform.NewServer(site.Tokens.Platform).Handler())
 	defer store.Close()
-	o := option.Default()
-	o.Name, o.Zone, o.Platform = "i1", "ala-a", store.URL
-	o.Listen, o.Admin, o.Peer = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	o.TLS = writeCertificate(t)
+	a, files := issue(t)
+	o := options(store.URL)
+	o.TLS = option.TLS{Certificate: files.Certificate, Key: files.Key}
 	o.AdminTLS = o.TLS
 	i := &instance.Instance{Options: o, Tokens: site.Tokens}
 	if err := i.Open(t.Context()); err != nil {
@@ -57,7 +32,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- i.Run(ctx) }()
 
-	operator, err := admin.NewClient(site.Tokens.Admin, o.TLS.Certificate)
+	operator, err := admin.NewClient(site.Tokens.Admin, files.Authority)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +42,7 @@
 	}
 	for _, protocol := range []string{"HTTP/1.1", "HTTP/2.0"} {
 		transport := &http.Transport{
-			TLSClientConfig:   &tls.Config{RootCAs: rootsOf(t, o.TLS.Certificate)},
+			TLSClientConfig:   &tls.Config{RootCAs: a.Pool()},
 			ForceAttemptHTTP2: protocol == "HTTP/2.0",
 		}
 		resp, err := (&http.Client{Transport: transport}).Get("https://" + i.Address() + "/nothing")
@@ -90,13 +65,55 @@
 	}
 }
 
-func rootsOf(t *testing.T, file string) *x509.CertPool {
+// issue makes an authority and a certificate of it.
+func issue(t *testing.T) (*authority.Authority, authority.Files) {
 	t.Helper()
-	text, err := os.ReadFile(file)
+	a, err := authority.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := a.Issue(t.TempDir(), 2)
 	if err != nil {
 		t.Fatal(err)
 	}
-	roots := x509.NewCertPool()
-	roots.AppendCertsFromPEM(text)
-	return roots
+	return a, files
+}
+
+// TestOnlyInstancesOfTheAuthorityBecomePeers starts two instances with certificates of one authority and a third with
+// one of another.
+func TestOnlyInstancesOfTheAuthorityBecomePeers(t *testing.T) {
+	store := httptest.NewServer(standplatform.NewServer(site.Tokens.Platform).Handler())
+	defer store.Close()
+	_, ours := issue(t)
+	_, theirs := issue(t)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 3)
+	var started []*instance.Instance
+	for n, files := range []authority.Files{ours, ours, theirs} {
+		o := options(store.URL)
+		o.Name = fmt.Sprintf("i%d", n)
+		o.PeerTLS = option.PeerTLS{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority}
+		i := &instance.Instance{Options: o, Tokens: site.Tokens}
+		if err := i.Open(ctx); err != nil {
+			t.Fatal(err)
+		}
+		started = append(started, i)
+		go func() { ended <- i.Run(ctx) }()
+	}
+	members := func(i *instance.Instance) map[string]int { return getHealth(t, client, i.AdminAddress()).Members }
+	// Each reads of the others in the platform's list, and finds out by probes which of them are peers.
+	for n, want := range []int{2, 2, 1} {
+		poll(t, func() bool {
+			m := members(started[n])
+			return m["live"] == want && m["suspect"]+m["gone"] == len(started)-want
+		})
+	}
+	stop()
+	for range started {
+		if err := <-ended; err != nil {
+			t.Errorf("unexpected error %v", err)
+		}
+	}
 }
--- /dev/null
+++ b/standin/authority/authority.go
@@ -0,0 +1,97 @@
+// Package authority is a small stand-in for the customer's certificate authority.
+package authority
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// life is how long certificates are good, from an hour ago on.
+const life = 24 * time.Hour
+
+// Authority signs certificates.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// Files are the paths of one certificate (PEM).
+type Files struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+// New returns an authority with a new key.
+func New() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("authority: unable to make a key: %w", err)
+	}
+	template := newTemplate(1)
+	template.IsCA, template.BasicConstraintsValid, template.KeyUsage = true, true, x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("authority: unable to sign: %w", err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("authority: unable to read the own certificate: %w", err)
+	}
+	return &Authority{certificate, key}, nil
+}
+
+func newTemplate(serial int64) *x509.Certificate {
+	now := time.Now()
+	return &x509.Certificate{SerialNumber: big.NewInt(serial), NotBefore: now.Add(-time.Hour), NotAfter: now.Add(life)}
+}
+
+// Pool returns a pool that holds the authority alone.
+func (a *Authority) Pool() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return pool
+}
+
+// Issue writes a certificate for 127.0.0.1 into a directory, good for servers and clients.
+func (a *Authority) Issue(dir string, serial int64) (Files, error) {
+	files := Files{filepath.Join(dir, "chain.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "authority.pem")}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return files, fmt.Errorf("authority: unable to make a key: %w", err)
+	}
+	template := newTemplate(serial)
+	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return files, fmt.Errorf("authority: unable to sign: %w", err)
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return files, fmt.Errorf("authority: unable to encode a key: %w", err)
+	}
+	for _, f := range []struct {
+		file, kind string
+		der        []byte
+	}{
+		{files.Certificate, "CERTIFICATE", der},
+		{files.Key, "EC PRIVATE KEY", private},
+		{files.Authority, "CERTIFICATE", a.certificate.Raw},
+	} {
+		text := pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.der})
+		if err := os.WriteFile(f.file, text, 0o600); err != nil {
+			return files, fmt.Errorf("authority: unable to write: %w", err)
+		}
+	}
+	return files, nil
+}
