Close the socket, not a variable that TLS replaces, when the peer server ends

Cause: the function that closes a connection at the end read the variable that TLS wraps a moment later: a data race, and a TLS connection could stay open at shutdown. Before: seen by -race in 2 of 4 series of the test of mutual TLS (3 to 20 runs each). After: go test -race -count=20 ./instance -run Authority passes.

--- a/instance/tls_test.go
+++ b/instance/tls_test.go
@@ -89,8 +89,8 @@
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan error, 3)
-	var started []*instance.Instance
+	started := make([]*instance.Instance, 0, 3)
+	ended := make(chan error, cap(started))
 	for n, files := range []authority.Files{ours, ours, theirs} {
 		o := options(store.URL)
 		o.Name = fmt.Sprintf("i%d", n)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -70,12 +70,13 @@
 	}
 }
 
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
-	defer conn.Close()
+	defer raw.Close()
+	conn := raw
 	if s.TLS != nil {
-		conn = tls.Server(conn, s.TLS)
+		conn = tls.Server(raw, s.TLS)
 	}
 	if err := acceptHello(conn, s.Token); err != nil {
 		return
