--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -84,7 +84,7 @@
 	o.apply(worldRules(1, 0), nil)
 	for _, a := range acts {
 		o.play(a)
-		time.Sleep(a.pause)
+		pause(ctx, a.pause)
 	}
 	o.running.Wait()
 	w.settle()
