--- a/entry/handler.go
+++ b/entry/handler.go
@@ -23,10 +23,7 @@
 // RequestHeader carries the request's id in every answer.
 const RequestHeader = "Teaselgate-Request"
 
-const (
-	requestIDBytes = 12
-	maxBodyBytes   = 16 << 20
-)
+const requestIDBytes = 12
 
 // Handler answers callers. Its exported fields are set before it serves.
 type Handler struct {
@@ -36,6 +33,7 @@
 	Admit       func(context.Context, rule.Account, int64) (*allowance.Charge, time.Time, error)
 	Place       func(context.Context, cell.Request) (*cell.Placement, error)
 	PickPlain   func(pool string, exclude []string) (rule.Server, error)
+	PlainDone   func(server string, took time.Duration, failed bool) // follows each PickPlain
 	Engines     *engine.Client
 	Services    *service.Client
 	Record      func(event.Event)
@@ -59,7 +57,6 @@
 		return
 	}
 	account.Strip(r.Header)
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	if c.route.Model != "" {
 		h.serveModel(w, r, c)
 		return
