--- /dev/null
+++ b/allowance/claim.go
@@ -0,0 +1,273 @@
+package allowance
+
+import (
+	"time"
+)
+
+// Tick tells what is to be done now. It is called at short intervals and after each message.
+func (k *Keeper) Tick(now time.Time) Plan {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var plan Plan
+	due := make(map[string]*Renewal)
+	probed := make(map[string]bool)
+	for i := range k.seats {
+		k.useProof(now, i)
+		k.planWrite(now, i, &plan)
+		s := &k.seats[i]
+		if l := k.ledgers[i]; l != nil {
+			l.sweep(now)
+		}
+		if s.acting {
+			k.planResign(now, i, &plan)
+			k.planRebalance(now, i)
+			k.planRenewal(now, i, due)
+		}
+		if h, ok := k.suspect(now, i); ok && !probed[h.Name] {
+			probed[h.Name] = true
+			plan.Probes = append(plan.Probes, h)
+		}
+	}
+	k.alignRenewals(now, due)
+	plan.Renewals = sortedRenewals(due)
+	return plan
+}
+
+// suspect returns a keeper of whose end a proof would help.
+func (k *Keeper) suspect(now time.Time, shard int) (Holder, bool) {
+	s := &k.seats[shard]
+	o := s.object
+	if o.Epoch == 0 || s.write != nil || s.alone || now.Sub(s.probed) < probeInterval {
+		return Holder{}, false
+	}
+	var found Holder
+	switch {
+	case s.acting:
+		if now.After(s.held.Add(probeDelay - promiseLife)) {
+			found = o.Successor
+		}
+	case o.Successor.same(k.Self):
+		if !s.resigned && now.Sub(s.renewed) > probeDelay {
+			found = o.Primary
+		}
+	case !o.Primary.same(k.Self) && k.first(shard):
+		found = k.missing(o)
+	}
+	if k.isGone(found) {
+		return Holder{}, false
+	}
+	s.probed = now
+	return found, true
+}
+
+// missing returns a keeper that the membership no longer counts.
+func (k *Keeper) missing(o Shard) Holder {
+	for _, h := range []Holder{o.Primary, o.Successor} {
+		if !k.isGone(h) && !k.Live(h) {
+			return h
+		}
+	}
+	return Holder{}
+}
+
+// first tells whether this instance is the first in rank that is not proved gone.
+func (k *Keeper) first(shard int) bool {
+	for _, h := range k.Rank(shard) {
+		if !k.isGone(h) {
+			return h.same(k.Self)
+		}
+	}
+	return false
+}
+
+// planWrite starts, confirms or repeats a conditional update.
+func (k *Keeper) planWrite(now time.Time, shard int, plan *Plan) {
+	s := &k.seats[shard]
+	if s.inFlight || s.reading || s.write == nil && !k.wantsWrite(now, shard) {
+		return
+	}
+	if now.Sub(s.confirmed) > confirmTimeout {
+		if !now.Before(s.retry) {
+			s.reading = true
+			plan.Reads = append(plan.Reads, shard)
+		}
+		return
+	}
+	s.confirmed = time.Time{}
+	if s.write == nil {
+		k.startWrite(now, shard)
+	}
+	s.inFlight = true
+	plan.Writes = append(plan.Writes, Write{shard, s.version, *s.write})
+}
+
+// wantsWrite tells whether the rules allow this instance to write the shard's object, and it helps.
+func (k *Keeper) wantsWrite(now time.Time, shard int) bool {
+	s := &k.seats[shard]
+	o := s.object
+	switch {
+	case o.Epoch == 0:
+		return s.absent && !k.leaving && k.first(shard)
+	case s.acting && s.alone:
+		return !k.isGone(k.candidate(now, shard)) || !o.Primary.same(k.Self)
+	case s.acting && k.isGone(o.Successor):
+		return true
+	case s.acting:
+		return !s.resigned && !now.Before(s.held) && !now.Before(s.replaceable)
+	case s.resigned:
+		return false
+	case o.Successor.same(k.Self):
+		return !now.Before(s.promise) || k.isGone(o.Primary)
+	case o.Primary.same(k.Self):
+		return false
+	}
+	return k.isGone(o.Primary) && k.isGone(o.Successor) && !k.leaving && k.first(shard)
+}
+
+// candidate returns the instance to name as successor: the first in rank, so that the shard can move to it,
+// or, at the first in rank itself, the next of another availability zone.
+func (k *Keeper) candidate(now time.Time, shard int) Holder {
+	var other Holder
+	for n, h := range k.Rank(shard) {
+		if h.same(k.Self) || k.isGone(h) || now.Before(k.avoid[h.Name]) {
+			continue
+		}
+		if n == 0 || h.Zone != k.Self.Zone {
+			return h
+		}
+		if other.Name == "" {
+			other = h
+		}
+	}
+	return other
+}
+
+func (k *Keeper) startWrite(now time.Time, shard int) {
+	s := &k.seats[shard]
+	o := s.object
+	if s.acting && !s.alone && !s.known {
+		k.avoid[o.Successor.Name] = now.Add(avoidTime)
+	}
+	s.write = &Shard{Epoch: o.Epoch + 1, Primary: k.Self, Successor: k.candidate(now, shard), Change: k.NewChange()}
+	s.wasAlone, s.wasBound = s.alone, s.claimed
+	s.coming = now.Add(promiseLife - clockMargin)
+	s.claimed, s.uncertain = true, false
+	switch {
+	case s.acting && s.alone:
+		s.held, s.alone = s.coming, false
+	case s.acting:
+	case o.Epoch == 0:
+	case o.Successor.same(k.Self):
+		s.quiet = s.promise
+	default:
+		s.quiet = now.Add(promiseLife)
+	}
+}
+
+// WriteEnd is how an attempt at a write ended.
+type WriteEnd int
+
+// The ends of an attempt at a write.
+const (
+	WriteWon     WriteEnd = iota // it took effect
+	WriteLost                    // another version is stored
+	WriteRefused                 // it did not take effect
+	WriteUnknown                 // it may have taken effect or may still do so
+)
+
+// Written takes in the end of an attempt at a write.
+func (k *Keeper) Written(now time.Time, w Write, end WriteEnd, version uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := &k.seats[w.Shard]
+	if s.write == nil || s.write.Change != w.Object.Change {
+		return
+	}
+	s.inFlight = false
+	s.retry = now.Add(claimInterval)
+	switch {
+	case end == WriteWon:
+		k.adopt(now, w.Shard, version, w.Object)
+	case end == WriteUnknown:
+		s.uncertain = true
+	case end == WriteRefused && !s.uncertain:
+		s.write = nil
+		s.alone, s.claimed = s.wasAlone, s.wasBound
+	}
+}
+
+// Read takes in an object of the platform that was read or watched. Version 0 means that there is none.
+func (k *Keeper) Read(now time.Time, shard int, version uint64, o Shard) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := &k.seats[shard]
+	s.reading, s.failures = false, 0
+	if version == 0 {
+		s.absent = s.object.Epoch == 0
+	}
+	k.adopt(now, shard, version, o)
+	if o.Epoch == s.object.Epoch {
+		s.version, s.confirmed = version, now
+	}
+}
+
+// ReadFailed says that the platform could not be read.
+func (k *Keeper) ReadFailed(now time.Time, shard int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := &k.seats[shard]
+	s.reading = false
+	s.retry = now.Add(min(claimInterval<<s.failures, maxClaimInterval))
+	s.failures = min(s.failures+1, maxFailures)
+}
+
+// Fresh says that the platform held no shard of another layout, so that new buckets may be full.
+func (k *Keeper) Fresh(fresh bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fresh = fresh
+}
+
+// adopt takes a newer object of a shard into this instance's view.
+func (k *Keeper) adopt(now time.Time, shard int, version uint64, o Shard) {
+	s := &k.seats[shard]
+	if o.Epoch <= s.object.Epoch {
+		return
+	}
+	old := *s
+	*s = seat{version: version, object: o, quiet: old.quiet, renewed: now.Add(-renewInterval)}
+	switch {
+	case o.Primary.same(k.Self):
+		k.adoptPrimary(now, shard, &old)
+	case o.Successor.same(k.Self):
+		s.promise = now.Add(promiseLife)
+		s.renewed = now
+		delete(k.ledgers, shard)
+		k.Note(Change{shard, o.Epoch, PartSuccessor})
+	default:
+		delete(k.ledgers, shard)
+		if old.acting || old.object.Successor.same(k.Self) {
+			k.Note(Change{shard, o.Epoch, PartNone})
+		}
+	}
+}
+
+func (k *Keeper) adoptPrimary(now time.Time, shard int, old *seat) {
+	s := &k.seats[shard]
+	if old.write == nil || old.write.Change != s.object.Change {
+		s.resigned = true // named by a write that this instance no longer knows of
+		return
+	}
+	s.acting = true
+	s.held = later(old.held, old.coming)
+	s.replaceable = now.Add(promiseLife + clockMargin)
+	s.alone = s.object.Successor.Name == ""
+	if k.ledgers[shard] == nil {
+		start := later(s.quiet, now)
+		if s.object.Epoch == 1 && k.fresh {
+			start = time.Time{}
+		}
+		k.ledgers[shard] = newLedger(start)
+	}
+	k.Note(Change{shard, s.object.Epoch, PartPrimary})
+}
--- /dev/null
+++ b/allowance/keeper.go
@@ -0,0 +1,182 @@
+package allowance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"teaselgate/rule"
+)
+
+// Keeper holds an instance's part in all shards. It does no input or output: time is passed in, messages are
+// passed in and out as values. Its exported fields are set before use.
+type Keeper struct {
+	Self      Holder
+	Account   func(name string) (rule.Account, bool)
+	Rank      func(shard int) []Holder // some live instances, the one to hold the shard first
+	Live      func(Holder) bool        // whether the membership counts the instance
+	NewChange func() string            // makes the unique id of a write
+	Note      func(Change)             // told of each change of this instance's own part
+
+	mu      sync.Mutex
+	seats   []seat
+	ledgers map[int]*ledger      // of the shards in which this instance acts
+	gone    map[string]uint64    // the newest incarnation proved gone, by name
+	echoes  map[string]int64     // newest answer of each successor, by its own clock
+	avoid   map[string]time.Time // instances that were named and did not promise, until when
+	moved   time.Time            // when the last shard was given away
+	origin  time.Time            // zero of this instance's clock in messages
+	fresh   bool                 // the platform had no shard of another layout: new buckets are full
+	changes map[string]*changed  // client accounts whose rule changed lately
+	grants  uint64               // number of the newest grant
+	leaving bool
+}
+
+// Change is a change of an instance's part in a shard.
+type Change struct {
+	Shard int
+	Epoch uint64
+	Part  Part
+}
+
+// Part is an instance's part in a shard.
+type Part string
+
+// The parts in a shard.
+const (
+	PartPrimary   Part = "primary"
+	PartSuccessor Part = "successor"
+	PartAlone     Part = "alone"
+	PartResigned  Part = "resigned"
+	PartNone      Part = "none"
+	PartStopped   Part = "stopped"
+)
+
+// NewKeeper returns a keeper without any shard.
+func NewKeeper(self Holder, shards int, now time.Time) *Keeper {
+	return &Keeper{
+		Self:      self,
+		Account:   func(string) (rule.Account, bool) { return rule.Account{}, false },
+		Rank:      func(int) []Holder { return nil },
+		Live:      func(Holder) bool { return true },
+		NewChange: uuid.NewString,
+		Note:      func(Change) {},
+		seats:     make([]seat, shards),
+		ledgers:   make(map[int]*ledger),
+		gone:      make(map[string]uint64),
+		echoes:    make(map[string]int64),
+		changes:   make(map[string]*changed),
+		avoid:     make(map[string]time.Time),
+		origin:    now.Add(-time.Hour),
+	}
+}
+
+// Plan is what an instance is to do next.
+type Plan struct {
+	Reads    []int // shards to read from the platform
+	Writes   []Write
+	Renewals []Renewal
+	Resigns  []Resignation
+	Probes   []Holder // instances whose address is to be tried
+}
+
+// Write is one conditional update of a shard's object.
+type Write struct {
+	Shard   int
+	Version uint64
+	Object  Shard
+}
+
+// Shards returns the number of shards.
+func (k *Keeper) Shards() int { return len(k.seats) }
+
+// Keepers returns the object of a shard as known here.
+func (k *Keeper) Keepers(shard int) Shard {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.seats[shard].object
+}
+
+// Granting returns the number of shards in which this instance may grant.
+func (k *Keeper) Granting(now time.Time) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for i := range k.seats {
+		if !k.seats[i].right(now).IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// Idle tells whether this instance has no part in any shard.
+func (k *Keeper) Idle() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range k.seats {
+		s := &k.seats[i]
+		if s.acting || s.object.Successor.same(k.Self) && !s.resigned {
+			return false
+		}
+	}
+	return true
+}
+
+// Leave makes the instance hand its shards over from the next Tick on.
+func (k *Keeper) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+}
+
+// Gone takes in a proof that an incarnation has ended. Older incarnations have ended too.
+func (k *Keeper) Gone(now time.Time, h Holder) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if h.Name == "" || h.same(k.Self) || k.gone[h.Name] >= h.Incarnation {
+		return
+	}
+	k.gone[h.Name] = h.Incarnation
+	for i := range k.seats {
+		k.useProof(now, i)
+	}
+}
+
+// Evict takes in an operator's word that an instance is gone. The instance itself stops all granting.
+func (k *Keeper) Evict(now time.Time, h Holder) {
+	if !h.same(k.Self) {
+		k.Gone(now, h)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range k.seats {
+		s := &k.seats[i]
+		s.acting, s.alone, s.resigned, s.claimed = false, false, true, true
+	}
+}
+
+func (k *Keeper) isGone(h Holder) bool {
+	return h.Name == "" || k.gone[h.Name] >= h.Incarnation && h.Incarnation > 0
+}
+
+// useProof goes on alone if a proof allows it (rule 3).
+func (k *Keeper) useProof(now time.Time, shard int) {
+	s := &k.seats[shard]
+	if s.object.Epoch == 0 || s.write != nil || s.alone {
+		return
+	}
+	o := s.object
+	switch {
+	case s.acting && o.Primary.same(k.Self) && k.isGone(o.Successor) && now.Before(s.held):
+		s.alone = true
+		k.Note(Change{shard, o.Epoch, PartAlone})
+	case !s.acting && !s.resigned && !s.claimed && o.Successor.same(k.Self) && k.isGone(o.Primary) && now.Before(s.window):
+		s.acting, s.alone, s.claimed = true, true, true
+		s.quiet = s.promise
+		k.ledgers[shard] = newLedger(later(s.quiet, now))
+		k.Note(Change{shard, o.Epoch, PartAlone})
+	}
+}
--- a/allowance/model_step_test.go
+++ b/allowance/model_step_test.go
@@ -247,7 +247,7 @@
 		m.acting, m.alone, m.claimed, m.quiet = true, true, true, n.promise
 		visit(next)
 	}
-	if s.limits.resign && n.window > 0 {
+	if s.limits.resign {
 		next := s
 		next.nodes[i].resigned = true
 		if next.send(modelMessage{kind: resignMessage, from: s.ref(i), to: n.view.primary, object: n.view}) {
--- /dev/null
+++ b/allowance/shard.go
@@ -0,0 +1,112 @@
+package allowance
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ShardKind is the kind of the platform's objects that name the keepers of the shards.
+const ShardKind = "shard"
+
+// Timing of promises and grants.
+const (
+	promiseLife    = time.Second            // a grant ends with the promise that it was given under
+	renewInterval  = 250 * time.Millisecond // between two renewals of a promise
+	clockMargin    = 10 * time.Millisecond  // allowance for clocks of different speed
+	probeDelay     = 350 * time.Millisecond // silence after which a successor looks for a proof
+	probeInterval  = 100 * time.Millisecond
+	claimInterval  = 100 * time.Millisecond // between two tries to write
+	avoidTime      = 10 * time.Second       // for which an instance that did not promise is not named again
+	moveInterval   = 50 * time.Millisecond  // between two shards that an instance gives away
+	confirmTimeout = 500 * time.Millisecond // age of a reading that a write may follow
+)
+
+// Limits of the delay between two readings of the platform while it fails.
+const (
+	maxClaimInterval = 2 * time.Second
+	maxFailures      = 5
+)
+
+// Holder is one incarnation of an instance.
+type Holder struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Peer        string `json:"peer"` // address for calls between instances
+}
+
+// same tells whether both are one incarnation.
+func (h Holder) same(o Holder) bool { return h.Name == o.Name && h.Incarnation == o.Incarnation }
+
+// Shard is the object at the platform that names a shard's keepers.
+type Shard struct {
+	Epoch     uint64 `json:"epoch"` // rises with each write
+	Primary   Holder `json:"primary"`
+	Successor Holder `json:"successor"` // empty name: none
+	Change    string `json:"change"`    // unique id of the write
+}
+
+// ShardOf returns the shard of a client account.
+func ShardOf(account string, shards int) int {
+	return int(xxhash.Sum64String(account) & uint64(shards-1))
+}
+
+// ShardName names the platform's object of a shard.
+func ShardName(shard, shards int) string { return fmt.Sprintf("%d.%d", shards, shard) }
+
+// seat is what an instance knows of one shard and of its own part in it. All times are deadlines.
+type seat struct {
+	version uint64 // of the object at the platform
+	object  Shard  // epoch 0: no object is known
+	absent  bool   // the platform has no object
+
+	acting   bool // acts as primary in the epoch of the object
+	alone    bool // needs no promise: no other keeper can act
+	resigned bool
+	claimed  bool // gives no more promises in this epoch
+
+	held        time.Time // end of the promise held
+	replaceable time.Time // the successor can't use a proof after this
+	promise     time.Time // end of the promise given
+	window      time.Time // a proof that the primary is gone counts until then
+	quiet       time.Time // the last grant of others has expired by then
+	renewed     time.Time // when the promise was last asked for, at the primary, or given, at the successor
+	known       bool      // the successor has promised in this epoch
+	release     bool      // the successor is asked to resign
+
+	write     *Shard    // a write that may still take effect
+	wasAlone  bool      // before the write
+	wasBound  bool      // claimed before the write
+	coming    time.Time // end of the promise that the write's successor makes at first sight
+	uncertain bool      // an attempt at the write has no known end
+	inFlight  bool      // an attempt is on its way
+	reading   bool      // a reading of the platform is on its way
+	failures  int       // readings that failed in a row
+	retry     time.Time // when the platform may be called again
+	probed    time.Time // when the other keeper's address was last tried
+	confirmed time.Time // when the platform last answered with this epoch
+}
+
+// right returns the end of the right to grant; a zero time means none.
+func (s *seat) right(now time.Time) time.Time {
+	if !s.acting || now.Before(s.quiet) {
+		return time.Time{}
+	}
+	if s.alone {
+		return now.Add(promiseLife)
+	}
+	if now.Before(s.held) {
+		return s.held
+	}
+	return time.Time{}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/allowance/sim_machine_test.go
@@ -0,0 +1,161 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"teaselgate/rule"
+)
+
+// Sizes of the fuzzed fleet.
+const (
+	fuzzNodes  = 4
+	fuzzShards = 2
+)
+
+func fuzzRules() []rule.Account {
+	return []rule.Account{
+		{Account: "dala", Rate: 1000, Burst: 3000},
+		{Account: "hojaverde", Rate: 4000, Burst: 2000},
+		{Account: "village", Rate: 50, Burst: 400},
+	}
+}
+
+// machine draws faults and load for a sim.
+type machine struct {
+	sim *sim
+}
+
+func (m *machine) node(t *rapid.T) *simNode {
+	return m.sim.nodes[rapid.IntRange(0, fuzzNodes-1).Draw(t, "node")]
+}
+
+func (m *machine) wait(t *rapid.T) {
+	m.sim.run(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+}
+
+// load sends requests above the rate for a while.
+func (m *machine) load(t *rapid.T) {
+	r := fuzzRules()[rapid.IntRange(0, 2).Draw(t, "account")]
+	n := rapid.IntRange(1, 60).Draw(t, "requests")
+	spread := rapid.IntRange(1, 40).Draw(t, "spread")
+	share := rapid.Int64Range(1, 40).Draw(t, "share")
+	for range n {
+		to := m.sim.nodes[m.sim.random.IntN(fuzzNodes)]
+		tokens := 1 + m.sim.random.Int64N(max(r.Burst/share, 1))
+		settle := time.Duration(m.sim.random.IntN(1500)) * time.Millisecond
+		to.request(r.Account, tokens, m.sim.random.Int64N(tokens+1), settle)
+		m.sim.run(time.Duration(m.sim.random.IntN(spread)) * time.Millisecond)
+	}
+}
+
+func (m *machine) crash(t *rapid.T) {
+	if n := m.node(t); n.up {
+		n.stop(rapid.Bool().Draw(t, "silent"))
+	}
+}
+
+func (m *machine) restart(t *rapid.T) {
+	n := m.node(t)
+	if n.up {
+		n.stop(false)
+	}
+	n.start()
+}
+
+func (m *machine) leave(t *rapid.T) {
+	if n := m.node(t); n.up && !n.leaving {
+		n.leave(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+	}
+}
+
+func (m *machine) pause(t *rapid.T) {
+	m.node(t).paused = m.sim.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) cut(t *rapid.T) {
+	a, b := m.node(t), m.node(t)
+	key := [2]int{min(a.index, b.index), max(a.index, b.index)}
+	if a != b {
+		m.sim.cuts[key] = !m.sim.cuts[key]
+	}
+}
+
+func (m *machine) cutPlatform(t *rapid.T) {
+	n := m.node(t)
+	m.sim.platform[n.index] = !m.sim.platform[n.index]
+}
+
+func (m *machine) evict(t *rapid.T) {
+	gone := m.node(t)
+	if gone.up {
+		return
+	}
+	for _, n := range m.sim.nodes {
+		if n.up {
+			n.keeper.Evict(m.sim.now, gone.holder())
+		}
+	}
+}
+
+func (m *machine) change(t *rapid.T) {
+	r := fuzzRules()[rapid.IntRange(0, 2).Draw(t, "account")]
+	r.Rate = r.Rate * rapid.Int64Range(1, 8).Draw(t, "rate") / 4
+	r.Burst = r.Burst * rapid.Int64Range(1, 8).Draw(t, "burst") / 4
+	old := m.sim.rules[r.Account]
+	m.sim.rules[r.Account] = r
+	for _, n := range m.sim.nodes {
+		if n.up {
+			n.keeper.Change(m.sim.now, []RateChange{{old, r}})
+		}
+	}
+	m.sim.oracle.change(m.sim.now, old, r)
+	m.sim.run(promiseLife + time.Millisecond)
+}
+
+func (m *machine) network(t *rapid.T) {
+	m.sim.loss = rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss")
+	m.sim.twice = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "twice")
+	m.sim.late = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "late")
+	m.sim.jitter = time.Duration(rapid.IntRange(0, 200).Draw(t, "jitter")) * time.Millisecond
+}
+
+func (m *machine) heal(*rapid.T) {
+	clear(m.sim.cuts)
+	clear(m.sim.platform)
+	m.sim.outage, m.sim.loss, m.sim.late, m.sim.twice = false, 0, 0, 0
+	m.sim.jitter = time.Millisecond
+}
+
+func checkMachine(t *rapid.T) {
+	m := &machine{newSim(rapid.Uint64().Draw(t, "seed"), fuzzNodes, fuzzShards, fuzzRules()...)}
+	m.sim.run(3 * time.Second)
+	t.Repeat(map[string]func(*rapid.T){
+		"wait":     m.wait,
+		"load":     m.load,
+		"load2":    m.load,
+		"crash":    m.crash,
+		"restart":  m.restart,
+		"leave":    m.leave,
+		"pause":    m.pause,
+		"cut":      m.cut,
+		"platform": m.cutPlatform,
+		"outage":   func(*rapid.T) { m.sim.outage = !m.sim.outage },
+		"lose":     func(t *rapid.T) { m.sim.lose += rapid.IntRange(1, 3).Draw(t, "answers") },
+		"evict":    m.evict,
+		"change":   m.change,
+		"network":  m.network,
+		"heal":     m.heal,
+		"": func(t *rapid.T) {
+			if err := m.sim.oracle.check(); err != nil {
+				t.Fatal(err)
+			}
+		},
+	})
+}
+
+func TestNeverOverTheRate(t *testing.T) {
+	rapid.Check(t, checkMachine)
+}
--- a/allowance/static.go
+++ b/allowance/static.go
@@ -1,4 +1,3 @@
-// Package allowance holds each client account to its rate and burst over the whole fleet.
 package allowance
 
 import (
@@ -6,32 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"teaselgate/rule"
 )
 
-var (
-	namespace = errorx.NewNamespace("allowance")
-	exhausted = namespace.NewType("exhausted")
-
-	// ErrExhausted says that the account has no tokens left now.
-	ErrExhausted = exhausted.NewWithNoMessage()
-)
-
-// Charge is what an admitted request took from its account.
-type Charge struct {
-	settle func(used int64)
-	once   sync.Once
-}
-
-// Settle gives back what the request did not use. Only the first call counts.
-func (c *Charge) Settle(used int64) {
-	if c.settle != nil {
-		c.once.Do(func() { c.settle(used) })
-	}
-}
-
 // Static gives each instance a fixed share of every account: the baseline without messages.
 type Static struct {
 	Instances func() int // live instances that share the rate
