--- a/allowance/claim.go
+++ b/allowance/claim.go
@@ -108,22 +108,29 @@
 	switch {
 	case o.Epoch == 0:
 		return s.absent && !k.leaving && k.first(shard)
-	case s.acting && s.alone:
-		return !k.isGone(k.candidate(now, shard)) || !o.Primary.same(k.Self)
-	case s.acting && k.isGone(o.Successor):
-		return true
 	case s.acting:
-		return !s.resigned && !now.Before(s.held) && !now.Before(s.replaceable)
-	case s.resigned:
+		return k.primaryWantsWrite(now, shard)
+	case s.resigned || o.Primary.same(k.Self):
 		return false
 	case o.Successor.same(k.Self):
 		return !now.Before(s.promise) || k.isGone(o.Primary)
-	case o.Primary.same(k.Self):
-		return false
 	}
 	return k.isGone(o.Primary) && k.isGone(o.Successor) && !k.leaving && k.first(shard)
 }
 
+// primaryWantsWrite tells whether an acting primary may name another successor (rule 2), and there is a reason to.
+func (k *Keeper) primaryWantsWrite(now time.Time, shard int) bool {
+	s := &k.seats[shard]
+	o := s.object
+	switch {
+	case s.alone:
+		return !k.isGone(k.candidate(now, shard)) || !o.Primary.same(k.Self)
+	case k.isGone(o.Successor):
+		return true
+	}
+	return !now.Before(s.held) && !now.Before(s.replaceable)
+}
+
 // candidate returns the instance to name as successor: the first in rank, so that the shard can move to it,
 // or, at the first in rank itself, the next of another availability zone.
 func (k *Keeper) candidate(now time.Time, shard int) Holder {
--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -110,13 +110,11 @@
 	b.updated = to
 }
 
-func (b *balance) remove(i int) grantRecord {
-	g := b.grants[i]
-	b.outstanding -= g.tokens
+func (b *balance) remove(i int) {
+	b.outstanding -= b.grants[i].tokens
 	last := len(b.grants) - 1
 	b.grants[i] = b.grants[last]
 	b.grants = b.grants[:last]
-	return g
 }
 
 // grant takes at least need and at most want tokens; without them it returns the time until they are there.
--- a/allowance/pool.go
+++ b/allowance/pool.go
@@ -34,7 +34,6 @@
 	use        float64   // tokens per second
 	size       float64   // tokens per request
 	used       time.Time
-	failed     int // questions in a row that no keeper answered
 }
 
 // grant is what is left of a grant at its entry.
--- a/allowance/renew.go
+++ b/allowance/renew.go
@@ -107,17 +107,15 @@
 	s := &k.seats[item.Shard]
 	o := s.object
 	mine := o.Epoch == item.Epoch && o.Successor.same(k.Self) && o.Primary.same(args.From)
-	if mine && (item.Release || k.leaving) && !s.acting && !s.claimed && s.write == nil {
-		s.resigned = true
-	}
-	if mine && s.resigned && !s.acting {
-		reply.Released = append(reply.Released, item.Shard)
-		return
-	}
 	if !mine || s.acting || s.claimed || s.write != nil || k.isGone(args.From) {
 		reply.Refused = append(reply.Refused, item.Shard)
 		return
 	}
+	if s.resigned || item.Release || k.leaving {
+		s.resigned = true
+		reply.Released = append(reply.Released, item.Shard)
+		return
+	}
 	s.promise = later(s.promise, now.Add(promiseLife))
 	s.renewed = now
 	if args.Echo != 0 {
--- a/allowance/sim_node_test.go
+++ b/allowance/sim_node_test.go
@@ -134,8 +134,9 @@
 		holder Holder
 		score  uint64
 	}
-	var all []scored
-	for _, m := range n.sim.members() {
+	members := n.sim.members()
+	all := make([]scored, 0, len(members))
+	for _, m := range members {
 		all = append(all, scored{m.holder(), xxhash.Sum64String(fmt.Sprint(m.name, shard))})
 	}
 	slices.SortFunc(all, func(a, b scored) int {
--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -34,10 +34,10 @@
 	platform map[int]bool // instances cut from the platform
 	relay    bool         // instances reach the platform through others
 
-	messages, bytes int
-	admitted        int
-	refused         map[string]int
-	waited          time.Duration
+	messages int
+	admitted int
+	refused  map[string]int
+	waited   time.Duration
 }
 
 const (
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -66,13 +66,17 @@
 		return err
 	}
 	a.report.Prefilled = a.handler.Now()
-	if err := a.runImport(ctx, prefilled); err != nil {
+	a.report.Cached = prefilled.Cached
+	err = a.place.RepeatRefused(ctx, a.report.Prefilled, func() error { return a.runImport(ctx, prefilled) })
+	if err != nil {
 		a.report.BadDecode = ctx.Err() == nil
+		a.report.Refused = errors.Is(err, engine.ErrBusy)
 		return err
 	}
 	a.report.Imported = a.handler.Now()
+	a.place.Progress(a.report)
 	err = a.runDecode(ctx)
-	a.report.BadDecode = err != nil && ctx.Err() == nil && !errors.Is(err, errCaller)
+	a.report.BadDecode = err != nil && ctx.Err() == nil && !errors.Is(err, errCaller) && !errors.Is(err, withdrawnKey)
 	return err
 }
 
@@ -115,6 +119,9 @@
 			return nil
 		}
 		a.report.Generated++
+		if err := a.handler.checkKey(a.out.call); err != nil {
+			return err
+		}
 		return a.out.token(c.Text)
 	})
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -23,7 +23,9 @@
 }
 
 // Catalogue lists every kind of event.
-var Catalogue = join(instanceEvents, configEvents, requestEvents, fleetEvents, allowanceEvents, outcomeEvents)
+var Catalogue = join(
+	instanceEvents, configEvents, requestEvents, fleetEvents, allowanceEvents, cellEvents, outcomeEvents,
+)
 
 func join(groups ...map[Code]Definition) map[Code]Definition {
 	all := make(map[Code]Definition)
