--- a/allowance/claim.go
+++ b/allowance/claim.go
@@ -218,6 +218,37 @@
 	}
 }
 
+// Known is a shard's object as an instance knows it.
+type Known struct {
+	Shard   int
+	Version uint64
+	Object  Shard
+}
+
+// Objects returns all objects that are known here.
+func (k *Keeper) Objects() []Known {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make([]Known, 0, len(k.seats))
+	for i := range k.seats {
+		if s := &k.seats[i]; s.object.Epoch > 0 {
+			out = append(out, Known{i, s.version, s.object})
+		}
+	}
+	return out
+}
+
+// Learn takes in what another instance knows, for a start while the platform is out.
+func (k *Keeper) Learn(now time.Time, objects []Known) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, o := range objects {
+		if o.Shard >= 0 && o.Shard < len(k.seats) {
+			k.adopt(now, o.Shard, o.Version, o.Object)
+		}
+	}
+}
+
 // ReadFailed says that the platform could not be read.
 func (k *Keeper) ReadFailed(now time.Time, shard int) {
 	k.mu.Lock()
--- a/allowance/grant.go
+++ b/allowance/grant.go
@@ -67,7 +67,7 @@
 	out := GrantReply{Epoch: s.object.Epoch}
 	l := k.ledgers[shard]
 	if !s.acting || l == nil {
-		out.Refusal = NotKeeper
+		out.Refusal, out.Wait = NotKeeper, k.untilClaim(now, s)
 		return out
 	}
 	a, ok := k.Account(item.Account)
@@ -104,3 +104,11 @@
 	}
 	return 0
 }
+
+// untilClaim returns the time until a successor that does not hear the primary may act, 0 if the primary works.
+func (k *Keeper) untilClaim(now time.Time, s *seat) time.Duration {
+	if !s.object.Successor.same(k.Self) || s.resigned || now.Sub(s.renewed) < probeDelay {
+		return 0
+	}
+	return max(s.promise.Sub(now), retryTime)
+}
--- a/allowance/oracle_test.go
+++ b/allowance/oracle_test.go
@@ -88,3 +88,13 @@
 	}
 	return worst, at
 }
+
+// worst returns the largest overshoot of any account, in tokens.
+func (o *oracle) worst() float64 {
+	worst := 0.0
+	for _, a := range o.accounts {
+		over, _ := a.overshoot()
+		worst = max(worst, over)
+	}
+	return worst
+}
--- a/allowance/sim_machine_test.go
+++ b/allowance/sim_machine_test.go
@@ -13,13 +13,17 @@
 const (
 	fuzzNodes  = 4
 	fuzzShards = 2
+
+	fuzzOverload = 2.5  // of the rate
+	fuzzParts    = 8    // requests that make up a burst at least
+	fuzzSettle   = 1500 // milliseconds until a request has ended at most
 )
 
 func fuzzRules() []rule.Account {
 	return []rule.Account{
-		{Account: "dala", Rate: 1000, Burst: 3000},
+		{Account: "dala", Rate: 1000, Burst: 1000},
 		{Account: "hojaverde", Rate: 4000, Burst: 2000},
-		{Account: "village", Rate: 50, Burst: 400},
+		{Account: "village", Rate: 100, Burst: 50},
 	}
 }
 
@@ -36,19 +40,25 @@
 	m.sim.run(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
 }
 
-// load sends requests above the rate for a while.
-func (m *machine) load(t *rapid.T) {
-	r := fuzzRules()[rapid.IntRange(0, 2).Draw(t, "account")]
-	n := rapid.IntRange(1, 60).Draw(t, "requests")
-	spread := rapid.IntRange(1, 40).Draw(t, "spread")
-	share := rapid.Int64Range(1, 40).Draw(t, "share")
-	for range n {
-		to := m.sim.nodes[m.sim.random.IntN(fuzzNodes)]
-		tokens := 1 + m.sim.random.Int64N(max(r.Burst/share, 1))
-		settle := time.Duration(m.sim.random.IntN(1500)) * time.Millisecond
-		to.request(r.Account, tokens, m.sim.random.Int64N(tokens+1), settle)
-		m.sim.run(time.Duration(m.sim.random.IntN(spread)) * time.Millisecond)
+// flood sends requests above the rate all the time, so that tokens granted twice show.
+func (m *machine) flood(r rule.Account) {
+	s := m.sim
+	to := s.nodes[s.random.IntN(fuzzNodes)]
+	tokens := 1 + s.random.Int64N(max(r.Burst/fuzzParts, 1))
+	used := tokens
+	if s.random.IntN(fuzzParts) == 0 {
+		used = s.random.Int64N(tokens + 1)
 	}
+	to.request(r.Account, tokens, used, time.Duration(s.random.IntN(fuzzSettle))*time.Millisecond)
+	mean := float64(r.Burst/fuzzParts) / 2 / (float64(r.Rate) * fuzzOverload)
+	s.after(time.Duration(s.random.ExpFloat64()*mean*float64(time.Second)), func() { m.flood(r) })
+}
+
+// burst sends one request of up to the whole burst.
+func (m *machine) burst(t *rapid.T) {
+	r := fuzzRules()[rapid.IntRange(0, 2).Draw(t, "account")]
+	m.node(t).request(r.Account, rapid.Int64Range(1, r.Burst).Draw(t, "tokens"), 1, time.Second)
+	m.wait(t)
 }
 
 func (m *machine) crash(t *rapid.T) {
@@ -132,10 +142,13 @@
 func checkMachine(t *rapid.T) {
 	m := &machine{newSim(rapid.Uint64().Draw(t, "seed"), fuzzNodes, fuzzShards, fuzzRules()...)}
 	m.sim.run(3 * time.Second)
+	for _, r := range fuzzRules() {
+		m.flood(r)
+	}
 	t.Repeat(map[string]func(*rapid.T){
 		"wait":     m.wait,
-		"load":     m.load,
-		"load2":    m.load,
+		"wait2":    m.wait,
+		"burst":    m.burst,
 		"crash":    m.crash,
 		"restart":  m.restart,
 		"leave":    m.leave,
@@ -152,6 +165,9 @@
 			if err := m.sim.oracle.check(); err != nil {
 				t.Fatal(err)
 			}
+			if m.sim.shared != nil {
+				t.Fatal(m.sim.shared)
+			}
 		},
 	})
 }
--- a/allowance/sim_node_test.go
+++ b/allowance/sim_node_test.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"teaselgate/rule"
 )
 
@@ -129,27 +127,26 @@
 	n.sim.after(d, step)
 }
 
+// rank orders the members as instances do; it is worked out anew only when the membership has changed.
 func (n *simNode) rank(shard int) []Holder {
-	type scored struct {
-		holder Holder
-		score  uint64
-	}
-	members := n.sim.members()
-	all := make([]scored, 0, len(members))
+	s := n.sim
+	members := s.members()
+	key := ""
 	for _, m := range members {
-		all = append(all, scored{m.holder(), xxhash.Sum64String(fmt.Sprint(m.name, shard))})
+		key += m.name + string(rune('0'+m.incarnation))
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if a.score > b.score {
-			return -1
+	if key != s.rankKey || s.ranks == nil {
+		s.rankKey = key
+		holders := make([]Holder, len(members))
+		for i, m := range members {
+			holders[i] = m.holder()
+		}
+		s.ranks = make([][]Holder, s.shards)
+		for i := range s.ranks {
+			s.ranks[i] = rankHolders(holders, i)
 		}
-		return 1
-	})
-	out := make([]Holder, len(all))
-	for i, a := range all {
-		out[i] = a.holder
 	}
-	return out
+	return s.ranks[shard]
 }
 
 func (n *simNode) tick() {
@@ -161,11 +158,16 @@
 func (n *simNode) list() {
 	s := n.sim
 	n.deliver(5*time.Second, n.list)
-	if !s.reaches(n) {
+	if s.reaches(n) {
+		for shard := range s.shards {
+			n.keeper.Read(s.now, shard, s.objects[shard].version, s.objects[shard].shard)
+		}
 		return
 	}
-	for shard := range s.shards {
-		n.keeper.Read(s.now, shard, s.objects[shard].version, s.objects[shard].shard)
+	for _, o := range s.nodes {
+		if o != n && o.up && s.connected(n.index, o.index) {
+			n.keeper.Learn(s.now, o.keeper.Objects())
+		}
 	}
 }
 
@@ -195,6 +197,7 @@
 		n.ask(a)
 	}
 	n.collect()
+	s.checkRights()
 }
 
 func (n *simNode) renew(r Renewal) {
--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -35,6 +35,9 @@
 	relay    bool         // instances reach the platform through others
 
 	messages int
+	rankKey  string
+	ranks    [][]Holder
+	shared   error // the first time that two instances had the right to one shard
 	admitted int
 	refused  map[string]int
 	waited   time.Duration
@@ -228,3 +231,19 @@
 	}
 	return out
 }
+
+// checkRights notes when two instances may grant the same tokens.
+func (s *sim) checkRights() {
+	for shard := range s.shards {
+		var first *simNode
+		for _, n := range s.nodes {
+			if !n.up || n.keeper.seats[shard].right(s.now).IsZero() {
+				continue
+			}
+			if first != nil && s.shared == nil {
+				s.shared = fmt.Errorf("%s and %s may both grant of shard %d", first.name, n.name, shard)
+			}
+			first = n
+		}
+	}
+}
--- a/allowance/store.go
+++ b/allowance/store.go
@@ -145,6 +145,7 @@
 			if ctx.Err() == nil {
 				n.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
 			}
+			n.learn(ctx, k)
 			pause(ctx, followDelay)
 			continue
 		}
@@ -195,3 +196,31 @@
 	case <-timer.C:
 	}
 }
+
+// KnownArgs asks an instance for the shards' objects that it knows.
+type KnownArgs struct{}
+
+// KnownReply carries them.
+type KnownReply struct{ Objects []Known }
+
+// Known answers an instance that starts while the platform is out.
+func (r *Receiver) Known(_ KnownArgs, reply *KnownReply) error {
+	c, err := r.node.opened()
+	if err != nil {
+		return err
+	}
+	reply.Objects = c.keeper.Objects()
+	return nil
+}
+
+// learn asks another instance for the shards' objects while the platform can't be read.
+func (n *Node) learn(ctx context.Context, k *Keeper) {
+	for _, m := range n.others(1) {
+		ctx, stop := context.WithTimeout(ctx, peerTimeout)
+		defer stop()
+		var reply KnownReply
+		if n.Call(ctx, m.Peer, RPCName+".Known", KnownArgs{}, &reply) == nil {
+			k.Learn(n.Now(), reply.Objects)
+		}
+	}
+}
