Mend two ways to tokens granted twice, found by the fuzzed fleet

Cause: a bucket handed over with a shard was forgotten as full before its rule was known, and opened full again; a request that ended after its grant was given back revived the grant.

--- a/allowance/entry.go
+++ b/allowance/entry.go
@@ -127,6 +127,7 @@
 	}
 	item := TakeItem{Account: p.account, Back: p.closing(now, echoKey(to))}
 	item.Need, item.Want = p.demand(now)
+	item.Ahead = p.hot(now)
 	if item.Need == 0 && len(item.Back) == 0 {
 		return
 	}
--- a/allowance/grant.go
+++ b/allowance/grant.go
@@ -13,6 +13,7 @@
 	Account string
 	Need    int64 // tokens without which a grant is of no use; 0: only Back
 	Want    int64 // tokens that can be used before the grant ends
+	Ahead   bool  // some of them are wanted ahead of use
 	Back    []Back
 }
 
@@ -87,8 +88,11 @@
 		out.Refusal, out.Wait = NotKeeper, s.untilRight(now)
 		return out
 	}
+	if !item.Ahead {
+		end = earlier(end, now.Add(onceLife))
+	}
 	k.grants++
-	out.Tokens, out.Wait = b.grant(k.grants, end, item.Need, item.Want)
+	out.Tokens, out.Wait = b.grant(k.grants, end, item)
 	if out.Tokens == 0 {
 		out.Refusal = Short
 		return out
--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -117,18 +117,20 @@
 	b.grants = b.grants[:last]
 }
 
-// grant takes at least need and at most want tokens; without them it returns the time until they are there.
-func (b *balance) grant(id uint64, deadline time.Time, need, want int64) (int64, time.Duration) {
-	if b.level < float64(need) {
+// grant makes a grant of at least the tokens needed; without them it returns the time until they are there. What is
+// wanted ahead of use gets a part of the bucket only.
+func (b *balance) grant(id uint64, deadline time.Time, item TakeItem) (int64, time.Duration) {
+	if b.level < float64(item.Need) {
 		if b.rate <= 0 {
 			return 0, math.MaxInt64
 		}
-		return 0, time.Duration((float64(need) - b.level) / b.rate * float64(time.Second))
+		return 0, time.Duration((float64(item.Need) - b.level) / b.rate * float64(time.Second))
 	}
-	tokens := max(need, min(want, int64(b.level/shareDivisor)))
-	if tokens <= 0 {
-		return 0, 0
+	most := b.level
+	if item.Ahead {
+		most /= shareDivisor
 	}
+	tokens := max(item.Need, min(item.Want, int64(most)))
 	b.level -= float64(tokens)
 	b.outstanding += tokens
 	b.grants = append(b.grants, grantRecord{id, tokens, deadline})
@@ -191,6 +193,9 @@
 	l.swept = now
 	for name, b := range l.accounts {
 		b.advance(now)
+		if b.rate == 0 {
+			continue // handed over: its rule is not known before its first use
+		}
 		if b.outstanding == 0 && b.level >= b.burst && l.mayOpenFull(now, b) {
 			delete(l.accounts, name)
 		}
--- a/allowance/pool.go
+++ b/allowance/pool.go
@@ -14,7 +14,7 @@
 	closeTime     = 150 * time.Millisecond // before the end of a grant, the rest is given back
 	closeDivisor  = 4                      // part of a short grant's life at whose end the rest is given back
 	estimateTime  = 2 * time.Second        // over which use is averaged
-	hotRequests   = 2.0                    // in the prefetch time, above which an account is hot
+	hotRequests   = 4.0                    // in the prefetch time, above which an account is hot
 	idleTime      = 10 * time.Second       // after which an unused pool is forgotten
 	retryTime     = 20 * time.Millisecond  // before a keeper that could not grant is asked again
 	failureTime   = 5 * time.Millisecond   // before the next question after one that failed
@@ -188,7 +188,7 @@
 			continue
 		}
 		out = append(out, Back{g.id, g.left})
-		g.left = 0
+		g.left, g.deadline = 0, time.Time{} // a request that ends later gives nothing back to it
 	}
 	return out
 }
--- a/allowance/shard.go
+++ b/allowance/shard.go
@@ -13,6 +13,7 @@
 // Timing of promises and grants.
 const (
 	promiseLife    = time.Second            // a grant ends with the promise that it was given under
+	onceLife       = 100 * time.Millisecond // of a grant for requests that wait for it: it is spent as it comes
 	renewInterval  = 250 * time.Millisecond // between two renewals of a promise
 	clockMargin    = 10 * time.Millisecond  // allowance for clocks of different speed
 	probeDelay     = 350 * time.Millisecond // silence after which a successor looks for a proof
@@ -110,3 +111,11 @@
 	}
 	return b
 }
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
