--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -24,7 +24,14 @@
 
 // Catalogue lists every kind of event.
 var Catalogue = join(
-	instanceEvents, configEvents, requestEvents, fleetEvents, allowanceEvents, cellEvents, outcomeEvents,
+	instanceEvents,
+	configEvents,
+	requestEvents,
+	allowanceEvents,
+	cellEvents,
+	fleetEvents,
+	outcomeEvents,
+	orderEvents,
 )
 
 func join(groups ...map[Code]Definition) map[Code]Definition {
