Check that nobody grants before the grants of a lost keeper have ended; look at others' shards less often

Cause: planted faults in the quiet time of a new primary were not found by the fuzzing, which saw only live instances.

--- a/allowance/claim.go
+++ b/allowance/claim.go
@@ -11,7 +11,14 @@
 	var plan Plan
 	due := make(map[string]*Renewal)
 	probed := make(map[string]bool)
+	others := !now.Before(k.others)
+	if others {
+		k.others = now.Add(othersInterval)
+	}
 	for i := range k.seats {
+		if !others && k.isOther(i) {
+			continue
+		}
 		k.useProof(now, i)
 		k.planWrite(now, i, &plan)
 		s := &k.seats[i]
@@ -33,6 +40,12 @@
 	return plan
 }
 
+// isOther tells whether other instances keep a shard, so that this one need not look at it often.
+func (k *Keeper) isOther(shard int) bool {
+	s := &k.seats[shard]
+	return s.object.Epoch > 0 && !s.acting && s.write == nil && !s.object.Successor.same(k.Self)
+}
+
 // suspect returns a keeper of whose end a proof would help.
 func (k *Keeper) suspect(now time.Time, shard int) (Holder, bool) {
 	s := &k.seats[shard]
--- a/allowance/keeper.go
+++ b/allowance/keeper.go
@@ -25,6 +25,7 @@
 	gone    map[string]uint64    // the newest incarnation proved gone, by name
 	echoes  map[string]int64     // newest answer of each successor, by its own clock
 	avoid   map[string]time.Time // instances that were named and did not promise, until when
+	others  time.Time            // when the shards of others are looked at again
 	moved   time.Time            // when the last shard was given away
 	origin  time.Time            // zero of this instance's clock in messages
 	fresh   bool                 // the platform had no shard of another layout: new buckets are full
--- a/allowance/measure_test.go
+++ b/allowance/measure_test.go
@@ -228,7 +228,8 @@
 				_, successor := s.keepersOf("large")
 				lost := successor.holder()
 				successor.stop(true)
-				s.after(promiseLife, func() { s.scaleLarge(reservePart); s.evict(lost) })
+				s.after(promiseLife/4, func() { s.evict(lost) })
+				s.after(promiseLife, func() { s.scaleLarge(reservePart) })
 			})
 		}},
 		{"reserve of a quarter: keeper's host lost silently", 0, false, func(s *sim) {
--- a/allowance/shard.go
+++ b/allowance/shard.go
@@ -20,6 +20,7 @@
 	probeInterval  = 100 * time.Millisecond
 	claimInterval  = 100 * time.Millisecond // between two tries to write
 	avoidTime      = 10 * time.Second       // for which an instance that did not promise is not named again
+	othersInterval = 500 * time.Millisecond // between two looks at the shards of other instances
 	moveInterval   = 50 * time.Millisecond  // between two shards that an instance gives away
 	confirmTimeout = 500 * time.Millisecond // age of a reading that a write may follow
 )
--- a/allowance/sim_machine_test.go
+++ b/allowance/sim_machine_test.go
@@ -181,7 +181,7 @@
 		"cut":      m.cut,
 		"platform": m.cutPlatform,
 		"outage":   m.outage,
-		"lose":     func(t *rapid.T) { m.sim.lose += rapid.IntRange(1, 3).Draw(t, "answers") },
+		"lose":     func(t *rapid.T) { m.sim.loseAnswers += rapid.IntRange(1, 3).Draw(t, "answers") },
 		"evict":    m.evict,
 		"change":   m.change,
 		"network":  m.network,
--- a/allowance/sim_node_test.go
+++ b/allowance/sim_node_test.go
@@ -92,6 +92,7 @@
 
 // stop ends the incarnation at once.
 func (n *simNode) stop(silent bool) {
+	n.sim.lose(n)
 	n.up, n.silent, n.waiting = false, silent, nil
 	incarnation := n.incarnation
 	n.sim.after(missingLag, func() {
@@ -271,8 +272,8 @@
 			return
 		}
 		version, e := s.writeObject(w)
-		if s.lose > 0 {
-			s.lose--
+		if s.loseAnswers > 0 {
+			s.loseAnswers--
 			return
 		}
 		n.deliver(s.latency(), func() { end(version, e) })
--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -27,17 +27,18 @@
 	late          float64       // share of messages delayed by up to lateTime
 	cuts          map[[2]int]bool
 
-	outage   bool
-	lose     int // answers to writes that are lost
-	version  uint64
-	objects  map[int]simObject
-	platform map[int]bool // instances cut from the platform
-	relay    bool         // instances reach the platform through others
+	outage      bool
+	loseAnswers int // answers to writes that are lost
+	version     uint64
+	objects     map[int]simObject
+	platform    map[int]bool // instances cut from the platform
+	relay       bool         // instances reach the platform through others
 
 	messages int
 	rankKey  string
 	ranks    [][]Holder
-	shared   error // the first time that two instances had the right to one shard
+	ended    map[int]time.Time // when the grants of lost keepers have ended, by shard
+	shared   error             // the first time that two instances had the right to one shard
 	admitted int
 	refused  map[string]int
 	waited   time.Duration
@@ -87,6 +88,7 @@
 		jitter:   time.Millisecond,
 		cuts:     make(map[[2]int]bool),
 		objects:  make(map[int]simObject),
+		ended:    make(map[int]time.Time),
 		platform: make(map[int]bool),
 		relay:    true,
 		refused:  make(map[string]int),
@@ -244,6 +246,18 @@
 				s.shared = fmt.Errorf("%s and %s may both grant of shard %d", first.name, n.name, shard)
 			}
 			first = n
+			if s.now.Before(s.ended[shard]) && s.shared == nil {
+				s.shared = fmt.Errorf("%s may grant of shard %d before grants of a lost keeper have ended", n.name, shard)
+			}
+		}
+	}
+}
+
+// lose notes until when the grants of an incarnation that ends now are in force.
+func (s *sim) lose(n *simNode) {
+	for shard := range s.shards {
+		if end := n.keeper.seats[shard].right(s.now); end.After(s.ended[shard]) {
+			s.ended[shard] = end
 		}
 	}
 }
