Relay a write to the platform also when the own way says that it is out

Measured: go test ./allowance -run 'TestStore|TestServeEvict': failed before, passes now. Objects are learned from peers only until all are known: 1,024 of them every half second would be 400 KB/s in an outage (worked out).

--- a/allowance/store.go
+++ b/allowance/store.go
@@ -80,26 +80,38 @@
 	}
 }
 
-// store calls the platform, through peers if the own way is lost. Repeating a conditional update is harmless.
+// store calls the platform, through peers if the own way is lost. Repeating a conditional update is harmless; a write
+// of which any attempt has no known end has none.
 func (n *Node) store(ctx context.Context, args StoreArgs) (StoreReply, error) {
 	direct, stop := context.WithTimeout(ctx, platformTimeout)
 	defer stop()
 	reply, err := n.storeDirect(direct, args)
-	if err == nil && reply.End != WriteUnknown {
+	if err == nil && reply.End.known() {
 		return reply, nil
 	}
 	for _, m := range n.others(relays) {
-		relayed, stop := context.WithTimeout(ctx, platformTimeout)
-		var through StoreReply
-		failure := n.Call(relayed, m.Peer, RPCName+".Store", args, &through)
-		stop()
-		if failure == nil && through.End != WriteUnknown && through.End != WriteRefused {
+		through, failure := n.storeThrough(ctx, m, args)
+		if failure == nil && through.End.known() {
 			return through, nil
 		}
+		if failure != nil || through.End == WriteUnknown {
+			reply.End = WriteUnknown
+		}
 	}
 	return reply, err
 }
 
+func (n *Node) storeThrough(ctx context.Context, m fleet.Member, args StoreArgs) (StoreReply, error) {
+	ctx, stop := context.WithTimeout(ctx, platformTimeout)
+	defer stop()
+	var reply StoreReply
+	err := n.Call(ctx, m.Peer, RPCName+".Store", args, &reply)
+	return reply, err
+}
+
+// known tells whether the platform has decided on a write.
+func (e WriteEnd) known() bool { return e == WriteWon || e == WriteLost }
+
 // others returns some other live instances at random.
 func (n *Node) others(count int) []fleet.Member {
 	var out []fleet.Member
@@ -145,7 +157,9 @@
 			if ctx.Err() == nil {
 				n.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
 			}
-			n.learn(ctx, k)
+			if !k.Ready() {
+				n.learn(ctx, k)
+			}
 			pause(ctx, followDelay)
 			continue
 		}
