--- a/allowance/keeper.go
+++ b/allowance/keeper.go
@@ -165,6 +165,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.leaving = true
 	for i := range k.seats {
 		s := &k.seats[i]
 		s.acting, s.alone, s.resigned, s.claimed = false, false, true, true
--- a/allowance/node.go
+++ b/allowance/node.go
@@ -29,7 +29,7 @@
 	Members  func() []fleet.Member
 	Call     func(ctx context.Context, address, method string, args, reply any) error
 	Record   func(event.Event)
-	Now      func() time.Time
+	Now      func() time.Time // for deadlines only
 
 	core  atomic.Pointer[core]
 	ready chan struct{} // closed when core is set
@@ -50,7 +50,7 @@
 	return &Node{
 		Self:   self,
 		Record: func(event.Event) {},
-		Now:    time.Now,
+		Now:    NewClock().Now,
 		ready:  make(chan struct{}),
 		kick:   make(chan struct{}, 1),
 	}
@@ -137,7 +137,7 @@
 	case <-ctx.Done():
 		return nil, time.Time{}, unavailable.Wrap(ctx.Err(), "allowance: the caller is gone")
 	case <-time.After(maxWait):
-		return nil, n.Now().Add(maxWait), ErrUnavailable
+		return nil, time.Now().Add(maxWait), ErrUnavailable
 	}
 	entry := n.core.Load().entry
 	got, w := entry.take(n.Now(), a.Account, tokens)
@@ -153,7 +153,7 @@
 		}
 	}
 	if got.err != nil {
-		return nil, got.retryAt, got.err
+		return nil, time.Now().Add(got.retryAt.Sub(n.Now())), got.err
 	}
 	settle := func(used int64) { entry.settle(n.Now(), got.parts, tokens-used) }
 	return &Charge{settle: settle}, time.Time{}, nil
