--- /dev/null
+++ b/allowance/wire_test.go
@@ -0,0 +1,111 @@
+package allowance
+
+import (
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"teaselgate/rule"
+)
+
+// countingConn counts the bytes that go through a connection.
+type countingConn struct {
+	net.Conn
+	read, written atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// wirePair is a client and a server whose keeper acts alone in all shards.
+func wirePair(t testing.TB, shards int) (*rpc.Client, *countingConn) {
+	now := time.Now()
+	node := NewNode(Holder{Name: "i1", Incarnation: uint64(now.UnixNano()), Zone: "ala-a", Peer: "10.0.0.1:7001"})
+	node.core.Store(&core{keeper: aloneKeeper(node.Self, shards, now)})
+	server := rpc.NewServer()
+	if err := server.RegisterName(RPCName, node.Receiver()); err != nil {
+		t.Fatal(err)
+	}
+	near, far := net.Pipe()
+	go server.ServeConn(far)
+	counting := &countingConn{Conn: near}
+	client := rpc.NewClient(counting)
+	t.Cleanup(func() { client.Close() })
+	return client, counting
+}
+
+func aloneKeeper(self Holder, shards int, now time.Time) *Keeper {
+	k := NewKeeper(self, shards, now)
+	k.Account = func(name string) (rule.Account, bool) {
+		return rule.Account{Account: name, Rate: 1 << 40, Burst: 1 << 50}, true
+	}
+	for i := range k.seats {
+		k.seats[i] = seat{object: Shard{Epoch: 1, Primary: self}, acting: true, alone: true}
+		k.ledgers[i] = newLedger(time.Time{})
+	}
+	return k
+}
+
+func takeArgs(to uint64, items, salt int) TakeArgs {
+	args := TakeArgs{To: to}
+	for i := range items {
+		item := TakeItem{Account: fmt.Sprintf("account-%05d", i+salt), Need: 1000, Want: 1000}
+		args.Items = append(args.Items, item)
+	}
+	return args
+}
+
+// TestMeasureWire reports the bytes of each message and its answer, after the types were sent once.
+func TestMeasureWire(t *testing.T) {
+	if !*long {
+		t.Skip("a measurement without a target: run it with -long")
+	}
+	client, conn := wirePair(t, 16)
+	var probe ProbeReply
+	if err := client.Call(RPCName+".Probe", ProbeArgs{}, &probe); err != nil {
+		t.Fatal(err)
+	}
+	holder := Holder{Name: "i2", Incarnation: probe.Incarnation, Zone: "ala-b", Peer: "10.0.0.2:7001"}
+	renew := func(shards int) RenewArgs {
+		args := RenewArgs{From: holder, Echo: int64(time.Hour)}
+		for i := range shards {
+			args.Shards = append(args.Shards, RenewShard{Shard: i, Epoch: 40})
+		}
+		return args
+	}
+	resign := ResignArgs{From: holder, Shard: 3, Epoch: 40, Age: noAge}
+	for i := range 34 {
+		resign.Buckets = append(resign.Buckets, Bucket{fmt.Sprintf("account-%05d", i), 12345.678, 1000})
+	}
+	cases := []struct {
+		name, method string
+		args, reply  any
+	}{
+		{"grant for 1 account", ".Take", takeArgs(probe.Incarnation, 1, 0), &TakeReply{}},
+		{"grants for 10 accounts", ".Take", takeArgs(probe.Incarnation, 10, 0), &TakeReply{}},
+		{"renewal of 1 shard", ".Renew", renew(1), &RenewReply{}},
+		{"renewal of 3 shards", ".Renew", renew(3), &RenewReply{}},
+		{"resignation with 34 accounts", ".Resign", resign, &ResignReply{}},
+	}
+	for _, c := range cases {
+		for range 2 {
+			read, written := conn.read.Load(), conn.written.Load()
+			if err := client.Call(RPCName+c.method, c.args, c.reply); err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%-30s %4d bytes sent, %3d bytes received", c.name, conn.written.Load()-written, conn.read.Load()-read)
+		}
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -27,6 +27,7 @@
 	instanceEvents,
 	configEvents,
 	requestEvents,
+	allowanceEvents,
 	cellEvents,
 	fleetEvents,
 	outcomeEvents,
