Keep 40 ms of work ready at a prefill server; stretch the targets with a run's scale

Cause: the core's view during a real run at 100% shows prefill as the limit, at 45,000 to 55,000 instead of 60,000 tokens/s a server, with 13 to 15 of 20 slots in use: the next prompt was sent 10 ms before the end of the one before, less than its 80 KB took to arrive on a busy machine.

--- a/cell/core.go
+++ b/cell/core.go
@@ -13,7 +13,7 @@
 	retryWait     = 10 * time.Second       // longest wait of a request whose first place failed
 	firstMargin   = 60 * time.Millisecond  // kept free of the first token's target for the network and the first step
 	longAnswer    = 1.5                    // a prompt too long for the target may take this many times its idle time
-	lookahead     = 10 * time.Millisecond  // work kept ready at a prefill server
+	lookahead     = 40 * time.Millisecond  // work kept ready at a prefill server
 	rebuildLimit  = time.Second            // a new dispatcher places at the latest after this time
 	placeLife     = 30 * time.Second       // a place is taken back this long after its predicted end
 	withdrawAfter = 2 * time.Second        // a waiting request that its instance does not ask for any more
--- a/load/profile.go
+++ b/load/profile.go
@@ -139,7 +139,7 @@
 	const burstSeconds = 5
 	s := site.Shape{
 		Instances: p.Instances, Prefills: p.Prefills, Decodes: p.Decodes, Services: p.Services,
-		Zones: p.Zones, Place: place, Tune: Tune(scale),
+		Zones: p.Zones, Place: place, Scale: scale, Tune: Tune(scale),
 	}
 	for _, a := range p.Accounts {
 		rate := max(int64(p.tokenRate()*a.Part*headroom/scale), 1)
--- a/standin/site/shape.go
+++ b/standin/site/shape.go
@@ -34,6 +34,7 @@
 	Services  int
 	Zones     []string
 	Place     rule.Place
+	Scale     float64 // stretches the targets of the model; 0 leaves them as they are
 	Accounts  []Account
 	Tune      func(*standengine.Engine) // sets the figures of each engine; may be nil
 	Log       *logrus.Logger
@@ -49,7 +50,13 @@
 	if s.Place == "" {
 		return baseRules
 	}
-	return strings.Replace(baseRules, basePlace, "place: "+string(s.Place), 1)
+	place := "place: " + string(s.Place)
+	if s.Scale > 0 {
+		stretch := func(d time.Duration) time.Duration { return time.Duration(float64(d) * s.Scale) }
+		place += fmt.Sprintf(", first: %s, between: %s, wait: %s",
+			stretch(rule.DefaultFirst), stretch(rule.DefaultBetween), stretch(rule.DefaultWait))
+	}
+	return strings.Replace(baseRules, basePlace, place, 1)
 }
 
 // addAccounts appends the rules of the accounts and returns the secret of each.
