--- a/cell/placer_test.go
+++ b/cell/placer_test.go
@@ -164,6 +164,34 @@
 	})
 }
 
+func TestWaitingRequestsOutliveTheirDispatcher(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fakeFleet, owner, other *Placer) {
+		const requests = 6
+		f.held["10.0.0.2:1"], f.held["10.0.0.3:1"] = 4, 4
+		answers := make(chan error, 2*requests)
+		for n := range requests {
+			go func() {
+				_, err := other.Place(t.Context(), ask(fmt.Sprintf("r%d", n), rule.ClassSummary))
+				answers <- err
+			}()
+		}
+		<-time.After(time.Second) // in virtual time
+		f.mu.Lock()
+		f.dead[owner.Self] = true
+		f.held["10.0.0.2:1"], f.held["10.0.0.3:1"] = 0, 0
+		f.mu.Unlock()
+		<-time.After(5 * time.Second)
+		if len(answers) != requests {
+			t.Fatalf("unexpected answers %d instead of one for each of %d requests", len(answers), requests)
+		}
+		for range requests {
+			if err := <-answers; err != nil {
+				t.Errorf("unexpected refusal %v instead of a place at the next dispatcher", err)
+			}
+		}
+	})
+}
+
 func TestCancelledRequestLeavesNothing(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fakeFleet, owner, other *Placer) {
 		f.held["10.0.0.2:1"], f.held["10.0.0.3:1"] = 4, 4
