Give the callers of a load run a time-out above the longest wait of a summary

The time-out is a minute now, stretched by the scale. Conclusion: no fault of the instances; at scale 1 a summary placed after 30 s with 350 tokens could have met the same time-out.

--- a/load/caller.go
+++ b/load/caller.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	callTimeout     = 40 * time.Second
+	callTimeout     = time.Minute // above the longest wait of a summary and its answer
 	maxLineBytes    = 256 << 10
 	idleConnections = 256
 	checkTrailer    = "Service-Check"
@@ -32,13 +32,14 @@
 	client *http.Client
 }
 
-// NewCaller returns a caller with its own connections.
-func NewCaller(keys map[string]string, delay time.Duration) *Caller {
+// NewCaller returns a caller with its own connections, whose times are stretched by a scale.
+func NewCaller(keys map[string]string, delay time.Duration, scale float64) *Caller {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: idleConnections,
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 	}
-	return &Caller{Keys: keys, Delay: delay, client: &http.Client{Timeout: callTimeout, Transport: transport}}
+	client := &http.Client{Timeout: stretch(callTimeout, scale), Transport: transport}
+	return &Caller{Keys: keys, Delay: stretch(delay, scale), client: client}
 }
 
 // Close drops the idle connections.
--- a/load/runner.go
+++ b/load/runner.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return Summary{}, err
 	}
-	caller := NewCaller(s.Keys(), stretch(r.Profile.ClientDelay, r.Plan.Scale))
+	caller := NewCaller(s.Keys(), r.Profile.ClientDelay, r.Plan.Scale)
 	balance := newBalancer(s.Addresses())
 	following, stopFollowing := context.WithCancel(ctx)
 	var background sync.WaitGroup
@@ -69,7 +69,7 @@
 			return Summary{}, fmt.Errorf("load: no key for client account %s", a.Name)
 		}
 	}
-	caller := NewCaller(t.Keys, stretch(r.Profile.ClientDelay, r.Plan.Scale))
+	caller := NewCaller(t.Keys, r.Profile.ClientDelay, r.Plan.Scale)
 	defer caller.Close()
 	answers := sendAll(ctx, caller, newBalancer(t.Addresses), r.Profile.arrivals(r.Plan))
 	shape := r.Profile.shape(r.Place, r.Plan.Scale, r.Headroom)
