Keep the acceptor's end open until both hellos have ended

Cause: the test closed one end of the pipe as soon as the acceptor was done; the dialer, which was done too but for lifting its deadline, then saw a closed pipe. Seen in 1 of 5 runs with GOMAXPROCS=2 on a busy machine. The check itself is unchanged.

--- a/peer/hello_test.go
+++ b/peer/hello_test.go
@@ -15,10 +15,8 @@
 func hellos(dialerToken, acceptorToken string) (dialer, acceptor error) {
 	ours, theirs := net.Pipe()
 	done := make(chan error, 1)
-	go func() {
-		done <- acceptHello(theirs, acceptorToken)
-		theirs.Close()
-	}()
+	go func() { done <- acceptHello(theirs, acceptorToken) }()
+	defer theirs.Close()
 	defer ours.Close()
 	if dialer = offerHello(context.Background(), ours, dialerToken); dialer != nil {
 		ours.Close()
