--- /dev/null
+++ b/rule/page_test.go
@@ -0,0 +1,29 @@
+package rule
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestPageNamesEveryKindAndField(t *testing.T) {
+	page, err := os.ReadFile("../docs/RULES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, kind := range kindOrder {
+		_, section, found := strings.Cut(string(page), "\n| `"+string(kind)+"` |")
+		if !found {
+			t.Errorf("unexpected gap in docs/RULES.md: no kind %s", kind)
+			continue
+		}
+		if end := strings.Index(section, "\n| `"); end >= 0 {
+			section = section[:end]
+		}
+		for name := range fieldNames(newValue(kind)) {
+			if !strings.Contains(section, "`"+name+"`") {
+				t.Errorf("unexpected gap in docs/RULES.md: no field %s of kind %s", name, kind)
+			}
+		}
+	}
+}
