--- a/cli/timeline_test.go
+++ b/cli/timeline_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	standplatform "teaselgate/standin/platform"
 	"teaselgate/standin/site"
 )
 
@@ -57,4 +59,10 @@
 	if err := s.Stop(); err != nil {
 		t.Errorf("unexpected error %v", err)
 	}
+	empty := httptest.NewServer(standplatform.NewServer(site.Tokens.Platform).Handler())
+	defer empty.Close()
+	code, _, stderr = execute("timeline", "--platform", empty.URL, "--platform-token", platformToken, "--admin-token", adminToken)
+	if code != ExitFailed || !strings.Contains(stderr, "lists no instances") {
+		t.Errorf("unexpected answer without instances, exit code %d: %s", code, stderr)
+	}
 }
