Tell when an instance was last lost without leaving

Cause: sweeping has work to do only after such a loss; it asks all engines all the time. Test: set after a kill, not after a graceful leave.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,7 @@
 	probes   []probeResult // within the hearing window
 	platform time.Time     // when the platform was last heard
 	polled   time.Time     // when the platform was last asked
+	lost     time.Time     // when an instance was last found to have ended without leaving
 	calls    sync.WaitGroup
 }
 
@@ -157,6 +158,13 @@
 	return len(heard) > 0 && 2*answered >= len(heard)
 }
 
+// LastLoss returns when an instance was last found to have ended without a graceful leave.
+func (f *Fleet) LastLoss() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
 // Leave tells peers that this instance takes no new duties.
 func (f *Fleet) Leave(ctx context.Context) { f.spread(ctx, Leaving) }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -47,7 +47,11 @@
 	run(t, func(n *network) {
 		fleets := n.startAll(6)
 		n.kill(fleets[2])
+		killed := time.Now()
 		wait(detection)
+		if fleets[0].LastLoss().Before(killed) {
+			t.Errorf("unexpected loss at %v instead of after %v", fleets[0].LastLoss(), killed)
+		}
 		fleets[2] = n.start("a2", 2)
 		wait(detection)
 		for _, f := range fleets {
@@ -112,6 +116,9 @@
 		n.kill(leaver)
 		wait(20 * time.Second)
 		for _, f := range fleets[1:] {
+			if !f.LastLoss().IsZero() {
+				t.Errorf("unexpected loss at %s: the instance has left", f.Self.Name)
+			}
 			n.expect(f, "after one left", 1, Left)
 			if !f.Connected() {
 				t.Errorf("unexpected connection of %s, got false instead of true", f.Self.Name)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -57,6 +57,9 @@
 // ended tells whether the instance is taken to answer no calls any more.
 func (a Member) ended() bool { return a.State == Gone || a.State == Left }
 
+// unfinished tells whether the instance is known by a statement of its own and has not said that it left.
+func (a Member) unfinished() bool { return a.Incarnation > 0 && a.State != Left }
+
 // entry is a member with what this instance itself saw of it.
 type entry struct {
 	member  Member
--- a/fleet/update.go
+++ b/fleet/update.go
@@ -74,6 +74,9 @@
 		return
 	}
 	changed := !known || old.member.State != m.State || old.member.Incarnation != m.Incarnation
+	if m.State == Gone || known && m.Incarnation > old.member.Incarnation && old.member.unfinished() {
+		f.lost = f.Now()
+	}
 	f.members[m.Name] = &entry{member: m, suspect: f.Now().Add(suspectTimeout)}
 	f.updates.add(m, len(f.members))
 	f.mu.Unlock()
