--- a/entry/handler.go
+++ b/entry/handler.go
@@ -23,7 +23,10 @@
 // RequestHeader carries the request's id in every answer.
 const RequestHeader = "Teaselgate-Request"
 
-const requestIDBytes = 12
+const (
+	requestIDBytes = 12
+	retryDelay     = 2 * time.Second // after a failure that names no time
+)
 
 // Handler answers callers. Its exported fields are set before it serves.
 type Handler struct {
@@ -94,8 +97,17 @@
 	return charge, nil
 }
 
+// withRetry tells the caller of a failed request when to come back, unless a repeat might run a call twice.
+func (h *Handler) withRetry(c *call, refusal *outcome.Refusal) *outcome.Refusal {
+	mayRepeat := refusal.Outcome == outcome.NotRun || c.route.Calls == rule.Idempotent
+	if !refusal.RetryAt.IsZero() || refusal.Status < http.StatusInternalServerError || !mayRepeat {
+		return refusal
+	}
+	return refusal.WithRetry(h.Now().Add(retryDelay))
+}
+
 func (h *Handler) refuse(w http.ResponseWriter, c *call, err error) {
-	refusal := outcome.AsRefusal(err)
+	refusal := h.withRetry(c, outcome.AsRefusal(err))
 	h.Record(event.Event{
 		Code:    event.RequestRefused,
 		Request: c.id,
--- /dev/null
+++ b/instance/build_outcome_test.go
@@ -0,0 +1,34 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestEachDutyFallsToOneInstance shares engines among instances; the shares must be about equal.
+func TestEachDutyFallsToOneInstance(t *testing.T) {
+	const instances, engines = 9, 9000
+	hashes := make([]uint64, instances)
+	for n := range hashes {
+		hashes[n] = hashOf(fmt.Sprintf("i%d", n))
+	}
+	shares := make([]int, instances)
+	for e := range engines {
+		duty, winners := hashOf(fmt.Sprintf("10.0.%d.%d:8000", e/250, e%250)), 0
+		for n, own := range hashes {
+			others := append(append([]uint64(nil), hashes[:n]...), hashes[n+1:]...)
+			if wins(own, duty, others) {
+				winners++
+				shares[n]++
+			}
+		}
+		if winners != 1 {
+			t.Fatalf("unexpected winners of engine %d, got %d instead of 1", e, winners)
+		}
+	}
+	for n, share := range shares {
+		if share < engines/instances*8/10 || share > engines/instances*12/10 {
+			t.Errorf("unexpected share of instance %d, got %d instead of about %d", n, share, engines/instances)
+		}
+	}
+}
--- a/outcome/callers_test.go
+++ b/outcome/callers_test.go
@@ -50,6 +50,7 @@
 	}
 	defer resp.Body.Close()
 	if told := resp.Header.Get(outcome.Header); told != "" {
+		b.checkRetry(resp, k, told)
 		return told
 	}
 	if resp.StatusCode != http.StatusOK {
@@ -65,6 +66,14 @@
 	return saw
 }
 
+// checkRetry checks that a failed request tells when to come back, but not if a repeat might run a call twice.
+func (b *bench) checkRetry(resp *http.Response, k kind, told string) {
+	want := told == sawNotRun || k != once && k != keyed
+	if resp.StatusCode >= http.StatusInternalServerError && (resp.Header.Get("Retry-After") != "") != want {
+		b.t.Errorf("unexpected Retry-After %q of a %s refused %s", resp.Header.Get("Retry-After"), k, told)
+	}
+}
+
 func brokenOrGone(ctx context.Context) string {
 	if ctx.Err() != nil {
 		return sawGone
--- a/outcome/matrix_test.go
+++ b/outcome/matrix_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"teaselgate/entry"
 	standengine "teaselgate/standin/engine"
@@ -14,6 +15,8 @@
 	standplatform "teaselgate/standin/platform"
 )
 
+const platformDelay = 100 * time.Millisecond // of a slow platform's answers
+
 var (
 	modelSteps = []string{"prefill", "prefilled", "import", "export", "imported", "decode", "token", "done"}
 	plainSteps = []string{"received", "ran", "answering"}
@@ -156,6 +159,17 @@
 		once:     "whole whole whole",
 		keyed:    "not-run/whole not-run/whole not-run/whole not-run/whole whole/replayed whole/replayed whole/replayed whole/replayed whole/replayed",
 	}},
+	{"platform slow", func(b *bench, _ *backend, _ *pending) fault.Action {
+		b.platform.SetFaults(standplatform.Faults{Delay: platformDelay})
+		return fault.Pass
+	}, map[kind]string{
+		stream:   "whole whole whole whole whole whole whole whole",
+		complete: "whole whole whole whole whole whole whole whole",
+		read:     "whole whole whole",
+		once:     "whole whole whole",
+		keyed: "whole/replayed whole/replayed whole/replayed whole/replayed whole/replayed whole/replayed whole/replayed " +
+			"whole/replayed whole/replayed",
+	}},
 	{"platform's answer lost", act(fault.Break), map[kind]string{
 		stream:   "2 2 2 2 2 2 2 2",
 		complete: "2 2 2 2 2 2 2 2",
--- a/outcome/sweeper.go
+++ b/outcome/sweeper.go
@@ -34,7 +34,7 @@
 var sweepDelays = map[OwnerState]struct{ idle, reading time.Duration }{
 	OwnerReplaced: {2 * time.Second, 2 * time.Second},
 	OwnerGone:     {6 * time.Second, time.Minute},
-	OwnerUnknown:  {30 * time.Second, time.Minute},
+	OwnerUnknown:  {30 * time.Second, 10 * time.Minute},
 }
 
 // Sweeper cancels attempts at engines whose owners have ended, and own attempts that are not running any more.
@@ -111,10 +111,16 @@
 	defer s.mu.Unlock()
 	work := make(map[string]string)
 	for at := range s.dirty {
+		if !slices.Contains(engines, at) {
+			delete(s.dirty, at) // no engine any more
+			continue
+		}
 		work[at] = s.Owner
 	}
 	for t := range s.suspects {
-		work[t.at] = s.Owner
+		if slices.Contains(engines, t.at) {
+			work[t.at] = s.Owner
+		}
 	}
 	for range min(ownEnginesInRound, len(engines)) {
 		work[engines[s.next%len(engines)]] = s.Owner
--- a/outcome/sweeper_test.go
+++ b/outcome/sweeper_test.go
@@ -90,6 +90,7 @@
 		{"gone owner, cut off", "d1", engine.Held{Owner: "i2-1"}, OwnerGone, true, 2 * time.Minute, false},
 		{"unknown owner", "d1", engine.Held{Owner: "i9-1"}, OwnerUnknown, false, 31 * time.Second, true},
 		{"unknown owner, just seen", "d1", engine.Held{Owner: "i9-1"}, OwnerUnknown, false, 20 * time.Second, false},
+		{"unknown owner that reads", "d1", engine.Held{Owner: "i9-1", Reading: true}, OwnerUnknown, false, 5 * time.Minute, false},
 		{"other's engine", "d2", engine.Held{Owner: "i2-1"}, OwnerGone, false, 2 * time.Minute, false},
 		{"own attempt that runs", "d2", engine.Held{Owner: "i1-5", Attempt: "run"}, OwnerLive, false, time.Minute, false},
 		{"own attempt that ended", "d2", engine.Held{Owner: "i1-5"}, OwnerLive, false, 3 * time.Second, true},
@@ -123,7 +124,8 @@
 
 func TestDirtyEngineIsSearchedUntilClean(t *testing.T) {
 	b := newSweepBench()
-	b.Engines = func() []string { return nil }
+	engines := []string{"d7"}
+	b.Engines = func() []string { return engines }
 	b.Choose = func([]string) []string { return nil }
 	b.held["d7"] = []engine.Held{{Owner: "i1-5", Attempt: "lost"}}
 	b.MarkDirty("d7")
@@ -132,7 +134,12 @@
 	}
 	b.held["d7"] = nil
 	b.sweepFor(t, time.Second)
-	if work := b.work(); len(work) != 0 {
+	if len(b.dirty) != 0 {
+		t.Errorf("unexpected dirty engines, got %v instead of none", b.dirty)
+	}
+	b.MarkDirty("d7")
+	engines = nil
+	if work := b.work(); len(work)+len(b.dirty) != 0 {
 		t.Errorf("unexpected work, got %v instead of none", work)
 	}
 }
