Confirm an order after a quarter of a second at most when its claim is slow to be stored

Cause: a confirmed order waited up to a second for a slow platform before its caller saw the answer. Now it waits 250 ms and the write goes on in the background, as it did before after a second.

--- a/outcome/claims.go
+++ b/outcome/claims.go
@@ -17,10 +17,10 @@
 
 // Limits of work on claims.
 const (
-	takeTimeout  = 4 * time.Second // to win or refuse a claim
-	storeTimeout = time.Second     // that an answer waits for its claim
-	retakeDelay  = time.Second     // before the claim of a live holder is taken over
-	maxWrites    = 4               // of one record, while its answers are lost
+	takeTimeout  = 4 * time.Second        // to win or refuse a claim
+	storeTimeout = 250 * time.Millisecond // that an answer waits for its claim
+	retakeDelay  = time.Second            // before the claim of a live holder is taken over
+	maxWrites    = 4                      // of one record, while its answers are lost
 )
 
 var (
