--- /dev/null
+++ b/allowance/bench_test.go
@@ -0,0 +1,104 @@
+package allowance
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// The size to design for.
+const (
+	largeShards   = 1024
+	largeAccounts = 35000
+	largeNodes    = 370
+)
+
+var benchHolder = Holder{Name: "i1", Incarnation: 1, Zone: "ala-a", Peer: "10.0.0.1:7001"}
+
+// BenchmarkGrant is the work of a keeper for one grant to one account.
+func BenchmarkGrant(b *testing.B) {
+	now := time.Now()
+	k := aloneKeeper(benchHolder, 16, now)
+	args := takeArgs(1, 1, 0)
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		k.Take(now, args)
+	}
+}
+
+// BenchmarkGrantOverNetwork is the work of both sides of one question, net/rpc and its codec included.
+func BenchmarkGrantOverNetwork(b *testing.B) {
+	client, _ := wirePair(b, 16)
+	var probe ProbeReply
+	if err := client.Call(RPCName+".Probe", ProbeArgs{}, &probe); err != nil {
+		b.Fatal(err)
+	}
+	args := takeArgs(probe.Incarnation, 1, 0)
+	for b.Loop() {
+		var reply TakeReply
+		if err := client.Call(RPCName+".Take", args, &reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkAdmit is the work of an entry for a request that finds a grant.
+func BenchmarkAdmit(b *testing.B) {
+	now := time.Now()
+	e := NewEntry(16, func(int) Shard { return Shard{Epoch: 1, Primary: benchHolder} })
+	p := &pool{account: "dala", grants: []*grant{{left: 1 << 60, deadline: now.Add(time.Hour)}}}
+	e.pools["dala"] = p
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		if a, w := e.take(now, "dala", 1000); w != nil || a.err != nil {
+			b.Fatal("not admitted")
+		}
+	}
+}
+
+// BenchmarkTick is one look of a keeper at all shards of a large fleet, of which it keeps its part.
+func BenchmarkTick(b *testing.B) {
+	now := time.Now()
+	k := aloneKeeper(benchHolder, largeShards, now)
+	for i := range k.seats {
+		if i >= largeShards/largeNodes+1 {
+			k.seats[i] = seat{object: Shard{Epoch: 1, Primary: Holder{Name: "i2", Incarnation: 1}}}
+			delete(k.ledgers, i)
+		}
+	}
+	for b.Loop() {
+		now = now.Add(keeperTick)
+		k.Tick(now)
+	}
+}
+
+func TestMeasureMemory(t *testing.T) {
+	if !*long {
+		t.Skip("a measurement without a target: run it with -long")
+	}
+	now := time.Now()
+	before := heapBytes()
+	k := aloneKeeper(benchHolder, largeShards, now)
+	shards := heapBytes()
+	for i := range largeAccounts {
+		k.Take(now, TakeArgs{To: 1, Items: []TakeItem{{Account: fmt.Sprintf("account-%05d", i), Need: 1000, Want: 1000}}})
+	}
+	accounts := heapBytes()
+	e := NewEntry(largeShards, k.Keepers)
+	for i := range largeAccounts {
+		e.take(now, fmt.Sprintf("account-%05d", i), 1000)
+	}
+	pools := heapBytes()
+	t.Logf("%d bytes per shard, %d bytes per account with a grant at its keeper, %d bytes per account in use at an entry",
+		(shards-before)/largeShards, (accounts-shards)/largeAccounts, (pools-accounts)/largeAccounts)
+	runtime.KeepAlive(k)
+	runtime.KeepAlive(e)
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/allowance/remote.go
@@ -0,0 +1,157 @@
+package allowance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+
+	"teaselgate/event"
+	"teaselgate/peer"
+)
+
+// RPCName is the name under which the allowance's methods are registered. It is short because it is in each message.
+const RPCName = "A"
+
+// errRefused is what a host answers on a port on which nothing listens.
+const errRefused = syscall.ECONNREFUSED
+
+// isRefused tells whether the host of an address refused a connection: no process listens there. The causes of wrapped
+// errors are looked at one by one, since errorx does not show them to errors.Is.
+func isRefused(err error) bool {
+	for err != nil {
+		if errors.Is(err, errRefused) {
+			return true
+		}
+		wrapped := errorx.Cast(err)
+		if wrapped == nil {
+			return false
+		}
+		err = wrapped.Cause()
+	}
+	return false
+}
+
+// Receiver answers the calls of peers.
+type Receiver struct{ node *Node }
+
+// Receiver returns what is to be registered under RPCName.
+func (n *Node) Receiver() *Receiver { return &Receiver{n} }
+
+// ProbeArgs asks an instance for its incarnation.
+type ProbeArgs struct{}
+
+// ProbeReply carries the incarnation.
+type ProbeReply struct{ Incarnation uint64 }
+
+// EvictArgs carries an operator's word that an instance is gone.
+type EvictArgs struct{ Gone Holder }
+
+// EvictReply is empty.
+type EvictReply struct{}
+
+// Renew answers a primary.
+func (r *Receiver) Renew(args RenewArgs, reply *RenewReply) error {
+	c, err := r.node.opened()
+	if err != nil {
+		return err
+	}
+	*reply = c.keeper.Renew(r.node.Now(), args)
+	return nil
+}
+
+// Resign takes a shard over from a primary.
+func (r *Receiver) Resign(args ResignArgs, reply *ResignReply) error {
+	c, err := r.node.opened()
+	if err != nil {
+		return err
+	}
+	*reply = c.keeper.Resign(r.node.Now(), args)
+	return nil
+}
+
+// Take makes grants.
+func (r *Receiver) Take(args TakeArgs, reply *TakeReply) error {
+	c, err := r.node.opened()
+	if err != nil {
+		return err
+	}
+	*reply = c.keeper.Take(r.node.Now(), args)
+	return nil
+}
+
+// Probe answers that this incarnation runs.
+func (r *Receiver) Probe(_ ProbeArgs, reply *ProbeReply) error {
+	reply.Incarnation = r.node.Self.Incarnation
+	return nil
+}
+
+// Evict takes in an operator's word.
+func (r *Receiver) Evict(args EvictArgs, _ *EvictReply) error {
+	c, err := r.node.opened()
+	if err != nil {
+		return err
+	}
+	c.keeper.Evict(r.node.Now(), args.Gone)
+	r.node.Record(event.Event{Code: event.KeeperEvicted, Server: args.Gone.Name})
+	return nil
+}
+
+// opened returns the core, or an error before the first rules.
+func (n *Node) opened() (*core, error) {
+	if c := n.core.Load(); c != nil {
+		return c, nil
+	}
+	return nil, unavailable.New("allowance: no rules are in force yet")
+}
+
+// String names the change for the time line.
+func (c Change) String() string { return fmt.Sprintf("shard %d epoch %d %s", c.Shard, c.Epoch, c.Part) }
+
+func (n *Node) renew(ctx context.Context, k *Keeper, r Renewal) {
+	ctx, stop := context.WithTimeout(ctx, peerTimeout)
+	defer stop()
+	sent := n.Now()
+	var reply RenewReply
+	err := n.Call(ctx, r.To.Peer, RPCName+".Renew", r.Args, &reply)
+	switch {
+	case err == nil:
+		k.Promised(n.Now(), sent, r, reply)
+	case errors.Is(err, peer.ErrFailed) && ctx.Err() == nil:
+		n.probe(ctx, k, r.To)
+	default:
+		n.prove(k, r.To, err)
+	}
+}
+
+func (n *Node) resign(ctx context.Context, r Resignation) {
+	ctx, stop := context.WithTimeout(ctx, peerTimeout)
+	defer stop()
+	var reply ResignReply
+	_ = n.Call(ctx, r.To.Peer, RPCName+".Resign", r.Args, &reply) // the successor takes over later without it
+}
+
+// probe looks for a proof that an incarnation is gone: another one answers, or the host refuses the connection.
+func (n *Node) probe(ctx context.Context, k *Keeper, h Holder) {
+	ctx, stop := context.WithTimeout(ctx, peerTimeout)
+	defer stop()
+	var reply ProbeReply
+	err := n.Call(ctx, h.Peer, RPCName+".Probe", ProbeArgs{}, &reply)
+	if errors.Is(err, peer.ErrFailed) && ctx.Err() == nil {
+		err = n.Call(ctx, h.Peer, RPCName+".Probe", ProbeArgs{}, &reply)
+	}
+	if err == nil && reply.Incarnation > h.Incarnation {
+		k.Gone(n.Now(), h)
+	}
+	n.prove(k, h, err)
+}
+
+func (n *Node) prove(k *Keeper, h Holder, err error) {
+	if !isRefused(err) {
+		return
+	}
+	n.Record(event.Event{Code: event.KeeperGone, Server: h.Name, Detail: err.Error()})
+	k.Gone(n.Now(), h)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
+	"teaselgate/allowance"
 	"teaselgate/cell"
 	"teaselgate/certificate"
 	"teaselgate/config"
@@ -46,6 +47,7 @@
 	peerServer  *peer.Server
 	fleet       *fleet.Fleet
 	rules       *config.Follower
+	allowance   *allowance.Node
 	admit       admitFunc
 	placer      *cell.Placer
 	handler     *entry.Handler
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -47,6 +47,7 @@
 	defer announced.Wait()
 	announced.Go(func() { i.announce(ctx, fleet.Leaving) })
 	i.fleet.Leave(ctx)
+	i.allowance.Leave(ctx)
 	time.Sleep(i.BalancerDelay)
 	err := i.finishRequests(ctx, caller, endRequests)
 	i.drain(ctx)
--- a/instance/server.go
+++ b/instance/server.go
@@ -90,6 +90,7 @@
 	mux.HandleFunc("GET /health", i.requireAdmin(i.getHealth))
 	mux.HandleFunc("GET /metrics", i.requireAdmin(i.metrics.ServeHTTP))
 	mux.HandleFunc("GET /events", i.requireAdmin(i.getEvents))
+	mux.HandleFunc("POST /evict", i.requireAdmin(i.allowance.ServeEvict))
 	return &http.Server{
 		Handler:           http.MaxBytesHandler(mux, adminMaxBodyBytes),
 		ReadHeaderTimeout: adminHeaderTimeout,
@@ -108,7 +109,7 @@
 
 // ready tells whether the instance takes requests.
 func (i *Instance) ready() bool {
-	return !i.leaving.Load() && i.rules.Current() != nil
+	return !i.leaving.Load() && i.rules.Current() != nil && i.allowance.Ready()
 }
 
 // getEvents answers with the kept events, of one request or of a recent time if asked.
