--- /dev/null
+++ b/allowance/main_test.go
@@ -0,0 +1,47 @@
+package allowance
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Runs of the fuzzing: few and always the same ones in CI.
+const (
+	shortSeed   = "20261102"
+	shortChecks = "120"
+	longChecks  = "10000"
+)
+
+// long asks for the searches and the numbers of runs of make long-allowance.
+var long = flag.Bool("long", false, "run the long searches and fuzzing")
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if !isSet("rapid.seed") {
+		_ = flag.Set("rapid.seed", shortSeed)
+	}
+	if !isSet("rapid.checks") {
+		checks := shortChecks
+		if *long {
+			checks = longChecks
+		}
+		_ = flag.Set("rapid.checks", checks)
+	}
+	code := m.Run()
+	if code == 0 {
+		if err := goleak.Find(); err != nil {
+			println(err.Error())
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
+
+func isSet(name string) bool {
+	set := false
+	flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
+	return set
+}
--- a/instance/build_allowance.go
+++ b/instance/build_allowance.go
@@ -14,8 +14,25 @@
 type admitFunc func(context.Context, rule.Account, int64) (*allowance.Charge, time.Time, error)
 
 // buildAllowance makes the part that holds client accounts to their rates.
-func (i *Instance) buildAllowance(*suture.Supervisor) error {
-	static := allowance.NewStatic(func() int { return len(i.fleet.Live()) })
-	i.admit = static.Take
-	return nil
+func (i *Instance) buildAllowance(supervisor *suture.Supervisor) error {
+	node := allowance.NewNode(allowance.Holder{
+		Name:        i.Options.Name,
+		Incarnation: i.incarnation,
+		Zone:        i.Options.Zone,
+		Peer:        i.PeerAddress(),
+	})
+	node.Rules = func() *rule.Set {
+		if r := i.rules.Current(); r != nil {
+			return r.Rules
+		}
+		return nil
+	}
+	node.Platform = i.platform
+	node.Members = i.fleet.Members
+	node.Call = i.peers.Call
+	node.Record = i.events.Record
+	i.allowance = node
+	i.admit = node.Take
+	supervisor.Add(node)
+	return i.peerServer.Register(allowance.RPCName, node.Receiver())
 }
