Hold the stream until the caller is gone in two pairs of faults

Cause: a pair failed once in three whole runs on a busy machine, 'got whole instead of gone': the caller's context was cancelled at a middle token while the engine went on, so all tokens could reach the caller's socket before it looked. Ruled out: an answer of the instance after the caller was gone (it has no way to know before the connection closes). Change: the engine's token waits until the caller has ended, as the fault table's own row does; the expected word stays 'gone'.

--- a/outcome/pairs_test.go
+++ b/outcome/pairs_test.go
@@ -54,11 +54,13 @@
 	{"caller goes away and the first cancel is not answered", stream, "token", func(b *bench, be *backend, p *pending) fault.Action {
 		b.onStep("cancel", func(*backend) fault.Action { return fault.Hang })
 		p.gone()
+		<-p.left
 		return fault.Pass
 	}, "gone"},
 	{"caller goes away and the first cancel's answer is lost", stream, "token", func(b *bench, be *backend, p *pending) fault.Action {
 		b.onStep("cancelled", func(*backend) fault.Action { return fault.Break })
 		p.gone()
+		<-p.left
 		return fault.Pass
 	}, "gone"},
 	{"instance leaves, then a decode server's process ends", stream, "token", func(b *bench, be *backend, _ *pending) fault.Action {
