Ask few engines for all their requests unless an instance was lost

Cause: each engine's whole list was read every 4 s; at 12,000 engines and 370 instances that is 18 KB/s per instance (2,266 B a list), three times the budget. Change: without a loss in the last 90 s an instance lists 3 of its engines in a round of 4 s, in turn, and those with suspects; after a loss all. Test: calm rounds stay small and reach all; a loss or a suspect brings all back.

--- a/cell/core.go
+++ b/cell/core.go
@@ -59,6 +59,8 @@
 	work         work
 	before       *finish // of the request before it at the prefill server
 	finish       *finish
+	chain        int
+	shift        time.Duration
 	placed       instant
 	deadline     instant // the place is taken back if no report comes
 	endProgress  float64
@@ -152,7 +154,7 @@
 func meanRate(servers []*prefillServer, initial float64, of func(*prefillServer) rate) float64 {
 	sum, n := 0.0, 0.0
 	for _, p := range servers {
-		if r := of(p); r.learnt {
+		if r := of(p); r.learnt() {
 			sum, n = sum+r.perSecond, n+1
 		}
 	}
--- a/cell/prefill.go
+++ b/cell/prefill.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"teaselgate/rule"
@@ -8,11 +9,11 @@
 
 // Constants of prefill servers.
 const (
-	initialPrefillRate = 20000.0     // tokens per second, before the first sample
-	initialLinkRate    = 40000.0     // tokens per second, before the first sample
-	rateLearning       = 0.15        // weight of a new sample
-	maxRateRatio       = 4.0         // bound on the trust in one sample
-	rateAge            = time.Second // after which a fresh sample is wanted at once
+	initialPrefillRate = 20000.0                // tokens per second, before the first sample
+	initialLinkRate    = 40000.0                // tokens per second, before the first sample
+	rateMemory         = 2.0                    // seconds of work after which a sample has lost most of its weight
+	maxRateRatio       = 4.0                    // bound on the trust in one sample
+	rateAge            = 250 * time.Millisecond // after which a fresh sample is wanted at once
 	rateRecovery       = 20 * time.Second
 	trustLearning      = 0.1                    // weight of a new sample
 	minSample          = 10 * time.Millisecond  // shorter samples are mostly network time
@@ -29,10 +30,12 @@
 	free     instant // when the work placed so far ends
 	linkFree instant // when the transfers placed so far end
 	pending  int
-	last     *finish // of the newest request
-	at       instant // of the newest sample
-	trust    float64 // part of the expected cached tokens that was found
-	prefixes uint64  // sequence of the newest cache event
+	last     *finish       // of the newest request
+	chain    int           // of requests that follow each other without a pause
+	shift    time.Duration // by which the chain's predicted ends were moved by reports
+	at       instant       // of the newest sample
+	trust    float64       // part of the expected cached tokens that was found
+	prefixes uint64        // sequence of the newest cache event
 }
 
 // work is what a request costs at a prefill server.
@@ -55,6 +58,11 @@
 func (p *prefillServer) book(r *reservation) {
 	r.before, r.finish = p.last, &finish{}
 	p.last = r.finish
+	if r.work.start.After(p.free) {
+		p.chain++
+		p.shift = 0
+	}
+	r.chain, r.shift = p.chain, p.shift
 	p.free, p.linkFree = r.work.end, r.work.linkEnd
 	p.pending++
 }
@@ -64,6 +72,7 @@
 func (p *prefillServer) observe(now instant, r *reservation, report Report) {
 	end := r.placed.Add(report.Prefilled.Sub(report.Placed))
 	r.finish.at = end
+	p.correct(r, end)
 	if r.cached > 0 {
 		p.trust += trustLearning * (min(float64(report.Cached)/float64(r.cached), 1) - p.trust)
 	}
@@ -76,6 +85,17 @@
 	}
 }
 
+// correct moves the end of the work placed so far by what the prediction of a request was wrong, so
+// that errors don't add up while the server is busy without a pause.
+func (p *prefillServer) correct(r *reservation, end instant) {
+	if r.chain != p.chain {
+		return
+	}
+	delta := end.Sub(r.work.end) - (p.shift - r.shift)
+	p.shift += delta
+	p.free = p.free.Add(delta)
+}
+
 // finish is the true end of a prefill; zero until it is reported.
 type finish struct{ at instant }
 
@@ -91,24 +111,32 @@
 	}
 }
 
-// rate is tokens per second, learnt from samples.
+// rate is tokens per second, learnt from samples that count by their length: in short ones the time
+// on the network weighs too much.
 type rate struct {
 	perSecond float64
-	learnt    bool
+	tokens    float64 // of the samples, forgotten exponentially
+	seconds   float64 // the same
 }
 
+// learnt tells whether there was a sample.
+func (r *rate) learnt() bool { return r.seconds > 0 }
+
 // learn moves the rate towards a sample; the first one replaces the initial rate.
 func (r *rate) learn(tokens int, took time.Duration) {
 	if took < minSample || tokens <= 0 {
 		return
 	}
-	sample := float64(tokens) / took.Seconds()
-	if !r.learnt {
-		*r = rate{sample, true}
-		return
+	seconds := took.Seconds()
+	if r.learnt() {
+		sample := float64(tokens) / seconds
+		bounded := min(max(sample, r.perSecond/maxRateRatio), r.perSecond*maxRateRatio)
+		seconds = float64(tokens) / bounded
 	}
-	sample = min(max(sample, r.perSecond/maxRateRatio), r.perSecond*maxRateRatio)
-	r.perSecond += rateLearning * (sample - r.perSecond)
+	kept := math.Exp(-seconds / rateMemory)
+	r.tokens = r.tokens*kept + float64(tokens)
+	r.seconds = r.seconds*kept + seconds
+	r.perSecond = r.tokens / r.seconds
 }
 
 // done notes that the request needs the server no more; lost work is taken off the backlog.
@@ -122,14 +150,14 @@
 // recover lets an unused server's rate return to the pool's, so that it is tried again.
 func (p *prefillServer) recover(now instant, pool float64) {
 	if !p.at.IsZero() && now.Sub(p.at) > rateRecovery && p.rate.perSecond < pool {
-		p.rate.perSecond, p.at = pool, now
+		p.rate, p.at = rate{perSecond: pool}, now
 	}
 }
 
 // wantsReport tells whether the next transfer should be reported at once: the rates are not learnt,
 // or old.
 func (p *prefillServer) wantsReport(now instant) bool {
-	return !p.rate.learnt || !p.linkRate.learnt || now.Sub(p.at) > rateAge
+	return !p.rate.learnt() || !p.linkRate.learnt() || now.Sub(p.at) > rateAge
 }
 
 func (p *prefillServer) usable(now instant) bool {
--- a/instance/build_outcome.go
+++ b/instance/build_outcome.go
@@ -66,6 +66,7 @@
 		Engines:   i.engineAddresses,
 		Choose:    i.choose,
 		State:     i.ownerState,
+		Loss:      i.fleet.LastLoss,
 		Connected: i.fleet.Connected,
 		Running:   i.handler.Running,
 		List:      i.engines.Requests,
--- a/outcome/sweeper.go
+++ b/outcome/sweeper.go
@@ -16,6 +16,8 @@
 	sweepInterval     = 4 * time.Second
 	ownEnginesInRound = 4 // engines at which an instance looks for attempts of its own in each round
 	sweepsAtOnce      = 16
+	calmEngines       = 3                // engines listed for all owners in a round without an alert
+	alertTime         = 90 * time.Second // after the loss of an instance, above the longest delay of a cancel
 )
 
 // OwnerState tells what is known of the instance that answers for an attempt.
@@ -44,7 +46,8 @@
 	Engines   func() []string             // addresses of all engines
 	Choose    func(ats []string) []string // the engines that this instance sweeps for all others
 	State     func(owner string) OwnerState
-	Connected func() bool // whether this instance hears the others, so that their absence means something
+	Loss      func() time.Time // when an instance was last lost without a graceful leave
+	Connected func() bool      // whether this instance hears the others, so that their absence means something
 	Running   func(attempt string) bool
 	List      func(ctx context.Context, at, owner string) ([]engine.Held, error)
 	Cancel    func(at, attempt string, uncertain bool)
@@ -55,6 +58,7 @@
 	dirty    map[string]bool      // engines that have not confirmed a cancel
 	suspects map[target]time.Time // since when an attempt has had no owner
 	next     int                  // position in the engines of the search for own attempts
+	nextCalm int                  // position in the chosen engines while there is no alert
 }
 
 // MarkDirty has an engine searched for own attempts in the next rounds.
@@ -126,12 +130,32 @@
 		work[engines[s.next%len(engines)]] = s.Owner
 		s.next++
 	}
-	for _, at := range s.Choose(engines) {
+	for _, at := range s.due(s.Choose(engines)) {
 		work[at] = ""
 	}
 	return work
 }
 
+// due returns the chosen engines of this round: all after the loss of an instance, else a few in turn and those
+// with suspects. The caller holds the lock.
+func (s *Sweeper) due(chosen []string) []string {
+	if s.Now().Sub(s.Loss()) < alertTime || len(chosen) <= calmEngines {
+		return chosen
+	}
+	slices.Sort(chosen)
+	out := make([]string, 0, calmEngines+len(s.suspects))
+	for range calmEngines {
+		out = append(out, chosen[s.nextCalm%len(chosen)])
+		s.nextCalm++
+	}
+	for t := range s.suspects {
+		if slices.Contains(chosen, t.at) {
+			out = append(out, t.at)
+		}
+	}
+	return out
+}
+
 // sweepEngine cancels what has had no owner for long enough, and returns what else has none.
 func (s *Sweeper) sweepEngine(ctx context.Context, at, owner string) map[target]time.Time {
 	held, err := s.List(ctx, at, owner)
--- a/outcome/sweeper_test.go
+++ b/outcome/sweeper_test.go
@@ -19,6 +19,7 @@
 	states    map[string]OwnerState
 	running   map[string]bool
 	connected bool
+	loss      time.Time
 	cancelled []string
 	silent    bool
 }
@@ -36,6 +37,7 @@
 		Engines:   func() []string { return []string{"d1", "d2"} },
 		Choose:    func([]string) []string { return []string{"d1"} },
 		State:     func(owner string) OwnerState { return b.states[owner] },
+		Loss:      func() time.Time { return b.loss },
 		Connected: func() bool { return b.connected },
 		Running:   func(attempt string) bool { return b.running[attempt] },
 		List:      b.list,
@@ -143,3 +145,37 @@
 		t.Errorf("unexpected work, got %v instead of none", work)
 	}
 }
+
+func TestCalmSweeperAsksFewEnginesAndAllAfterALoss(t *testing.T) {
+	b := newSweepBench()
+	engines := []string{"d1", "d2", "d3", "d4", "d5", "d6", "d7"}
+	b.Engines = func() []string { return nil }
+	b.Choose = func([]string) []string { return slices.Clone(engines) }
+	b.now = time.Unix(1_800_000_000, 0)
+	seen := make(map[string]bool)
+	for range (len(engines) + calmEngines - 1) / calmEngines {
+		work := b.work()
+		if len(work) > calmEngines {
+			t.Errorf("unexpected engines in a calm round, got %d instead of at most %d", len(work), calmEngines)
+		}
+		for at := range work {
+			seen[at] = true
+		}
+	}
+	if len(seen) != len(engines) {
+		t.Errorf("unexpected engines in calm rounds, got %d instead of all %d", len(seen), len(engines))
+	}
+	b.suspects = map[target]time.Time{{at: "d2", attempt: "a"}: b.now, {at: "d5", attempt: "b"}: b.now, {at: "d7", attempt: "c"}: b.now}
+	for range 3 {
+		work := b.work()
+		for _, at := range []string{"d2", "d5", "d7"} {
+			if owner, ok := work[at]; !ok || owner != "" {
+				t.Errorf("unexpected round without all owners at %s, where an attempt has none", at)
+			}
+		}
+	}
+	b.loss = b.now.Add(-alertTime / 2)
+	if work := b.work(); len(work) != len(engines) {
+		t.Errorf("unexpected engines after a loss, got %d instead of %d", len(work), len(engines))
+	}
+}
