Keep one way to wait for a time under a context

Cause: the same ten lines stood six times (config, load, order, allowance, outcome, the engine's stand-in) under three names. Change: package delay.

--- a/allowance/store.go
+++ b/allowance/store.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/platform"
@@ -160,7 +161,7 @@
 			if !k.Ready() {
 				n.learn(ctx, k)
 			}
-			pause(ctx, followDelay)
+			_ = delay.For(ctx, followDelay)
 			continue
 		}
 		n.takeList(k, list, !listed)
@@ -202,15 +203,6 @@
 	return n, err == nil && n >= 0 && n < shards
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // KnownArgs asks an instance for the shards' objects that it knows.
 type KnownArgs struct{}
 
--- a/config/apply.go
+++ b/config/apply.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/platform"
 	"teaselgate/rule"
 )
@@ -77,7 +78,7 @@
 	var err error
 	for n := range a.writer.Attempts {
 		if n > 0 {
-			pause(ctx, applyDelay)
+			_ = delay.For(ctx, applyDelay)
 		}
 		var again bool
 		again, err = a.try(ctx)
--- a/config/follower.go
+++ b/config/follower.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/event"
 	"teaselgate/platform"
 	"teaselgate/rule"
@@ -93,13 +94,13 @@
 	var seen uint64
 	for ctx.Err() == nil {
 		if !f.Watches() {
-			pause(ctx, pulse)
+			_ = delay.For(ctx, pulse)
 			continue
 		}
 		version, err := f.watch(ctx, seen)
 		if err != nil {
 			f.lost(ctx, err)
-			pause(ctx, retryDelay+rand.N(retryDelay))
+			_ = delay.For(ctx, retryDelay+rand.N(retryDelay))
 			continue
 		}
 		seen = version
@@ -256,12 +257,3 @@
 	f.current.Store(r)
 	return true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"teaselgate/delay"
 	"teaselgate/rule"
 )
 
@@ -84,7 +85,7 @@
 	o.apply(worldRules(1, 0), nil)
 	for _, a := range acts {
 		o.play(a)
-		pause(ctx, a.pause)
+		_ = delay.For(ctx, a.pause)
 	}
 	o.running.Wait()
 	w.settle()
--- a/config/relay.go
+++ b/config/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"teaselgate/delay"
 )
 
 // RPCName is the name under which the methods for peers are registered.
@@ -139,7 +141,7 @@
 		if f.startFromPeers(ctx) {
 			break
 		}
-		pause(ctx, retryDelay)
+		_ = delay.For(ctx, retryDelay)
 	}
 	return ctx.Err()
 }
--- a/config/status.go
+++ b/config/status.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/platform"
 )
 
@@ -174,7 +175,7 @@
 			return reports
 		}
 		last := reports
-		pause(ctx, waitInterval)
+		_ = delay.For(ctx, waitInterval)
 		if ctx.Err() != nil {
 			return last
 		}
--- a/load/balancer.go
+++ b/load/balancer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/standin/site"
 )
 
@@ -54,7 +55,7 @@
 			asks.Go(func() { b.ready[n].Store(isReady(ctx, client, i.Admin())) })
 		}
 		asks.Wait()
-		pause(ctx, readyInterval)
+		_ = delay.For(ctx, readyInterval)
 	}
 }
 
--- a/load/caller.go
+++ b/load/caller.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/outcome"
 	"teaselgate/rule"
 	standengine "teaselgate/standin/engine"
@@ -80,7 +81,7 @@
 // Call makes one call at an instance and waits for its answer.
 func (c *Caller) Call(ctx context.Context, address string, a Arrival) Answer {
 	start := time.Now()
-	pause(ctx, c.Delay)
+	_ = delay.For(ctx, c.Delay)
 	answer := Answer{Arrival: a}
 	resp, err := c.send(ctx, address, a)
 	if err != nil {
@@ -241,12 +242,3 @@
 	}
 	a.Whole = true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/load/fault.go
+++ b/load/fault.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"teaselgate/delay"
 	standengine "teaselgate/standin/engine"
 	standplatform "teaselgate/standin/platform"
 	"teaselgate/standin/site"
@@ -43,7 +44,7 @@
 	if f == FaultNone {
 		return
 	}
-	pause(ctx, length/3)
+	_ = delay.For(ctx, length/3)
 	engines := s.Engines()
 	victim := engines[len(engines)-1]
 	switch f {
@@ -57,7 +58,7 @@
 		s.Instances()[0].Stop()
 	case FaultPlatform:
 		s.Platform().SetFaults(standplatform.Faults{Outage: true})
-		pause(ctx, length/3)
+		_ = delay.For(ctx, length/3)
 		s.Platform().SetFaults(standplatform.Faults{})
 	}
 }
--- a/load/runner.go
+++ b/load/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"teaselgate/delay"
 	"teaselgate/rule"
 	"teaselgate/standin/site"
 )
@@ -82,7 +83,7 @@
 	start := time.Now()
 	var calls sync.WaitGroup
 	for n, a := range arrivals {
-		pause(ctx, time.Until(start.Add(a.At)))
+		_ = delay.For(ctx, time.Until(start.Add(a.At)))
 		if ctx.Err() != nil {
 			break
 		}
--- a/order/follower.go
+++ b/order/follower.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/platform"
 	"teaselgate/rule"
 )
@@ -48,7 +49,7 @@
 		list, err := f.Watch(ctx, RecordKind, seen)
 		if err != nil {
 			asked = asked || f.askPeers(ctx)
-			pause(ctx, retryDelay)
+			_ = delay.For(ctx, retryDelay)
 			continue
 		}
 		asked = false
@@ -126,12 +127,3 @@
 	}
 	return f.output
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/outcome/canceller.go
+++ b/outcome/canceller.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/event"
 )
 
@@ -49,7 +50,7 @@
 		Send:    send,
 		GivenUp: func(string) {},
 		Record:  func(event.Event) {},
-		Wait:    wait,
+		Wait:    delay.For,
 		pending: make(map[target]bool),
 		engines: make(map[string]chan struct{}),
 		wake:    make(chan struct{}, 1),
--- a/outcome/claims.go
+++ b/outcome/claims.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
+	"teaselgate/delay"
 	"teaselgate/event"
 	"teaselgate/platform"
 )
@@ -60,7 +61,7 @@
 		Prunes:   func() bool { return false },
 		Record:   func(event.Event) {},
 		Now:      time.Now,
-		Wait:     wait,
+		Wait:     delay.For,
 		wake:     make(chan struct{}, 1),
 	}
 }
@@ -194,14 +195,3 @@
 	}
 	return s, nil
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselgate/delay"
 	api "teaselgate/engine"
 	"teaselgate/rule"
 	"teaselgate/standin/fault"
@@ -145,7 +146,7 @@
 			}
 		}
 		step := e.StepBase + time.Duration(len(streams))*e.StepPerStream
-		if !sleep(ctx, e.scaled(step)) {
+		if delay.For(ctx, e.scaled(step)) != nil {
 			return ctx.Err()
 		}
 		e.step(streams)
@@ -252,17 +253,6 @@
 	return d
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func readMessage[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
 	var m T
 	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
--- a/standin/engine/prefill.go
+++ b/standin/engine/prefill.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"teaselgate/delay"
 	api "teaselgate/engine"
 	"teaselgate/standin/fault"
 )
@@ -25,7 +26,7 @@
 	tokens := CountTokens(m.Prompt) + CountTokens(m.Continue)
 	cached := e.lookup(m.Prompt)
 	work := time.Duration(tokens-cached) * time.Second / time.Duration(e.PrefillRate)
-	done := sleep(r.Context(), e.scaled(work))
+	done := delay.For(r.Context(), e.scaled(work)) == nil
 	e.queue.leave()
 	if !done {
 		return
@@ -108,7 +109,7 @@
 	}
 	size := int64(x.tokens) * e.TokenBytes
 	e.link.Lock()
-	sent := sleep(r.Context(), e.scaled(time.Duration(float64(size)/float64(e.LinkRate)*float64(time.Second))))
+	sent := delay.For(r.Context(), e.scaled(time.Duration(float64(size)/float64(e.LinkRate)*float64(time.Second)))) == nil
 	e.link.Unlock()
 	e.mu.Lock()
 	e.release(x.attempt)
