--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,15 @@
 
 long-allowance:
 	go test ./allowance -run 'TestModel|TestNever|TestMeasure' -long -v -timeout 30m
+
+.PHONY: long-config fuzz
+long-config:
+	go test ./config -run TestChangesReach -rapid.checks=2500 -rapid.seed=$(SEED) -timeout 1h
+
+FUZZTIME ?= 1m
+fuzz:
+	go test -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME) ./rule
+	go test -run XXX -fuzz FuzzRead -fuzztime $(FUZZTIME) ./option
+	go test -run XXX -fuzz FuzzNoKeyLeaves -fuzztime $(FUZZTIME) ./entry
+
+long: long-allowance long-path long-config fuzz
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"teaselgate/account"
 	"teaselgate/platform"
@@ -129,3 +130,6 @@
 	}
 	return resp, nil
 }
+
+// rest lets the faked time of a test pass.
+func rest(d time.Duration) { <-time.After(d) }
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"teaselgate/platform"
 )
@@ -21,7 +20,7 @@
 		for _, n := range w.nodes {
 			w.start(n)
 		}
-		time.Sleep(3 * heartbeat)
+		rest(3 * heartbeat)
 		play(t, w, o)
 		o.running.Wait()
 		for _, n := range w.nodes {
@@ -50,7 +49,7 @@
 			n.link.silence()
 		}
 		o.apply(worldRules(1, 6), nil)
-		time.Sleep(relayedPolling + pulseTimeout + pulse)
+		rest(relayedPolling + pulseTimeout + pulse)
 		for _, n := range w.nodes {
 			expectRevision(t, n, 2)
 		}
@@ -62,7 +61,7 @@
 		w.nodes[0].link.set(true)
 		w.nodes[3].link.set(true)
 		o.apply(worldRules(1, 6), nil)
-		time.Sleep(2 * heartbeat)
+		rest(2 * heartbeat)
 		for _, n := range w.nodes {
 			expectRevision(t, n, 2)
 		}
@@ -72,17 +71,17 @@
 func TestStartDuringAnOutageNeedsHalfOfThePeers(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world, o *operators) {
 		o.apply(worldRules(1, 6), nil)
-		time.Sleep(5 * heartbeat)
+		rest(5 * heartbeat)
 		w.set(func(f *worldFaults) { f.outage = true })
 		n := w.nodes[3]
 		w.kill(n)
 		w.setPair(3, 0, true)
 		w.setPair(3, 1, true)
 		w.start(n)
-		time.Sleep(20 * heartbeat)
+		rest(20 * heartbeat)
 		expectRevision(t, n, 0)
 		w.setPair(3, 1, false)
-		time.Sleep(2 * heartbeat)
+		rest(2 * heartbeat)
 		expectRevision(t, n, 2)
 	})
 }
@@ -100,7 +99,7 @@
 		}
 		expectRevision(t, late, 1)
 		w.setPair(2, 0, false)
-		time.Sleep(3 * heartbeat)
+		rest(3 * heartbeat)
 		expectRevision(t, late, 5)
 	})
 }
--- a/config/world_test.go
+++ b/config/world_test.go
@@ -59,7 +59,7 @@
 // RoundTrip implements http.RoundTripper with the faults of the world.
 func (l *link) RoundTrip(req *http.Request) (*http.Response, error) {
 	faults := l.world.faults()
-	time.Sleep(hopDelay + faults.delay)
+	rest(hopDelay + faults.delay)
 	cut, before := l.state()
 	if cut {
 		<-req.Context().Done()
@@ -69,7 +69,7 @@
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
 	}
 	resp, err := l.world.carry(req)
-	time.Sleep(hopDelay + faults.delay)
+	rest(hopDelay + faults.delay)
 	if _, after := l.state(); after != before {
 		<-req.Context().Done()
 		return nil, req.Context().Err()
@@ -284,7 +284,7 @@
 
 // call runs a method at a peer.
 func (w *world) call(ctx context.Context, from int, address, method string, args, reply any) error {
-	time.Sleep(hopDelay)
+	rest(hopDelay)
 	i := slices.Index([]string{"0", "1", "2", "3"}, address)
 	target := w.nodes[i].running()
 	if target == nil || !w.reaches(from, i) || ctx.Err() != nil {
@@ -461,7 +461,7 @@
 		n.link.set(false)
 		w.start(n)
 	}
-	time.Sleep(quietTime)
+	rest(quietTime)
 	for _, n := range w.nodes {
 		current := currentOf(n.running())
 		if current == nil {
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -11,7 +11,7 @@
 func TestOperatorsPageListsEveryRefusal(t *testing.T) {
 	inCode := make(map[string]bool)
 	made := regexp.MustCompile(`(?:Refuse|badRequest)\(\s*http\.\w+, "([a-z-]+)"|\bCode(?::| =)\s+"([a-z-]+)"`)
-	for _, pattern := range []string{"*.go", "../outcome/*.go"} {
+	for _, pattern := range []string{"*.go", "../outcome/*.go", "../limit/*.go"} {
 		files, err := filepath.Glob(pattern)
 		if err != nil || len(files) == 0 {
 			t.Fatalf("unexpected files of %s, got %v, error %v", pattern, files, err)
--- /dev/null
+++ b/option/fuzz_test.go
@@ -0,0 +1,31 @@
+package option
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+// FuzzRead reads any settings: it ends without a panic, and what it refuses has a place in the file.
+func FuzzRead(f *testing.F) {
+	for _, seed := range []string{
+		good, "", "name", "name: [", "name: {a: b}\n", "- a\n", good + "limit:\n  stall: -1s\n", good + "tls: {certificate: a}\n",
+		"name: &a i1\nzone: *a\n", good + "peers: [x, 1]\n", good + "log: {level: loud}\n", "\x00", good + good, "? a\n: b\n", "name: !!int x\n",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		file := writeFiles(t, text)
+		_, _, err := Read(file)
+		var problems Problems
+		if err == nil || !errors.As(err, &problems) {
+			return
+		}
+		lines := strings.Count(text, "\n") + 1
+		for _, p := range problems {
+			if p.Line < 1 || p.Line > lines+1 || p.Column < 1 || p.Text == "" {
+				t.Errorf("unexpected place of a problem in %q: %+v", text, p)
+			}
+		}
+	})
+}
--- a/option/read_test.go
+++ b/option/read_test.go
@@ -20,7 +20,7 @@
 peer-token: peer.token
 `
 
-func writeFiles(t *testing.T, settings string) string {
+func writeFiles(t testing.TB, settings string) string {
 	t.Helper()
 	dir := t.TempDir()
 	files := map[string]string{
