Let the platform's stand-in limit its readings and writes

Cause: the platform takes several hundred writes and about two thousand reads a second; the stand-in counted calls but took any number.

--- a/cli/standin.go
+++ b/cli/standin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/time/rate"
 
 	"teaselgate/load"
 	"teaselgate/rule"
@@ -33,6 +34,7 @@
 
 func newStandinPlatform() *cobra.Command {
 	var listen, token string
+	var reads, writes int
 	cmd := &cobra.Command{
 		Use:     "platform",
 		Short:   "Run a stand-in of the platform's object API",
@@ -43,14 +45,26 @@
 			if err != nil {
 				return err
 			}
-			return serveStandin(cmd, listen, standplatform.NewServer(secret).Handler())
+			server := standplatform.NewServer(secret)
+			server.Reads, server.Writes = perSecond(reads), perSecond(writes)
+			return serveStandin(cmd, listen, server.Handler())
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
 	cmd.Flags().StringVar(&token, "token", "", "file with the bearer token that callers must show")
+	cmd.Flags().IntVar(&reads, "reads", 0, "readings and watches allowed a second; 0 sets no limit")
+	cmd.Flags().IntVar(&writes, "writes", 0, "writes allowed a second; 0 sets no limit")
 	return cmd
 }
 
+// perSecond allows so many calls a second and at once; nil allows all.
+func perSecond(calls int) *rate.Limiter {
+	if calls == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(calls), calls)
+}
+
 func newStandinEngine() *cobra.Command {
 	var listen, name, duty string
 	var fenced bool
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	api "teaselgate/platform"
 	"teaselgate/standin/fault"
 )
@@ -25,7 +27,10 @@
 type Server struct {
 	Token string
 	Lag   time.Duration // age of the list of instances
-	Hook  fault.Hook    // decides at each step of a write
+
+	Reads  *rate.Limiter // readings and watches; nil: without a limit
+	Writes *rate.Limiter // nil: without a limit
+	Hook   fault.Hook    // decides at each step of a write
 
 	mu       sync.Mutex
 	version  uint64
@@ -109,6 +114,10 @@
 	s.calls[method]++
 	faults := s.faults
 	s.mu.Unlock()
+	if limiter := s.limiter(r.Method); limiter != nil && !limiter.Allow() {
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
+		return false
+	}
 	if faults.Delay > 0 {
 		time.Sleep(faults.Delay)
 	}
@@ -119,6 +128,13 @@
 	return true
 }
 
+func (s *Server) limiter(method string) *rate.Limiter {
+	if method == http.MethodGet {
+		return s.Reads
+	}
+	return s.Writes
+}
+
 func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	o, ok := s.objects[r.PathValue("kind")][r.PathValue("name")]
