Learn prefill rates from long prompts in the dispatcher's own order

Engines that honour priorities let interactive prompts overtake summaries; the overtaken ones were taken as samples of a slow server, which then got short prompts only, whose network time kept the rate low. Ruled out: decode (batches at 24 ms, not full), links, the entry's repeats.

--- a/cell/prefill.go
+++ b/cell/prefill.go
@@ -14,9 +14,9 @@
 	rateMemory         = 2.0                    // seconds of work after which a sample has lost most of its weight
 	maxRateRatio       = 4.0                    // bound on the trust in one sample
 	rateAge            = 250 * time.Millisecond // after which a fresh sample is wanted at once
-	rateRecovery       = 20 * time.Second
+	rateRecovery       = 5 * time.Second
 	trustLearning      = 0.1                    // weight of a new sample
-	minSample          = 10 * time.Millisecond  // shorter samples are mostly network time
+	minSample          = 30 * time.Millisecond  // shorter samples are mostly network time
 	idleMargin         = 30 * time.Millisecond  // a server this long past its predicted end has nothing to do
 	keptMargin         = 400 * time.Millisecond // a result waits at most this long for its link
 )
--- /dev/null
+++ b/cell/prefill_test.go
@@ -0,0 +1,68 @@
+package cell
+
+import (
+	"testing"
+	"time"
+)
+
+// prefillBench books prompts at one server that computes 60,000 tokens a second.
+type prefillBench struct {
+	server *prefillServer
+	epoch  time.Time
+}
+
+func newPrefillBench() *prefillBench {
+	return &prefillBench{&prefillServer{rate: rate{perSecond: 60000}, linkRate: rate{perSecond: 60000}}, time.Unix(0, 0)}
+}
+
+func (b *prefillBench) place(now instant, tokens int) *reservation {
+	r := &reservation{prefill: b.server, promptTokens: tokens, placed: now, work: b.server.plan(now, tokens, 0)}
+	b.server.book(r)
+	return r
+}
+
+// report says when a prompt was computed.
+func (b *prefillBench) report(now instant, r *reservation, end instant) {
+	b.server.observe(now, r, Report{Placed: b.epoch, Prefilled: b.epoch.Add(end.Sub(r.placed))})
+}
+
+func TestPredictedEndFollowsTheTrueOnes(t *testing.T) {
+	b := newPrefillBench()
+	at := func(ms int) instant { return clockStart.Add(time.Duration(ms) * time.Millisecond) }
+	expect := func(when string, want instant) {
+		t.Helper()
+		if off := b.server.free.Sub(want); off > time.Microsecond || off < -time.Microsecond {
+			t.Errorf("%s: unexpected end of the work placed, off by %v", when, off)
+		}
+	}
+	one, two := b.place(at(0), 6000), b.place(at(0), 6000)
+	expect("two prompts placed", at(200))
+	b.report(at(130), one, at(130))
+	expect("the first was 30 ms late", at(230))
+	b.report(at(240), two, at(231))
+	expect("the second was 1 ms later still", at(231))
+	late := b.place(at(240), 6000)
+	b.place(at(900), 6000)
+	newest := b.server.free
+	if newest < at(900) {
+		t.Errorf("unexpected end of a prompt placed after a pause, before its start")
+	}
+	b.report(at(950), late, at(600))
+	expect("a report from before the pause", newest)
+}
+
+func TestRateIsLearntFromLongPrompts(t *testing.T) {
+	const hop = 5 * time.Millisecond // on the network, for each prompt
+	b := newPrefillBench()
+	for n := range 400 {
+		tokens := 100
+		if n%10 == 0 {
+			tokens = 6000
+		}
+		took := time.Duration(tokens)*time.Second/60000 + hop
+		b.server.rate.learn(tokens, took)
+	}
+	if got := b.server.rate.perSecond; got < 0.9*60000 {
+		t.Errorf("unexpected rate %.0f, where nine of ten prompts are short, instead of about 60000", got)
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -87,7 +87,7 @@
 		Model:    a.model.Model,
 		Prompt:   a.ask.prompt,
 		Continue: a.out.text.String(),
-		Priority: priorityOf(a.out.call.route.Class),
+		Priority: a.priority(),
 	})
 	a.prefill = a.stateAfter(err)
 	return prefilled, err
@@ -101,7 +101,7 @@
 		Handle:    prefilled.Handle,
 		Tokens:    prefilled.Tokens,
 		MaxTokens: a.ask.maxTokens - a.out.tokens,
-		Priority:  priorityOf(a.out.call.route.Class),
+		Priority:  a.priority(),
 	})
 	a.decode = a.stateAfter(err)
 	if err == nil {
@@ -140,6 +140,15 @@
 	}
 }
 
+// priority returns the attempt's priority at engines. A dispatcher has put its requests in order already, and
+// predicts when each will be computed: engines must not change that order.
+func (a *attempt) priority() int {
+	if a.place.Patient {
+		return priorityOf(rule.ClassInteractive)
+	}
+	return priorityOf(a.out.call.route.Class)
+}
+
 func priorityOf(class rule.Class) int {
 	switch class {
 	case rule.ClassOrder:
