Refuse rules that are not valid UTF-8

Ruled out: the coding itself (JSON can't carry such bytes). Change: such a line is refused with its column.

--- a/rule/rule_parse.go
+++ b/rule/rule_parse.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/lexer"
@@ -103,8 +104,24 @@
 	return trimmed == "" || strings.HasPrefix(trimmed, "#") || trimmed == "---"
 }
 
+// invalidUTF8 returns the position of the first byte that is no part of a character, or -1.
+func invalidUTF8(text string) int {
+	for at, character := range text {
+		if character != utf8.RuneError {
+			continue
+		}
+		if _, size := utf8.DecodeRuneInString(text[at:]); size == 1 {
+			return at
+		}
+	}
+	return -1
+}
+
 // readLine reads one rule; a line whose mapping can't be read has no value.
 func readLine(number int, text string) (Line, []Problem) {
+	if at := invalidUTF8(text); at >= 0 {
+		return Line{}, []Problem{{Line: number, Column: at + 1, Text: "the line is not valid UTF-8"}}
+	}
 	if !strings.HasPrefix(text, linePrefix+"{") {
 		return Line{}, []Problem{{Line: number, Column: 1, Text: `a rule is one line of the form "- {kind: name, ...}   # who: why"`}}
 	}
--- a/rule/rule_test.go
+++ b/rule/rule_test.go
@@ -109,6 +109,12 @@
 	return false
 }
 
+func TestParseRefusesWhatIsNoText(t *testing.T) {
+	checkProblems(t, "- {account: \xef, rate: 1, burst: 1} # marat: no character\n- {account: é, rate: 1, burst: 1} # marat: a character\n", []string{
+		`r.yaml:1:13: the line is not valid UTF-8`,
+	})
+}
+
 func TestParseReportsGuardsThatAnybodyCouldLift(t *testing.T) {
 	checkProblems(t, "- {operator: marat, key: \""+publicKey+"\"} # marat: me\n- {change: key, by: [marat]} # marat: keys\n", []string{
 		"r.yaml:2:4: a file with change rules needs one for kind change too, or anybody could lift the others",
