Ask for an instance's readiness in one place

Cause: the load generator's balancer and the site's start each asked /ready with the same twelve lines; the fleet's size was read under its lock in two ways. Change: site.Instance.Ready serves both, Fleet.size both. Behaviour is the same.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -191,14 +191,19 @@
 
 // fanout returns the number of peers to probe in one interval.
 func (f *Fleet) fanout() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.members) < smallFleet {
+	if f.size() < smallFleet {
 		return smallFanout
 	}
 	return largeFanout
 }
 
+// size returns the number of other instances known.
+func (f *Fleet) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members)
+}
+
 // pick returns up to n random peers that a filter admits.
 func (f *Fleet) pick(n int, admit func(Member) bool) []Member {
 	f.mu.Lock()
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -166,9 +166,7 @@
 // syncSometimes exchanges all members with a peer, the more seldom the larger the fleet: the
 // exchange only repairs what the spreading of statements missed, and its size grows with the fleet.
 func (f *Fleet) syncSometimes(ctx context.Context) {
-	f.mu.Lock()
-	size := len(f.members)
-	f.mu.Unlock()
+	size := f.size()
 	if size < smallFleet || rand.IntN(size) < smallFleet {
 		f.syncRandom(ctx)
 	}
--- a/load/balancer.go
+++ b/load/balancer.go
@@ -52,22 +52,9 @@
 	for ctx.Err() == nil {
 		var asks sync.WaitGroup
 		for n, i := range instances {
-			asks.Go(func() { b.ready[n].Store(isReady(ctx, client, i.Admin())) })
+			asks.Go(func() { b.ready[n].Store(i.Ready(ctx, client)) })
 		}
 		asks.Wait()
 		_ = delay.For(ctx, readyInterval)
 	}
 }
-
-func isReady(ctx context.Context, client *http.Client, admin string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/ready", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -205,7 +205,7 @@
 		defer close(started.done)
 		s.note(i.Run(ctx))
 	})
-	return waitReady(ctx, started.admin)
+	return waitReady(ctx, started)
 }
 
 func (s *Site) note(err error) {
@@ -217,29 +217,30 @@
 	s.errs = append(s.errs, err)
 }
 
-func waitReady(ctx context.Context, admin string) error {
+func waitReady(ctx context.Context, i *Instance) error {
 	ctx, stop := context.WithTimeout(ctx, readyTimeout)
 	defer stop()
 	tick := time.NewTicker(readyInterval)
 	defer tick.Stop()
 	for {
-		if isReady(ctx, admin) {
+		if i.Ready(ctx, http.DefaultClient) {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("site: instance %s did not become ready: %w", admin, ctx.Err())
+			return fmt.Errorf("site: instance %s did not become ready: %w", i.admin, ctx.Err())
 		case <-tick.C:
 		}
 	}
 }
 
-func isReady(ctx context.Context, admin string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/ready", nil)
+// Ready asks the instance whether it takes requests, as the platform's balancer does.
+func (i *Instance) Ready(ctx context.Context, client *http.Client) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.admin+"/ready", nil)
 	if err != nil {
 		return false
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return false
 	}
