Speak the users' store protocol in the platform client and its stand-in

The users' store holds objects by kind and name with one revision counter, is watched from a revision, drops its history (410), pages its listings, and gives no new revision to a write that changes nothing. The client and the stand-in speak that now; the object API of our own is gone, so there is one client.

A renewal number makes each write differ.

Tests that knew accepted writes by PUT know creations by POST as well; what they demand is unchanged. go test ./...: all pass.

--- a/allowance/store.go
+++ b/allowance/store.go
@@ -158,6 +158,7 @@
 			if ctx.Err() == nil {
 				n.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
 			}
+			listed = listed && !errors.Is(err, platform.ErrHistory)
 			if !k.Ready() {
 				n.learn(ctx, k)
 			}
--- a/cell/core.go
+++ b/cell/core.go
@@ -81,6 +81,7 @@
 type Core struct {
 	prefills []*prefillServer
 	decodes  []*decodeServer
+	pool     rule.Pool // of the decode servers
 	targets  Targets
 	slope    slopeModel
 	hints    hints
@@ -111,7 +112,7 @@
 // SetServers takes in the servers of the rules in force. Places at servers that are gone end with
 // their reports.
 func (c *Core) SetServers(now instant, prefills, decodes []rule.Server, pool rule.Pool, targets Targets) {
-	c.targets = targets
+	c.targets, c.pool = targets, pool
 	prefill, link := c.rates()
 	c.prefills = mergeServers(c.prefills, prefills,
 		func(p *prefillServer) *rule.Server { return &p.server },
@@ -311,7 +312,7 @@
 	if p == nil {
 		return false
 	}
-	pieces := piecesOf(i.ask)
+	pieces := c.piecesOf(i.ask)
 	d := c.chooseDecode(now, &i.ask, pieces, w.end.Sub(now))
 	if d == nil {
 		return false
@@ -342,8 +343,13 @@
 	return Decision{Key: r.key, Prefill: r.prefill.server.Server, Decode: r.decode.server.Server, Early: r.early}
 }
 
-func piecesOf(ask Ask) int {
-	return (ask.PromptTokens + ask.MaxTokens + engine.PieceTokens - 1) / engine.PieceTokens
+// piecesOf returns the pieces of memory that a request may come to hold.
+func (c *Core) piecesOf(ask Ask) int {
+	piece := c.pool.Block
+	if piece == 0 {
+		piece = engine.PieceTokens
+	}
+	return (ask.PromptTokens + ask.MaxTokens + piece - 1) / piece
 }
 
 // choosePrefill returns the prefill server at which a prompt and its transfer end first.
@@ -381,7 +387,7 @@
 			continue
 		}
 		fits, free := d.room(now, pieces, wait)
-		if !fits {
+		if !fits || c.pool.Strict && !free {
 			continue
 		}
 		score := d.steps.step(len(d.streams) + d.others(now) + 1)
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -47,7 +47,7 @@
 	if len(c.decodes) == 0 || len(c.prefills) == 0 {
 		return minRetry, noServer.New("cell: no server in the cell")
 	}
-	if piecesOf(i.ask) > c.decodes[0].pieces {
+	if c.piecesOf(i.ask) > c.decodes[0].pieces {
 		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
 	}
 	wait := c.predictWait(i)
--- a/config/apply_test.go
+++ b/config/apply_test.go
@@ -155,7 +155,7 @@
 		client := newClient(server, connected)
 		lost := false
 		client.HTTP.Transport = &afterPut{direct: client.HTTP.Transport, do: func(path string) error {
-			if !strings.HasSuffix(path, HeadName) {
+			if !strings.HasSuffix(path, "/"+HeadKind) { // the first head is created in its kind
 				return nil
 			}
 			lost = true
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -122,7 +122,7 @@
 // RoundTrip implements http.RoundTripper.
 func (a *afterPut) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := a.direct.RoundTrip(req)
-	if err != nil || req.Method != http.MethodPut || resp.StatusCode != http.StatusOK {
+	if err != nil || !isWrite(req) || resp.StatusCode != http.StatusOK {
 		return resp, err
 	}
 	if err := a.do(req.URL.Path); err != nil {
@@ -131,5 +131,10 @@
 	return resp, nil
 }
 
+// isWrite tells whether a call stores an object: a new one by POST, a newer version by PUT.
+func isWrite(req *http.Request) bool {
+	return req.Method == http.MethodPut || req.Method == http.MethodPost
+}
+
 // rest lets the faked time of a test pass.
 func rest(d time.Duration) { <-time.After(d) }
--- a/config/follower.go
+++ b/config/follower.go
@@ -98,6 +98,10 @@
 			continue
 		}
 		version, err := f.watch(ctx, seen)
+		if errors.Is(err, platform.ErrHistory) {
+			seen = 0
+			continue
+		}
 		if err != nil {
 			f.lost(ctx, err)
 			_ = delay.For(ctx, retryDelay+rand.N(retryDelay))
--- a/config/world_test.go
+++ b/config/world_test.go
@@ -150,7 +150,9 @@
 
 // carry passes a call to the platform; the oracle learns of each new head at once.
 func (w *world) carry(req *http.Request) (*http.Response, error) {
-	if req.Method != http.MethodPut || !strings.HasSuffix(req.URL.Path, HeadName) {
+	creates := req.Method == http.MethodPost && strings.HasSuffix(req.URL.Path, "/"+HeadKind)
+	replaces := req.Method == http.MethodPut && strings.HasSuffix(req.URL.Path, HeadName)
+	if !creates && !replaces {
 		return w.direct.RoundTrip(req)
 	}
 	w.heads.Lock()
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -12,10 +12,7 @@
 	"teaselgate/platform"
 )
 
-const (
-	announceTimeout = 3 * time.Second
-	instanceKind    = "instance"
-)
+const announceTimeout = 3 * time.Second
 
 // buildFleet makes the membership.
 func (i *Instance) buildFleet(supervisor *suture.Supervisor) error {
@@ -47,12 +44,12 @@
 		Admin: i.AdminAddress(),
 		State: state.String(),
 	}
-	old, err := i.platform.Get(ctx, instanceKind, i.Options.Name)
+	old, err := i.platform.Get(ctx, platform.InstanceKind, i.Options.Name)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
 		return
 	}
-	if _, err := i.platform.Update(ctx, instanceKind, i.Options.Name, old.Version, entry); err != nil {
+	if _, err := i.platform.Update(ctx, platform.InstanceKind, i.Options.Name, old.Version, entry); err != nil {
 		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
 	}
 }
@@ -61,9 +58,9 @@
 func (i *Instance) withdraw(ctx context.Context) {
 	ctx, stop := context.WithTimeout(ctx, announceTimeout)
 	defer stop()
-	entry, err := i.platform.Get(ctx, instanceKind, i.Options.Name)
+	entry, err := i.platform.Get(ctx, platform.InstanceKind, i.Options.Name)
 	if err == nil {
-		err = i.platform.Delete(ctx, instanceKind, i.Options.Name, entry.Version)
+		err = i.platform.Delete(ctx, platform.InstanceKind, i.Options.Name, entry.Version)
 	}
 	if err != nil {
 		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
--- a/order/follower.go
+++ b/order/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -47,6 +48,10 @@
 	asked := false // nothing changes in an outage, so that one answer is enough
 	for ctx.Err() == nil {
 		list, err := f.Watch(ctx, RecordKind, seen)
+		if errors.Is(err, platform.ErrHistory) {
+			seen = 0
+			continue
+		}
 		if err != nil {
 			asked = asked || f.askPeers(ctx)
 			_ = delay.For(ctx, retryDelay)
--- a/order/lease.go
+++ b/order/lease.go
@@ -23,10 +23,12 @@
 	orderTimeout  = 2 * time.Second
 )
 
-// LeaseRecord is the platform's object of a lease. Each write gives it a new version.
+// LeaseRecord is the platform's object of a lease. Each write differs from the one before, since the platform gives
+// a new version only to a write that changes something.
 type LeaseRecord struct {
-	Holder string `json:"holder"` // incarnation of an instance; empty once released
-	Claim  string `json:"claim"`  // unique for each taking, so that a lost answer can be resolved
+	Holder  string `json:"holder"`  // incarnation of an instance; empty once released
+	Claim   string `json:"claim"`   // unique for each taking, so that a lost answer can be resolved
+	Renewal uint64 `json:"renewal"` // number of renewals since the taking
 }
 
 // Lease is one instance's view of a lease. It carries no time of other machines: the holder counts its life from the
@@ -42,6 +44,7 @@
 	Now      func() time.Time
 
 	claim     string
+	renewals  uint64
 	version   uint64
 	fence     uint64
 	deadline  time.Time // of the holder's right
@@ -113,7 +116,9 @@
 
 func (l *Lease) renew(ctx context.Context) error {
 	sent := l.Now()
-	object, err := l.Update(ctx, LeaseKind, l.Name, l.version, LeaseRecord{Holder: l.Holder, Claim: l.claim})
+	l.renewals++
+	record := LeaseRecord{Holder: l.Holder, Claim: l.claim, Renewal: l.renewals}
+	object, err := l.Update(ctx, LeaseKind, l.Name, l.version, record)
 	if err != nil {
 		// The write may have taken effect; the old deadline stands, and the version is read again.
 		l.uncertain = true
--- a/outcome/throughput_test.go
+++ b/outcome/throughput_test.go
@@ -101,7 +101,8 @@
 		}
 	}
 	after := b.platform.Calls()
-	bm.ReportMetric(float64(after["PUT"]-before["PUT"])/float64(bm.N), "writes/op")
+	writes := after["PUT"] + after["POST"] - before["PUT"] - before["POST"]
+	bm.ReportMetric(float64(writes)/float64(bm.N), "writes/op")
 	bm.ReportMetric(float64(after["GET"]-before["GET"])/float64(bm.N), "reads/op")
 }
 
--- a/rule/rule.go
+++ b/rule/rule.go
@@ -58,6 +58,12 @@
 	Slots  int    `yaml:"slots"`  // requests that one server runs at once
 	Pieces int    `yaml:"pieces"` // pieces of KV cache memory in one server
 	Fenced bool   `yaml:"fenced"` // whether the servers refuse orders with an old fencing number
+
+	// Block is the number of tokens in one piece of memory; 0 means that of the project's own engines.
+	Block int `yaml:"-"`
+	// Strict says that a server without room rejects the request instead of letting it wait, so that room that is
+	// only predicted must not be given away.
+	Strict bool `yaml:"-"`
 }
 
 // Model joins a prefill and a decode pool.
@@ -197,6 +203,34 @@
 	keys      map[string]Key
 }
 
+// Contents are rules that come from elsewhere than a rules file and were checked there.
+type Contents struct {
+	Pools    []Pool
+	Models   []Model
+	Servers  []Server
+	Accounts []Account
+	Keys     []Key
+}
+
+// NewSet makes a set of rules without lines.
+func NewSet(c Contents) *Set {
+	s := newSet(nil)
+	for _, p := range c.Pools {
+		s.pools[p.Pool] = p
+	}
+	for _, m := range c.Models {
+		s.models[m.Model] = m
+	}
+	for _, a := range c.Accounts {
+		s.accounts[a.Account] = a
+	}
+	for _, k := range c.Keys {
+		s.keys[k.Key] = k
+	}
+	s.servers = append(s.servers, c.Servers...)
+	return s
+}
+
 // Lines returns all rules as written, by kind and name.
 func (s *Set) Lines() []Line { return s.lines }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,46 +1,91 @@
-// Package platform is a small stand-in for the platform's object API, with fault switches.
+// Package platform is a small stand-in for the platform's store, with fault switches.
 package platform
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
 
-	api "teaselgate/platform"
 	"teaselgate/standin/fault"
 )
 
+// Limits of the store.
 const (
-	maxValueBytes = 1 << 20
-	watchTimeout  = 20 * time.Second
-	instanceKind  = "instance"
+	maxValueBytes       = 1 << 20
+	maxMetadataBytes    = 64 << 10
+	defaultPageItems    = 500
+	maxWaitMilliseconds = 30_000
 )
 
+// object is a stored value in the form of the store's protocol.
+type object struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+type metadata struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Created    uint64   `json:"createRev"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+// page answers a listing.
+type page struct {
+	Items []object `json:"items"`
+	More  bool     `json:"morePages"`
+	AsOf  uint64   `json:"asOf"`
+}
+
+// change is one event of a watch, changes its answer.
+type change struct {
+	Object  object `json:"object"`
+	Removed bool   `json:"removed"`
+}
+
+type changes struct {
+	Events []change `json:"events"`
+	AsOf   uint64   `json:"asOf"`
+}
+
+// snapshot is what stale listings of a kind are answered with.
+type snapshot struct {
+	at      time.Time
+	version uint64
+	objects map[string]object
+}
+
 // Server is the stand-in. Its exported fields are set before use.
 type Server struct {
-	Token string
-	Lag   time.Duration // age of the list of instances
+	Token     string        // empty: none is asked for
+	Lag       time.Duration // age of stale listings
+	PageItems int           // objects in a page; 0: as many as the platform gives
 
 	Reads  *rate.Limiter // readings and watches; nil: without a limit
 	Writes *rate.Limiter // nil: without a limit
 	Hook   fault.Hook    // decides at each step of a write
 
 	mu       sync.Mutex
-	version  uint64
-	objects  map[string]map[string]api.Object
-	deleted  map[string][]api.Object
-	changed  chan struct{} // closed at each change
-	faults   Faults
-	calls    map[string]int
-	listed   []api.Instance
-	listedAt time.Time
+	version uint64
+	kept    uint64 // changes up to this version are forgotten
+	objects map[string]map[string]object
+	deleted map[string]map[string]object
+	changed chan struct{} // closed at each change
+	faults  Faults
+	calls   map[string]int
+	stale   map[string]snapshot
 }
 
 // Steps of writes at which the hook is asked. Attempt is the object's kind.
@@ -60,8 +105,10 @@
 func NewServer(token string) *Server {
 	return &Server{
 		Token:   token,
-		objects: make(map[string]map[string]api.Object),
-		deleted: make(map[string][]api.Object),
+		version: 1,
+		objects: make(map[string]map[string]object),
+		deleted: make(map[string]map[string]object),
+		stale:   make(map[string]snapshot),
 		changed: make(chan struct{}),
 		calls:   make(map[string]int),
 	}
@@ -89,13 +136,13 @@
 // Handler serves the object API.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /instances", s.getInstances)
-	mux.HandleFunc("GET /objects/{kind}", s.getList)
-	mux.HandleFunc("GET /objects/{kind}/{name}", s.getObject)
-	mux.HandleFunc("PUT /objects/{kind}/{name}", s.putObject)
-	mux.HandleFunc("DELETE /objects/{kind}/{name}", s.deleteObject)
+	mux.HandleFunc("GET /-/objects/{kind}", s.getList)
+	mux.HandleFunc("POST /-/objects/{kind}", s.postObject)
+	mux.HandleFunc("GET /-/objects/{kind}/{name}", s.getObject)
+	mux.HandleFunc("PUT /-/objects/{kind}/{name}", s.putObject)
+	mux.HandleFunc("DELETE /-/objects/{kind}/{name}", s.deleteObject)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Authorization") != "Bearer "+s.Token {
+		if s.Token != "" && r.Header.Get("Authorization") != "Bearer "+s.Token {
 			http.Error(w, "bad token", http.StatusUnauthorized)
 			return
 		}
@@ -108,7 +155,7 @@
 func (s *Server) admit(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
 	method := r.Method
-	if r.URL.Query().Has("after") {
+	if r.URL.Query().Has("watch") {
 		method = "WATCH"
 	}
 	s.calls[method]++
@@ -143,65 +190,125 @@
 		http.Error(w, "no such object", http.StatusNotFound)
 		return
 	}
-	answer(w, o)
+	answer(w, http.StatusOK, o)
+}
+
+// postObject creates an object that must not exist yet.
+func (s *Server) postObject(w http.ResponseWriter, r *http.Request) {
+	o, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	s.store(w, r, o, func(old object, exists bool) (int, bool) { return http.StatusConflict, !exists })
 }
 
+// putObject replaces an object, at the version that the call names.
 func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
+	o, ok := readObject(w, r)
+	if !ok {
+		return
+	}
+	o.Metadata.Name = r.PathValue("name")
+	s.store(w, r, o, func(old object, exists bool) (int, bool) {
+		if !exists {
+			return http.StatusNotFound, false
+		}
+		return http.StatusConflict, o.Metadata.Revision == 0 || o.Metadata.Revision == old.Metadata.Revision
+	})
+}
+
+// readObject reads the body of a write; without an object the call has its answer.
+func readObject(w http.ResponseWriter, r *http.Request) (object, bool) {
+	var o object
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes+maxMetadataBytes))
 	if err != nil {
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
-		return
+		return o, false
 	}
-	kind, name := r.PathValue("kind"), r.PathValue("name")
+	if err := json.Unmarshal(text, &o); err != nil || len(o.Spec) > maxValueBytes {
+		http.Error(w, "bad object", http.StatusBadRequest)
+		return o, false
+	}
+	return o, true
+}
+
+// store carries out a write if the check allows it. A write that changes nothing makes no new revision.
+func (s *Server) store(w http.ResponseWriter, r *http.Request, o object, check func(old object, exists bool) (int, bool)) {
+	kind := r.PathValue("kind")
 	if s.Hook.At(w, r, fault.Step{Name: StepWrite, Attempt: kind}) == fault.Refuse {
 		return
 	}
 	s.mu.Lock()
-	if !s.matches(kind, name, r.Header.Get("If-Match")) {
+	old, exists := s.objects[kind][o.Metadata.Name]
+	if status, ok := check(old, exists); !ok {
 		s.mu.Unlock()
-		http.Error(w, "another version is stored", http.StatusPreconditionFailed)
+		answer(w, status, old)
 		return
 	}
-	s.version++
-	o := api.Object{Kind: kind, Name: name, Version: s.version, Data: data}
-	if s.objects[kind] == nil {
-		s.objects[kind] = make(map[string]api.Object)
+	o.Metadata.Revision, o.Metadata.Created = old.Metadata.Revision, old.Metadata.Created
+	if !exists || !bytes.Equal(old.Spec, o.Spec) {
+		s.version++
+		o.Metadata.Revision = s.version
+		if !exists {
+			o.Metadata.Created = s.version
+		}
+		s.put(kind, o)
 	}
-	s.objects[kind][name] = o
-	s.wake()
 	lose := s.loseAnswer()
 	s.mu.Unlock()
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
 	_ = s.Hook.At(w, r, fault.Step{Name: StepWritten, Attempt: kind})
-	answer(w, o)
+	answer(w, http.StatusOK, o)
+}
+
+// put keeps an object and wakes the watches; the caller holds the lock.
+func (s *Server) put(kind string, o object) {
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]object)
+	}
+	s.objects[kind][o.Metadata.Name] = o
+	delete(s.deleted[kind], o.Metadata.Name)
+	s.wake()
 }
 
 func (s *Server) deleteObject(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
 	kind, name := r.PathValue("kind"), r.PathValue("name")
-	if !s.matches(kind, name, r.Header.Get("If-Match")) {
+	s.mu.Lock()
+	o, exists := s.objects[kind][name]
+	if !exists {
 		s.mu.Unlock()
-		http.Error(w, "another version is stored", http.StatusPreconditionFailed)
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	if want := r.URL.Query().Get("revision"); want != "" && want != strconv.FormatUint(o.Metadata.Revision, 10) {
+		s.mu.Unlock()
+		answer(w, http.StatusConflict, o)
 		return
 	}
 	s.version++
-	o := api.Object{Kind: kind, Name: name, Version: s.version, Deleted: true}
+	o.Metadata.Revision = s.version
 	delete(s.objects[kind], name)
-	s.deleted[kind] = append(s.deleted[kind], o)
+	if s.deleted[kind] == nil {
+		s.deleted[kind] = make(map[string]object)
+	}
+	s.deleted[kind][name] = o
 	s.wake()
 	lose := s.loseAnswer()
 	s.mu.Unlock()
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	answer(w, o)
+	answer(w, http.StatusOK, o)
 }
 
-// matches checks a conditional write; the caller holds the lock.
-func (s *Server) matches(kind, name, match string) bool {
-	return match == strconv.FormatUint(s.objects[kind][name].Version, 10)
+// DropHistory forgets all changes so far: watches from before get 410.
+func (s *Server) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = s.version
+	s.wake()
 }
 
 // loseAnswer uses up one lost answer; the caller holds the lock.
@@ -219,24 +326,69 @@
 	s.changed = make(chan struct{})
 }
 
+// getList answers with a page of a kind, or waits for changes if the call is a watch.
 func (s *Server) getList(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	watch := err == nil
-	timeout := time.After(watchTimeout)
-	for {
-		list, changed, outage := s.list(r.PathValue("kind"), after, watch)
-		if outage {
-			http.Error(w, "outage", http.StatusServiceUnavailable)
-			return
+	kind, query := r.PathValue("kind"), r.URL.Query()
+	if after, err := strconv.ParseUint(query.Get("watch"), 10, 64); err == nil {
+		s.watch(w, r, kind, after)
+		return
+	}
+	s.mu.Lock()
+	if query.Has("staleOk") && s.Lag > 0 {
+		s.refreshStale(kind)
+		page := pageOf(s.stale[kind].objects, s.stale[kind].version, query.Get("after"), s.pageItems())
+		s.mu.Unlock()
+		answer(w, http.StatusOK, page)
+		return
+	}
+	page := pageOf(s.objects[kind], s.version, query.Get("after"), s.pageItems())
+	s.mu.Unlock()
+	answer(w, http.StatusOK, page)
+}
+
+func (s *Server) pageItems() int { return cmp.Or(s.PageItems, defaultPageItems) }
+
+// refreshStale takes the objects of a kind anew once the kept ones are older than the lag; the caller holds the lock.
+func (s *Server) refreshStale(kind string) {
+	kept, ok := s.stale[kind]
+	if now := time.Now(); !ok || now.Sub(kept.at) >= s.Lag {
+		s.stale[kind] = snapshot{at: now, version: s.version, objects: maps.Clone(s.objects[kind])}
+	}
+}
+
+// pageOf returns the objects after a name, up to a number of them.
+func pageOf(objects map[string]object, version uint64, after string, most int) page {
+	p := page{Items: []object{}, AsOf: version}
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		if name <= after {
+			continue
 		}
-		if !watch || len(list.Objects) > 0 {
-			answer(w, list)
+		if len(p.Items) == most {
+			p.More = true
+			break
+		}
+		p.Items = append(p.Items, objects[name])
+	}
+	return p
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, kind string, after uint64) {
+	wait, err := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if err != nil || wait < 0 || wait > maxWaitMilliseconds {
+		http.Error(w, "bad waitMs", http.StatusBadRequest)
+		return
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		list, status, changed := s.changes(kind, after)
+		if status != http.StatusOK || len(list.Events) > 0 {
+			answer(w, status, list)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			answer(w, list)
+			answer(w, status, list)
 			return
 		case <-r.Context().Done():
 			return
@@ -244,50 +396,36 @@
 	}
 }
 
-func (s *Server) list(kind string, after uint64, watch bool) (api.List, chan struct{}, bool) {
+// changes returns what has changed in a kind after a version, and a channel that closes at the next change.
+func (s *Server) changes(kind string, after uint64) (changes, int, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := api.List{Version: s.version}
+	list := changes{Events: []change{}, AsOf: s.version}
+	if s.faults.Outage {
+		return list, http.StatusServiceUnavailable, s.changed
+	}
+	if after < s.kept {
+		return list, http.StatusGone, s.changed
+	}
 	for _, o := range s.objects[kind] {
-		if o.Version > after {
-			list.Objects = append(list.Objects, o)
+		if o.Metadata.Revision > after {
+			list.Events = append(list.Events, change{Object: o})
 		}
 	}
 	for _, o := range s.deleted[kind] {
-		if watch && o.Version > after {
-			list.Objects = append(list.Objects, o)
-		}
-	}
-	sort.Slice(list.Objects, func(i, j int) bool { return list.Objects[i].Version < list.Objects[j].Version })
-	return list, s.changed, s.faults.Outage
-}
-
-// getInstances answers with a list that is up to Lag old.
-func (s *Server) getInstances(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now := time.Now(); s.listed == nil || now.Sub(s.listedAt) >= s.Lag {
-		s.listed = s.readInstances()
-		s.listedAt = now
-	}
-	answer(w, s.listed)
-}
-
-// readInstances decodes the instance objects; the caller holds the lock.
-func (s *Server) readInstances() []api.Instance {
-	out := make([]api.Instance, 0, len(s.objects[instanceKind]))
-	for _, o := range s.objects[instanceKind] {
-		var i api.Instance
-		if json.Unmarshal(o.Data, &i) == nil {
-			out = append(out, i)
+		if o.Metadata.Revision > after {
+			list.Events = append(list.Events, change{Object: o, Removed: true})
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return out
+	slices.SortFunc(list.Events, func(a, b change) int {
+		return cmp.Compare(a.Object.Metadata.Revision, b.Object.Metadata.Revision)
+	})
+	return list, http.StatusOK, s.changed
 }
 
-func answer(w http.ResponseWriter, v any) {
+func answer(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(v); err != nil {
 		panic(fmt.Errorf("standin: unable to encode an answer: %w", err))
 	}
