--- a/cell/core.go
+++ b/cell/core.go
@@ -34,6 +34,9 @@
 	Zone         string
 	Exclude      []string
 	Waited       time.Duration // before this dispatcher was asked
+	Charge       int64         // tokens to take from the account's rate
+	Rate         float64       // of the account, tokens a second
+	Burst        float64       // tokens
 }
 
 // Decision answers one Ask: a place, or an error with the time to come back.
@@ -90,6 +93,7 @@
 	placed   map[string]*reservation
 	rate     rateMeter // cost placed per second while requests wait
 	lateRate rateMeter
+	meters   meters
 	backlog  bool // requests were left waiting by the last step
 	started  instant
 	swept    instant
@@ -104,6 +108,7 @@
 		queue:   newFairQueue(),
 		items:   make(map[string]*item),
 		placed:  make(map[string]*reservation),
+		meters:  newMeters(),
 		started: now,
 		swept:   now,
 	}
@@ -178,8 +183,13 @@
 	if _, ok := c.items[ask.Key]; ok {
 		return
 	}
+	if wait, ok := c.meters.take(now, ask); !ok {
+		c.out = append(c.out, Decision{Key: ask.Key, Err: overRate.New("cell: account %s is over its rate", ask.Account), RetryIn: wait})
+		return
+	}
 	i := c.newItem(now, ask)
 	if retry, err := c.admit(now, i); err != nil {
+		c.meters.giveBack(ask)
 		c.out = append(c.out, Decision{Key: ask.Key, Err: err, RetryIn: retry})
 		return
 	}
@@ -216,6 +226,7 @@
 	if i, ok := c.items[key]; ok {
 		delete(c.items, key)
 		c.queue.remove(i)
+		c.meters.giveBack(i.ask)
 	}
 	c.Release(now, key, Report{})
 }
--- /dev/null
+++ b/cell/debit.go
@@ -0,0 +1,131 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"teaselgate/event"
+	"teaselgate/rule"
+)
+
+// Timing of debits.
+const (
+	debitInterval = 250 * time.Millisecond
+	debitTimeout  = 300 * time.Millisecond
+)
+
+// Debits collects what requests to plain services take from accounts' rates, reports it to the dispatcher that meters
+// the accounts, and refuses accounts that are in debt there. Its exported fields are set before Serve.
+type Debits struct {
+	Placer *Placer
+	Record func(event.Event)
+
+	mu      sync.Mutex
+	pending map[string]*Debit
+	debtors map[string]time.Time // until when an account is in debt
+}
+
+// NewDebits returns a collector that has nothing to report.
+func NewDebits(placer *Placer) *Debits {
+	return &Debits{Placer: placer, pending: make(map[string]*Debit), debtors: make(map[string]time.Time)}
+}
+
+// Take charges tokens to an account; with ErrOverRate comes the time to come back.
+func (d *Debits) Take(debit Debit) (time.Time, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if until := d.debtors[debit.Account]; d.Placer.Hub.Now().Before(until) {
+		return until, overRate.New("cell: account %s is over its rate", debit.Account)
+	}
+	p, ok := d.pending[debit.Account]
+	if !ok {
+		p = &Debit{Account: debit.Account}
+		d.pending[debit.Account] = p
+	}
+	p.Tokens += debit.Tokens
+	p.Rate, p.Burst = debit.Rate, debit.Burst
+	return time.Time{}, nil
+}
+
+// Serve reports until the context ends.
+func (d *Debits) Serve(ctx context.Context) error {
+	tick := time.NewTicker(debitInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			d.report(ctx)
+		}
+	}
+}
+
+func (d *Debits) report(ctx context.Context) {
+	id, ok := meteringCell(d.Placer.Hub.Rules())
+	debits := d.collect()
+	if !ok || len(debits) == 0 {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, debitTimeout)
+	defer stop()
+	reply, err := d.Placer.debit(ctx, DebitArgs{Cell: id, Debits: debits})
+	if err != nil {
+		d.Record(event.Event{Code: event.DebitFailed, Detail: err.Error()})
+		return
+	}
+	d.note(debits, reply.Debts)
+}
+
+func (d *Debits) collect() []Debit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]Debit, 0, len(d.pending))
+	for _, p := range d.pending {
+		out = append(out, *p)
+	}
+	clear(d.pending)
+	return out
+}
+
+func (d *Debits) note(debits []Debit, debts []time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Placer.Hub.Now()
+	for n, debt := range debts {
+		if n < len(debits) && debt > 0 {
+			d.debtors[debits[n].Account] = now.Add(debt)
+		}
+	}
+	for account, until := range d.debtors {
+		if now.After(until) {
+			delete(d.debtors, account)
+		}
+	}
+}
+
+// meteringCell names the cell whose dispatcher meters the accounts: the first share of the first model.
+func meteringCell(rules *rule.Set) (ID, bool) {
+	if rules == nil {
+		return ID{}, false
+	}
+	var id ID
+	for _, m := range rules.Models() {
+		if id.Prefill == "" || m.Prefill < id.Prefill {
+			id = ID{Prefill: m.Prefill, Decode: m.Decode}
+		}
+	}
+	return id, id.Prefill != ""
+}
+
+// debit reports debits to the dispatcher of a cell.
+func (p *Placer) debit(ctx context.Context, args DebitArgs) (DebitReply, error) {
+	ranked := p.dispatchers(args.Cell)
+	if len(ranked) == 0 || ranked[0].Name == p.Self {
+		return p.Hub.Debit(args), nil
+	}
+	var reply DebitReply
+	err := p.Call(ctx, ranked[0].Peer, RPCName+".Debit", args, &reply)
+	return reply, err
+}
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -81,11 +81,12 @@
 }
 
 // place queues an ask, or finds it again, and waits a while for the decision.
-func (d *dispatcher) place(ctx context.Context, now func() time.Time, set *rule.Set, ask Ask, nudge func()) PlaceReply {
+func (d *dispatcher) place(ctx context.Context, now func() time.Time, set *rule.Set, ask Ask, nudge func(), heard func() (int, int)) PlaceReply {
 	d.mu.Lock()
 	at := now()
 	d.used = at
 	d.refresh(at, set)
+	d.core.meters.hear(heard())
 	w, ok := d.waiters[ask.Key]
 	if !ok {
 		w = &waiter{answer: make(chan Decision, 1)}
@@ -128,12 +129,26 @@
 	switch {
 	case errors.Is(d.Err, ErrShed):
 		r.Status = Shed
+	case errors.Is(d.Err, ErrOverRate):
+		r.Status = OverRate
 	case d.Err != nil:
 		r.Status = NoServer
 	}
 	return r
 }
 
+// debit takes tokens from accounts and tells for how long these are in debt.
+func (d *dispatcher) debit(now time.Time, debits []Debit) []time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.used = now
+	debts := make([]time.Duration, len(debits))
+	for n, debit := range debits {
+		debts[n] = d.core.meters.debit(d.clock(now), debit)
+	}
+	return debts
+}
+
 // release takes places back.
 func (d *dispatcher) release(now time.Time, places []Released) {
 	d.mu.Lock()
--- a/cell/hub.go
+++ b/cell/hub.go
@@ -24,6 +24,7 @@
 	Polls  Polls
 	Record func(event.Event)
 	Now    func() time.Time
+	Heard  func() (heard, known int) // instances of the fleet that this one hears, itself included, and all known
 
 	mu    sync.Mutex
 	cells map[ID]*dispatcher
@@ -35,6 +36,7 @@
 func NewHub(rules func() *rule.Set, polls Polls, record func(event.Event)) *Hub {
 	return &Hub{
 		Rules: rules, Polls: polls, Record: record, Now: time.Now,
+		Heard: func() (int, int) { return 1, 1 },
 		cells: make(map[ID]*dispatcher), wake: make(chan struct{}, 1),
 	}
 }
@@ -60,7 +62,18 @@
 // Place gives a place, or tells that the request waits.
 func (h *Hub) Place(ctx context.Context, args PlaceArgs) PlaceReply {
 	d := h.dispatcher(args.Cell)
-	return d.place(ctx, h.Now, h.Rules(), args.Ask, h.nudge)
+	return d.place(ctx, h.Now, h.Rules(), args.Ask, h.nudge, h.Heard)
+}
+
+// Debit takes tokens from accounts' rates.
+func (r *Receiver) Debit(args DebitArgs, reply *DebitReply) error {
+	*reply = r.hub.Debit(args)
+	return nil
+}
+
+// Debit takes tokens from accounts' rates.
+func (h *Hub) Debit(args DebitArgs) DebitReply {
+	return DebitReply{h.dispatcher(args.Cell).debit(h.Now(), args.Debits)}
 }
 
 // Release takes places back.
--- a/cell/message.go
+++ b/cell/message.go
@@ -28,6 +28,7 @@
 	Placed                 // the reply names the servers
 	Shed                   // it could not be answered in time
 	NoServer               // no server can take it
+	OverRate               // its client account is over its rate
 )
 
 // PlaceArgs asks a dispatcher for a place.
@@ -46,6 +47,25 @@
 	Waiting int // requests that wait in the cell
 }
 
+// Debit is what requests to plain services took from a client account's rate.
+type Debit struct {
+	Account string
+	Tokens  int64
+	Rate    float64 // tokens a second
+	Burst   float64 // tokens
+}
+
+// DebitArgs reports debits to the dispatcher that meters the accounts.
+type DebitArgs struct {
+	Cell   ID
+	Debits []Debit
+}
+
+// DebitReply tells for how long accounts are in debt, in the order of the debits.
+type DebitReply struct {
+	Debts []time.Duration
+}
+
 // Released is a place given back. Times are counted from when the place was given; 0 means never.
 type Released struct {
 	Key        string
--- /dev/null
+++ b/cell/meter.go
@@ -0,0 +1,80 @@
+package cell
+
+import "time"
+
+// Constants of the accounts' meters.
+const (
+	// meterStart is the part of the burst that a new dispatcher begins with: the one before may have given it out.
+	meterStart = 0.25
+	// minMeterRetry is the least time after which a caller over its rate may come back.
+	minMeterRetry = 50 * time.Millisecond
+	// hearingSlack lets a dispatcher that does not hear a few instances still give out the whole rate; all parts of a
+	// divided fleet together give out at most this many times it.
+	hearingSlack = 1.3
+)
+
+// meters hold the client accounts to their rates. Load that they answer: one account sends many times its rate, while
+// instances fail or are cut off, so that for a while several dispatchers may meter the same account.
+type meters struct {
+	accounts map[string]*meter
+	share    float64 // of each rate that this dispatcher may give out
+}
+
+// meter is a token bucket; debts of requests that were metered elsewhere make it negative.
+type meter struct {
+	level, rate, burst float64
+	at                 instant
+}
+
+func newMeters() meters { return meters{accounts: make(map[string]*meter), share: 1} }
+
+// hear sets the share from the part of the fleet that the dispatcher hears.
+func (m *meters) hear(heard, known int) {
+	m.share = min(1, hearingSlack*float64(heard)/float64(max(known, 1)))
+}
+
+// take charges a request, or returns the time after which its account has the tokens.
+func (m *meters) take(now instant, ask Ask) (time.Duration, bool) {
+	if ask.Charge == 0 || ask.Rate <= 0 {
+		return 0, true
+	}
+	b := m.meter(now, ask.Account, ask.Rate, ask.Burst)
+	// A request larger than the burst passes once the bucket is full, and leaves a debt.
+	need := min(float64(ask.Charge), b.burst)
+	if b.level >= need {
+		b.level -= float64(ask.Charge)
+		return 0, true
+	}
+	return max(seconds((need-b.level)/(b.rate*m.share)), minMeterRetry), false
+}
+
+// giveBack returns the charge of a request that was not placed.
+func (m *meters) giveBack(ask Ask) {
+	if b, ok := m.accounts[ask.Account]; ok && ask.Charge > 0 {
+		b.level = min(b.level+float64(ask.Charge), b.burst)
+	}
+}
+
+// debit takes tokens of requests that were admitted elsewhere, and returns after which time the account is out of debt.
+func (m *meters) debit(now instant, d Debit) time.Duration {
+	if d.Rate <= 0 {
+		return 0
+	}
+	b := m.meter(now, d.Account, d.Rate, d.Burst)
+	b.level -= float64(d.Tokens)
+	if b.level >= 0 {
+		return 0
+	}
+	return seconds(-b.level / (b.rate * m.share))
+}
+
+func (m *meters) meter(now instant, account string, rate, burst float64) *meter {
+	b, ok := m.accounts[account]
+	if !ok {
+		b = &meter{level: meterStart * burst, at: now}
+		m.accounts[account] = b
+	}
+	b.level = min(burst, b.level+rate*m.share*now.Sub(b.at).Seconds())
+	b.rate, b.burst, b.at = rate, burst, now
+	return b
+}
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -16,11 +16,14 @@
 	namespace = errorx.NewNamespace("cell")
 	noServer  = namespace.NewType("no_server")
 	shed      = namespace.NewType("shed")
+	overRate  = namespace.NewType("over_rate")
 
 	// ErrNoServer says that no live server can take the request.
 	ErrNoServer = noServer.NewWithNoMessage()
 	// ErrShed says that the request could not have been answered in time.
 	ErrShed = shed.NewWithNoMessage()
+	// ErrOverRate says that the client account is over its rate.
+	ErrOverRate = overRate.NewWithNoMessage()
 )
 
 // Request is what a placement depends on.
@@ -35,6 +38,10 @@
 	Prefixes     []string // hashes of the prompt's prefixes, as in engine.PrefixHashes
 	Zone         string   // availability zone of the instance that asks
 	Exclude      []string
+
+	Charge int64   // tokens that the dispatcher takes from the account's rate; 0 if the rate is held elsewhere
+	Rate   float64 // of the account, tokens a second
+	Burst  float64 // tokens
 }
 
 // Placement names the backend servers of one attempt.
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -24,6 +24,12 @@
 	releaseBuffer  = 1024
 )
 
+// placeMark stands between a request's id and the number of its place.
+const placeMark = "-"
+
+// FirstPlace ends the key of a request's first place.
+const FirstPlace = placeMark + "1"
+
 // Placer places model work by the policy that each model's rule names. Its exported fields are set
 // before Serve.
 type Placer struct {
@@ -82,7 +88,7 @@
 	}
 	arrived := p.Hub.Now()
 	id := p.chooseCell(r)
-	r.ID = fmt.Sprintf("%s-%d", r.ID, len(r.Exclude)+1)
+	r.ID = fmt.Sprintf("%s%s%d", r.ID, placeMark, len(r.Exclude)+1)
 	asked := 0
 	for asked < maxDispatchers {
 		ranked := p.dispatchers(id)
@@ -127,6 +133,8 @@
 	switch reply.Status {
 	case Shed:
 		return nil, &Refusal{Err: shed.New("cell: the request could not be answered in time"), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
+	case OverRate:
+		return nil, &Refusal{Err: overRate.New("cell: the client account is over its rate"), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
 	case NoServer:
 		return nil, &Refusal{Err: noServer.New("cell: no server can take the request"), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
 	}
@@ -153,6 +161,7 @@
 	return Ask{
 		Key: r.ID, Account: r.Account, Weight: r.Weight, Class: r.Class, PromptTokens: r.PromptTokens,
 		MaxTokens: r.MaxTokens, Prefixes: r.Prefixes, Zone: r.Zone, Exclude: r.Exclude, Waited: waited,
+		Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
 	}
 }
 
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -112,6 +112,7 @@
 func (c *Core) refuse(i *item, err error, retry time.Duration) {
 	delete(c.items, i.ask.Key)
 	c.queue.remove(i)
+	c.meters.giveBack(i.ask)
 	c.out = append(c.out, Decision{Key: i.ask.Key, Err: err, RetryIn: retry})
 }
 
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -4,13 +4,16 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"teaselgate/event"
 	"teaselgate/instance"
 	"teaselgate/option"
+	"teaselgate/platform"
 )
 
 func newServe() *cobra.Command {
@@ -33,23 +36,37 @@
 			return serve(cmd, options, secrets)
 		},
 	}
-	cmd.Flags().StringVar(&settings, "settings", "teaselgate.yaml", "settings file of this instance")
+	cmd.Flags().StringVar(&settings, "settings", platform.SettingsFile("teaselgate.yaml"), "settings file of this instance")
 	cmd.Flags().BoolVar(&checkOnly, "check", false, "check the settings and stop")
 	return cmd
 }
 
 func serve(cmd *cobra.Command, options *option.Options, secrets option.Secrets) error {
-	log, err := newLogger(options.Log, cmd.ErrOrStderr())
+	lines := event.NewWriter(cmd.OutOrStdout())
+	defer lines.Close()
+	log, err := newLogger(options.Log, lines)
 	if err != nil {
 		return err
 	}
-	i := &instance.Instance{Options: options, Tokens: secrets, Log: log, BalancerDelay: instance.DefaultBalancerDelay}
+	if options.Limit.Process > 0 {
+		debug.SetMemoryLimit(options.Limit.Process / 10 * memoryTenths)
+	}
+	i := &instance.Instance{
+		Options: options, Tokens: secrets, Log: log, Lines: lines,
+		BalancerDelay: min(instance.DefaultBalancerDelay, options.Stop.Grace/balancerParts),
+	}
+	i.ShutdownTimeout = options.Stop.Grace - i.BalancerDelay - instance.StopMargin
 	if err := i.Open(cmd.Context()); err != nil {
 		return err
 	}
 	return i.Run(cmd.Context())
 }
 
+const (
+	memoryTenths  = 9 // of the process's memory, from which the runtime collects more often
+	balancerParts = 3 // of the grace period; one is left to the balancer to notice
+)
+
 func readToken(file string) (string, error) {
 	if file == "" {
 		return "", nil
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -158,6 +158,23 @@
 	return len(heard) > 0 && 2*answered >= len(heard)
 }
 
+// Hearing returns how many instances are heard, this one included, and how many are known that have not left.
+func (f *Fleet) Hearing() (heard, known int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	heard, known = 1, 1
+	for _, e := range f.members {
+		if e.member.State == Left {
+			continue
+		}
+		known++
+		if e.member.State == Live || e.member.State == Leaving {
+			heard++
+		}
+	}
+	return heard, known
+}
+
 // LastLoss returns when an instance was last found to have ended without a graceful leave.
 func (f *Fleet) LastLoss() time.Time {
 	f.mu.Lock()
--- /dev/null
+++ b/forward/handler.go
@@ -0,0 +1,221 @@
+// Package forward passes callers' requests on to backend servers and their answers back, unchanged and whole.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"teaselgate/cell"
+	"teaselgate/event"
+	"teaselgate/outcome"
+	"teaselgate/platform"
+	"teaselgate/registry"
+	"teaselgate/rule"
+	"teaselgate/upstream"
+)
+
+// Times of answers that the router makes itself.
+const (
+	startRetry   = 300 * time.Millisecond // an instance that starts knows its configuration after about that time
+	serverRetry  = 500 * time.Millisecond // a service without a usable server
+	failureRetry = 100 * time.Millisecond // a rejected request, when another server may have room
+	answerMargin = 30 * time.Millisecond  // kept free of the caller's deadline for the way back
+)
+
+// Handler answers callers. Its exported fields are set before it serves.
+type Handler struct {
+	Zone     string
+	View     func() *registry.View
+	Place    func(context.Context, cell.Request) (*cell.Placement, error)
+	Pick     func(pool string, exclude []string) (rule.Server, error)
+	Picked   func(server string, took time.Duration, failed bool) // follows each Pick
+	Charge   func(a platform.Account, tokens int64) (time.Time, error)
+	Budget   func(service string) *outcome.Budget
+	Servers  *upstream.Pool
+	Engines  *platform.Engines
+	Record   func(event.Event)
+	Now      func() time.Time
+	Random   func() float64 // in [0, 1)
+	Finished func(Result)   // told of each request's end
+}
+
+// Result is how a request ended.
+type Result struct {
+	Route  string
+	Kind   platform.Repeat
+	Status int // 0 if the answer was broken off
+	Took   time.Duration
+	First  time.Duration // until the first event of a stream; 0 if none
+}
+
+// NewHandler returns a handler with the usual clock and randomness.
+func NewHandler() *Handler {
+	return &Handler{Now: time.Now, Random: rand.Float64, Record: func(event.Event) {}, Finished: func(Result) {}}
+}
+
+// request is one caller's request on its way through the instance.
+type request struct {
+	platform.Call
+	handler  *Handler
+	view     *registry.View
+	route    platform.Route
+	account  platform.Account // empty on routes open to all
+	service  platform.Service
+	body     []byte
+	in       *http.Request
+	out      http.ResponseWriter
+	received time.Time
+	deadline time.Time
+	first    time.Time // when the first event of a stream went out
+	ran      int       // servers that may have run it
+	status   int       // sent to the caller; 0 before
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{handler: h, in: r, out: w, received: h.Now()}
+	q.Call = platform.ReadCall(r, q.received)
+	if !q.admit() || !q.readBody() {
+		return
+	}
+	ctx, stop := context.WithDeadline(r.Context(), q.deadline)
+	defer stop()
+	defer func() {
+		result := Result{Route: q.route.Name, Kind: q.route.Kind, Status: q.status, Took: h.Now().Sub(q.received)}
+		if !q.first.IsZero() {
+			result.First = q.first.Sub(q.received)
+		}
+		h.Finished(result)
+	}()
+	if q.service.Engine != nil && q.Sized {
+		q.serveModel(ctx)
+		return
+	}
+	q.servePlain(ctx)
+}
+
+// admit finds the route, the client account and the service; it returns false if the request has its answer.
+func (q *request) admit() bool {
+	q.view = q.handler.View()
+	if q.view == nil {
+		q.refuse(http.StatusServiceUnavailable, startRetry, "no configuration yet")
+		return false
+	}
+	var ok bool
+	if q.route, ok = q.view.Route(q.in.Host, q.in.URL.Path); !ok {
+		q.refuse(http.StatusNotFound, 0, "no route")
+		return false
+	}
+	if q.view.HasAccounts() && !q.route.Open {
+		if q.account, ok = q.view.Account(q.Secret); !ok {
+			q.refuse(http.StatusUnauthorized, 0, "unknown key")
+			return false
+		}
+	}
+	q.deadline = q.Deadline
+	if limit := q.received.Add(q.route.Timeout); q.route.Timeout > 0 && (q.deadline.IsZero() || limit.Before(q.deadline)) {
+		q.deadline = limit
+	}
+	if q.deadline.IsZero() {
+		q.deadline = q.received.Add(defaultTimeout)
+	}
+	if q.service, ok = q.view.Service(q.chooseService()); !ok {
+		q.refuse(http.StatusServiceUnavailable, serverRetry, "no service")
+		return false
+	}
+	return true
+}
+
+// defaultTimeout bounds a request for which neither its caller nor its route names a time.
+const defaultTimeout = time.Minute
+
+// chooseService picks one of the route's services by their weights.
+func (q *request) chooseService() string {
+	total := 0.0
+	for _, t := range q.route.Targets {
+		total += t.Weight
+	}
+	at := q.handler.Random() * total
+	for _, t := range q.route.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service
+		}
+	}
+	if n := len(q.route.Targets); n > 0 {
+		return q.route.Targets[n-1].Service
+	}
+	return ""
+}
+
+// readBody reads the whole body, so that it can be sent again where that is allowed.
+func (q *request) readBody() bool {
+	var tooLarge *http.MaxBytesError
+	limit := q.view.Configuration.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(q.out, q.in.Body, limit))
+	switch {
+	case errors.As(err, &tooLarge):
+		q.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
+	case err != nil:
+		q.cancelled("the body was not read: " + err.Error())
+	}
+	q.body = text
+	return err == nil
+}
+
+// defaultBodyBytes bounds bodies where the configuration does not.
+const defaultBodyBytes = 4 << 20
+
+// tokens returns what the request counts as against its account's rate.
+func (q *request) tokens() int64 {
+	switch {
+	case !q.account.ByTokens:
+		return 1
+	case q.Sized:
+		return int64(q.PromptTokens + q.OutputTokens)
+	default:
+		return int64(q.account.PlainTokens)
+	}
+}
+
+// limited tells whether the request's account has a rate.
+func (q *request) limited() bool { return q.account.Rate > 0 }
+
+func (q *request) refuse(status int, retry time.Duration, reason string) {
+	q.note(event.RequestRefused, "", reason)
+	q.status = status
+	platform.Refuse(q.out, q.Call, status, retry)
+}
+
+// fail answers a request that may have run, or whose time is over.
+func (q *request) fail(ctx context.Context, reason string) {
+	if q.in.Context().Err() != nil {
+		q.cancelled(reason)
+		return
+	}
+	status := http.StatusBadGateway
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	if q.ran == 0 {
+		q.refuse(http.StatusServiceUnavailable, failureRetry, reason)
+		return
+	}
+	q.refuse(status, 0, reason)
+}
+
+// cancelled ends a request whose caller is gone.
+func (q *request) cancelled(reason string) {
+	q.note(event.RequestCancelled, "", reason)
+	panic(http.ErrAbortHandler)
+}
+
+func (q *request) note(code event.Code, server, detail string) {
+	q.handler.Record(event.Event{Code: code, Request: q.ID, Account: q.account.Name, Server: server, Detail: detail})
+}
--- a/instance/build_cell.go
+++ b/instance/build_cell.go
@@ -9,7 +9,11 @@
 // buildCell makes the part that places requests on backend servers.
 func (i *Instance) buildCell(supervisor *suture.Supervisor) error {
 	polls := cell.Polls{Load: i.engines.Load, Requests: i.engines.Requests, Events: i.engines.CacheEvents}
+	if i.registry != nil {
+		polls = i.reportPolls()
+	}
 	hub := cell.NewHub(i.serverRules, polls, i.events.Record)
+	hub.Heard = i.fleet.Hearing
 	i.placer = cell.NewPlacer(i.serverRules, hub)
 	i.placer.Self = i.Options.Name
 	i.placer.Live = i.fleet.Live
--- a/instance/build_config.go
+++ b/instance/build_config.go
@@ -28,6 +28,9 @@
 
 // revision returns the number of the revision in force, 0 before the first.
 func (i *Instance) revision() uint64 {
+	if i.registry != nil {
+		return i.registry.Version()
+	}
 	if r := i.rules.Current(); r != nil {
 		return r.Number
 	}
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -27,12 +27,21 @@
 	i.fleet.Seeds = i.Options.Peers
 	i.fleet.Revision = i.revision
 	i.fleet.Instances = i.platform.Instances
-	i.fleet.Behind = func(from fleet.Member, revision uint64) { i.rules.Nudge(from.Peer, revision) }
+	i.fleet.Behind = func(from fleet.Member, revision uint64) { i.nudge(from.Peer, revision) }
 	i.fleet.Record = i.events.Record
 	supervisor.Add(i.fleet)
 	return i.peerServer.Register(fleet.RPCName, i.fleet.Receiver())
 }
 
+// nudge lets the part that follows the configuration fetch a newer one from a peer.
+func (i *Instance) nudge(address string, revision uint64) {
+	if i.registry != nil {
+		i.registry.Nudge(address, revision)
+		return
+	}
+	i.rules.Nudge(address, revision)
+}
+
 // announce writes this instance's entry at the platform.
 func (i *Instance) announce(ctx context.Context, state fleet.State) {
 	ctx, stop := context.WithTimeout(ctx, announceTimeout)
--- /dev/null
+++ b/instance/build_forward.go
@@ -0,0 +1,136 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"teaselgate/cell"
+	"teaselgate/engine"
+	"teaselgate/forward"
+	"teaselgate/outcome"
+	"teaselgate/platform"
+	"teaselgate/socket"
+	"teaselgate/upstream"
+)
+
+// Shares of the retry budget of all instances that one instance uses on its own count.
+const (
+	budgetShare = 0.7 // of the share of requests, as requests are not counted alike everywhere
+	budgetBurst = 0.6 // of the extra requests, divided among the instances
+)
+
+const pruneInterval = time.Second // between looks at idle connections
+
+// buildForward makes the part that passes requests on.
+func (i *Instance) buildForward(supervisor *suture.Supervisor) error {
+	i.servers = upstream.NewPool()
+	i.servers.KeepAlive, i.servers.ID = platform.KeepAlive, platform.AnswerID
+	i.debits = cell.NewDebits(i.placer)
+	i.debits.Record = i.events.Record
+	budgets := &budgets{instance: i, services: make(map[string]*outcome.Budget)}
+	handler := forward.NewHandler()
+	handler.Zone = i.Options.Zone
+	handler.View = i.registry.Current
+	handler.Place = i.placer.Place
+	handler.Pick, handler.Picked = i.placer.Plain.PickPlain, i.placer.Plain.PlainDone
+	handler.Charge = func(a platform.Account, tokens int64) (time.Time, error) {
+		return i.debits.Take(cell.Debit{Account: a.Name, Tokens: tokens, Rate: a.Rate, Burst: a.Burst})
+	}
+	handler.Budget = budgets.of
+	handler.Servers = i.servers
+	handler.Engines = newEngines()
+	handler.Record = i.events.Record
+	i.handler = handler
+	supervisor.Add(i.debits)
+	supervisor.Add(&pruner{i.servers})
+	return nil
+}
+
+func newEngines() *platform.Engines {
+	transport := &http.Transport{DialContext: socket.Dialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleReport}
+	return &platform.Engines{HTTP: &http.Client{Transport: transport}}
+}
+
+// idleReport is how long a connection for reports is kept: a little longer than the time between two reports.
+const idleReport = 3 * time.Second
+
+// budgets holds this instance's part of the retry budget of each service.
+type budgets struct {
+	instance *Instance
+	mu       sync.Mutex
+	services map[string]*outcome.Budget
+}
+
+func (b *budgets) of(service string) *outcome.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget, ok := b.services[service]
+	if !ok {
+		_, known := b.instance.fleet.Hearing()
+		retry := b.instance.Options.Retry
+		budget = outcome.NewBudgetOf(budgetShare*retry.Share, max(budgetBurst*float64(retry.Extra)/float64(known), 1))
+		b.services[service] = budget
+	}
+	return budget
+}
+
+// pruner closes idle connections.
+type pruner struct{ pool *upstream.Pool }
+
+// Serve closes idle connections until the context ends.
+func (p *pruner) Serve(ctx context.Context) error {
+	tick := time.NewTicker(pruneInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			p.pool.Prune()
+		}
+	}
+}
+
+// reportPolls asks engines for their reports, in the terms of placement.
+func (i *Instance) reportPolls() cell.Polls {
+	engines := newEngines()
+	return cell.Polls{
+		Load: func(ctx context.Context, at string) (engine.Load, error) {
+			r, err := engines.Report(ctx, at)
+			return engine.Load{Slots: r.Running, QueueDepth: r.Waiting}, err
+		},
+		Requests: func(ctx context.Context, at, _ string) ([]engine.Held, error) {
+			r, err := engines.Report(ctx, at)
+			held := make([]engine.Held, 0, len(r.Runs))
+			for _, run := range r.Runs {
+				held = append(held, engine.Held{Attempt: run.ID + cell.FirstPlace, Pieces: i.piecesOf(run.MemoryTokens)})
+			}
+			return held, err
+		},
+		Events: func(ctx context.Context, at string, _ uint64) ([]engine.CacheEvent, error) {
+			_, err := engines.Report(ctx, at)
+			return nil, err
+		},
+	}
+}
+
+// piecesOf turns tokens in an engine's memory into pieces; a request that runs grows a little.
+func (i *Instance) piecesOf(tokens int) int {
+	const growth = 300 // tokens: half of a usual answer
+	return (tokens+growth)/blockTokens + 1
+}
+
+const blockTokens = 16 // in one block of a model engine's memory, as the users' pages give it
+
+// forwardedRoute names the route of a path for the metrics; the names are bounded by the configuration.
+func (i *Instance) forwardedRoute(path string) string {
+	view := i.registry.Current()
+	if view == nil {
+		return ""
+	}
+	return view.RouteName(path)
+}
--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -62,7 +62,7 @@
 
 // collectCells takes over the state of the dispatchers; a pool that has none here shows 0.
 func (i *Instance) collectCells() {
-	rules := i.rules.Rules()
+	rules := i.ruleSet()
 	if rules == nil {
 		return
 	}
--- a/instance/build_order.go
+++ b/instance/build_order.go
@@ -42,5 +42,8 @@
 
 // serverRules returns the rules in force with each server in the pool where it stands now.
 func (i *Instance) serverRules() *rule.Set {
-	return i.moves.Apply(i.rules.Rules())
+	if i.moves == nil {
+		return i.ruleSet()
+	}
+	return i.moves.Apply(i.ruleSet())
 }
--- a/instance/build_outcome.go
+++ b/instance/build_outcome.go
@@ -30,8 +30,9 @@
 		return err
 	})
 	i.canceller.Record = i.events.Record
-	i.buildHandler()
-	sweeper := i.newSweeper()
+	handler := i.newHandler()
+	i.handler = handler
+	sweeper := i.newSweeper(handler)
 	i.canceller.GivenUp = sweeper.MarkDirty
 	supervisor.Add(i.claims)
 	supervisor.Add(i.canceller)
@@ -39,8 +40,8 @@
 	return nil
 }
 
-func (i *Instance) buildHandler() {
-	i.handler = &entry.Handler{
+func (i *Instance) newHandler() *entry.Handler {
+	return &entry.Handler{
 		Incarnation: i.owner(),
 		Zone:        i.Options.Zone,
 		Rules:       i.rules.Current,
@@ -60,7 +61,7 @@
 }
 
 // newSweeper makes the service that releases what ended instances left at engines.
-func (i *Instance) newSweeper() *outcome.Sweeper {
+func (i *Instance) newSweeper(handler *entry.Handler) *outcome.Sweeper {
 	return &outcome.Sweeper{
 		Owner:     i.owner(),
 		Engines:   i.engineAddresses,
@@ -68,7 +69,7 @@
 		State:     i.ownerState,
 		Loss:      i.fleet.LastLoss,
 		Connected: i.fleet.Connected,
-		Running:   i.handler.Running,
+		Running:   handler.Running,
 		List:      i.engines.Requests,
 		Cancel:    i.canceller.Cancel,
 		Record:    i.events.Record,
--- /dev/null
+++ b/instance/build_registry.go
@@ -0,0 +1,18 @@
+package instance
+
+import (
+	"github.com/thejerf/suture/v4"
+
+	"teaselgate/registry"
+)
+
+// buildRegistry makes the follower of the operator's configuration and the servers' entries.
+func (i *Instance) buildRegistry(supervisor *suture.Supervisor) error {
+	i.registry = registry.NewFollower(i.platform.Watch)
+	i.registry.Call = i.peers.Call
+	i.registry.Heard = func() { i.fleet.HeardPlatform() }
+	i.registry.Record = i.events.Record
+	i.registry.Fenced = i.Options.Engine.Fenced
+	supervisor.Add(i.registry)
+	return i.peerServer.Register(registry.RPCName, i.registry.Receiver())
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +18,6 @@
 	"teaselgate/certificate"
 	"teaselgate/config"
 	"teaselgate/engine"
-	"teaselgate/entry"
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/limit"
@@ -27,8 +27,11 @@
 	"teaselgate/outcome"
 	"teaselgate/peer"
 	"teaselgate/platform"
+	"teaselgate/registry"
+	"teaselgate/rule"
 	"teaselgate/service"
 	"teaselgate/socket"
+	"teaselgate/upstream"
 )
 
 // Instance is one process of the fleet. Its exported fields are set before Run.
@@ -36,6 +39,7 @@
 	Options *option.Options
 	Tokens  option.Secrets
 	Log     *logrus.Logger
+	Lines   *event.Writer // under the log; may be nil
 
 	BalancerDelay   time.Duration // between the end of readiness and the closing of the listener
 	ShutdownTimeout time.Duration // for requests in flight; zero means the usual one
@@ -50,7 +54,10 @@
 	allowance   *allowance.Node
 	admit       admitFunc
 	placer      *cell.Placer
-	handler     *entry.Handler
+	handler     http.Handler // answers callers
+	registry    *registry.Follower
+	servers     *upstream.Pool
+	debits      *cell.Debits
 	engines     *engine.Client
 	services    *service.Client
 	claims      *outcome.Claims
@@ -145,17 +152,7 @@
 	i.peers.Stamps, i.peerServer.Stamps = stamps, stamps
 	i.engines = engine.NewClient()
 	i.services = service.NewClient()
-	steps := []func(*suture.Supervisor) error{
-		i.buildCertificates,
-		i.buildConfig,
-		i.buildFleet,
-		i.buildOrder,
-		i.buildAllowance,
-		i.buildCell,
-		i.buildOutcome,
-		i.buildMetrics,
-	}
-	for _, step := range steps {
+	for _, step := range i.steps() {
 		if err := step(supervisor); err != nil {
 			return err
 		}
@@ -164,6 +161,31 @@
 	return nil
 }
 
+// steps lists what builds the parts. With the operator's configuration in the platform's store, client accounts are
+// metered by the cells' dispatchers, engines free what callers leave behind, and nothing is claimed by key.
+func (i *Instance) steps() []func(*suture.Supervisor) error {
+	if i.Options.Source == option.SourceStore {
+		return []func(*suture.Supervisor) error{
+			i.buildCertificates, i.buildRegistry, i.buildFleet, i.buildCell, i.buildForward, i.buildMetrics,
+		}
+	}
+	return []func(*suture.Supervisor) error{
+		i.buildCertificates, i.buildConfig, i.buildFleet, i.buildOrder, i.buildAllowance, i.buildCell, i.buildOutcome,
+		i.buildMetrics,
+	}
+}
+
+// ruleSet returns the rules in force, nil before the first.
+func (i *Instance) ruleSet() *rule.Set {
+	if i.registry == nil {
+		return i.rules.Rules()
+	}
+	if view := i.registry.Current(); view != nil {
+		return view.Rules
+	}
+	return nil
+}
+
 // owner names this run of the instance at engines.
 func (i *Instance) owner() string {
 	return fmt.Sprintf("%s-%d", i.Options.Name, i.incarnation)
@@ -174,6 +196,9 @@
 	i.services.Close()
 	i.peers.Close()
 	i.platform.HTTP.CloseIdleConnections()
+	if i.servers != nil {
+		i.servers.Close()
+	}
 	if i.metrics != nil {
 		_ = i.metrics.Close()
 	}
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -17,6 +17,9 @@
 // balancer has noticed before the listener closes.
 const DefaultBalancerDelay = 3 * time.Second
 
+// StopMargin is kept free of the grace period for what follows the last request.
+const StopMargin = 700 * time.Millisecond
+
 // Limits of a graceful shutdown.
 const (
 	shutdownTimeout = 30 * time.Second // for requests in flight
@@ -47,7 +50,9 @@
 	defer announced.Wait()
 	announced.Go(func() { i.announce(ctx, fleet.Leaving) })
 	i.fleet.Leave(ctx)
-	i.allowance.Leave(ctx)
+	if i.allowance != nil {
+		i.allowance.Leave(ctx)
+	}
 	time.Sleep(i.BalancerDelay)
 	err := i.finishRequests(ctx, caller, endRequests)
 	i.drain(ctx)
@@ -80,6 +85,9 @@
 
 // drain waits for what requests left to be done at engines and at the platform.
 func (i *Instance) drain(ctx context.Context) {
+	if i.claims == nil {
+		return
+	}
 	ctx, stop := context.WithTimeout(ctx, drainTimeout)
 	defer stop()
 	i.canceller.Drain(ctx)
--- a/instance/server.go
+++ b/instance/server.go
@@ -49,10 +49,15 @@
 }
 
 // routeName names the route of a path for the metrics.
-func (i *Instance) routeName(path string) string { return i.route(path).Route }
+func (i *Instance) routeName(path string) string {
+	if i.registry != nil {
+		return i.forwardedRoute(path)
+	}
+	return i.route(path).Route
+}
 
 // buffersBody tells whether requests to a path are held whole; those to plain services are passed on as they come.
-func (i *Instance) buffersBody(path string) bool { return i.route(path).Model != "" }
+func (i *Instance) buffersBody(path string) bool { return i.registry != nil || i.route(path).Model != "" }
 
 // serveHTTP serves on a listener, by TLS if there is a certificate.
 func serveHTTP(server *http.Server, listener net.Listener, secure *certificate.Store) error {
@@ -86,11 +91,13 @@
 func (i *Instance) adminServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", i.getReady)
-	mux.HandleFunc("GET "+config.StatusPath, i.requireAdmin(i.getStatus))
 	mux.HandleFunc("GET /health", i.requireAdmin(i.getHealth))
 	mux.HandleFunc("GET /metrics", i.requireAdmin(i.metrics.ServeHTTP))
 	mux.HandleFunc("GET /events", i.requireAdmin(i.getEvents))
-	mux.HandleFunc("POST /evict", i.requireAdmin(i.allowance.ServeEvict))
+	if i.registry == nil {
+		mux.HandleFunc("GET "+config.StatusPath, i.requireAdmin(i.getStatus))
+		mux.HandleFunc("POST /evict", i.requireAdmin(i.allowance.ServeEvict))
+	}
 	return &http.Server{
 		Handler:           http.MaxBytesHandler(mux, adminMaxBodyBytes),
 		ReadHeaderTimeout: adminHeaderTimeout,
@@ -109,6 +116,9 @@
 
 // ready tells whether the instance takes requests.
 func (i *Instance) ready() bool {
+	if i.registry != nil {
+		return !i.leaving.Load() && i.registry.Current() != nil
+	}
 	return !i.leaving.Load() && i.rules.Current() != nil && i.allowance.Ready()
 }
 
@@ -126,8 +136,11 @@
 	_ = json.NewEncoder(w).Encode(filter.Pick(i.events.Events(), time.Now()))
 }
 
-// requireAdmin lets only holders of the operators' token pass.
+// requireAdmin lets only holders of the operators' token pass, if there is one.
 func (i *Instance) requireAdmin(next http.HandlerFunc) http.HandlerFunc {
+	if i.Tokens.Admin == "" {
+		return next
+	}
 	want := []byte("Bearer " + i.Tokens.Admin)
 	return func(w http.ResponseWriter, r *http.Request) {
 		got := []byte(r.Header.Get("Authorization"))
--- a/option/check.go
+++ b/option/check.go
@@ -73,6 +73,16 @@
 	return ""
 }
 
+func checkShare(value any) string {
+	if v := *value.(*float64); v < 0 || v > 1 {
+		return "must be a number from 0 to 1"
+	}
+	return ""
+}
+
+// checkAny is for values whose type allows no bad ones.
+func checkAny(any) string { return "" }
+
 func checkOneOf(allowed ...string) func(any) string {
 	return func(value any) string {
 		if slices.Contains(allowed, *value.(*string)) {
--- a/option/field.go
+++ b/option/field.go
@@ -57,6 +57,10 @@
 		Name: "platform", Need: true, check: checkURL, at: func(o *Options) any { return &o.Platform },
 		Text: "URL of the platform's object API.",
 	},
+	{
+		Name: "source", check: checkOneOf(SourceRules, SourceStore), at: func(o *Options) any { return &o.Source },
+		Text: "Where routes, client accounts and servers come from: `rules`, a rules file that operators apply, or `store`, the operator's configuration and the servers' entries in the platform's store. With `store` the tokens may be left out.",
+	},
 	{
 		Name: "platform-token", Need: true, file: true, check: checkText, at: func(o *Options) any { return &o.PlatformToken },
 		Text: "File with the token shown to the platform.",
@@ -129,6 +133,34 @@
 		Name: "limit.idle", check: checkTime, at: func(o *Options) any { return &o.Limit.Idle },
 		Text: "Time after which a connection without a request is closed.",
 	},
+	{
+		Name: "limit.process", check: checkCount, at: func(o *Options) any { return &o.Limit.Process },
+		Text: "Memory that the process may take, in bytes: the runtime collects more often near nine tenths of it. Without it the runtime knows no bound.",
+	},
+	{
+		Name: "retry.share", check: checkShare, at: func(o *Options) any { return &o.Retry.Share },
+		Text: "What all instances together may send to a service beyond the first time of each request, as a share of its requests. Used with `source: store`.",
+	},
+	{
+		Name: "retry.extra", check: checkCount, at: func(o *Options) any { return &o.Retry.Extra },
+		Text: "Requests that may be sent on top of `retry.share` in each `retry.window`.",
+	},
+	{
+		Name: "retry.window", check: checkTime, at: func(o *Options) any { return &o.Retry.Window },
+		Text: "Time in which `retry.share` and `retry.extra` are counted.",
+	},
+	{
+		Name: "engine.fenced", check: checkAny, at: func(o *Options) any { return &o.Engine.Fenced },
+		Text: "Whether model engines refuse orders with an old fencing number. Used with `source: store`.",
+	},
+	{
+		Name: "engine.lease", check: checkTime, at: func(o *Options) any { return &o.Engine.Lease },
+		Text: "Least time between orders of different instances to one engine. Used with `source: store`.",
+	},
+	{
+		Name: "stop.grace", check: checkTime, at: func(o *Options) any { return &o.Stop.Grace },
+		Text: "Time between SIGTERM and SIGKILL, within which the instance finishes its requests.",
+	},
 	{
 		Name: "log.format", check: checkOneOf("text", "json"), at: func(o *Options) any { return &o.Log.Format },
 		Text: "Form of the log: `text` or `json`.",
--- a/option/option.go
+++ b/option/option.go
@@ -12,6 +12,7 @@
 	Peer          string   `yaml:"peer"`
 	Peers         []string `yaml:"peers"`
 	Platform      string   `yaml:"platform"`
+	Source        Source   `yaml:"source"`
 	PlatformToken string   `yaml:"platform-token"`
 	AdminToken    string   `yaml:"admin-token"`
 	PeerToken     string   `yaml:"peer-token"`
@@ -19,9 +20,39 @@
 	AdminTLS      TLS      `yaml:"admin-tls"`
 	PeerTLS       PeerTLS  `yaml:"peer-tls"`
 	Limit         Limit    `yaml:"limit"`
+	Retry         Retry    `yaml:"retry"`
+	Engine        Engine   `yaml:"engine"`
+	Stop          Stop     `yaml:"stop"`
 	Log           Logging  `yaml:"log"`
 }
 
+// Source tells where routes, client accounts and servers come from.
+type Source = string
+
+// The sources.
+const (
+	SourceRules = "rules" // a rules file that operators apply
+	SourceStore = "store" // the operator's configuration and the servers' entries in the platform's store
+)
+
+// Retry bounds what all instances together send to a service beyond the first time of each request.
+type Retry struct {
+	Share  float64       `yaml:"share"`  // of the requests
+	Extra  int           `yaml:"extra"`  // on top of the share, in each window
+	Window time.Duration `yaml:"window"` // in which both are counted
+}
+
+// Engine tells how model engines take orders.
+type Engine struct {
+	Fenced bool          `yaml:"fenced"` // whether they refuse an old fencing number
+	Lease  time.Duration `yaml:"lease"`  // least time between orders of different holders
+}
+
+// Stop bounds the end of the process.
+type Stop struct {
+	Grace time.Duration `yaml:"grace"` // between SIGTERM and SIGKILL
+}
+
 // TLS names the certificate of a listener; without it the listener is plain.
 type TLS struct {
 	Certificate string `yaml:"certificate"`
@@ -51,6 +82,7 @@
 	Stall       time.Duration `yaml:"stall"`
 	Pace        int64         `yaml:"pace"` // bytes per second
 	Idle        time.Duration `yaml:"idle"`
+	Process     int64         `yaml:"process"` // bytes of memory of the process; 0 leaves it to the runtime
 }
 
 // Logging sets the form and level of the log.
@@ -72,6 +104,10 @@
 			Pace:        4 << 10,
 			Idle:        2 * time.Minute,
 		},
-		Log: Logging{Format: "text", Level: "info"},
+		Source: SourceRules,
+		Retry:  Retry{Share: 0.1, Extra: 20, Window: 10 * time.Second},
+		Engine: Engine{Fenced: true, Lease: 3 * time.Second},
+		Stop:   Stop{Grace: 45 * time.Second},
+		Log:    Logging{Format: "text", Level: "info"},
 	}
 }
--- a/option/read.go
+++ b/option/read.go
@@ -141,7 +141,7 @@
 	for _, f := range Fields {
 		_, given := r.places[f.Name]
 		if !given {
-			if f.Need {
+			if f.Need && !r.mayLack(f) {
 				r.faultAt(f.Name, "missing; it %s", f.allowed())
 			}
 			continue
@@ -159,6 +159,12 @@
 	}
 }
 
+// mayLack tells whether a setting is not needed with the others: where the platform gives no secrets to its instances,
+// there are no tokens.
+func (r *reader) mayLack(f Field) bool {
+	return r.options.Source == SourceStore && strings.HasSuffix(f.Name, "-token")
+}
+
 // resolve makes a path relative to the settings file's directory absolute.
 func (r *reader) resolve(f Field) {
 	path := f.at(r.options).(*string)
--- a/option/secret.go
+++ b/option/secret.go
@@ -24,7 +24,7 @@
 }
 
 func (r *reader) readToken(name, file string) string {
-	if r.bad[name] {
+	if r.bad[name] || file == "" {
 		return ""
 	}
 	text, err := os.ReadFile(file)
--- a/outcome/budget.go
+++ b/outcome/budget.go
@@ -11,18 +11,23 @@
 // Budget bounds the retries of an instance to a share of its calls, so that retries can't
 // multiply the load on servers that fail.
 type Budget struct {
+	share, burst float64
+
 	mu    sync.Mutex
 	level float64
 }
 
-// NewBudget returns a full budget.
-func NewBudget() *Budget { return &Budget{level: retryBurst} }
+// NewBudget returns a full budget with the usual limits.
+func NewBudget() *Budget { return NewBudgetOf(retryShare, retryBurst) }
+
+// NewBudgetOf returns a full budget of a share of the calls, and a number of retries in a burst.
+func NewBudgetOf(share, burst float64) *Budget { return &Budget{share: share, burst: burst, level: burst} }
 
 // Deposit notes a first attempt.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.level = min(retryBurst, b.level+retryShare)
+	b.level = min(b.burst, b.level+b.share)
 }
 
 // Withdraw takes one retry, or returns false if none is left.
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,284 @@
+// Package registry keeps what the operator configured and which backend servers have registered, as the platform's
+// store says, and tells other instances what it knows while the store turns them away.
+package registry
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"teaselgate/delay"
+	"teaselgate/event"
+	"teaselgate/platform"
+)
+
+// Timing of following the store.
+const (
+	retryDelay   = 200 * time.Millisecond // after a call that failed
+	fetchTimeout = time.Second
+	// lapseGrace is how long a server whose entry is missing after an outage of the store is kept: entries that lapsed
+	// meanwhile are back within two seconds, and a server that is gone may get nothing after two seconds.
+	lapseGrace = 1800 * time.Millisecond
+	goneLife   = time.Minute // how long the removal of an entry is remembered
+)
+
+// Follower follows the operator's configuration and the servers' entries. Its exported fields are set before Serve.
+type Follower struct {
+	Watch  func(ctx context.Context, kind string, after uint64) (platform.List, error)
+	Call   func(ctx context.Context, address, method string, args, reply any) error
+	Heard  func() // told when the store answers
+	Record func(event.Event)
+	Now    func() time.Time
+	Fenced bool // whether engines refuse orders with an old fencing number
+
+	view     atomic.Pointer[View]
+	mu       sync.Mutex
+	config   Entry
+	servers  map[string]Entry // by id
+	listed   bool             // whether the servers were ever listed
+	version  uint64           // newest version of anything kept
+	lapses   map[string]time.Time
+	down     map[string]bool // kinds whose store calls fail
+	fetching atomic.Bool
+	calls    sync.WaitGroup
+}
+
+// Entry is one stored object as known here. A removed one is kept for a while, so that older news don't bring it back.
+type Entry struct {
+	Version uint64
+	Gone    bool
+	Data    []byte
+	goneAt  time.Time
+}
+
+// NewFollower returns a follower that knows nothing yet.
+func NewFollower(watch func(context.Context, string, uint64) (platform.List, error)) *Follower {
+	return &Follower{
+		Watch:   watch,
+		Heard:   func() {},
+		Record:  func(event.Event) {},
+		Now:     time.Now,
+		servers: make(map[string]Entry),
+		lapses:  make(map[string]time.Time),
+		down:    make(map[string]bool),
+	}
+}
+
+// Current returns what is in force, nil before both the configuration and the servers are known.
+func (f *Follower) Current() *View { return f.view.Load() }
+
+// Version returns the newest version of anything known, 0 before all is known.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view.Load() == nil {
+		return 0
+	}
+	return f.version
+}
+
+// Serve follows both kinds until the context ends.
+func (f *Follower) Serve(ctx context.Context) error {
+	defer f.calls.Wait()
+	f.calls.Go(func() { f.follow(ctx, platform.ConfigurationKind) })
+	f.calls.Go(func() { f.follow(ctx, platform.ServerKind) })
+	f.dropLapsed(ctx)
+	return ctx.Err()
+}
+
+// follow reads all objects of a kind, then their changes; after a failure it goes on where it was.
+func (f *Follower) follow(ctx context.Context, kind string) {
+	var seen uint64
+	for ctx.Err() == nil {
+		list, err := f.Watch(ctx, kind, seen)
+		if errors.Is(err, platform.ErrHistory) {
+			seen = 0
+			continue
+		}
+		if err != nil {
+			f.lost(ctx, kind, err)
+			_ = delay.For(ctx, retryDelay)
+			continue
+		}
+		returned := f.regained(kind)
+		f.take(kind, list, seen == 0, returned)
+		seen = list.Version
+	}
+}
+
+func (f *Follower) lost(ctx context.Context, kind string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ctx.Err() == nil && !f.down[kind] {
+		f.down[kind] = true
+		f.Record(event.Event{Code: event.PlatformLost, Detail: kind + ": " + err.Error()})
+	}
+}
+
+// regained notes an answer of the store; it returns true if it had failed before.
+func (f *Follower) regained(kind string) bool {
+	f.Heard()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.down[kind] {
+		return false
+	}
+	f.down[kind] = false
+	f.Record(event.Event{Code: event.PlatformBack, Detail: kind})
+	return true
+}
+
+// take merges objects of the store. A whole listing also tells which servers are gone.
+func (f *Follower) take(kind string, list platform.List, whole, returned bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	if kind == platform.ConfigurationKind {
+		for _, o := range list.Objects {
+			if o.Name == platform.ConfigurationName && !o.Deleted {
+				changed = f.takeConfig(Entry{Version: o.Version, Data: o.Data}) || changed
+			}
+		}
+	} else {
+		changed = f.takeServers(list, whole, returned)
+	}
+	if changed {
+		f.rebuild()
+	}
+}
+
+func (f *Follower) takeServers(list platform.List, whole, returned bool) bool {
+	changed := whole && !f.listed
+	f.listed = f.listed || whole
+	named := make(map[string]bool, len(list.Objects))
+	for _, o := range list.Objects {
+		named[o.Name] = true
+		if o.Deleted {
+			changed = f.takeServer(o.Name, Entry{Version: max(o.Version, list.Version), Gone: true}, returned) || changed
+			continue
+		}
+		changed = f.takeServer(o.Name, Entry{Version: o.Version, Data: o.Data}, false) || changed
+	}
+	if !whole {
+		return changed
+	}
+	for id, e := range f.servers {
+		if !named[id] && !e.Gone {
+			changed = f.takeServer(id, Entry{Version: list.Version, Gone: true}, returned) || changed
+		}
+	}
+	return changed
+}
+
+// takeServer keeps an entry unless a newer one is known. One that lapsed during an outage is kept for a while.
+func (f *Follower) takeServer(id string, e Entry, lapsed bool) bool {
+	old, known := f.servers[id]
+	if known && e.Version <= old.Version || !known && e.Gone {
+		return false
+	}
+	if e.Gone && lapsed && !old.Gone {
+		f.lapses[id] = f.Now().Add(lapseGrace)
+		f.Record(event.Event{Code: event.ServerLapsed, Server: id, Detail: fmt.Sprintf("version %d", e.Version)})
+		return false
+	}
+	delete(f.lapses, id)
+	e.goneAt = f.Now()
+	f.servers[id] = e
+	f.version = max(f.version, e.Version)
+	if e.Gone {
+		f.Record(event.Event{Code: event.ServerGone, Server: id, Detail: fmt.Sprintf("version %d", e.Version)})
+	}
+	return true
+}
+
+func (f *Follower) takeConfig(e Entry) bool {
+	if e.Version <= f.config.Version {
+		return false
+	}
+	c, err := platform.ReadConfiguration(e.Data)
+	if err != nil {
+		f.Record(event.Event{Code: event.RulesRejected, Detail: fmt.Sprintf("version %d: %v", e.Version, err)})
+		return false
+	}
+	f.config = e
+	f.version = max(f.version, e.Version)
+	f.Record(event.Event{Code: event.RulesInForce, Detail: fmt.Sprintf("configuration %d, version %d", c.Version, e.Version)})
+	return true
+}
+
+// rebuild makes the view of what is known; the caller holds the lock.
+func (f *Follower) rebuild() {
+	if f.config.Version == 0 || !f.listed {
+		return
+	}
+	c, err := platform.ReadConfiguration(f.config.Data)
+	if err != nil {
+		return // it was read before it was kept
+	}
+	var servers []platform.Server
+	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
+		e := f.servers[id]
+		if e.Gone {
+			continue
+		}
+		s, err := platform.ReadServer(id, e.Data)
+		if err != nil {
+			f.Record(event.Event{Code: event.ServerUnreadable, Server: id, Detail: err.Error()})
+			continue
+		}
+		servers = append(servers, s)
+	}
+	old := f.view.Load()
+	view := NewView(c, servers, f.Fenced)
+	f.view.Store(view)
+	f.recordServers(old, view)
+}
+
+// recordServers notes each server that became usable, leaves, or does other work than before.
+func (f *Follower) recordServers(old, current *View) {
+	for id, s := range current.servers {
+		var before platform.Server
+		if old != nil {
+			before = old.servers[id]
+		}
+		if s == before {
+			continue
+		}
+		code := event.ServerReady
+		if s.Leaving {
+			code = event.ServerLeaving
+		}
+		f.Record(event.Event{
+			Code: code, Server: id,
+			Detail: fmt.Sprintf("%s of %s at %s, version %d", cmp.Or(string(s.Stage), "plain"), s.Service, s.Address, f.servers[id].Version),
+		})
+	}
+}
+
+// dropLapsed takes servers as gone whose entries are still missing after an outage of the store.
+func (f *Follower) dropLapsed(ctx context.Context) {
+	for delay.For(ctx, retryDelay) == nil {
+		f.mu.Lock()
+		now, changed := f.Now(), false
+		for id, until := range f.lapses {
+			if now.After(until) {
+				changed = f.takeServer(id, Entry{Version: f.servers[id].Version + 1, Gone: true}, false) || changed
+			}
+		}
+		for id, e := range f.servers {
+			if e.Gone && now.Sub(e.goneAt) > goneLife {
+				delete(f.servers, id)
+			}
+		}
+		if changed {
+			f.rebuild()
+		}
+		f.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/registry/relay.go
@@ -0,0 +1,72 @@
+package registry
+
+import (
+	"context"
+
+	"teaselgate/event"
+)
+
+// RPCName is the name under which the follower's methods are registered for other instances.
+const RPCName = "Registry"
+
+// FetchArgs asks for all that an instance knows.
+type FetchArgs struct{}
+
+// FetchReply is all that an instance knows.
+type FetchReply struct {
+	Config  Entry
+	Servers map[string]Entry
+	Listed  bool
+}
+
+// Receiver answers calls of other instances.
+type Receiver struct{ follower *Follower }
+
+// Receiver returns what is to be registered under RPCName.
+func (f *Follower) Receiver() *Receiver { return &Receiver{f} }
+
+// Fetch answers with all that the instance knows.
+func (r *Receiver) Fetch(_ FetchArgs, reply *FetchReply) error {
+	f := r.follower
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*reply = FetchReply{Config: f.config, Servers: make(map[string]Entry, len(f.servers)), Listed: f.listed}
+	for id, e := range f.servers {
+		reply.Servers[id] = e
+	}
+	return nil
+}
+
+// Nudge fetches from a peer that knows a newer version; it returns at once.
+func (f *Follower) Nudge(address string, version uint64) {
+	if version <= f.Version() || !f.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	f.calls.Go(func() {
+		defer f.fetching.Store(false)
+		f.fetch(address)
+	})
+}
+
+func (f *Follower) fetch(address string) {
+	ctx, stop := context.WithTimeout(context.Background(), fetchTimeout)
+	defer stop()
+	var reply FetchReply
+	if err := f.Call(ctx, address, RPCName+".Fetch", FetchArgs{}, &reply); err != nil {
+		f.Record(event.Event{Code: event.RelayFailed, Detail: address + ": " + err.Error()})
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := reply.Listed && !f.listed
+	f.listed = f.listed || reply.Listed
+	if reply.Config.Version > 0 {
+		changed = f.takeConfig(reply.Config) || changed
+	}
+	for id, e := range reply.Servers {
+		changed = f.takeServer(id, e, false) || changed
+	}
+	if changed {
+		f.rebuild()
+	}
+}
--- a/rule/rule_place.go
+++ b/rule/rule_place.go
@@ -89,7 +89,9 @@
 	t := reflect.TypeOf(value).Elem()
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
-		names[name] = true
+		if name != "-" {
+			names[name] = true
+		}
 	}
 	return names
 }
