Read the store beside watches, tell peers, and reread settings on SIGHUP

Ruled out: a lost 410 (the list after it was right), an old version taken back (versions only rise). Change: instances read both kinds at spread times, one of them every half second, and tell peers what is newer.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -33,7 +33,7 @@
 				fmt.Fprintf(cmd.OutOrStdout(), "%s: no problems\n", settings)
 				return nil
 			}
-			return serve(cmd, options, secrets)
+			return serve(cmd, settings, options, secrets)
 		},
 	}
 	cmd.Flags().StringVar(&settings, "settings", platform.SettingsFile("teaselgate.yaml"), "settings file of this instance")
@@ -41,7 +41,7 @@
 	return cmd
 }
 
-func serve(cmd *cobra.Command, options *option.Options, secrets option.Secrets) error {
+func serve(cmd *cobra.Command, settings string, options *option.Options, secrets option.Secrets) error {
 	lines := event.NewWriter(cmd.OutOrStdout())
 	defer lines.Close()
 	log, err := newLogger(options.Log, lines)
@@ -59,6 +59,9 @@
 	if err := i.Open(cmd.Context()); err != nil {
 		return err
 	}
+	hangup, stop := notifyHangup()
+	defer stop()
+	go newReloader(settings, i).Run(cmd.Context(), hangup)
 	return i.Run(cmd.Context())
 }
 
--- a/event/instance_events.go
+++ b/event/instance_events.go
@@ -12,6 +12,8 @@
 	CertificateRejected Code = 1006
 	ConnectionRefused   Code = 1007
 	CallerStalled       Code = 1008
+	SettingsReloaded    Code = 1009
+	SettingsRejected    Code = 1010
 )
 
 var instanceEvents = map[Code]Definition{
@@ -23,4 +25,6 @@
 	CertificateRejected: {"certificate-rejected", logrus.ErrorLevel, "a new certificate can't be used; the old one stays"},
 	ConnectionRefused:   {"connection-refused", logrus.WarnLevel, "a caller's connection was closed; far too many are open"},
 	CallerStalled:       {"caller-stalled", logrus.InfoLevel, "a caller sent its body or took its answer too slowly"},
+	SettingsReloaded:    {"settings-reloaded", logrus.InfoLevel, "new settings are in force"},
+	SettingsRejected:    {"settings-rejected", logrus.ErrorLevel, "new settings can't be used; the old ones stay"},
 }
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -68,13 +68,15 @@
 func (b *budgets) of(service string) *outcome.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	_, known := b.instance.fleet.Hearing()
+	retry := b.instance.settings().Retry
+	share, burst := budgetShare*retry.Share, max(budgetBurst*float64(retry.Extra)/float64(known), 1)
 	budget, ok := b.services[service]
 	if !ok {
-		_, known := b.instance.fleet.Hearing()
-		retry := b.instance.Options.Retry
-		budget = outcome.NewBudgetOf(budgetShare*retry.Share, max(budgetBurst*float64(retry.Extra)/float64(known), 1))
+		budget = outcome.NewBudgetOf(share, burst)
 		b.services[service] = budget
 	}
+	budget.SetLimits(share, burst)
 	return budget
 }
 
--- a/instance/build_registry.go
+++ b/instance/build_registry.go
@@ -10,9 +10,22 @@
 func (i *Instance) buildRegistry(supervisor *suture.Supervisor) error {
 	i.registry = registry.NewFollower(i.platform.Watch)
 	i.registry.Call = i.peers.Call
+	i.registry.Self = i.PeerAddress()
+	i.registry.Peers = i.heardPeers
 	i.registry.Heard = func() { i.fleet.HeardPlatform() }
 	i.registry.Record = i.events.Record
 	i.registry.Fenced = i.Options.Engine.Fenced
 	supervisor.Add(i.registry)
 	return i.peerServer.Register(registry.RPCName, i.registry.Receiver())
 }
+
+// heardPeers lists the addresses of the other instances that are heard.
+func (i *Instance) heardPeers() []string {
+	var out []string
+	for _, m := range i.fleet.Members() {
+		if m.Name != i.Options.Name && m.Working() {
+			out = append(out, m.Peer)
+		}
+	}
+	return out
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -70,6 +70,7 @@
 	callerTLS   *certificate.Store // nil while the listener is plain
 	adminTLS    *certificate.Store // nil while the listener is plain
 	leaving     atomic.Bool
+	reloaded    atomic.Pointer[option.Options] // nil before the first reload
 }
 
 type listeners struct {
--- a/option/field.go
+++ b/option/field.go
@@ -18,6 +18,12 @@
 	file  bool // whether the value is a path
 }
 
+// Value returns the value of a setting.
+func (f Field) Value(o *Options) any { return reflect.ValueOf(f.at(o)).Elem().Interface() }
+
+// Reloads tells whether a change of the setting is put in force without a restart.
+func (f Field) Reloads() bool { return strings.HasPrefix(f.Name, "retry.") || f.Name == "log.level" }
+
 // Default returns the value of a setting that the file leaves out, empty if there is none.
 func (f Field) Default() string {
 	value := reflect.ValueOf(f.at(Default())).Elem()
--- a/outcome/budget.go
+++ b/outcome/budget.go
@@ -23,6 +23,14 @@
 // NewBudgetOf returns a full budget of a share of the calls, and a number of retries in a burst.
 func NewBudgetOf(share, burst float64) *Budget { return &Budget{share: share, burst: burst, level: burst} }
 
+// SetLimits changes the share and the burst.
+func (b *Budget) SetLimits(share, burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share, b.burst = share, burst
+	b.level = min(b.level, burst)
+}
+
 // Deposit notes a first attempt.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,16 +27,23 @@
 	// meanwhile are back within two seconds, and a server that is gone may get nothing after two seconds.
 	lapseGrace = 1800 * time.Millisecond
 	goneLife   = time.Minute // how long the removal of an entry is remembered
+	// pulseSpacing is the time between readings of the store by any of the instances that hear each other: a watch may
+	// hear nothing of a change. What one learns it tells the others, so that all know within half of the two seconds
+	// that the users allow.
+	pulseSpacing = 500 * time.Millisecond
+	maxPulse     = 10 * time.Second // between two readings of one instance
 )
 
 // Follower follows the operator's configuration and the servers' entries. Its exported fields are set before Serve.
 type Follower struct {
 	Watch  func(ctx context.Context, kind string, after uint64) (platform.List, error)
 	Call   func(ctx context.Context, address, method string, args, reply any) error
+	Peers  func() []string // addresses of the instances that are heard, without this one
 	Heard  func() // told when the store answers
 	Record func(event.Event)
 	Now    func() time.Time
-	Fenced bool // whether engines refuse orders with an old fencing number
+	Self   string // peer address of this instance
+	Fenced bool   // whether engines refuse orders with an old fencing number
 
 	view     atomic.Pointer[View]
 	mu       sync.Mutex
@@ -45,7 +53,9 @@
 	version  uint64           // newest version of anything kept
 	lapses   map[string]time.Time
 	down     map[string]bool // kinds whose store calls fail
+	returned time.Time       // when the store last answered again
 	fetching atomic.Bool
+	news     chan struct{} // something newer is known than what peers were told
 	calls    sync.WaitGroup
 }
 
@@ -61,12 +71,14 @@
 func NewFollower(watch func(context.Context, string, uint64) (platform.List, error)) *Follower {
 	return &Follower{
 		Watch:   watch,
+		Peers:   func() []string { return nil },
 		Heard:   func() {},
 		Record:  func(event.Event) {},
 		Now:     time.Now,
 		servers: make(map[string]Entry),
 		lapses:  make(map[string]time.Time),
 		down:    make(map[string]bool),
+		news:    make(chan struct{}, 1),
 	}
 }
 
@@ -88,6 +100,8 @@
 	defer f.calls.Wait()
 	f.calls.Go(func() { f.follow(ctx, platform.ConfigurationKind) })
 	f.calls.Go(func() { f.follow(ctx, platform.ServerKind) })
+	f.calls.Go(func() { f.pulse(ctx) })
+	f.calls.Go(func() { f.tellPeers(ctx) })
 	f.dropLapsed(ctx)
 	return ctx.Err()
 }
@@ -106,12 +120,33 @@
 			_ = delay.For(ctx, retryDelay)
 			continue
 		}
-		returned := f.regained(kind)
-		f.take(kind, list, seen == 0, returned)
+		f.regained(kind)
+		f.take(kind, list, seen == 0)
 		seen = list.Version
 	}
 }
 
+// pulse reads both kinds at times that are spread over the instances. Load that it answers: the store goes on serving
+// while its watches are silent.
+func (f *Follower) pulse(ctx context.Context) {
+	for {
+		instances := time.Duration(len(f.Peers()) + 1)
+		interval := min(pulseSpacing*instances, maxPulse)
+		if delay.For(ctx, interval/2+rand.N(interval)) != nil {
+			return
+		}
+		for _, kind := range []string{platform.ConfigurationKind, platform.ServerKind} {
+			list, err := f.Watch(ctx, kind, 0)
+			if err != nil {
+				f.lost(ctx, kind, err)
+				break
+			}
+			f.regained(kind)
+			f.take(kind, list, true)
+		}
+	}
+}
+
 func (f *Follower) lost(ctx context.Context, kind string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -121,21 +156,21 @@
 	}
 }
 
-// regained notes an answer of the store; it returns true if it had failed before.
-func (f *Follower) regained(kind string) bool {
+// regained notes an answer of the store.
+func (f *Follower) regained(kind string) {
 	f.Heard()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.down[kind] {
-		return false
+		return
 	}
 	f.down[kind] = false
+	f.returned = f.Now()
 	f.Record(event.Event{Code: event.PlatformBack, Detail: kind})
-	return true
 }
 
 // take merges objects of the store. A whole listing also tells which servers are gone.
-func (f *Follower) take(kind string, list platform.List, whole, returned bool) {
+func (f *Follower) take(kind string, list platform.List, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := false
@@ -146,14 +181,15 @@
 			}
 		}
 	} else {
-		changed = f.takeServers(list, whole, returned)
+		changed = f.takeServers(list, whole)
 	}
 	if changed {
 		f.rebuild()
 	}
 }
 
-func (f *Follower) takeServers(list platform.List, whole, returned bool) bool {
+func (f *Follower) takeServers(list platform.List, whole bool) bool {
+	returned := f.Now().Sub(f.returned) < lapseGrace
 	changed := whole && !f.listed
 	f.listed = f.listed || whole
 	named := make(map[string]bool, len(list.Objects))
@@ -182,6 +218,9 @@
 	if known && e.Version <= old.Version || !known && e.Gone {
 		return false
 	}
+	if _, waits := f.lapses[id]; e.Gone && lapsed && waits {
+		return false
+	}
 	if e.Gone && lapsed && !old.Gone {
 		f.lapses[id] = f.Now().Add(lapseGrace)
 		f.Record(event.Event{Code: event.ServerLapsed, Server: id, Detail: fmt.Sprintf("version %d", e.Version)})
@@ -238,6 +277,10 @@
 	view := NewView(c, servers, f.Fenced)
 	f.view.Store(view)
 	f.recordServers(old, view)
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
 }
 
 // recordServers notes each server that became usable, leaves, or does other work than before.
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
+	"teaselgate/delay"
 	"teaselgate/event"
 )
 
@@ -19,6 +22,54 @@
 	Listed  bool
 }
 
+// TellArgs says which version an instance knows.
+type TellArgs struct {
+	Address string // of that instance
+	Version uint64
+}
+
+// TellReply answers TellArgs.
+type TellReply struct{}
+
+// Timing of telling peers.
+const (
+	tellDelay   = 100 * time.Millisecond // the store tells most instances at the same time
+	tellTimeout = 500 * time.Millisecond
+	maxTold     = 8 // peers; each that learns something tells others in turn
+)
+
+// tellPeers tells some peers of what is newer here, until the context ends.
+func (f *Follower) tellPeers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.news:
+		}
+		if delay.For(ctx, tellDelay) != nil {
+			return
+		}
+		args := TellArgs{Address: f.Self, Version: f.Version()}
+		peers := f.Peers()
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, address := range peers[:min(len(peers), maxTold)] {
+			f.calls.Go(func() {
+				ctx, stop := context.WithTimeout(ctx, tellTimeout)
+				defer stop()
+				if err := f.Call(ctx, address, RPCName+".Tell", args, &TellReply{}); err != nil && ctx.Err() == nil {
+					f.Record(event.Event{Code: event.RelayFailed, Detail: address + ": " + err.Error()})
+				}
+			})
+		}
+	}
+}
+
+// Tell hears of a version that a peer knows.
+func (r *Receiver) Tell(args TellArgs, _ *TellReply) error {
+	r.follower.Nudge(args.Address, args.Version)
+	return nil
+}
+
 // Receiver answers calls of other instances.
 type Receiver struct{ follower *Follower }
 
