--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -116,6 +116,7 @@
 func run(t *testing.T, s *store, instances int, test func(followers []*Follower)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		s.set(func() {}) // its channel must belong to the bubble
 		ctx, stop := context.WithCancel(t.Context())
 		followers := make([]*Follower, instances)
 		var serving sync.WaitGroup
