Let a new dispatcher learn what instances hold, and count memory of orphaned runs

Trace by placement: (1) each start and stop moved the cell, and the new dispatcher knew only engines' reports, 900 ms old; two placed at once while views of the fleet differed; (2) streams past their estimate held more than was set aside; (3) after a loss of power engines still ran what nobody read. Ruled out: cancelled requests (none at the rejecting servers before). Change: the oldest instance dispatches; a new one asks all instances for their places; a leaving one passes requests on; a place given by another is told to the one that should have the cell; streams past their estimate grow; engines' used memory beyond the own peak counts as taken; an instance that starts exchanges members with all of a small fleet.

--- a/cell/core.go
+++ b/cell/core.go
@@ -30,6 +30,7 @@
 	Class        rule.Class
 	PromptTokens int
 	MaxTokens    int
+	Ceiling      int // more output tokens than MaxTokens may come, up to this number; 0 if not
 	Prefixes     []string
 	Zone         string
 	Exclude      []string
@@ -47,6 +48,16 @@
 	Early   bool // a report is wanted as soon as the transfer has ended
 	Err     error
 	RetryIn time.Duration
+	Inputs  Inputs
+}
+
+// Inputs are what a place was decided by.
+type Inputs struct {
+	Waited  time.Duration // at the dispatcher
+	Prefill time.Duration // until the prompt is expected to be computed
+	Pieces  int           // of the decode server's memory given out, with this request's
+	Total   int           // pieces that may be given out
+	Streams int           // at the decode server, with this request's
 }
 
 // reservation is a place that was given.
@@ -57,6 +68,7 @@
 	pieces       int
 	promptTokens int
 	maxTokens    int
+	ceiling      int // of maxTokens, which rises for a stream that lasts longer than expected
 	cached       int
 	prefixes     []string
 	work         work
@@ -71,6 +83,7 @@
 	early        bool // a report is wanted as soon as the transfer has ended
 	prefilled    bool // the prefill was reported
 	held         bool // found at a server by a new dispatcher
+	inputs       Inputs
 }
 
 // Targets are what a cell works towards.
@@ -95,6 +108,7 @@
 	lateRate rateMeter
 	meters   meters
 	backlog  bool // requests were left waiting by the last step
+	complete bool // the instances told what they hold, or took too long
 	started  instant
 	swept    instant
 	out      []Decision
@@ -174,7 +188,7 @@
 // request gives its place again.
 func (c *Core) Offer(now instant, ask Ask) {
 	if r, ok := c.placed[ask.Key]; ok {
-		if !r.held {
+		if !r.held && r.prefill != nil {
 			c.out = append(c.out, r.decision())
 			return
 		}
@@ -254,7 +268,7 @@
 		return
 	}
 	delete(c.placed, key)
-	r.decode.advance(now)
+	c.advance(now, r.decode)
 	r.decode.remove(r)
 	if r.prefill == nil {
 		return
@@ -330,10 +344,10 @@
 	}
 	r := &reservation{
 		key: i.ask.Key, prefill: p, decode: d, pieces: pieces, promptTokens: i.ask.PromptTokens,
-		maxTokens: i.ask.MaxTokens, cached: hit, prefixes: i.ask.Prefixes, work: w, placed: now,
+		maxTokens: i.ask.MaxTokens, ceiling: i.ask.Ceiling, cached: hit, prefixes: i.ask.Prefixes, work: w, placed: now,
 	}
 	p.book(r)
-	d.advance(now)
+	c.advance(now, d)
 	d.add(r, w.linkEnd.Sub(now))
 	r.deadline = w.linkEnd.Add(seconds(float64(r.maxTokens) * d.steps.step(d.slots))).Add(placeLife)
 	c.placed[r.key] = r
@@ -346,12 +360,15 @@
 		c.lateRate.add(i.cost)
 	}
 	r.early = p.wantsReport(now)
+	r.inputs = Inputs{
+		Waited: now.Sub(i.arrived), Prefill: w.end.Sub(now), Pieces: d.used, Total: d.pieces, Streams: len(d.streams),
+	}
 	c.out = append(c.out, r.decision())
 	return true
 }
 
 func (r *reservation) decision() Decision {
-	return Decision{Key: r.key, Prefill: r.prefill.server.Server, Decode: r.decode.server.Server, Early: r.early}
+	return Decision{Key: r.key, Prefill: r.prefill.server.Server, Decode: r.decode.server.Server, Early: r.early, Inputs: r.inputs}
 }
 
 // piecesOf returns the pieces of memory that a request may come to hold.
@@ -397,6 +414,7 @@
 		if !d.usable(now) || slices.Contains(ask.Exclude, d.server.Server) {
 			continue
 		}
+		c.advance(now, d)
 		fits, free := d.room(now, pieces, wait)
 		if !fits || c.pool.Strict && !free {
 			continue
--- a/cell/decode.go
+++ b/cell/decode.go
@@ -29,15 +29,18 @@
 	used    int            // pieces
 	limit   int            // batch that keeps the target
 	told    bool           // the server told what it holds
+	polled  bool           // the server reported its load
 
 	progress float64 // tokens that a stream could have had since the start
 	batched  float64 // batch, integrated over time in seconds
 	at       instant
 
-	foreign      int // slots of requests that others placed
-	foreignUntil instant
-	peaks        [2]int // largest own count in the present and the last window
-	peakEnd      instant
+	foreign       int // slots of requests that others placed
+	foreignPieces int // of their memory
+	foreignUntil  instant
+	peaks         [2]int // largest own count in the present and the last window
+	piecePeaks    [2]int // the same of pieces
+	peakEnd       instant
 }
 
 // advance brings the progress of the streams up to now.
@@ -52,6 +55,7 @@
 	d.at = now
 	if now.After(d.peakEnd) {
 		d.peaks = [2]int{batch, d.peaks[0]}
+		d.piecePeaks = [2]int{d.used, d.piecePeaks[0]}
 		d.peakEnd = now.Add(ownWindow)
 	}
 }
@@ -64,11 +68,25 @@
 	return d.foreign
 }
 
+// othersMemory returns the pieces that other dispatchers' requests are believed to take: at least one each.
+func (d *decodeServer) othersMemory(now instant) int {
+	if now.After(d.foreignUntil) {
+		return 0
+	}
+	return max(d.foreign, d.foreignPieces)
+}
+
 // add books a stream whose transfer ends after the given time.
 func (d *decodeServer) add(r *reservation, wait time.Duration) {
 	step := d.steps.step(len(d.streams) + 1)
 	r.endProgress = d.progress + wait.Seconds()/step + float64(r.maxTokens)
 	r.startBatched = d.batched
+	d.insert(r)
+	d.peaks[0] = max(d.peaks[0], len(d.streams))
+}
+
+// insert keeps the streams in the order of their expected ends.
+func (d *decodeServer) insert(r *reservation) {
 	i, _ := slices.BinarySearchFunc(d.streams, r.endProgress, func(s *reservation, end float64) int {
 		if s.endProgress < end {
 			return -1
@@ -77,7 +95,7 @@
 	})
 	d.streams = slices.Insert(d.streams, i, r)
 	d.used += r.pieces
-	d.peaks[0] = max(d.peaks[0], len(d.streams))
+	d.piecePeaks[0] = max(d.piecePeaks[0], d.used)
 }
 
 // remove gives back what a stream held.
@@ -92,7 +110,7 @@
 // are predicted to end before that count as gone; those past their predicted end count as running.
 func (d *decodeServer) room(now instant, pieces int, wait time.Duration) (fits, free bool) {
 	others := d.others(now)
-	slots, memory := d.limit-len(d.streams)-others, d.pieces-d.used-others
+	slots, memory := d.limit-len(d.streams)-others, d.pieces-d.used-d.othersMemory(now)
 	if slots > 0 && memory >= pieces {
 		return true, true
 	}
@@ -121,7 +139,9 @@
 func (d *decodeServer) report(now instant, l engine.Load) {
 	d.advance(now)
 	d.foreign = min(max(l.Slots-max(d.peaks[0], d.peaks[1]), 0), d.slots/foreignShare)
+	d.foreignPieces = max(l.Pieces-max(d.piecePeaks[0], d.piecePeaks[1]), 0)
 	d.foreignUntil = now.Add(foreignLife)
+	d.polled = true
 }
 
 // refused notes that the server had no room although the count said so.
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -125,7 +125,7 @@
 }
 
 func replyOf(d Decision, waiting int) PlaceReply {
-	r := PlaceReply{Status: Placed, Prefill: d.Prefill, Decode: d.Decode, Early: d.Early, RetryIn: d.RetryIn, Waiting: waiting}
+	r := PlaceReply{Status: Placed, Prefill: d.Prefill, Decode: d.Decode, Early: d.Early, RetryIn: d.RetryIn, Waiting: waiting, Inputs: d.Inputs}
 	switch {
 	case errors.Is(d.Err, ErrShed):
 		r.Status = Shed
@@ -207,7 +207,7 @@
 	var out []poll
 	for _, s := range d.core.decodes {
 		if d.dueServer(now, s.server.Server, interval) {
-			out = append(out, poll{server: s.server, duty: rule.Decode, held: s.needsHeld(), results: d})
+			out = append(out, poll{server: s.server, duty: rule.Decode, held: d.core.needsHeld(s), results: d})
 		}
 	}
 	for _, s := range d.core.prefills {
@@ -253,7 +253,7 @@
 		return func(now instant) { core.CacheEvents(now, server, events) }, err
 	}
 	load, err := polls.Load(ctx, p.server.At)
-	if err != nil || !p.held {
+	if err != nil || !p.held || polls.Requests == nil {
 		return func(now instant) { core.Load(now, server, load) }, err
 	}
 	held, err := polls.Requests(ctx, p.server.At, "")
--- a/cell/hub.go
+++ b/cell/hub.go
@@ -13,7 +13,7 @@
 // Polls are the questions that a dispatcher asks backend servers, by address.
 type Polls struct {
 	Load     func(ctx context.Context, at string) (engine.Load, error)
-	Requests func(ctx context.Context, at, owner string) ([]engine.Held, error)
+	Requests func(ctx context.Context, at, owner string) ([]engine.Held, error) // nil: the instances tell what is held
 	Events   func(ctx context.Context, at string, after uint64) ([]engine.CacheEvent, error)
 }
 
@@ -25,6 +25,12 @@
 	Record func(event.Event)
 	Now    func() time.Time
 	Heard  func() (heard, known int) // instances of the fleet that this one hears, itself included, and all known
+	// Peers lists the addresses of the other instances, which are asked what they hold; nil: engines are asked.
+	Peers   func() []string
+	Call    func(ctx context.Context, address, method string, args, reply any) error
+	Leaving func() bool // whether this instance gives its cells up; nil means never
+
+	holdings *book
 
 	mu    sync.Mutex
 	cells map[ID]*dispatcher
@@ -36,7 +42,7 @@
 func NewHub(rules func() *rule.Set, polls Polls, record func(event.Event)) *Hub {
 	return &Hub{
 		Rules: rules, Polls: polls, Record: record, Now: time.Now,
-		Heard: func() (int, int) { return 1, 1 },
+		Heard: func() (int, int) { return 1, 1 }, holdings: newBook(),
 		cells: make(map[ID]*dispatcher), wake: make(chan struct{}, 1),
 	}
 }
@@ -61,6 +67,9 @@
 
 // Place gives a place, or tells that the request waits.
 func (h *Hub) Place(ctx context.Context, args PlaceArgs) PlaceReply {
+	if h.Leaving != nil && h.Leaving() {
+		return PlaceReply{Status: Moved}
+	}
 	d := h.dispatcher(args.Cell)
 	return d.place(ctx, h.Now, h.Rules(), args.Ask, h.nudge, h.Heard)
 }
@@ -94,6 +103,9 @@
 	if !ok {
 		d = newDispatcher(id, h.Now())
 		h.cells[id] = d
+		if h.Peers != nil {
+			h.polls.Go(func() { h.gather(d) })
+		}
 		h.Record(event.Event{Code: event.CellTaken, Detail: id.Prefill + " " + id.Decode})
 	}
 	return d
--- a/cell/message.go
+++ b/cell/message.go
@@ -29,6 +29,7 @@
 	Shed                   // it could not be answered in time
 	NoServer               // no server can take it
 	OverRate               // its client account is over its rate
+	Moved                  // the instance gives the cell up; the next one has it
 )
 
 // PlaceArgs asks a dispatcher for a place.
@@ -45,6 +46,7 @@
 	Early   bool // a report is wanted as soon as the transfer has ended
 	RetryIn time.Duration
 	Waiting int // requests that wait in the cell
+	Inputs  Inputs
 }
 
 // Debit is what requests to plain services took from a client account's rate.
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -35,6 +35,7 @@
 	Model        rule.Model
 	PromptTokens int
 	MaxTokens    int
+	Ceiling      int      // MaxTokens is an estimate of the output, which may come to this number; 0 if it is no estimate
 	Prefixes     []string // hashes of the prompt's prefixes, as in engine.PrefixHashes
 	Zone         string   // availability zone of the instance that asks
 	Exclude      []string
@@ -48,7 +49,9 @@
 type Placement struct {
 	Prefill rule.Server
 	Decode  rule.Server
-	Patient bool // a refused import is repeated: the slot was promised and is about to be free
+	By      string // the dispatcher
+	Inputs  Inputs // of its decision
+	Patient bool   // a refused import is repeated: the slot was promised and is about to be free
 
 	release  func(Report)
 	progress func(Report) // may be nil
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -21,15 +21,10 @@
 	rankLife       = 200 * time.Millisecond // how long the order of a cell's dispatchers is kept
 	loadLife       = 5 * time.Second        // how long a cell's reported load is believed
 	maxDispatchers = 3                      // asked for one request
+	silentLife     = 3 * time.Second        // how long an instance that did not answer is passed over; membership knows by then
 	releaseBuffer  = 1024
 )
 
-// placeMark stands between a request's id and the number of its place.
-const placeMark = "-"
-
-// FirstPlace ends the key of a request's first place.
-const FirstPlace = placeMark + "1"
-
 // Placer places model work by the policy that each model's rule names. Its exported fields are set
 // before Serve.
 type Placer struct {
@@ -45,6 +40,7 @@
 	mu        sync.Mutex
 	ranks     map[ID]rank
 	loads     map[ID]load
+	silent    map[string]time.Time // instances that did not answer, until when they are asked last
 	releases  chan releaseTo
 	sending   sync.WaitGroup
 }
@@ -77,6 +73,7 @@
 		Random:   rand.IntN,
 		ranks:    make(map[ID]rank),
 		loads:    make(map[ID]load),
+		silent:   make(map[string]time.Time),
 		releases: make(chan releaseTo, releaseBuffer),
 	}
 }
@@ -88,14 +85,13 @@
 	}
 	arrived := p.Hub.Now()
 	id := p.chooseCell(r)
-	r.ID = fmt.Sprintf("%s%s%d", r.ID, placeMark, len(r.Exclude)+1)
-	asked := 0
-	for asked < maxDispatchers {
-		ranked := p.dispatchers(id)
-		if asked >= len(ranked) {
+	r.ID = fmt.Sprintf("%s-%d", r.ID, len(r.Exclude)+1)
+	var passed []string // dispatchers that did not take the request
+	for len(passed) < maxDispatchers {
+		m, ok := p.nextDispatcher(id, passed)
+		if !ok {
 			break
 		}
-		m := ranked[asked]
 		reply, err := p.ask(ctx, m, id, askOf(r, p.Hub.Now().Sub(arrived)))
 		if ctx.Err() != nil {
 			p.giveBack(m, id, Released{Key: r.ID})
@@ -104,11 +100,16 @@
 		if err != nil {
 			p.Hub.Record(event.Event{Code: event.DispatcherSilent, Request: r.ID, Server: m.Name, Detail: err.Error()})
 			p.giveBack(m, id, Released{Key: r.ID})
-			asked++
+			p.passOver(m)
+			passed = append(passed, m.Name)
+			continue
+		}
+		if reply.Status == Moved {
+			passed = append(passed, m.Name)
 			continue
 		}
 		if reply.Status == Waiting {
-			p.moved(m, id, r.ID, asked)
+			p.moved(m, id, r.ID, passed)
 			continue
 		}
 		placement, err := p.finish(m, id, r, reply)
@@ -121,12 +122,22 @@
 }
 
 // moved withdraws a waiting request from a dispatcher that has lost its cell to another instance.
-func (p *Placer) moved(m fleet.Member, id ID, key string, asked int) {
-	if ranked := p.dispatchers(id); asked < len(ranked) && ranked[asked].Name != m.Name {
+func (p *Placer) moved(m fleet.Member, id ID, key string, passed []string) {
+	if next, ok := p.nextDispatcher(id, passed); ok && next.Name != m.Name {
 		p.giveBack(m, id, Released{Key: key})
 	}
 }
 
+// nextDispatcher returns the instance to ask, but for those that passed on the request.
+func (p *Placer) nextDispatcher(id ID, passed []string) (fleet.Member, bool) {
+	for _, m := range p.dispatchers(id) {
+		if !slices.Contains(passed, m.Name) {
+			return m, true
+		}
+	}
+	return fleet.Member{}, false
+}
+
 // finish turns a reply into a placement. It returns nothing when the rules in force here say that a
 // server is leaving or unknown; the request is asked for again without these servers then.
 func (p *Placer) finish(m fleet.Member, id ID, r Request, reply PlaceReply) (*Placement, error) {
@@ -146,11 +157,17 @@
 		return nil, nil
 	}
 	placed := p.Hub.Now()
+	holding := Holding{Key: r.ID, Decode: reply.Decode, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling}
+	p.Hub.holdings.add(id, holding)
+	p.tellNew(m, id, holding)
 	release := func(report Report) {
 		report.Placed = placed
+		if !report.Ended.IsZero() {
+			p.Hub.holdings.remove(id, r.ID)
+		}
 		p.giveBack(m, id, releasedOf(r.ID, report))
 	}
-	placement := &Placement{Prefill: prefill, Decode: decode, Patient: true, release: release}
+	placement := &Placement{Prefill: prefill, Decode: decode, By: m.Name, Inputs: reply.Inputs, Patient: true, release: release}
 	if reply.Early {
 		placement.progress = release
 	}
@@ -160,7 +177,7 @@
 func askOf(r Request, waited time.Duration) Ask {
 	return Ask{
 		Key: r.ID, Account: r.Account, Weight: r.Weight, Class: r.Class, PromptTokens: r.PromptTokens,
-		MaxTokens: r.MaxTokens, Prefixes: r.Prefixes, Zone: r.Zone, Exclude: r.Exclude, Waited: waited,
+		MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone, Exclude: r.Exclude, Waited: waited,
 		Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
 	}
 }
@@ -214,26 +231,80 @@
 	now := p.Hub.Now()
 	r, ok := p.ranks[id]
 	if !ok || now.After(r.until) {
-		r = rank{rankMembers(p.Live(), id), now.Add(rankLife)}
+		r = rank{p.rankHeard(now, id, shares(len(p.directory.pool(p.Hub.Rules(), id.Decode)))), now.Add(rankLife)}
 		p.ranks[id] = r
 	}
 	return r.members
 }
 
-func rankMembers(members []fleet.Member, id ID) []fleet.Member {
+// rankHeard ranks the live instances that answered last time; the caller holds the lock.
+func (p *Placer) rankHeard(now time.Time, id ID, cells int) []fleet.Member {
+	for name, until := range p.silent {
+		if now.After(until) {
+			delete(p.silent, name)
+		}
+	}
+	return rankMembers(slices.DeleteFunc(p.Live(), func(m fleet.Member) bool {
+		_, silent := p.silent[m.Name]
+		return silent && m.Name != p.Self
+	}), id, cells)
+}
+
+// passOver asks an instance that did not answer no more for a while.
+func (p *Placer) passOver(m fleet.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent[m.Name] = p.Hub.Now().Add(silentLife)
+	clear(p.ranks)
+}
+
+// tellNew tells the instance that should have a cell of a place that another one gave, while views of the fleet differ.
+func (p *Placer) tellNew(m fleet.Member, id ID, h Holding) {
+	ranked := p.dispatchers(id)
+	if len(ranked) == 0 || ranked[0].Name == m.Name {
+		return
+	}
+	args := AdoptArgs{Cell: id, Holding: h}
+	if ranked[0].Name == p.Self {
+		p.Hub.Adopt(args)
+		return
+	}
+	p.sending.Go(func() {
+		ctx, stop := context.WithTimeout(context.Background(), releaseTimeout)
+		defer stop()
+		if err := p.Call(ctx, ranked[0].Peer, RPCName+".Adopt", args, &AdoptReply{}); err != nil {
+			p.Hub.Record(event.Event{Code: event.DispatcherSilent, Request: h.Key, Server: ranked[0].Name, Detail: err.Error()})
+		}
+	})
+}
+
+// rankMembers ranks instances by rendezvous hashing. As many as there are cells go ahead, those that started first: so a
+// cell moves when its dispatcher ends, and not when another instance starts.
+func rankMembers(members []fleet.Member, id ID, cells int) []fleet.Member {
 	weights := make(map[string]uint64, len(members))
 	for _, m := range members {
 		weights[m.Name] = weightOf(id.Prefill, id.Decode, string(rune('0'+id.Share)), m.Name)
 	}
 	slices.SortFunc(members, func(a, b fleet.Member) int {
-		return cmp.Or(cmp.Compare(weights[b.Name], weights[a.Name]), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Name, b.Name))
 	})
+	byWeight := func(a, b fleet.Member) int {
+		return cmp.Or(cmp.Compare(weights[b.Name], weights[a.Name]), cmp.Compare(a.Name, b.Name))
+	}
+	slices.SortFunc(members[:min(cells, len(members))], byWeight)
 	return members[:min(len(members), maxDispatchers)]
 }
 
 // giveBack returns a place. A report to another instance is sent in the background; one that is
 // lost is made up for by the place's deadline.
 func (p *Placer) giveBack(m fleet.Member, id ID, r Released) {
+	if ranked := p.dispatchers(id); len(ranked) > 0 && ranked[0].Name != m.Name {
+		p.giveBackTo(ranked[0], id, r)
+	}
+	p.giveBackTo(m, id, r)
+}
+
+func (p *Placer) giveBackTo(m fleet.Member, id ID, r Released) {
 	if m.Name == p.Self {
 		p.Hub.Release(ReleaseArgs{Cell: id, Places: []Released{r}})
 		return
--- a/cell/placer_test.go
+++ b/cell/placer_test.go
@@ -111,7 +111,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		placers := map[string]*Placer{"i1": f.start(ctx, "i1", &running), "i2": f.start(ctx, "i2", &running)}
-		first := rankMembers(placers["i1"].Live(), ID{Prefill: "p", Decode: "d"})
+		first := rankMembers(placers["i1"].Live(), ID{Prefill: "p", Decode: "d"}, 1)
 		test(t, f, placers[first[0].Name], placers[first[1].Name])
 		stop()
 		running.Wait()
--- a/cell/rebuild.go
+++ b/cell/rebuild.go
@@ -1,14 +1,24 @@
 package cell
 
 import (
+	"slices"
+	"time"
+
 	"teaselgate/engine"
 )
 
+// reportLimit is how long a new dispatcher that knows the places waits for the servers' reports, which show what
+// requests of ended instances still hold.
+const reportLimit = 200 * time.Millisecond
+
 // ready tells whether the core may place: the servers told what they hold, or took too long.
 func (c *Core) ready(now instant) bool {
 	if now.Sub(c.started) >= rebuildLimit {
 		return true
 	}
+	if c.complete {
+		return now.Sub(c.started) >= reportLimit || !slices.ContainsFunc(c.decodes, func(d *decodeServer) bool { return !d.polled })
+	}
 	for _, d := range c.decodes {
 		if !d.told && d.health.usable(now) {
 			return false
@@ -47,8 +57,11 @@
 // heldTokens stands for the unknown rest of a request found at a server.
 const heldTokens = 1 << 20
 
-// NeedsHeld tells whether a decode server should list what it holds.
-func (d *decodeServer) needsHeld() bool {
+// needsHeld tells whether a decode server should list what it holds.
+func (c *Core) needsHeld(d *decodeServer) bool {
+	if c.complete {
+		return false
+	}
 	if !d.told {
 		return true
 	}
--- a/event/request_events.go
+++ b/event/request_events.go
@@ -13,8 +13,8 @@
 
 var requestEvents = map[Code]Definition{
 	RequestRefused:   {"request-refused", logrus.InfoLevel, "request refused"},
-	RequestPlaced:    {"request-placed", logrus.DebugLevel, "request placed on backend servers"},
-	RequestDone:      {"request-done", logrus.DebugLevel, "request answered whole"},
+	RequestPlaced:    {"request-placed", logrus.InfoLevel, "request placed on backend servers"},
+	RequestDone:      {"request-done", logrus.InfoLevel, "request answered whole"},
 	RequestFailed:    {"request-failed", logrus.WarnLevel, "an attempt failed at a backend server"},
 	RequestCancelled: {"request-cancelled", logrus.InfoLevel, "caller is gone; request cancelled"},
 }
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"teaselgate/platform"
@@ -93,8 +94,8 @@
 	f.join(ctx)
 	probe := time.NewTicker(probeInterval)
 	defer probe.Stop()
-	sync := time.NewTicker(syncInterval)
-	defer sync.Stop()
+	repair := time.NewTicker(syncInterval)
+	defer repair.Stop()
 	poll := time.NewTicker(lonelyPolling)
 	defer poll.Stop()
 	for {
@@ -103,7 +104,7 @@
 			return ctx.Err()
 		case <-probe.C:
 			f.probeRound(ctx)
-		case <-sync.C:
+		case <-repair.C:
 			f.syncSometimes(ctx)
 		case <-poll.C:
 			f.pollWhenDue(ctx)
@@ -119,10 +120,20 @@
 			f.sync(ctx, address)
 		}
 	}
-	f.syncRandom(ctx)
+	f.syncMany(ctx)
 	f.restate(f.Self.State)
 }
 
+// syncMany exchanges all members with many peers at once, so that all of a small fleet know at once of an instance that
+// starts, also when all start together.
+func (f *Fleet) syncMany(ctx context.Context) {
+	var syncs sync.WaitGroup
+	for _, m := range f.pick(smallFleet, Member.Working) {
+		syncs.Go(func() { f.sync(ctx, m.Peer) })
+	}
+	syncs.Wait()
+}
+
 // pollWhenDue asks the platform for its list: often only while too few peers are heard.
 func (f *Fleet) pollWhenDue(ctx context.Context) {
 	f.mu.Lock()
--- a/forward/model.go
+++ b/forward/model.go
@@ -64,7 +64,7 @@
 	return cell.Request{
 		ID: m.ID, Account: m.account.Name, Weight: 1, Class: rule.ClassInteractive, Model: model,
 		PromptTokens: m.PromptTokens + m.made(), MaxTokens: max(m.expectedOutput()-m.made(), m.service.Engine.EventTokens),
-		Zone: m.handler.Zone, Exclude: m.exclude, Charge: m.charge(), Rate: m.account.Rate, Burst: m.account.Burst,
+		Ceiling: max(m.OutputTokens-m.made(), 1), Zone: m.handler.Zone, Exclude: m.exclude, Charge: m.charge(), Rate: m.account.Rate, Burst: m.account.Burst,
 	}
 }
 
@@ -130,7 +130,7 @@
 		report.Ended = m.handler.Now()
 		place.Release(report)
 	}()
-	m.note(event.RequestPlaced, place.Decode.Server, "prefill at "+place.Prefill.Server)
+	m.note(event.RequestPlaced, place.Decode.Server, placeDetail(place))
 	handle, end := m.prefill(ctx, place.Prefill)
 	if !end.answered {
 		report.BadPrefill = end.failed && ctx.Err() == nil
@@ -147,6 +147,13 @@
 	return end
 }
 
+// placeDetail tells what a place was decided by.
+func placeDetail(p *cell.Placement) string {
+	in := p.Inputs
+	return fmt.Sprintf("prefill at %s in %v, by %s after %v, memory %d of %d pieces, %d streams",
+		p.Prefill.Server, in.Prefill.Round(time.Millisecond), p.By, in.Waited.Round(time.Millisecond), in.Pieces, in.Total, in.Streams)
+}
+
 // prefill has the prompt computed; an answered ending means that the handle is good.
 func (m *modelRun) prefill(ctx context.Context, server rule.Server) (platform.Handle, ending) {
 	m.again = true
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -199,4 +199,3 @@
 	q.status = resp.StatusCode
 	platform.CopyAnswer(q.out.Header(), resp.Header)
 }
-
--- a/instance/build_cell.go
+++ b/instance/build_cell.go
@@ -14,6 +14,10 @@
 	}
 	hub := cell.NewHub(i.serverRules, polls, i.events.Record)
 	hub.Heard = i.fleet.Hearing
+	hub.Leaving = i.leaving.Load
+	if i.registry != nil {
+		hub.Peers, hub.Call = i.heardPeers, i.peers.Call
+	}
 	i.placer = cell.NewPlacer(i.serverRules, hub)
 	i.placer.Self = i.Options.Name
 	i.placer.Live = i.fleet.Live
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -103,15 +103,7 @@
 	return cell.Polls{
 		Load: func(ctx context.Context, at string) (engine.Load, error) {
 			r, err := engines.Report(ctx, at)
-			return engine.Load{Slots: r.Running, QueueDepth: r.Waiting}, err
-		},
-		Requests: func(ctx context.Context, at, _ string) ([]engine.Held, error) {
-			r, err := engines.Report(ctx, at)
-			held := make([]engine.Held, 0, len(r.Runs))
-			for _, run := range r.Runs {
-				held = append(held, engine.Held{Attempt: run.ID + cell.FirstPlace, Pieces: i.piecesOf(run.MemoryTokens)})
-			}
-			return held, err
+			return engine.Load{Slots: r.Running, QueueDepth: r.Waiting, Pieces: r.UsedTokens / blockTokens}, err
 		},
 		Events: func(ctx context.Context, at string, _ uint64) ([]engine.CacheEvent, error) {
 			_, err := engines.Report(ctx, at)
@@ -120,12 +112,6 @@
 	}
 }
 
-// piecesOf turns tokens in an engine's memory into pieces; a request that runs grows a little.
-func (i *Instance) piecesOf(tokens int) int {
-	const growth = 300 // tokens: half of a usual answer
-	return (tokens+growth)/blockTokens + 1
-}
-
 const blockTokens = 16 // in one block of a model engine's memory, as the users' pages give it
 
 // forwardedRoute names the route of a path for the metrics; the names are bounded by the configuration.
--- a/instance/server.go
+++ b/instance/server.go
@@ -57,7 +57,9 @@
 }
 
 // buffersBody tells whether requests to a path are held whole; those to plain services are passed on as they come.
-func (i *Instance) buffersBody(path string) bool { return i.registry != nil || i.route(path).Model != "" }
+func (i *Instance) buffersBody(path string) bool {
+	return i.registry != nil || i.route(path).Model != ""
+}
 
 // serveHTTP serves on a listener, by TLS if there is a certificate.
 func serveHTTP(server *http.Server, listener net.Listener, secure *certificate.Store) error {
--- a/outcome/budget.go
+++ b/outcome/budget.go
@@ -21,7 +21,9 @@
 func NewBudget() *Budget { return NewBudgetOf(retryShare, retryBurst) }
 
 // NewBudgetOf returns a full budget of a share of the calls, and a number of retries in a burst.
-func NewBudgetOf(share, burst float64) *Budget { return &Budget{share: share, burst: burst, level: burst} }
+func NewBudgetOf(share, burst float64) *Budget {
+	return &Budget{share: share, burst: burst, level: burst}
+}
 
 // SetLimits changes the share and the burst.
 func (b *Budget) SetLimits(share, burst float64) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -39,7 +39,7 @@
 	Watch  func(ctx context.Context, kind string, after uint64) (platform.List, error)
 	Call   func(ctx context.Context, address, method string, args, reply any) error
 	Peers  func() []string // addresses of the instances that are heard, without this one
-	Heard  func() // told when the store answers
+	Heard  func()          // told when the store answers
 	Record func(event.Event)
 	Now    func() time.Time
 	Self   string // peer address of this instance
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -77,7 +77,7 @@
 	Writes *rate.Limiter // nil: without a limit
 	Hook   fault.Hook    // decides at each step of a write
 
-	mu       sync.Mutex
+	mu      sync.Mutex
 	version uint64
 	kept    uint64 // changes up to this version are forgotten
 	objects map[string]map[string]object
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -21,7 +21,7 @@
 	idleMargin      = 1500 * time.Millisecond
 	minIdleLife     = 300 * time.Millisecond
 	maxIdlePerHost  = 16
-	maxForeign      = 3  // answers of other requests that are passed over on one connection
+	maxForeign      = 3 // answers of other requests that are passed over on one connection
 	readBufferBytes = 4 << 10
 	directBytes     = 16 << 10              // a body up to this length fits into the socket's buffer
 	writeWait       = 10 * time.Millisecond // for the end of a longer body after the answer's
