Go on elsewhere when a prefill's answer is lost, and leave time for a second attempt

Ruled out: a busy engine (its report showed no queue). Change: a prefill that is 250 ms and half its expected time late is repeated at another engine; an idempotent attempt ends at 0.6 of the aim while another server may still answer in time.

--- a/forward/model.go
+++ b/forward/model.go
@@ -18,8 +18,12 @@
 
 // Limits of model requests.
 const (
-	maxPlaces      = 4    // places asked for one request
-	maxHandleBytes = 4096 // of the answer to a prefill
+	maxPlaces = 4 // places asked for one request
+	// An engine that has not answered a prefill after prefillPatience times the expected time and prefillMargin has lost
+	// it: at a sound one, expected times are met within a third.
+	prefillPatience = 1.5
+	prefillMargin   = 250 * time.Millisecond
+	maxHandleBytes  = 4096 // of the answer to a prefill
 	// unhintedShare of the most output tokens is expected of a request whose caller gives no estimate.
 	unhintedShare = 0.45
 )
@@ -131,7 +135,7 @@
 		place.Release(report)
 	}()
 	m.note(event.RequestPlaced, place.Decode.Server, placeDetail(place))
-	handle, end := m.prefill(ctx, place.Prefill)
+	handle, end := m.prefill(ctx, place.Prefill, place.Inputs.Prefill)
 	if !end.answered {
 		report.BadPrefill = end.failed && ctx.Err() == nil
 		m.exclude, m.last = append(slices.Clone(m.exclude), place.Prefill.Server), place.Prefill.Server
@@ -155,8 +159,13 @@
 }
 
 // prefill has the prompt computed; an answered ending means that the handle is good.
-func (m *modelRun) prefill(ctx context.Context, server rule.Server) (platform.Handle, ending) {
+//
+// Load that its timeout answers: engines compute prompts and lose the answers. A prefill may be repeated, so that the
+// request goes on at another engine while it can still be on time.
+func (m *modelRun) prefill(ctx context.Context, server rule.Server, expected time.Duration) (platform.Handle, ending) {
 	m.again = true
+	ctx, stop := context.WithTimeout(ctx, time.Duration(prefillPatience*float64(expected))+prefillMargin)
+	defer stop()
 	resp, err := m.send(ctx, platform.Forward{Server: server.Server, Address: server.At, Model: true, Prefill: true, LastEvent: m.event})
 	if err != nil {
 		return platform.Handle{}, ending{notRun: true, unsent: errors.Is(err, upstream.ErrNotSent), failed: true, reason: err.Error()}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -20,6 +20,7 @@
 	maxKeptAnswer   = 256 << 10 // bytes of an answer that are read before any is passed on
 	minAttemptTime  = 60 * time.Millisecond
 	attemptShare    = 0.45 // of the time left, for an attempt that another server may repeat
+	aimShare        = 0.6  // of the aim: the second attempt can still be on time
 	copyBufferBytes = 16 << 10
 )
 
@@ -150,8 +151,11 @@
 		return context.WithCancel(ctx)
 	}
 	left := q.deadline.Sub(q.handler.Now())
-	share := time.Duration(attemptShare * float64(left))
-	return context.WithTimeout(ctx, max(share, minAttemptTime))
+	limit := time.Duration(attemptShare * float64(left))
+	if aim := time.Duration(aimShare * float64(q.route.Aim)); aim > 0 {
+		limit = min(limit, aim)
+	}
+	return context.WithTimeout(ctx, max(limit, minAttemptTime))
 }
 
 // send sends the request once, with the time that is left.
