--- /dev/null
+++ b/forward/world_test.go
@@ -0,0 +1,265 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"teaselgate/cell"
+	"teaselgate/engine"
+	"teaselgate/event"
+	"teaselgate/fleet"
+	"teaselgate/outcome"
+	"teaselgate/platform"
+	"teaselgate/registry"
+	"teaselgate/rule"
+	"teaselgate/standin/backend"
+	"teaselgate/upstream"
+)
+
+// Names of the tests' deployment.
+const (
+	host     = "shop.example"
+	secret   = "key-of-dala"
+	plainAt  = "10.0.0.%d:80"
+	engineAt = "10.0.1.%d:80"
+)
+
+const configuration = `{"version":1,"routes":[
+ {"name":"order","hostname":"shop.example","pathPrefix":"/order/","routeType":"non_idempotent","timeoutMs":600,"targetLatencyMs":100,"service":"shop","maxAttempts":1},
+ {"name":"status","hostname":"shop.example","pathPrefix":"/status/","routeType":"idempotent","timeoutMs":600,"targetLatencyMs":100,"service":"shop","maxAttempts":2},
+ {"name":"open","hostname":"shop.example","pathPrefix":"/open/","routeType":"idempotent","timeoutMs":600,"targetLatencyMs":100,"service":"shop","maxAttempts":2,"public":true},
+ {"name":"draft","hostname":"shop.example","pathPrefix":"/draft/","routeType":"streaming","timeoutMs":14000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":1,"sticky":true},
+ {"name":"digest","hostname":"shop.example","pathPrefix":"/digest/","routeType":"streaming","timeoutMs":14000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true}],
+ "services":[{"name":"shop"},{"name":"llm","engine":{"slots":4,"kvCapacityTokens":16000,"stride":8,"kvHoldS":0.5}}],
+ "limits":{"maxBodyBytes":4096},
+ "tenants":[{"name":"dala","apiKeys":["key-of-dala"],"unit":"tokens","plainTokens":200,"ratePerS":100000,"burst":100000}]}`
+
+// world is a handler with emulated backend servers, in fake time and without a network.
+type world struct {
+	handler *Handler
+	plain   []*backend.Server
+	prefill []*backend.Server
+	decode  []*backend.Server
+	servers map[string]*backend.Server // by address
+	down    map[string]bool            // addresses that refuse connections
+	budget  *outcome.Budget
+	mu      sync.Mutex
+	events  []event.Event
+}
+
+// inWorld runs a test with three plain servers, two prefill and two decode engines.
+func inWorld(t *testing.T, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		w := &world{servers: make(map[string]*backend.Server), down: make(map[string]bool), budget: outcome.NewBudgetOf(0.2, 10)}
+		var entries []platform.Server
+		add := func(at string, s *backend.Server, stage platform.Stage) *backend.Server {
+			w.servers[at] = s.Start()
+			service := "llm"
+			if stage == platform.NoStage {
+				service = "shop"
+			}
+			entries = append(entries, platform.Server{ID: s.ID, Service: service, Address: at, Zone: "a", Stage: stage})
+			return s
+		}
+		for n := range 3 {
+			s := &backend.Server{ID: fmt.Sprintf("s%d", n), Slots: 2, Queue: 2, Work: 15 * time.Millisecond}
+			w.plain = append(w.plain, add(fmt.Sprintf(plainAt, n), s, platform.NoStage))
+		}
+		for n := range 2 {
+			p := &backend.Server{ID: fmt.Sprintf("p%d", n), Stage: "prefill", Slots: 1, Queue: 9, Rate: 33333, Hold: time.Second / 2}
+			w.prefill = append(w.prefill, add(fmt.Sprintf(engineAt, n), p, platform.Prefill))
+			d := &backend.Server{ID: fmt.Sprintf("d%d", n), Stage: "decode", Slots: 4, Memory: 16000, Events: 10, Step: 40 * time.Millisecond}
+			d.Sources = func(at string) *backend.Server { return w.servers[at] }
+			w.decode = append(w.decode, add(fmt.Sprintf(engineAt, 10+n), d, platform.Decode))
+		}
+		var serving sync.WaitGroup
+		w.build(ctx, t, entries, &serving)
+		test(w)
+		w.handler.Servers.Close()
+		stop()
+		serving.Wait()
+	})
+}
+
+func (w *world) build(ctx context.Context, t *testing.T, entries []platform.Server, serving *sync.WaitGroup) {
+	c, err := platform.ReadConfiguration([]byte(configuration))
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := registry.NewView(c, entries, true)
+	record := func(e event.Event) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.events = append(w.events, e)
+	}
+	engines := &platform.Engines{HTTP: &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, at string) (net.Conn, error) { return w.dial(ctx, at) }, DisableKeepAlives: true,
+	}}}
+	rules := func() *rule.Set { return view.Rules }
+	polls := cell.Polls{
+		Load: func(ctx context.Context, at string) (engine.Load, error) {
+			r, err := engines.Report(ctx, at)
+			return engine.Load{Slots: r.Running, Pieces: r.UsedTokens / 16}, err
+		},
+		Events: func(ctx context.Context, at string, _ uint64) ([]engine.CacheEvent, error) {
+			_, err := engines.Report(ctx, at)
+			return nil, err
+		},
+	}
+	placer := cell.NewPlacer(rules, cell.NewHub(rules, polls, record))
+	placer.Self = "i1"
+	placer.Live = func() []fleet.Member { return []fleet.Member{{Name: "i1"}} }
+	placer.Hub.Peers = func() []string { return nil }
+	serving.Go(func() { _ = placer.Hub.Serve(ctx) })
+	serving.Go(func() { _ = placer.Serve(ctx) })
+	h := NewHandler()
+	h.Zone, h.Record = "a", record
+	h.View = func() *registry.View { return view }
+	h.Place, h.Pick, h.Picked = placer.Place, placer.Plain.PickPlain, placer.Plain.PlainDone
+	h.Charge = func(platform.Account, int64) (time.Time, error) { return time.Time{}, nil }
+	h.Budget = func(string) *outcome.Budget { return w.budget }
+	h.Servers = upstream.NewPool()
+	h.Servers.KeepAlive, h.Servers.ID = platform.KeepAlive, platform.AnswerID
+	h.Servers.Dial = func(ctx context.Context, _, at string) (net.Conn, error) { return w.dial(ctx, at) }
+	h.Engines = engines
+	w.handler = h
+}
+
+var errRefused = errors.New("forward: connection refused")
+
+// dial connects to an emulated server by a pipe.
+func (w *world) dial(_ context.Context, at string) (net.Conn, error) {
+	s, ok := w.servers[at]
+	if !ok || w.down[at] {
+		return nil, errRefused
+	}
+	near, far := net.Pipe()
+	server := &http.Server{Handler: s}
+	go func() { _ = server.Serve(&single{conn: far}) }()
+	return near, nil
+}
+
+// single is a listener for one connection.
+type single struct {
+	conn net.Conn
+	once sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *single) Accept() (net.Conn, error) {
+	var c net.Conn
+	l.once.Do(func() { c = l.conn })
+	if c == nil {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// Close implements net.Listener.
+func (l *single) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (l *single) Addr() net.Addr { return l.conn.LocalAddr() }
+
+// ask is one request of a test.
+type ask struct {
+	method, path, id, key, body string
+	deadline                    time.Duration
+	header                      map[string]string
+	leave                       time.Duration // after which the caller leaves; 0: it stays
+}
+
+// answer is what the caller got.
+type answer struct {
+	*httptest.ResponseRecorder
+	broken bool // the connection was cut
+	took   time.Duration
+}
+
+func (w *world) ask(a ask) answer {
+	r := httptest.NewRequest(a.method, "http://"+host+a.path, strings.NewReader(a.body))
+	r.Header.Set("Attempt-Id", a.id)
+	r.Header.Set("Authorization", "Bearer "+a.key)
+	if a.deadline > 0 {
+		r.Header.Set("Deadline-Ms", fmt.Sprint(a.deadline.Milliseconds()))
+	}
+	for name, value := range a.header {
+		r.Header.Set(name, value)
+	}
+	ctx, stop := context.WithCancel(r.Context())
+	defer stop()
+	if a.leave > 0 {
+		time.AfterFunc(a.leave, stop)
+	}
+	out := answer{ResponseRecorder: httptest.NewRecorder()}
+	start := time.Now()
+	func() {
+		defer func() { out.broken = recover() != nil }()
+		w.handler.ServeHTTP(out.ResponseRecorder, r.WithContext(ctx))
+	}()
+	out.took = time.Since(start)
+	return out
+}
+
+// story returns what was recorded of a request.
+func (w *world) story(id string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for _, e := range w.events {
+		if e.Request == id {
+			out = append(out, fmt.Sprintf("%d %s %s", e.Code, e.Server, e.Detail))
+		}
+	}
+	return out
+}
+
+func order(id string) ask {
+	return ask{method: "POST", path: "/order/1", id: id, key: secret, body: "two lambs", deadline: 600 * time.Millisecond}
+}
+
+func status(id string) ask {
+	return ask{method: "GET", path: "/status/1?x=%20y", id: id, key: secret, deadline: 600 * time.Millisecond}
+}
+
+func stream(path, id string) ask {
+	return ask{
+		method: "POST", path: path, id: id, key: secret, body: "prompt", deadline: 14 * time.Second,
+		header: map[string]string{"Model-Name": "m", "Token-Count": "3000,180", "Length-Hint": "80", "Prompt-Prefix": "a:200,b:2800"},
+	}
+}
+
+// all sets the faults of a group of servers.
+func all(servers []*backend.Server, f backend.Faults) {
+	for _, s := range servers {
+		s.SetFaults(f)
+	}
+}
+
+func runs(servers []*backend.Server, id string) int {
+	n := 0
+	for _, s := range servers {
+		n += s.Runs(id)
+	}
+	return n
+}
+
+func working(servers ...[]*backend.Server) int {
+	n := 0
+	for _, s := range slices.Concat(servers...) {
+		n += s.Working()
+	}
+	return n
+}
--- a/instance/build_registry.go
+++ b/instance/build_registry.go
@@ -12,6 +12,7 @@
 	i.registry.Call = i.peers.Call
 	i.registry.Self = i.PeerAddress()
 	i.registry.Peers = i.heardPeers
+	i.registry.Rank = i.rank
 	i.registry.Heard = func() { i.fleet.HeardPlatform() }
 	i.registry.Record = i.events.Record
 	i.registry.Fenced = i.Options.Engine.Fenced
@@ -29,3 +30,14 @@
 	}
 	return out
 }
+
+// rank returns how many live instances started earlier than this one.
+func (i *Instance) rank() int {
+	n := 0
+	for _, m := range i.fleet.Live() {
+		if m.Incarnation < i.incarnation {
+			n++
+		}
+	}
+	return n
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -27,11 +26,12 @@
 	// meanwhile are back within two seconds, and a server that is gone may get nothing after two seconds.
 	lapseGrace = 1800 * time.Millisecond
 	goneLife   = time.Minute // how long the removal of an entry is remembered
-	// pulseSpacing is the time between readings of the store by any of the instances that hear each other: a watch may
-	// hear nothing of a change. What one learns it tells the others, so that all know within half of the two seconds
-	// that the users allow.
-	pulseSpacing = 500 * time.Millisecond
-	maxPulse     = 10 * time.Second // between two readings of one instance
+	// pulseInterval is the time between readings of the store by the first instances of the fleet, since a watch may
+	// hear nothing of a change. What one learns it tells the others, so that all know well within the two seconds that
+	// the users allow.
+	pulseInterval = 700 * time.Millisecond
+	pulsers       = 2               // instances that read so often: the second for when the first has just ended
+	idlePulse     = 5 * time.Second // between readings of the other instances
 )
 
 // Follower follows the operator's configuration and the servers' entries. Its exported fields are set before Serve.
@@ -39,6 +39,7 @@
 	Watch  func(ctx context.Context, kind string, after uint64) (platform.List, error)
 	Call   func(ctx context.Context, address, method string, args, reply any) error
 	Peers  func() []string // addresses of the instances that are heard, without this one
+	Rank   func() int      // number of live instances that started earlier
 	Heard  func()          // told when the store answers
 	Record func(event.Event)
 	Now    func() time.Time
@@ -72,6 +73,7 @@
 	return &Follower{
 		Watch:   watch,
 		Peers:   func() []string { return nil },
+		Rank:    func() int { return 0 },
 		Heard:   func() {},
 		Record:  func(event.Event) {},
 		Now:     time.Now,
@@ -126,15 +128,14 @@
 	}
 }
 
-// pulse reads both kinds at times that are spread over the instances. Load that it answers: the store goes on serving
-// while its watches are silent.
+// pulse reads both kinds. Load that it answers: the store goes on serving while its watches are silent.
 func (f *Follower) pulse(ctx context.Context) {
-	for {
-		instances := time.Duration(len(f.Peers()) + 1)
-		interval := min(pulseSpacing*instances, maxPulse)
-		if delay.For(ctx, interval/2+rand.N(interval)) != nil {
-			return
+	var read time.Time
+	for delay.For(ctx, pulseInterval) == nil {
+		if f.Rank() >= pulsers && f.Now().Sub(read) < idlePulse {
+			continue
 		}
+		read = f.Now()
 		for _, kind := range []string{platform.ConfigurationKind, platform.ServerKind} {
 			list, err := f.Watch(ctx, kind, 0)
 			if err != nil {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -123,6 +123,7 @@
 		for n := range followers {
 			f := NewFollower(s.watch)
 			f.Self = fmt.Sprint(n)
+			f.Rank = func() int { return n }
 			f.Peers = func() []string {
 				var out []string
 				for m := range instances {
@@ -263,7 +264,7 @@
 		s.put("servers", fmt.Sprintf("bad-%d", n), text)
 	}
 	run(t, s, 1, func(followers []*Follower) {
-		var names []string
+		names := make([]string, 0, len(bad)+1)
 		for _, server := range followers[0].Current().Rules.Servers("s") {
 			names = append(names, server.Server)
 		}
--- /dev/null
+++ b/standin/backend/backend.go
@@ -0,0 +1,404 @@
+// Package backend emulates the users' backend servers: plain services and model engines with separate prefill, in the
+// users' protocol, with fault switches. It states what it saw, so that tests can check promises.
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Server is one backend server. Its exported fields are set before it serves.
+type Server struct {
+	ID    string
+	Stage string // prefill, decode, or empty for a plain service
+
+	Slots   int           // requests that run at once
+	Queue   int           // requests that wait; more are rejected
+	Work    time.Duration // of a plain request
+	Memory  int           // tokens of an engine
+	Rate    float64       // prompt tokens computed a second
+	Step    time.Duration // between events of a stream
+	Events  int           // of a stream
+	Hold    time.Duration // life of a computed prompt
+	Lag     time.Duration // age of reports
+	Sources func(address string) *Server
+
+	mu      sync.Mutex
+	faults  Faults
+	busy    int
+	waiting int
+	used    int
+	handles map[string]int // tokens by handle
+	next    int
+	seen    []Seen
+	working map[string]int // runs in progress by id
+	wake    chan struct{}
+}
+
+// Faults are the switches of a server.
+type Faults struct {
+	Fail       bool // runs and answers 500
+	Shed       bool // rejects, without running
+	LoseAnswer bool // runs and never answers
+	Cut        bool // ends the answer halfway
+	Unsealed   bool // answers without proof
+	Foreign    bool // answers with another request's id
+	Another    bool // another server has the address
+	Silent     bool // takes requests and does nothing
+	BreakAfter int  // events, after which a stream is cut
+}
+
+// Seen is one request as it arrived.
+type Seen struct {
+	ID      string
+	Path    string
+	Body    string
+	Header  http.Header
+	Ran     bool
+	Prefill bool
+	At      time.Time
+}
+
+// Header names of the protocol that a server reads or writes.
+const (
+	headerID      = "Attempt-Id"
+	headerSeal    = "Response-Seal"
+	headerNotRun  = "Not-Executed"
+	headerServer  = "Expected-Instance"
+	headerStage   = "Serving-Stage"
+	headerSource  = "Kv-Source"
+	headerTokens  = "Token-Count"
+	headerLast    = "Last-Event-Id"
+	headerSelf    = "Instance-Id"
+	stagePrefill  = "prefill"
+	eventTokens   = 8 // in one event of a stream
+	halfAnswer    = "half"
+	wholeAnswer   = "whole answer of "
+	foreignAnswer = "another-request"
+)
+
+// Start makes the server ready to serve.
+func (s *Server) Start() *Server {
+	s.handles = make(map[string]int)
+	s.working = make(map[string]int)
+	s.wake = make(chan struct{})
+	return s
+}
+
+// SetFaults replaces the fault switches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Seen returns the requests that arrived.
+func (s *Server) Seen() []Seen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Seen(nil), s.seen...)
+}
+
+// Runs returns how often the server ran a request.
+func (s *Server) Runs(id string) int {
+	n := 0
+	for _, seen := range s.Seen() {
+		if seen.ID == id && seen.Ran {
+			n++
+		}
+	}
+	return n
+}
+
+// Working returns the number of requests that run now.
+func (s *Server) Working() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.working)
+}
+
+// Used returns the tokens in memory that runs and computed prompts hold.
+func (s *Server) Used() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/-/") {
+		s.serveControl(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	call := Seen{
+		ID: r.Header.Get(headerID), Path: r.RequestURI, Body: string(body), Header: r.Header.Clone(),
+		Prefill: r.Header.Get(headerStage) == stagePrefill, At: time.Now(),
+	}
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	switch {
+	case faults.Silent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case faults.Another || r.Header.Get(headerServer) != "" && r.Header.Get(headerServer) != s.ID:
+		s.note(call, false)
+		w.Header().Set(headerSelf, "another")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case faults.Shed:
+		s.note(call, false)
+		reject(w)
+	case s.Stage == "":
+		s.servePlain(w, r, call, faults)
+	case call.Prefill:
+		s.servePrefill(w, r, call, faults)
+	default:
+		s.serveDecode(w, r, call, faults)
+	}
+}
+
+func reject(w http.ResponseWriter) {
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (s *Server) note(call Seen, ran bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call.Ran = ran
+	s.seen = append(s.seen, call)
+}
+
+// begin takes a slot, waiting in the queue for one; it returns false if the request was rejected or its caller left.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request, call Seen, tokens int) bool {
+	s.mu.Lock()
+	if s.busy >= s.Slots && s.waiting >= s.Queue || s.Memory > 0 && s.used+tokens > s.Memory {
+		s.mu.Unlock()
+		s.note(call, false)
+		reject(w)
+		return false
+	}
+	s.waiting++
+	for s.busy >= s.Slots {
+		wake := s.wake
+		s.mu.Unlock()
+		select {
+		case <-wake:
+		case <-r.Context().Done():
+			s.mu.Lock()
+			s.waiting--
+			s.mu.Unlock()
+			s.note(call, false)
+			return false
+		}
+		s.mu.Lock()
+	}
+	s.waiting--
+	s.busy++
+	s.used += tokens
+	s.working[call.ID]++
+	s.mu.Unlock()
+	s.note(call, true)
+	return true
+}
+
+// end gives the slot and the memory back.
+func (s *Server) end(call Seen, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy--
+	s.used -= tokens
+	if s.working[call.ID]--; s.working[call.ID] == 0 {
+		delete(s.working, call.ID)
+	}
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+// work passes time unless the caller leaves.
+func work(r *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, call Seen, faults Faults) {
+	if !s.begin(w, r, call, 0) {
+		return
+	}
+	defer s.end(call, 0)
+	if !work(r, s.Work) {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.LoseAnswer {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	s.seal(w, call, faults)
+	text := wholeAnswer + call.ID
+	if faults.Cut {
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		_, _ = io.WriteString(w, halfAnswer)
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		text = "failed"
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+// seal sets the headers of the server's own answers.
+func (s *Server) seal(w http.ResponseWriter, call Seen, faults Faults) {
+	id := call.ID
+	if faults.Foreign {
+		id = foreignAnswer
+	}
+	w.Header().Set(headerID, id)
+	if !faults.Unsealed {
+		w.Header().Set(headerSeal, "seal."+s.ID+"."+id)
+	}
+}
+
+func promptTokens(r *http.Request) int {
+	text, _, _ := strings.Cut(r.Header.Get(headerTokens), ",")
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (s *Server) servePrefill(w http.ResponseWriter, r *http.Request, call Seen, faults Faults) {
+	tokens := promptTokens(r)
+	if !s.begin(w, r, call, 0) {
+		return
+	}
+	defer s.end(call, 0)
+	if !work(r, time.Duration(float64(tokens)/s.Rate*float64(time.Second))) {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.LoseAnswer {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	handle := s.keep(tokens)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerID, call.ID)
+	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "tokens": tokens, "version": 1})
+}
+
+// keep holds a computed prompt until it is taken or expires.
+func (s *Server) keep(tokens int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	handle := fmt.Sprintf("h%d", s.next)
+	s.handles[handle] = tokens
+	s.used += tokens
+	time.AfterFunc(s.Hold, func() { s.Take(handle) })
+	return handle
+}
+
+// Take removes a computed prompt and returns its tokens, or false if it is gone.
+func (s *Server) Take(handle string) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tokens, ok := s.handles[handle]
+	if ok {
+		delete(s.handles, handle)
+		s.used -= tokens
+	}
+	return tokens, ok
+}
+
+func (s *Server) serveDecode(w http.ResponseWriter, r *http.Request, call Seen, faults Faults) {
+	if source := r.Header.Get(headerSource); source != "" {
+		address, handle, _ := strings.Cut(source, "/")
+		if from := s.Sources(address); from == nil || !from.takes(handle) {
+			s.note(call, false)
+			reject(w)
+			return
+		}
+	}
+	tokens := promptTokens(r) + s.Events*eventTokens
+	if !s.begin(w, r, call, tokens) {
+		return
+	}
+	defer s.end(call, tokens)
+	if faults.LoseAnswer {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Fail {
+		s.seal(w, call, faults)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	s.stream(w, r, call, faults)
+}
+
+func (s *Server) takes(handle string) bool {
+	_, ok := s.Take(handle)
+	return ok
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, call Seen, faults Faults) {
+	s.seal(w, call, faults)
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	first, err := strconv.Atoi(r.Header.Get(headerLast))
+	if err != nil {
+		first = 0
+	}
+	for n := first + 1; n <= s.Events; n++ {
+		if !work(r, s.Step) {
+			panic(http.ErrAbortHandler)
+		}
+		if faults.BreakAfter > 0 && n-first > faults.BreakAfter {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", n) // torn in the middle of an event
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n)
+		if control.Flush() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// serveControl answers what is not a request: reports and the freeing of computed prompts.
+func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
+	if handle, ok := strings.CutPrefix(r.URL.Path, "/-/kv-handle/"); ok && r.Method == http.MethodDelete {
+		if !s.takes(handle) {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		return
+	}
+	if r.URL.Path != "/-/report" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.mu.Lock()
+	report := map[string]any{
+		"stage": s.Stage, "active": s.busy, "queued": s.waiting, "kvUsed": s.used, "kvTotal": s.Memory, "sequence": 0,
+	}
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(report)
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -24,7 +24,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	e := &exchange{pool: p, conn: c, address: address, id: id, stop: stop, written: make(chan error, 1)}
 	e.send(req)
-	resp, err := e.read(req)
+	resp, err := e.read(req) //nolint:bodyclose // closed through the answer
 	if err != nil {
 		e.abort()
 		return nil, broken.Wrap(errors.Join(err, ctx.Err()), "upstream: no answer of %s", address)
@@ -68,7 +68,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if e.pool.ID == nil || e.pool.ID(resp.Header) == e.id {
+		if e.owns(resp) {
 			return resp, nil
 		}
 		e.pool.countForeign()
@@ -82,6 +82,16 @@
 	return nil, errForeign
 }
 
+// owns tells whether an answer belongs to the request. One without an id can only be told on a connection that has
+// carried no other request.
+func (e *exchange) owns(resp *http.Response) bool {
+	if e.pool.ID == nil {
+		return true
+	}
+	id := e.pool.ID(resp.Header)
+	return id == e.id || id == "" && !e.conn.reused
+}
+
 var errForeign = errors.New("upstream: the answer belongs to another request")
 
 func (e *exchange) abort() {
