Let three instances watch the store, rank by known starts, one dispatcher at scale

Ruled out: memory of engines (dispatchers showed 1 to 8 streams of 7). Change: the list carries incarnations; three instances watch and two read every 0.7 s, and tell the others that they see the store; who hears of none for 1.4 s reads itself; peers send only what the other does not know. Test: the watchers are turned away in silence; all know of a change in 2 s.

--- a/cell/placer.go
+++ b/cell/placer.go
@@ -286,7 +286,8 @@
 		weights[m.Name] = weightOf(id.Prefill, id.Decode, string(rune('0'+id.Share)), m.Name)
 	}
 	slices.SortFunc(members, func(a, b fleet.Member) int {
-		return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Name, b.Name))
+		// Zero, of an instance that is not known by its own word yet, counts as the youngest.
+		return cmp.Or(cmp.Compare(a.Incarnation-1, b.Incarnation-1), cmp.Compare(a.Name, b.Name))
 	})
 	byWeight := func(a, b fleet.Member) int {
 		return cmp.Or(cmp.Compare(weights[b.Name], weights[a.Name]), cmp.Compare(a.Name, b.Name))
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -167,7 +167,7 @@
 
 // listed makes a member of an entry of the platform's list; any statement of its own replaces it.
 func listed(i platform.Instance) Member {
-	m := Member{Name: i.Name, Zone: i.Zone, Peer: i.Peer, Admin: i.Admin}
+	m := Member{Name: i.Name, Zone: i.Zone, Peer: i.Peer, Admin: i.Admin, Incarnation: i.Incarnation}
 	if i.State == Leaving.String() {
 		m.State = Leaving
 	}
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -52,6 +52,8 @@
 		Peer:  i.PeerAddress(),
 		Admin: i.AdminAddress(),
 		State: state.String(),
+
+		Incarnation: i.incarnation,
 	}
 	old, err := i.platform.Get(ctx, platform.InstanceKind, i.Options.Name)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -55,8 +55,8 @@
 	return &platform.Engines{HTTP: &http.Client{Transport: transport}}
 }
 
-// idleReport is how long a connection for reports is kept: a little longer than the time between two reports.
-const idleReport = 3 * time.Second
+// idleReport is how long a connection for reports is kept: longer than the time between two reports.
+const idleReport = 10 * time.Second
 
 // budgets holds this instance's part of the retry budget of each service.
 type budgets struct {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -27,11 +27,16 @@
 	lapseGrace = 1800 * time.Millisecond
 	goneLife   = time.Minute // how long the removal of an entry is remembered
 	// pulseInterval is the time between readings of the store by the first instances of the fleet, since a watch may
-	// hear nothing of a change. What one learns it tells the others, so that all know well within the two seconds that
-	// the users allow.
+	// hear nothing of a change. They tell the others that they see the store, and what is new, so that all know well
+	// within the two seconds that the users allow.
 	pulseInterval = 700 * time.Millisecond
-	pulsers       = 2               // instances that read so often: the second for when the first has just ended
-	idlePulse     = 5 * time.Second // between readings of the other instances
+	pulseTimeout  = time.Second             // a healthy store answers in milliseconds
+	blindInterval = 1500 * time.Millisecond // between readings of an instance that the store does not answer
+	sightLife     = 2 * pulseInterval       // how long an instance relies on another that saw the store
+	pulsers       = 2                       // instances that read often: the second for when the first has just ended
+	watchers      = 3                       // instances that watch; the others learn from them
+	watchCheck    = 500 * time.Millisecond  // between looks whether to watch
+	watchPause    = 100 * time.Millisecond  // before the next watch: entries change in groups, and each call is priced
 )
 
 // Follower follows the operator's configuration and the servers' entries. Its exported fields are set before Serve.
@@ -56,6 +61,7 @@
 	down     map[string]bool // kinds whose store calls fail
 	returned time.Time       // when the store last answered again
 	fetching atomic.Bool
+	sight    time.Time     // when an instance was last known to see the store
 	news     chan struct{} // something newer is known than what peers were told
 	calls    sync.WaitGroup
 }
@@ -108,10 +114,20 @@
 	return ctx.Err()
 }
 
-// follow reads all objects of a kind, then their changes; after a failure it goes on where it was.
+// follow reads all objects of a kind, then their changes, while this instance is one that watches; after a failure it
+// goes on where it was.
 func (f *Follower) follow(ctx context.Context, kind string) {
 	var seen uint64
 	for ctx.Err() == nil {
+		if seen > 0 && f.Rank() >= watchers {
+			seen = 0
+			_ = delay.For(ctx, watchCheck)
+			continue
+		}
+		if seen == 0 && f.Rank() >= watchers && f.Current() != nil {
+			_ = delay.For(ctx, watchCheck)
+			continue
+		}
 		list, err := f.Watch(ctx, kind, seen)
 		if errors.Is(err, platform.ErrHistory) {
 			seen = 0
@@ -125,29 +141,56 @@
 		f.regained(kind)
 		f.take(kind, list, seen == 0)
 		seen = list.Version
+		_ = delay.For(ctx, watchPause)
 	}
 }
 
-// pulse reads both kinds. Load that it answers: the store goes on serving while its watches are silent.
+// pulse reads both kinds. Loads that it answers: the store goes on serving while its watches are silent, and it turns
+// away just the instances that watch.
 func (f *Follower) pulse(ctx context.Context) {
-	var read time.Time
 	for delay.For(ctx, pulseInterval) == nil {
-		if f.Rank() >= pulsers && f.Now().Sub(read) < idlePulse {
+		if f.Rank() >= pulsers && f.sighted() {
 			continue
 		}
-		read = f.Now()
-		for _, kind := range []string{platform.ConfigurationKind, platform.ServerKind} {
-			list, err := f.Watch(ctx, kind, 0)
-			if err != nil {
-				f.lost(ctx, kind, err)
-				break
-			}
-			f.regained(kind)
-			f.take(kind, list, true)
+		if !f.readAll(ctx) {
+			_ = delay.For(ctx, blindInterval-pulseInterval)
+			continue
 		}
+		f.sees()
+		f.tell(ctx, f.Peers(), true)
 	}
 }
 
+// sighted tells whether an instance saw the store lately.
+func (f *Follower) sighted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Now().Sub(f.sight) < sightLife
+}
+
+// sees notes that an instance has just seen the store.
+func (f *Follower) sees() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sight = f.Now()
+}
+
+// readAll reads both kinds; it returns false if the store does not answer.
+func (f *Follower) readAll(ctx context.Context) bool {
+	ctx, stop := context.WithTimeout(ctx, pulseTimeout)
+	defer stop()
+	for _, kind := range []string{platform.ConfigurationKind, platform.ServerKind} {
+		list, err := f.Watch(ctx, kind, 0)
+		if err != nil {
+			f.lost(ctx, kind, err)
+			return false
+		}
+		f.regained(kind)
+		f.take(kind, list, true)
+	}
+	return true
+}
+
 func (f *Follower) lost(ctx context.Context, kind string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -23,6 +23,7 @@
 	deaf     bool // watches hear nothing
 	down     bool
 	kept     uint64 // history before this version is gone
+	blind    int    // so many of the first instances get no answer
 }
 
 const watchWait = 10 * time.Second
@@ -61,6 +62,13 @@
 	s.wake()
 }
 
+// turnedAway tells whether the store leaves an instance unanswered.
+func (s *store) turnedAway(instance int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return instance < s.blind
+}
+
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -121,7 +129,13 @@
 		followers := make([]*Follower, instances)
 		var serving sync.WaitGroup
 		for n := range followers {
-			f := NewFollower(s.watch)
+			f := NewFollower(func(ctx context.Context, kind string, after uint64) (platform.List, error) {
+				if s.turnedAway(n) {
+					<-ctx.Done()
+					return platform.List{}, platform.ErrUnavailable
+				}
+				return s.watch(ctx, kind, after)
+			})
 			f.Self = fmt.Sprint(n)
 			f.Rank = func() int { return n }
 			f.Peers = func() []string {
@@ -178,6 +192,30 @@
 	})
 }
 
+// Replays the load of a store that turns away just the instances that watch it, without a word, and serves the others.
+func TestChangesArriveInTimeThoughTheWatchersAreTurnedAway(t *testing.T) {
+	const inForce = 2 * time.Second
+	s := newStore()
+	s.put("config", "main", configuration(1, "old.example"))
+	s.put("servers", "a", entry("10.0.0.1:80", "ready"))
+	run(t, s, 8, func(followers []*Follower) {
+		s.set(func() { s.deaf = true })
+		s.set(func() { s.blind = watchers })
+		pass(50 * time.Millisecond)
+		s.put("config", "main", configuration(2, "new.example"))
+		s.put("servers", "a", entry("10.0.0.1:80", "draining"))
+		pass(inForce)
+		for n, f := range followers {
+			if _, ok := f.Current().Route("new.example", "/a/x"); !ok {
+				t.Errorf("instance %d has the old configuration after %v", n, inForce)
+			}
+			if server, _ := f.Current().Server("a"); !server.Leaving {
+				t.Errorf("instance %d does not know after %v that the server is leaving", n, inForce)
+			}
+		}
+	})
+}
+
 func TestAnOlderConfigurationNeverComesBack(t *testing.T) {
 	s := newStore()
 	s.put("config", "main", configuration(2, "new.example"))
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -12,10 +12,13 @@
 // RPCName is the name under which the follower's methods are registered for other instances.
 const RPCName = "Registry"
 
-// FetchArgs asks for all that an instance knows.
-type FetchArgs struct{}
+// FetchArgs asks for what is newer at an instance.
+type FetchArgs struct {
+	Config  uint64            // version that the caller knows
+	Servers map[string]uint64 // versions that the caller knows, by id
+}
 
-// FetchReply is all that an instance knows.
+// FetchReply is what the caller does not know.
 type FetchReply struct {
 	Config  Entry
 	Servers map[string]Entry
@@ -26,6 +29,7 @@
 type TellArgs struct {
 	Address string // of that instance
 	Version uint64
+	Sighted bool // whether it has just seen the store itself
 }
 
 // TellReply answers TellArgs.
@@ -33,7 +37,7 @@
 
 // Timing of telling peers.
 const (
-	tellDelay   = 100 * time.Millisecond // the store tells most instances at the same time
+	tellDelay   = 100 * time.Millisecond // entries change in groups
 	tellTimeout = 500 * time.Millisecond
 	maxTold     = 8 // peers; each that learns something tells others in turn
 )
@@ -49,23 +53,31 @@
 		if delay.For(ctx, tellDelay) != nil {
 			return
 		}
-		args := TellArgs{Address: f.Self, Version: f.Version()}
 		peers := f.Peers()
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		for _, address := range peers[:min(len(peers), maxTold)] {
-			f.calls.Go(func() {
-				ctx, stop := context.WithTimeout(ctx, tellTimeout)
-				defer stop()
-				if err := f.Call(ctx, address, RPCName+".Tell", args, &TellReply{}); err != nil && ctx.Err() == nil {
-					f.Record(event.Event{Code: event.RelayFailed, Detail: address + ": " + err.Error()})
-				}
-			})
-		}
+		f.tell(ctx, peers[:min(len(peers), maxTold)], false)
+	}
+}
+
+// tell tells peers in the background.
+func (f *Follower) tell(ctx context.Context, peers []string, sighted bool) {
+	args := TellArgs{Address: f.Self, Version: f.Version(), Sighted: sighted}
+	for _, address := range peers {
+		f.calls.Go(func() {
+			ctx, stop := context.WithTimeout(ctx, tellTimeout)
+			defer stop()
+			if err := f.Call(ctx, address, RPCName+".Tell", args, &TellReply{}); err != nil && ctx.Err() == nil {
+				f.Record(event.Event{Code: event.RelayFailed, Detail: address + ": " + err.Error()})
+			}
+		})
 	}
 }
 
 // Tell hears of a version that a peer knows.
 func (r *Receiver) Tell(args TellArgs, _ *TellReply) error {
+	if args.Sighted {
+		r.follower.sees()
+	}
 	r.follower.Nudge(args.Address, args.Version)
 	return nil
 }
@@ -76,14 +88,19 @@
 // Receiver returns what is to be registered under RPCName.
 func (f *Follower) Receiver() *Receiver { return &Receiver{f} }
 
-// Fetch answers with all that the instance knows.
-func (r *Receiver) Fetch(_ FetchArgs, reply *FetchReply) error {
+// Fetch answers with what the caller does not know.
+func (r *Receiver) Fetch(args FetchArgs, reply *FetchReply) error {
 	f := r.follower
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	*reply = FetchReply{Config: f.config, Servers: make(map[string]Entry, len(f.servers)), Listed: f.listed}
+	*reply = FetchReply{Servers: make(map[string]Entry), Listed: f.listed}
+	if f.config.Version > args.Config {
+		reply.Config = f.config
+	}
 	for id, e := range f.servers {
-		reply.Servers[id] = e
+		if e.Version > args.Servers[id] {
+			reply.Servers[id] = e
+		}
 	}
 	return nil
 }
@@ -99,11 +116,22 @@
 	})
 }
 
+// known returns the versions that are known here.
+func (f *Follower) known() FetchArgs {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	args := FetchArgs{Config: f.config.Version, Servers: make(map[string]uint64, len(f.servers))}
+	for id, e := range f.servers {
+		args.Servers[id] = e.Version
+	}
+	return args
+}
+
 func (f *Follower) fetch(address string) {
 	ctx, stop := context.WithTimeout(context.Background(), fetchTimeout)
 	defer stop()
 	var reply FetchReply
-	if err := f.Call(ctx, address, RPCName+".Fetch", FetchArgs{}, &reply); err != nil {
+	if err := f.Call(ctx, address, RPCName+".Fetch", f.known(), &reply); err != nil {
 		f.Record(event.Event{Code: event.RelayFailed, Detail: address + ": " + err.Error()})
 		return
 	}
