Balance prefill and decode engines by fenced orders

The dispatcher knows what both stages have to do; where the fuller one can become a twentieth less full, one engine after the other is ordered over, under a lease whose store version is the fencing number.

--- a/cell/core.go
+++ b/cell/core.go
@@ -107,8 +107,10 @@
 	rate     rateMeter // cost placed per second while requests wait
 	lateRate rateMeter
 	meters   meters
-	backlog  bool // requests were left waiting by the last step
-	complete bool // the instances told what they hold, or took too long
+	demand   demand
+	holds    map[string]instant // servers that get no new work, until when
+	backlog  bool               // requests were left waiting by the last step
+	complete bool               // the instances told what they hold, or took too long
 	started  instant
 	swept    instant
 	out      []Decision
@@ -123,6 +125,7 @@
 		items:   make(map[string]*item),
 		placed:  make(map[string]*reservation),
 		meters:  newMeters(),
+		holds:   make(map[string]instant),
 		started: now,
 		swept:   now,
 	}
@@ -308,6 +311,7 @@
 	c.rate.advance(now, c.backlog)
 	c.lateRate.advance(now, c.backlog && c.queue.lateCost > 0)
 	c.queue.credit = c.lead()
+	c.observe(now)
 	c.sweep(now)
 	ready := c.ready(now)
 	if ready {
@@ -347,6 +351,7 @@
 		maxTokens: i.ask.MaxTokens, ceiling: i.ask.Ceiling, cached: hit, prefixes: i.ask.Prefixes, work: w, placed: now,
 	}
 	p.book(r)
+	c.demand.prefill += w.end.Sub(w.start).Seconds()
 	c.advance(now, d)
 	d.add(r, w.linkEnd.Sub(now))
 	r.deadline = w.linkEnd.Add(seconds(float64(r.maxTokens) * d.steps.step(d.slots))).Add(placeLife)
@@ -385,7 +390,7 @@
 	hits := c.hints.find(now, ask.Prefixes)
 	var bestEnd instant
 	for _, p := range c.prefills {
-		if !p.usable(now) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
+		if !p.usable(now) || c.onHold(now, p.server.Server) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
 			continue
 		}
 		found := min(cached(hits, p), ask.PromptTokens)
@@ -411,7 +416,7 @@
 	var bestFree bool
 	var bestScore float64
 	for _, d := range c.decodes {
-		if !d.usable(now) || slices.Contains(ask.Exclude, d.server.Server) {
+		if !d.usable(now) || c.onHold(now, d.server.Server) || slices.Contains(ask.Exclude, d.server.Server) {
 			continue
 		}
 		c.advance(now, d)
--- /dev/null
+++ b/cell/demand.go
@@ -0,0 +1,144 @@
+package cell
+
+import (
+	"math"
+	"time"
+
+	"teaselgate/rule"
+)
+
+// demandWindow is the time over which the load of a cell is averaged: longer than one answer, shorter than a burst.
+const demandWindow = 4 * time.Second
+
+// Demand is what the stages of a cell have to do, in servers that would be fully busy with it.
+type Demand struct {
+	Prefill  float64
+	Decode   float64
+	Prefills int // servers that take work
+	Decodes  int
+}
+
+// demand averages the work of a core's stages.
+type demand struct {
+	prefill float64 // seconds of prefill work placed, forgotten exponentially
+	decode  float64 // mean of the pieces given out
+	at      instant
+}
+
+// advance brings the averages up to now.
+func (d *demand) advance(now instant, pieces int) {
+	if d.at.IsZero() {
+		d.at, d.decode = now, float64(pieces)
+		return
+	}
+	keep := math.Exp(-now.Sub(d.at).Seconds() / demandWindow.Seconds())
+	d.prefill *= keep
+	d.decode = d.decode*keep + float64(pieces)*(1-keep)
+	d.at = now
+}
+
+// observe takes the load in at a step.
+func (c *Core) observe(now instant) {
+	pieces := 0
+	for _, d := range c.decodes {
+		pieces += d.used
+	}
+	c.demand.advance(now, pieces)
+}
+
+// Demand returns what the stages have to do.
+func (c *Core) Demand(now instant) Demand {
+	c.observe(now)
+	out := Demand{Prefill: c.demand.prefill / demandWindow.Seconds()}
+	if c.pool.Pieces > 0 {
+		out.Decode = c.demand.decode / float64(c.pool.Pieces)
+	}
+	for _, p := range c.prefills {
+		if p.server.State == rule.Live && !c.onHold(now, p.server.Server) {
+			out.Prefills++
+		}
+	}
+	for _, d := range c.decodes {
+		if d.server.State == rule.Live && !c.onHold(now, d.server.Server) {
+			out.Decodes++
+		}
+	}
+	return out
+}
+
+// onHold tells whether a server gets no new work for a while.
+func (c *Core) onHold(now instant, server string) bool {
+	until, ok := c.holds[server]
+	return ok && now.Before(until)
+}
+
+// leastLoaded returns the live server of a stage with the least work.
+func (c *Core) leastLoaded(now instant, prefill bool) (rule.Server, bool) {
+	var best rule.Server
+	least := math.Inf(1)
+	consider := func(s rule.Server, work float64) {
+		if s.State == rule.Live && !c.onHold(now, s.Server) && work < least {
+			best, least = s, work
+		}
+	}
+	if prefill {
+		for _, p := range c.prefills {
+			consider(p.server, max(p.free.Sub(now).Seconds(), 0))
+		}
+	} else {
+		for _, d := range c.decodes {
+			consider(d.server, float64(d.used))
+		}
+	}
+	return best, !math.IsInf(least, 1)
+}
+
+// Demand returns what the stages of a cell have to do, false if this instance does not dispatch it.
+func (h *Hub) Demand(id ID) (Demand, bool) {
+	d, ok := h.known(id)
+	if !ok {
+		return Demand{}, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Demand(d.clock(h.Now())), true
+}
+
+// LeastLoaded returns the live server of a cell's stage with the least work.
+func (h *Hub) LeastLoaded(id ID, prefill bool) (rule.Server, bool) {
+	d, ok := h.known(id)
+	if !ok {
+		return rule.Server{}, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.leastLoaded(d.clock(h.Now()), prefill)
+}
+
+// Hold places nothing on a server until a time; a time that is past ends it.
+func (h *Hub) Hold(id ID, server string, until time.Time) {
+	d, ok := h.known(id)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !until.After(h.Now()) {
+		delete(d.core.holds, server)
+		return
+	}
+	d.core.holds[server] = d.clock(until)
+}
+
+func (h *Hub) known(id ID) (*dispatcher, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d, ok := h.cells[id]
+	return d, ok
+}
+
+// Dispatches tells whether this instance is the one to dispatch a cell.
+func (p *Placer) Dispatches(id ID) bool {
+	ranked := p.dispatchers(id)
+	return len(ranked) > 0 && ranked[0].Name == p.Self
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -167,7 +167,7 @@
 func (i *Instance) steps() []func(*suture.Supervisor) error {
 	if i.Options.Source == option.SourceStore {
 		return []func(*suture.Supervisor) error{
-			i.buildCertificates, i.buildRegistry, i.buildFleet, i.buildCell, i.buildForward, i.buildMetrics,
+			i.buildCertificates, i.buildRegistry, i.buildFleet, i.buildCell, i.buildForward, i.buildStages, i.buildMetrics,
 		}
 	}
 	return []func(*suture.Supervisor) error{
--- a/option/field.go
+++ b/option/field.go
@@ -163,6 +163,10 @@
 		Name: "engine.lease", check: checkTime, at: func(o *Options) any { return &o.Engine.Lease },
 		Text: "Least time between orders of different instances to one engine. Used with `source: store`.",
 	},
+	{
+		Name: "engine.stages", check: checkOneOf(StagesBalance, StagesKeep), at: func(o *Options) any { return &o.Engine.Stages },
+		Text: "Whether model engines are ordered to change between prefill and decode as the load asks for it, `balance`, or stay as they are, `keep`. Used with `source: store`.",
+	},
 	{
 		Name: "stop.grace", check: checkTime, at: func(o *Options) any { return &o.Stop.Grace },
 		Text: "Time between SIGTERM and SIGKILL, within which the instance finishes its requests.",
--- a/option/option.go
+++ b/option/option.go
@@ -35,6 +35,12 @@
 	SourceStore = "store" // the operator's configuration and the servers' entries in the platform's store
 )
 
+// The values of Engine.Stages.
+const (
+	StagesBalance = "balance" // the split between prefill and decode follows the load
+	StagesKeep    = "keep"    // engines stay in the stage in which they are
+)
+
 // Retry bounds what all instances together send to a service beyond the first time of each request.
 type Retry struct {
 	Share  float64       `yaml:"share"`  // of the requests
@@ -46,6 +52,7 @@
 type Engine struct {
 	Fenced bool          `yaml:"fenced"` // whether they refuse an old fencing number
 	Lease  time.Duration `yaml:"lease"`  // least time between orders of different holders
+	Stages string        `yaml:"stages"` // whether engines are ordered to change their stage
 }
 
 // Stop bounds the end of the process.
@@ -106,7 +113,7 @@
 		},
 		Source: SourceRules,
 		Retry:  Retry{Share: 0.1, Extra: 20, Window: 10 * time.Second},
-		Engine: Engine{Fenced: true, Lease: 3 * time.Second},
+		Engine: Engine{Fenced: true, Lease: 3 * time.Second, Stages: StagesBalance},
 		Stop:   Stop{Grace: 45 * time.Second},
 		Log:    Logging{Format: "text", Level: "info"},
 	}
--- a/order/group.go
+++ b/order/group.go
@@ -84,5 +84,8 @@
 	if ok && group.fenced(set) {
 		return 0
 	}
-	return leaseLife + orderTimeout
+	return UnfencedWait
 }
+
+// UnfencedWait is the time after which a lease that was lost, and any order sent under it, has ended.
+const UnfencedWait = leaseLife + orderTimeout
--- /dev/null
+++ b/order/stager.go
@@ -0,0 +1,206 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"teaselgate/event"
+)
+
+// Times of the work on the split between the stages.
+const (
+	stagerInterval = 500 * time.Millisecond
+	learnTime      = 3 * time.Second        // in which a new holder sees the load before it changes anything
+	changePause    = 2 * time.Second        // between two orders of a holder
+	turnPause      = 12 * time.Second       // before a change back: two changes of stage
+	stageSettle    = 250 * time.Millisecond // in which requests that were placed before reach the engine
+	changeTimeout  = 15 * time.Second       // after which an engine that does not show its new stage is asked again
+)
+
+var (
+	// ErrStaleFence says that an engine knows a newer holder.
+	ErrStaleFence = errors.New("order: the engine has seen a higher fencing number")
+	// ErrNotTaken says that an engine did not accept an order.
+	ErrNotTaken = errors.New("order: the engine did not accept the order")
+)
+
+// StageOrder changes the stage of an engine.
+type StageOrder struct {
+	Server string
+	At     string
+	Decode bool // the new stage: decode, or prefill
+	Holder string
+	Fence  uint64
+}
+
+// Candidate is an engine that may change its stage.
+type Candidate struct {
+	Server string
+	At     string
+}
+
+// Stager keeps the split between prefill and decode engines of one service balanced while it holds the service's lease.
+// Its exported fields are set before Run.
+type Stager struct {
+	Service string
+	Lease   *Lease
+	Chosen  func() bool                                   // whether this instance dispatches the service's work
+	Load    func() (Load, bool)                           // false if nothing is known
+	Pick    func(decode bool) (Candidate, bool)           // the engine with the least work that is not in the stage yet
+	Hold    func(server string, until time.Time)          // lets no new work be placed on an engine
+	Shows   func(server string, decode bool) (bool, bool) // whether the engine shows the stage, and whether it still exists
+	Order   func(context.Context, StageOrder) error
+	Record  func(event.Event)
+	Now     func() time.Time
+
+	held     bool
+	tryAt    time.Time
+	since    time.Time // since when the lease is held
+	next     time.Time // no order before
+	last     Change
+	lastAt   time.Time
+	changing map[string]change
+}
+
+// change is an engine that was ordered to change its stage.
+type change struct {
+	decode bool
+	until  time.Time
+}
+
+// Run works until the context ends, then releases the lease.
+func (s *Stager) Run(ctx context.Context) {
+	s.changing = make(map[string]change)
+	tick := time.NewTicker(stagerInterval)
+	defer tick.Stop()
+	for {
+		s.step(ctx)
+		select {
+		case <-ctx.Done():
+			if err := s.Lease.Release(context.WithoutCancel(ctx)); err != nil {
+				s.note(event.OrderLeaseLost, "", err.Error())
+			}
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (s *Stager) step(ctx context.Context) {
+	now := s.Now()
+	if s.Chosen() && !now.Before(s.tryAt) {
+		if err := s.Lease.Try(ctx); err != nil {
+			s.note(event.OrderLeaseLost, "", err.Error())
+		}
+		s.tryAt = now.Add(renewInterval)
+	}
+	s.noteLease()
+	if !s.Lease.Held() || !s.Chosen() {
+		return
+	}
+	s.forgetChanged()
+	if now = s.Now(); now.Before(s.next) || now.Sub(s.since) < learnTime {
+		return
+	}
+	load, ok := s.Load()
+	if !ok {
+		return
+	}
+	load.Changing = len(s.changing)
+	direction := Balance(load)
+	if direction == Keep || s.last != Keep && direction != s.last && now.Sub(s.lastAt) < turnPause {
+		return
+	}
+	s.change(ctx, direction == ToDecode, load)
+}
+
+func (s *Stager) noteLease() {
+	held := s.Lease.Held()
+	switch {
+	case held && !s.held:
+		s.since = s.Now()
+		s.note(event.OrderLeaseTaken, "", s.Service)
+	case !held && s.held:
+		s.note(event.OrderLeaseLost, "", s.Service)
+	}
+	s.held = held
+}
+
+// forgetChanged ends the changes of engines that show their new stage, are gone, or took too long.
+func (s *Stager) forgetChanged() {
+	now := s.Now()
+	for server, c := range s.changing {
+		shows, exists := s.Shows(server, c.decode)
+		switch {
+		case shows:
+			s.note(event.RoleChanged, server, stageName(c.decode))
+		case !exists || now.After(c.until):
+			s.note(event.RoleChangeCancelled, server, stageName(c.decode))
+		default:
+			continue
+		}
+		delete(s.changing, server)
+		s.Hold(server, time.Time{})
+	}
+}
+
+// change orders one engine to the other stage. The lease's right is checked just before, since the process may have
+// been paused.
+func (s *Stager) change(ctx context.Context, decode bool, load Load) {
+	engine, ok := s.Pick(decode)
+	if !ok {
+		return
+	}
+	until := s.Now().Add(changeTimeout)
+	s.Hold(engine.Server, until)
+	timer := time.NewTimer(stageSettle)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-timer.C:
+	}
+	fence, ok := s.Lease.Fence()
+	if !ok {
+		s.Hold(engine.Server, time.Time{})
+		return
+	}
+	s.note(event.RoleChangeStarted, engine.Server, fmt.Sprintf("to %s; prefill %.1f of %d, decode %.1f of %d",
+		stageName(decode), load.Prefill, load.Prefills, load.Decode, load.Decodes))
+	ctx, stop := context.WithTimeout(ctx, orderTimeout)
+	defer stop()
+	err := s.Order(ctx, StageOrder{Server: engine.Server, At: engine.At, Decode: decode, Holder: s.Lease.Holder, Fence: fence})
+	s.next = s.Now().Add(changePause)
+	switch {
+	case errors.Is(err, ErrStaleFence):
+		s.Lease.Lose()
+		s.note(event.OrderStale, engine.Server, err.Error())
+		s.Hold(engine.Server, time.Time{})
+		return
+	case errors.Is(err, ErrNotTaken):
+		s.note(event.OrderFailed, engine.Server, err.Error())
+		s.Hold(engine.Server, time.Time{})
+		return
+	case err != nil:
+		// The order may be carried out; the engine gets no work until it shows which.
+		s.note(event.OrderFailed, engine.Server, err.Error())
+	}
+	s.changing[engine.Server] = change{decode: decode, until: until}
+	s.last, s.lastAt = ToPrefill, s.Now()
+	if decode {
+		s.last = ToDecode
+	}
+}
+
+func (s *Stager) note(code event.Code, server, detail string) {
+	s.Record(event.Event{Code: code, Server: server, Detail: detail})
+}
+
+func stageName(decode bool) string {
+	if decode {
+		return "decode"
+	}
+	return "prefill"
+}
