Keep one cell for a pool up to 256 servers, and believe an engine that is full

Change: cells of up to 256 servers (a decision takes about 11 us there), places of all shares are told, cells divide the rates; an engine that rejects counts as full until its next report. Tests replay a hot account on a divided fleet, streams past their estimate, and the loss of a dispatcher.

--- a/cell/core.go
+++ b/cell/core.go
@@ -295,7 +295,7 @@
 	}
 	switch {
 	case report.Refused:
-		d.refused(now)
+		d.refused(now, r.pieces)
 	case report.BadDecode:
 		d.health.callFailed(now)
 	case report.Generated > 0:
--- a/cell/decode.go
+++ b/cell/decode.go
@@ -10,10 +10,11 @@
 
 // Constants of decode servers.
 const (
-	outlierFactor   = 1.8             // a server this many times slower than its pool gets work only as a trial
-	foreignLife     = 3 * time.Second // how long a report of unknown requests is believed
-	foreignShare    = 2               // unknown requests are believed up to the slots divided by this
-	ownWindow       = 2 * time.Second // the lag that a load report may have
+	outlierFactor   = 1.8                    // a server this many times slower than its pool gets work only as a trial
+	foreignLife     = 3 * time.Second        // how long a report of unknown requests is believed
+	refusedLife     = 700 * time.Millisecond // how long a rejection says that there is less room: until the next report
+	foreignShare    = 2                      // unknown requests are believed up to the slots divided by this
+	ownWindow       = 2 * time.Second        // the lag that a load report may have
 	predictedMargin = 30 * time.Millisecond
 	predictedFactor = 1.08 // on the predicted time to a stream's end
 )
@@ -144,10 +145,13 @@
 	d.polled = true
 }
 
-// refused notes that the server had no room although the count said so.
-func (d *decodeServer) refused(now instant) {
+// refused notes that the server had no room for a request although the count said so: for a while it is taken to have
+// less room than the request needed.
+func (d *decodeServer) refused(now instant, pieces int) {
+	missing := max(d.pieces-d.used-pieces+1, 0)
+	d.foreignPieces = max(d.othersMemory(now), missing)
 	d.foreign = min(d.others(now)+1, d.slots/foreignShare)
-	d.foreignUntil = now.Add(foreignLife)
+	d.foreignUntil = max(d.foreignUntil, now.Add(refusedLife))
 }
 
 // usable tells whether the server may get a new request now.
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	core    *Core
 	set     *rule.Set // that the core's servers are of
+	cells   int       // that share the pools
 
 	waiters map[string]*waiter
 	polls   map[string]time.Time // when a server is polled next
@@ -60,6 +61,7 @@
 	d.set = set
 	decodes := set.Servers(d.id.Decode)
 	n := shares(len(decodes))
+	d.cells = n
 	pool, _ := set.Pool(d.id.Decode)
 	d.core.SetServers(d.clock(now), shareOf(set.Servers(d.id.Prefill), d.id.Share, n), shareOf(decodes, d.id.Share, n), pool, targetsOf(set, d.id))
 }
@@ -86,7 +88,8 @@
 	at := now()
 	d.used = at
 	d.refresh(at, set)
-	d.core.meters.hear(heard())
+	hears, known := heard()
+	d.core.meters.hear(hears, known, d.cells)
 	w, ok := d.waiters[ask.Key]
 	if !ok {
 		w = &waiter{answer: make(chan Decision, 1)}
--- /dev/null
+++ b/cell/growth_test.go
@@ -0,0 +1,83 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"teaselgate/rule"
+)
+
+// strictPool is a pool of model engines that reject what has no room, in blocks of 16 tokens.
+var strictPool = rule.Pool{Slots: 48, Pieces: 2000, Block: 16, Strict: true}
+
+// Replays the load of callers whose estimates are right at the median: at any time most of the running streams are
+// longer than estimated, and what they have made already must count.
+func TestStreamsPastTheirEstimateKeepMoreMemory(t *testing.T) {
+	now := clockStart
+	c := NewCore(now)
+	c.complete = true
+	c.SetServers(now, servers("p", 2), servers("d", 1), strictPool, testTargets)
+	c.decodes[0].polled = true
+	const prompt, estimate, ceiling = 3000, 200, 1440
+	for n := range 4 {
+		ask := Ask{Key: fmt.Sprint(n), Account: "a", Weight: 1, Class: rule.ClassInteractive, PromptTokens: prompt, MaxTokens: estimate, Ceiling: ceiling}
+		now = now.Add(200 * time.Millisecond)
+		c.Offer(now, ask)
+		c.Step(now)
+	}
+	d := c.decodes[0]
+	before := d.used
+	now = now.Add(time.Duration(2 * estimate * float64(time.Second) * d.steps.step(4)))
+	c.advance(now, d)
+	if grown := d.used - before; grown < 4*estimate/strictPool.Block/2 {
+		t.Errorf("streams twice as long as estimated keep %d pieces more, less than half of what they made", grown)
+	}
+	now = now.Add(time.Hour)
+	c.advance(now, d)
+	if most := 4 * c.piecesOf(Ask{PromptTokens: prompt, MaxTokens: ceiling}); d.used > most {
+		t.Errorf("streams keep %d pieces, more than the %d that they can ever need", d.used, most)
+	}
+	for n := range 4 {
+		c.Release(now, fmt.Sprint(n), Report{})
+	}
+	if d.used != 0 {
+		t.Errorf("%d pieces are held for nobody", d.used)
+	}
+}
+
+// Replays the loss of a dispatcher under load: the next one knows all places from the instances and gives out no more
+// memory than there is.
+func TestANewDispatcherKnowsThePlacesOfTheOneBefore(t *testing.T) {
+	now := clockStart
+	set := func(c *Core) {
+		c.SetServers(now, servers("p", 2), servers("d", 2), strictPool, testTargets)
+	}
+	old := NewCore(now)
+	old.complete = true
+	set(old)
+	var holdings []Holding
+	for n := range 12 {
+		ask := Ask{Key: fmt.Sprint(n), Account: "a", Weight: 1, Class: rule.ClassInteractive, PromptTokens: 3000, MaxTokens: 500}
+		for _, d := range old.decodes {
+			d.polled = true
+		}
+		now = now.Add(150 * time.Millisecond)
+		old.Offer(now, ask)
+		for _, decision := range old.Step(now) {
+			if decision.Err == nil {
+				holdings = append(holdings, Holding{Key: decision.Key, Decode: decision.Decode, PromptTokens: 3000, MaxTokens: 500})
+			}
+		}
+	}
+	next := NewCore(now)
+	set(next)
+	for _, h := range append(holdings, holdings...) { // told twice, by the instance and by another dispatcher
+		next.Adopt(now, h)
+	}
+	for n, d := range next.decodes {
+		if d.used != old.decodes[n].used {
+			t.Errorf("unexpected memory of %s, got %d pieces instead of %d", d.server.Server, d.used, old.decodes[n].used)
+		}
+	}
+}
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -60,12 +60,18 @@
 	delete(b.cells[id], key)
 }
 
+// list returns the places at a cell's pools, those of other shares too: servers change shares when a pool grows.
 func (b *book) list(id ID) []Holding {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]Holding, 0, len(b.cells[id]))
-	for _, h := range b.cells[id] {
-		out = append(out, h)
+	var out []Holding
+	for other, holdings := range b.cells {
+		if other.Prefill != id.Prefill || other.Decode != id.Decode {
+			continue
+		}
+		for _, h := range holdings {
+			out = append(out, h)
+		}
 	}
 	return out
 }
--- a/cell/message.go
+++ b/cell/message.go
@@ -141,8 +141,9 @@
 	return x ^ x>>33
 }
 
-// maxCellServers is the number of decode servers in one cell.
-const maxCellServers = 64
+// maxCellServers is the number of decode servers in one cell. A placement looks at each of them, which takes some ten
+// microseconds at this number; more cells share the accounts' rates less exactly.
+const maxCellServers = 256
 
 // shares returns the number of cells that a decode pool is cut into.
 func shares(decodes int) int {
--- a/cell/meter.go
+++ b/cell/meter.go
@@ -28,9 +28,10 @@
 
 func newMeters() meters { return meters{accounts: make(map[string]*meter), share: 1} }
 
-// hear sets the share from the part of the fleet that the dispatcher hears.
-func (m *meters) hear(heard, known int) {
-	m.share = min(1, hearingSlack*float64(heard)/float64(max(known, 1)))
+// hear sets the share from the part of the fleet that the dispatcher hears, and the number of cells that meter the
+// same accounts.
+func (m *meters) hear(heard, known, cells int) {
+	m.share = min(1, hearingSlack*float64(heard)/float64(max(known, 1)*max(cells, 1)))
 }
 
 // take charges a request, or returns the time after which its account has the tokens.
@@ -45,7 +46,7 @@
 		b.level -= float64(ask.Charge)
 		return 0, true
 	}
-	return max(seconds((need-b.level)/(b.rate*m.share)), minMeterRetry), false
+	return max(seconds((need-b.level)/(b.rate*m.share)).Truncate(time.Millisecond)+time.Millisecond, minMeterRetry), false
 }
 
 // giveBack returns the charge of a request that was not placed.
--- /dev/null
+++ b/cell/meter_test.go
@@ -0,0 +1,102 @@
+package cell
+
+import (
+	"testing"
+	"time"
+)
+
+// Figures of an account as the users' sites have them.
+const (
+	testRate   = 70_000.0
+	testBurst  = 70_000.0
+	testCharge = 4_440
+	window     = 8 * time.Second
+	overRated  = 0.1     // that the users allow on top
+	slack      = 190_000 // tokens, the same
+)
+
+// admitted runs requests of one account, a fixed time apart, past dispatchers that each take an equal part.
+func admitted(dispatchers []*meters, every time.Duration) int {
+	tokens, now := 0, clockStart
+	for n := 0; now.Sub(clockStart) < window; n++ {
+		now = now.Add(every)
+		m := dispatchers[n%len(dispatchers)]
+		if _, ok := m.take(now, Ask{Account: "hot", Charge: testCharge, Rate: testRate, Burst: testBurst}); ok {
+			tokens += testCharge
+		}
+	}
+	return tokens
+}
+
+func newMetersHearing(heard, known, cells int) *meters {
+	m := newMeters()
+	m.hear(heard, known, cells)
+	return &m
+}
+
+// Replays the load of an account that sends eight times its rate, while the fleet is divided.
+func TestAHotAccountGetsNoMoreThanItsRate(t *testing.T) {
+	allowed := int((testRate*window.Seconds()+testBurst)*(1+overRated)) + slack
+	const hot = 8 * time.Millisecond // between requests: eight times the rate
+	cases := []struct {
+		name        string
+		dispatchers []*meters
+	}{
+		{"one dispatcher", []*meters{newMetersHearing(9, 9, 1)}},
+		{"two for a moment that hear all", []*meters{newMetersHearing(9, 9, 2), newMetersHearing(9, 9, 2)}},
+		{"three of nine are cut off, each alone", []*meters{
+			newMetersHearing(6, 9, 1), newMetersHearing(1, 9, 1), newMetersHearing(1, 9, 1), newMetersHearing(1, 9, 1),
+		}},
+		{"two halves", []*meters{newMetersHearing(5, 9, 1), newMetersHearing(4, 9, 1)}},
+		{"four cells", []*meters{
+			newMetersHearing(9, 9, 4), newMetersHearing(9, 9, 4), newMetersHearing(9, 9, 4), newMetersHearing(9, 9, 4),
+		}},
+	}
+	for _, c := range cases {
+		if got := admitted(c.dispatchers, hot); got > allowed {
+			t.Errorf("%s: %d tokens in %v, more than the %d allowed", c.name, got, window, allowed)
+		}
+	}
+}
+
+// An account within its rate is not refused after the first second, also by a dispatcher that has just begun.
+func TestAnAccountWithinItsRateIsServed(t *testing.T) {
+	m := newMeters()
+	refused, now := 0, clockStart
+	every := seconds(testCharge / (0.9 * testRate))
+	for now.Sub(clockStart) < window {
+		now = now.Add(every)
+		if _, ok := m.take(now, Ask{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}); !ok {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d requests within the rate were refused", refused)
+	}
+}
+
+func TestDebitsOfPlainRequestsCount(t *testing.T) {
+	m := newMeters()
+	debit := Debit{Account: "a", Tokens: 3 * testBurst, Rate: testRate, Burst: testBurst}
+	if debt := m.debit(clockStart, debit); debt < time.Second {
+		t.Errorf("unexpected debt, got %v instead of seconds", debt)
+	}
+	wait, ok := m.take(clockStart, Ask{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst})
+	if ok || wait < time.Second {
+		t.Errorf("unexpected charge of an account in debt, got %v %v", ok, wait)
+	}
+	if _, ok := m.take(clockStart.Add(wait), Ask{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}); !ok {
+		t.Error("the account was refused at the time when it was told to come back")
+	}
+}
+
+func TestChargesOfRequestsThatAreNotPlacedAreGivenBack(t *testing.T) {
+	m := newMeters()
+	ask := Ask{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}
+	for n := range 100 {
+		if _, ok := m.take(clockStart, ask); !ok {
+			t.Fatalf("request %d was refused although those before gave their charge back", n)
+		}
+		m.giveBack(ask)
+	}
+}
--- a/registry/view.go
+++ b/registry/view.go
@@ -20,7 +20,7 @@
 const blockTokens = 16
 
 // memoryShare is the part of an engine's memory that is given out: few requests reach their expected end together.
-const memoryShare = 1.04
+const memoryShare = 1.06
 
 // waitShare bounds the wait of a model request by its aim: one that would be late is worth a fifth of one on time.
 const waitShare = 1.0
