Explain a request from the logs; pages on the platform and for on-call engineers

teaselgate explain ID reads the logs of all instances, orders them by stamp and names the outcome and the cause; each line of the log carries the stamp now, and lines about requests are never folded (they were, five equal ones in 10 s, which hid ids). A refusal carries the dispatcher's reason.

--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -129,6 +129,9 @@
 
 func replyOf(d Decision, waiting int) PlaceReply {
 	r := PlaceReply{Status: Placed, Prefill: d.Prefill, Decode: d.Decode, Early: d.Early, RetryIn: d.RetryIn, Waiting: waiting, Inputs: d.Inputs}
+	if d.Err != nil {
+		r.Reason = d.Err.Error()
+	}
 	switch {
 	case errors.Is(d.Err, ErrShed):
 		r.Status = Shed
--- a/cell/message.go
+++ b/cell/message.go
@@ -45,7 +45,8 @@
 	Decode  string
 	Early   bool // a report is wanted as soon as the transfer has ended
 	RetryIn time.Duration
-	Waiting int // requests that wait in the cell
+	Reason  string // of a request that gets no place
+	Waiting int    // requests that wait in the cell
 	Inputs  Inputs
 }
 
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -143,11 +143,11 @@
 func (p *Placer) finish(m fleet.Member, id ID, r Request, reply PlaceReply) (*Placement, error) {
 	switch reply.Status {
 	case Shed:
-		return nil, &Refusal{Err: shed.New("cell: the request could not be answered in time"), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
+		return nil, &Refusal{Err: shed.New("cell: shed by %s: %s", m.Name, reply.Reason), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
 	case OverRate:
 		return nil, &Refusal{Err: overRate.New("cell: the client account is over its rate"), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
 	case NoServer:
-		return nil, &Refusal{Err: noServer.New("cell: no server can take the request"), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
+		return nil, &Refusal{Err: noServer.New("cell: no server at %s: %s", m.Name, reply.Reason), RetryAt: p.Hub.Now().Add(reply.RetryIn)}
 	}
 	rules := p.Hub.Rules()
 	prefill, ok1 := p.directory.liveServer(rules, r.Model.Prefill, reply.Prefill)
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -74,6 +74,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(
 		newServe(),
+		newExplain(),
 		newCheck(),
 		newPlan(),
 		newApprove(),
--- /dev/null
+++ b/cli/explain.go
@@ -0,0 +1,57 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"teaselgate/event"
+	"teaselgate/timeline"
+)
+
+func newExplain() *cobra.Command {
+	var logs []string
+	cmd := &cobra.Command{
+		Use:   "explain ID",
+		Short: "Tell the story of one request from the logs of all instances",
+		Long: "Reads logs in JSON, of one or of all instances together, and prints what was decided on one request, in order\n" +
+			"over all instances whatever their clocks say, what was believed of its servers then, and the cause of its end.",
+		Example: "  teaselgate explain 9c41d07be2a35f68 < all.log\n" +
+			"  teaselgate explain 9c41d07be2a35f68 --log i1.log --log i2.log",
+		Args: exactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			events, err := readLogs(cmd, logs)
+			if err != nil {
+				return err
+			}
+			story, ok := timeline.Explain(events, args[0])
+			if !ok {
+				return fmt.Errorf("cli: the logs say nothing of request %q", args[0])
+			}
+			return timeline.WriteStory(cmd.OutOrStdout(), story)
+		},
+	}
+	cmd.Flags().StringSliceVar(&logs, "log", nil, "file with a log; may be given several times; without it standard input is read")
+	return cmd
+}
+
+func readLogs(cmd *cobra.Command, files []string) ([]event.Event, error) {
+	if len(files) == 0 {
+		return timeline.ReadLog(cmd.InOrStdin())
+	}
+	var all []event.Event
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("cli: unable to open a log: %w", err)
+		}
+		events, err := timeline.ReadLog(file)
+		file.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, events...)
+	}
+	return all, nil
+}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime/debug"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
@@ -90,7 +91,7 @@
 	log.SetOutput(out)
 	log.SetLevel(level)
 	if o.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	}
 	return log, nil
 }
--- a/entry/refusal_test.go
+++ b/entry/refusal_test.go
@@ -29,7 +29,7 @@
 			}
 		}
 	}
-	page, err := os.ReadFile("../docs/OPERATING.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -72,6 +72,11 @@
 	if r.Log == nil || !r.Log.IsLevelEnabled(definition.Level) {
 		return
 	}
+	if e.Request != "" {
+		// Each decision on a request has its line; the log's writer bounds their volume.
+		r.entry(e).Log(definition.Level, definition.Text)
+		return
+	}
 	logged, held := r.repeats.admit(e, e.Time)
 	for key, n := range held {
 		again := Event{Code: key.code, Name: Catalogue[key.code].Name, Account: key.account, Server: key.server, Detail: key.detail}
@@ -83,7 +88,7 @@
 }
 
 func (r *Recorder) entry(e Event) *logrus.Entry {
-	fields := logrus.Fields{"event": int(e.Code), "name": e.Name, "instance": r.Instance}
+	fields := logrus.Fields{"event": int(e.Code), "name": e.Name, "instance": r.Instance, "stamp": uint64(e.Stamp)}
 	addField(fields, "request", e.Request)
 	addField(fields, "account", e.Account)
 	addField(fields, "server", e.Server)
--- a/forward/model.go
+++ b/forward/model.go
@@ -234,6 +234,6 @@
 	if m.route.Resumable && resp.StatusCode >= http.StatusInternalServerError && m.ran < m.route.MaxAttempts {
 		return ending{failed: true, kept: &whole{resp.Response, text}, reason: fmt.Sprintf("decode: status %d", resp.StatusCode)}
 	}
-	m.passWhole(&whole{resp.Response, text})
+	m.passWhole(&whole{resp.Response, text}, "")
 	return ending{answered: true}
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -86,7 +86,7 @@
 
 func (q *request) endFailed(ctx context.Context, end ending) {
 	if end.kept != nil {
-		q.passWhole(end.kept)
+		q.passWhole(end.kept, "")
 		return
 	}
 	q.fail(ctx, end.reason)
@@ -141,7 +141,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError && q.route.Kind == platform.Idempotent {
 		return ending{kept: answer, reason: fmt.Sprintf("failed with status %d", resp.StatusCode)}
 	}
-	q.passWhole(answer)
+	q.passWhole(answer, id)
 	return ending{answered: true}
 }
 
@@ -174,14 +174,19 @@
 }
 
 // passWhole passes an answer on that was read to its end.
-func (q *request) passWhole(a *whole) {
+func (q *request) passWhole(a *whole, server string) {
 	q.begin(a.Response)
 	q.out.Header()["Content-Length"] = []string{fmt.Sprint(len(a.text))}
 	q.out.WriteHeader(a.StatusCode)
 	if _, err := q.out.Write(a.text); err != nil {
 		q.cancelled("the answer was not taken: " + err.Error())
 	}
-	q.note(event.RequestDone, "", fmt.Sprintf("status %d", a.StatusCode))
+	q.note(event.RequestDone, server, q.doneDetail(a.StatusCode))
+}
+
+// doneDetail tells how a request was answered.
+func (q *request) doneDetail(status int) string {
+	return fmt.Sprintf("status %d after %v, %d servers ran it", status, q.handler.Now().Sub(q.received).Round(time.Millisecond), q.ran)
 }
 
 // passLong passes an answer on as it comes; one that breaks off must not look complete.
@@ -195,7 +200,7 @@
 	if _, err := io.CopyBuffer(q.out, source, make([]byte, copyBufferBytes)); err != nil {
 		q.cancelled("the answer broke off: " + err.Error())
 	}
-	q.note(event.RequestDone, "", fmt.Sprintf("status %d", resp.StatusCode))
+	q.note(event.RequestDone, "", q.doneDetail(resp.StatusCode))
 }
 
 // begin sets the header of a server's answer.
--- a/order/stager.go
+++ b/order/stager.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselgate/event"
+	"teaselgate/platform"
 )
 
 // Times of the work on the split between the stages.
@@ -80,7 +81,7 @@
 		select {
 		case <-ctx.Done():
 			if err := s.Lease.Release(context.WithoutCancel(ctx)); err != nil {
-				s.note(event.OrderLeaseLost, "", err.Error())
+				s.note(event.OrderFailed, "", err.Error())
 			}
 			return
 		case <-tick.C:
@@ -91,8 +92,9 @@
 func (s *Stager) step(ctx context.Context) {
 	now := s.Now()
 	if s.Chosen() && !now.Before(s.tryAt) {
-		if err := s.Lease.Try(ctx); err != nil {
-			s.note(event.OrderLeaseLost, "", err.Error())
+		// A conflict says that another instance has just taken the lease.
+		if err := s.Lease.Try(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
+			s.note(event.OrderFailed, "", err.Error())
 		}
 		s.tryAt = now.Add(renewInterval)
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -29,7 +29,7 @@
 // Refusal is the error given to a caller instead of an answer.
 type Refusal struct {
 	Status  int       // HTTP status
-	Code    string    // machine-readable code, listed in docs/OPERATING.md
+	Code    string    // machine-readable code, listed in docs/OPERATIONS.md
 	Outcome Outcome   // what became of the request
 	Message string    // one sentence for the caller
 	RetryAt time.Time // when a repeat may succeed; zero if not known
--- /dev/null
+++ b/timeline/explain_test.go
@@ -0,0 +1,97 @@
+package timeline
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"teaselgate/event"
+)
+
+// logOf returns the log that instances write of events, as they write it.
+func logOf(events ...event.Event) string {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	recorders := make(map[string]*event.Recorder)
+	clock := event.NewClock()
+	for _, e := range events {
+		r, ok := recorders[e.Instance]
+		if !ok {
+			r = event.NewRecorder(e.Instance, log)
+			r.Clock = clock
+			recorders[e.Instance] = r
+		}
+		r.Record(e)
+	}
+	return out.String()
+}
+
+func TestExplainFindsTheCause(t *testing.T) {
+	cases := []struct {
+		name    string
+		events  []event.Event
+		outcome string
+		cause   string
+		context string
+	}{
+		{
+			"an order whose outcome is unknown",
+			[]event.Event{
+				{Code: event.ServerReady, Instance: "i1", Server: "s1", Detail: "plain of shop at 10.0.0.1:80, version 7"},
+				{Code: event.RequestDone, Instance: "i2", Request: "other", Detail: "status 200"},
+				{Code: event.RequestFailed, Instance: "i1", Request: "x", Server: "s1", Detail: "upstream: no answer of 10.0.0.1:80"},
+				{Code: event.RequestRefused, Instance: "i1", Request: "x", Detail: "upstream: no answer of 10.0.0.1:80"},
+			},
+			"refused", "no answer of 10.0.0.1:80, at server s1", "server-ready",
+		},
+		{
+			"a stream that broke",
+			[]event.Event{
+				{Code: event.RequestPlaced, Instance: "i1", Request: "x", Server: "d1", Detail: "prefill at p1"},
+				{Code: event.RequestFailed, Instance: "i1", Request: "x", Server: "d1", Detail: "the stream broke off: unexpected EOF"},
+				{Code: event.ServerGone, Instance: "i1", Server: "d1", Detail: "version 9"},
+				{Code: event.RequestCancelled, Instance: "i1", Request: "x", Detail: "the stream broke off: unexpected EOF"},
+			},
+			"broken off", "the stream broke off: unexpected EOF, at server d1", "server-gone",
+		},
+		{
+			"a request refused inside its rate",
+			[]event.Event{
+				{Code: event.CellTaken, Instance: "i2", Detail: "llm"},
+				{Code: event.DispatcherSilent, Instance: "i1", Request: "x-1", Server: "i3", Detail: "no answer"},
+				{Code: event.RequestRefused, Instance: "i1", Request: "x", Detail: "cell: the request could not be answered in time"},
+			},
+			"refused", "could not be answered in time", "",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := "collector prefix " + strings.ReplaceAll(logOf(c.events...), "\n", "\nno event in this line\n")
+			events, err := ReadLog(strings.NewReader(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			story, ok := Explain(events, "x")
+			if !ok || !strings.Contains(story.Outcome, c.outcome) || !strings.Contains(story.Cause, c.cause) {
+				t.Errorf("unexpected story, got %q because of %q", story.Outcome, story.Cause)
+			}
+			var out bytes.Buffer
+			if err := WriteStory(&out, story); err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(out.String(), c.context) || strings.Contains(out.String(), "other") {
+				t.Errorf("unexpected text:\n%s", out.String())
+			}
+		})
+	}
+}
+
+func TestExplainNeedsTheRequest(t *testing.T) {
+	if _, ok := Explain(nil, "x"); ok {
+		t.Error("a request that the logs don't name has a story")
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -27,7 +27,10 @@
 	resp, err := e.read(req) //nolint:bodyclose // closed through the answer
 	if err != nil {
 		e.abort()
-		return nil, broken.Wrap(errors.Join(err, ctx.Err()), "upstream: no answer of %s", address)
+		if cause := ctx.Err(); cause != nil {
+			err = cause // the reading failed because the connection was closed then
+		}
+		return nil, broken.Wrap(err, "upstream: no answer of %s", address)
 	}
 	e.header = resp.Header
 	e.last = resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
