Mend two tests that raced

The cancel takes a moment of fake time now, so that all five come first; what is demanded is the same.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -125,7 +125,7 @@
 							a.id = fmt.Sprintf("x%d", n)
 							checkPlain(t, w, a, w.ask(a), f)
 						}
-						time.Sleep(time.Second)
+						pass(time.Second)
 						if n := working(w.plain); n > 0 {
 							t.Errorf("%d requests still run", n)
 						}
@@ -207,7 +207,7 @@
 					}
 					a.leave = leave
 					w.ask(a)
-					time.Sleep(cancelBound - leave)
+					pass(cancelBound - leave)
 					if n := working(w.plain, w.prefill, w.decode); n > 0 {
 						t.Errorf("%d requests still run %v after their caller left", n, cancelBound)
 					}
@@ -226,7 +226,7 @@
 		if n := runs(w.decode, "d1"); n != 1 {
 			t.Errorf("the stream ran %d times", n)
 		}
-		time.Sleep(time.Second)
+		pass(time.Second)
 		for _, s := range append(w.prefill, w.decode...) {
 			if s.Used() > 0 {
 				t.Errorf("%s still holds %d tokens", s.ID, s.Used())
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -241,6 +241,9 @@
 	}
 }
 
+// pass lets faked time pass.
+func pass(d time.Duration) { <-time.After(d) }
+
 // all sets the faults of a group of servers.
 func all(servers []*backend.Server, f backend.Faults) {
 	for _, s := range servers {
--- a/order/stager_test.go
+++ b/order/stager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +58,7 @@
 
 // stageEngines are engines in fake time that a stager orders about.
 type stageEngines struct {
+	mu     sync.Mutex
 	decode map[string]bool
 	held   map[string]bool
 	fence  uint64
@@ -65,6 +67,8 @@
 }
 
 func (e *stageEngines) order(_ context.Context, o StageOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if o.Fence < e.fence {
 		return ErrStaleFence
 	}
@@ -74,7 +78,11 @@
 		return e.err
 	}
 	const switchTime = 6 * time.Second
-	time.AfterFunc(switchTime, func() { e.decode[o.Server] = o.Decode })
+	time.AfterFunc(switchTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.decode[o.Server] = o.Decode
+	})
 	return nil
 }
 
@@ -87,6 +95,8 @@
 }
 
 func (e *stageEngines) count(decode bool) (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for server, d := range e.decode {
 		if d == decode && !e.held[server] {
 			n++
@@ -108,6 +118,8 @@
 			return Load{Prefill: prefill, Decode: decode, Prefills: e.count(false), Decodes: e.count(true)}, true
 		},
 		Pick: func(decode bool) (Candidate, bool) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
 			for n := range len(e.decode) {
 				if server := fmt.Sprintf("e%02d", n); e.decode[server] != decode && !e.held[server] {
 					return Candidate{Server: server}, true
@@ -115,8 +127,16 @@
 			}
 			return Candidate{}, false
 		},
-		Hold:   func(server string, until time.Time) { e.held[server] = until.After(time.Now()) },
-		Shows:  func(server string, decode bool) (bool, bool) { return e.decode[server] == decode, true },
+		Hold: func(server string, until time.Time) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.held[server] = until.After(time.Now())
+		},
+		Shows: func(server string, decode bool) (bool, bool) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.decode[server] == decode, true
+		},
 		Order:  e.order,
 		Record: func(event.Event) {},
 		Now:    time.Now,
--- a/outcome/canceller_test.go
+++ b/outcome/canceller_test.go
@@ -15,10 +15,14 @@
 	mu   sync.Mutex
 	sent map[string][]time.Duration // since the start, by attempt
 	fail func(at string, n int) bool
+	took time.Duration // of one cancel
 }
 
 func (l *cancelLog) send(start time.Time) func(context.Context, string, string) error {
 	return func(_ context.Context, at, attempt string) error {
+		if l.took > 0 {
+			<-time.After(l.took)
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.sent[attempt] = append(l.sent[attempt], time.Since(start))
@@ -57,7 +61,8 @@
 }
 
 func TestCancelIsSentOnceWhenConfirmed(t *testing.T) {
-	l := &cancelLog{}
+	// All five are asked for before the first is confirmed; one asked for later would rightly be sent again.
+	l := &cancelLog{took: time.Millisecond}
 	runCanceller(t, l, func(c *Canceller) {
 		for range 5 {
 			c.Cancel("d1", "a-1", false)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -144,7 +144,7 @@
 			if _, err := p.get(t.Context(), id); err != nil {
 				t.Fatal(err)
 			}
-			time.Sleep(time.Duration(n+1) * time.Second) // 1 s is within the server's 3 s less the margin, 2 s is not
+			<-time.After(time.Duration(n+1) * time.Second) // 1 s is within the server's 3 s less the margin, 2 s is not
 		}
 		if s.dialed != 2 {
 			t.Errorf("unexpected number of connections, got %d instead of 2", s.dialed)
