Remove the entries of instances that are gone, and rank unheard ones last

Ruled out: an overloaded dispatcher (all dials were to that one address). Change: instances known from the list only rank last; the oldest instance removes entries of those gone for 10 s; an instance writes its entry as often as it takes, and outranks its earlier run if the clock was set back meanwhile.

--- a/cell/placer.go
+++ b/cell/placer.go
@@ -286,8 +286,7 @@
 		weights[m.Name] = weightOf(id.Prefill, id.Decode, string(rune('0'+id.Share)), m.Name)
 	}
 	slices.SortFunc(members, func(a, b fleet.Member) int {
-		// Zero, of an instance that is not known by its own word yet, counts as the youngest.
-		return cmp.Or(cmp.Compare(a.Incarnation-1, b.Incarnation-1), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(unheard(a), unheard(b)), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Name, b.Name))
 	})
 	byWeight := func(a, b fleet.Member) int {
 		return cmp.Or(cmp.Compare(weights[b.Name], weights[a.Name]), cmp.Compare(a.Name, b.Name))
@@ -296,6 +295,14 @@
 	return members[:min(len(members), maxDispatchers)]
 }
 
+// unheard is 1 for an instance that is known from the platform's list only: it may be gone for long.
+func unheard(m fleet.Member) int {
+	if m.Heartbeat == 0 {
+		return 1
+	}
+	return 0
+}
+
 // giveBack returns a place. A report to another instance is sent in the background; one that is
 // lost is made up for by the place's deadline.
 func (p *Placer) giveBack(m fleet.Member, id ID, r Released) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -175,6 +175,38 @@
 	return heard, known
 }
 
+// Incarnation returns the number of this run of the instance.
+func (f *Fleet) Incarnation() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Self.Incarnation
+}
+
+// Outrank raises the number of this run above that of an earlier one that is as high, and returns it.
+func (f *Fleet) Outrank(earlier uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.Self.Incarnation <= earlier {
+		f.Self.Incarnation = earlier + 1
+		f.Self.Heartbeat++
+		f.updates.add(f.Self, len(f.members))
+	}
+	return f.Self.Incarnation
+}
+
+// GoneFor returns the instances that have been gone for a time, without a word that they left.
+func (f *Fleet) GoneFor(d time.Duration) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []Member
+	for _, e := range f.members {
+		if e.member.State == Gone && f.Now().Sub(e.since) >= d {
+			out = append(out, e.member)
+		}
+	}
+	return out
+}
+
 // LastLoss returns when an instance was last found to have ended without a graceful leave.
 func (f *Fleet) LastLoss() time.Time {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"teaselgate/peer"
 )
 
 // run runs a test with a network in faked time.
@@ -144,3 +146,18 @@
 		}
 	})
 }
+
+// Replays the load of a clock that was set back before an instance started again: peers must believe the new run.
+func TestARunOutranksAnEarlierOneWithAHigherNumber(t *testing.T) {
+	f := New(Member{Name: "a", Incarnation: 5}, peer.NewPool("secret"))
+	if got := f.Outrank(9); got != 10 || f.Incarnation() != 10 {
+		t.Errorf("unexpected number of the run, got %d instead of 10", got)
+	}
+	if got := f.Outrank(3); got != 10 {
+		t.Errorf("unexpected number of the run, got %d although it was higher already", got)
+	}
+	old := Member{Name: "a", Incarnation: 9, Heartbeat: 100, State: Gone}
+	if !f.Members()[0].newer(old) {
+		t.Error("peers that hold the earlier run for gone would not believe the new one")
+	}
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -64,6 +64,7 @@
 type entry struct {
 	member  Member
 	suspect time.Time // when a suspect is taken for gone
+	since   time.Time // when the member's newest statement came
 }
 
 var (
--- a/fleet/update.go
+++ b/fleet/update.go
@@ -77,7 +77,7 @@
 	if m.State == Gone || known && m.Incarnation > old.member.Incarnation && old.member.unfinished() {
 		f.lost = f.Now()
 	}
-	f.members[m.Name] = &entry{member: m, suspect: f.Now().Add(suspectTimeout)}
+	f.members[m.Name] = &entry{member: m, suspect: f.Now().Add(suspectTimeout), since: f.Now()}
 	f.updates.add(m, len(f.members))
 	f.mu.Unlock()
 	if changed {
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
 	"github.com/thejerf/suture/v4"
 
+	"teaselgate/delay"
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/platform"
@@ -42,8 +44,20 @@
 	i.rules.Nudge(address, revision)
 }
 
-// announce writes this instance's entry at the platform.
-func (i *Instance) announce(ctx context.Context, state fleet.State) {
+// announceRetry is the time between tries to write this instance's entry while the platform is down.
+const announceRetry = time.Second
+
+// join writes this instance's entry, as often as it takes.
+func (i *Instance) join(ctx context.Context) {
+	for !i.announce(ctx, fleet.Live) && !i.leaving.Load() {
+		if delay.For(ctx, announceRetry) != nil {
+			return
+		}
+	}
+}
+
+// announce writes this instance's entry at the platform; it returns true if that succeeded.
+func (i *Instance) announce(ctx context.Context, state fleet.State) bool {
 	ctx, stop := context.WithTimeout(ctx, announceTimeout)
 	defer stop()
 	entry := platform.Instance{
@@ -53,16 +67,31 @@
 		Admin: i.AdminAddress(),
 		State: state.String(),
 
-		Incarnation: i.incarnation,
+		Incarnation: i.fleet.Incarnation(),
 	}
 	old, err := i.platform.Get(ctx, platform.InstanceKind, i.Options.Name)
+	if i.registry != nil {
+		i.outrank(old, &entry)
+	}
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
-		return
+		return false
 	}
 	if _, err := i.platform.Update(ctx, platform.InstanceKind, i.Options.Name, old.Version, entry); err != nil {
 		i.events.Record(event.Event{Code: event.PlatformLost, Detail: err.Error()})
+		return false
+	}
+	return true
+}
+
+// outrank gives this run a higher number than the one before, if the clock was set back between them: peers take the
+// statements of a lower one for old.
+func (i *Instance) outrank(old platform.Object, entry *platform.Instance) {
+	var before platform.Instance
+	if len(old.Data) == 0 || json.Unmarshal(old.Data, &before) != nil || before.Incarnation <= entry.Incarnation {
+		return
 	}
+	entry.Incarnation = i.fleet.Outrank(before.Incarnation)
 }
 
 // withdraw removes this instance's entry at the platform.
--- a/instance/build_registry.go
+++ b/instance/build_registry.go
@@ -17,6 +17,7 @@
 	i.registry.Record = i.events.Record
 	i.registry.Fenced = i.Options.Engine.Fenced
 	supervisor.Add(i.registry)
+	supervisor.Add(&entryPruner{i})
 	return i.peerServer.Register(registry.RPCName, i.registry.Receiver())
 }
 
@@ -35,7 +36,7 @@
 func (i *Instance) rank() int {
 	n := 0
 	for _, m := range i.fleet.Live() {
-		if m.Incarnation < i.incarnation {
+		if m.Incarnation < i.fleet.Incarnation() {
 			n++
 		}
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -126,7 +126,7 @@
 	done := supervisor.ServeBackground(background)
 	go func() { fail(serveHTTP(caller, i.connections, i.callerTLS)) }()
 	go func() { fail(serveHTTP(admin, i.listeners.admin, i.adminTLS)) }()
-	i.announce(background, fleet.Live)
+	go i.join(background)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
 	<-ctx.Done()
 	err := errors.Join(listenerFailure(ctx), i.leave(background, caller, endRequests))
