--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -17,6 +17,7 @@
 	minPoll      = time.Second
 	pollSpacing  = 40 * time.Millisecond // a dispatcher polls each server once in this time per server
 	cellLife     = 30 * time.Second      // an unused cell is dropped after this time
+	pollLife     = 3 * time.Second       // servers are not polled for a cell that is not used any more; each poll is priced
 )
 
 // dispatcher gives out the places of one cell.
@@ -209,6 +210,9 @@
 func (d *dispatcher) due(now time.Time) []poll {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now.Sub(d.used) > pollLife {
+		return nil
+	}
 	interval := max(minPoll, time.Duration(len(d.core.prefills)+len(d.core.decodes))*pollSpacing)
 	var out []poll
 	for _, s := range d.core.decodes {
