End places whose reports were lost by asking instances what they hold

Ruled out: the store (slow only until 17 s), slow machines (shedding began before them). Change: each second a dispatcher asks the instances what they hold; a place that its instance does not hold any more has ended, and so have those of instances not heard for 4 s.

--- a/cell/core.go
+++ b/cell/core.go
@@ -25,6 +25,7 @@
 // Ask is what a dispatcher needs to know of a request.
 type Ask struct {
 	Key          string // request and attempt
+	From         string // name of the instance that asks
 	Account      string
 	Weight       int
 	Class        rule.Class
@@ -63,6 +64,7 @@
 // reservation is a place that was given.
 type reservation struct {
 	key          string
+	from         string // instance that holds it; empty if engines are asked instead
 	prefill      *prefillServer
 	decode       *decodeServer
 	pieces       int
@@ -108,6 +110,7 @@
 	lateRate rateMeter
 	meters   meters
 	demand   demand
+	heard    map[string]instant // instances, when they were last heard
 	holds    map[string]instant // servers that get no new work, until when
 	backlog  bool               // requests were left waiting by the last step
 	complete bool               // the instances told what they hold, or took too long
@@ -125,6 +128,7 @@
 		items:   make(map[string]*item),
 		placed:  make(map[string]*reservation),
 		meters:  newMeters(),
+		heard:   make(map[string]instant),
 		holds:   make(map[string]instant),
 		started: now,
 		swept:   now,
@@ -347,7 +351,7 @@
 		return false
 	}
 	r := &reservation{
-		key: i.ask.Key, prefill: p, decode: d, pieces: pieces, promptTokens: i.ask.PromptTokens,
+		key: i.ask.Key, from: i.ask.From, prefill: p, decode: d, pieces: pieces, promptTokens: i.ask.PromptTokens,
 		maxTokens: i.ask.MaxTokens, ceiling: i.ask.Ceiling, cached: hit, prefixes: i.ask.Prefixes, work: w, placed: now,
 	}
 	p.book(r)
--- a/cell/growth_test.go
+++ b/cell/growth_test.go
@@ -81,3 +81,42 @@
 		}
 	}
 }
+
+// Replays the load of a dispatcher that stood still while the places that it had given ended: it must not take the
+// servers for full after that.
+func TestPlacesWhoseReportsWereLostEnd(t *testing.T) {
+	now := clockStart
+	c := NewCore(now)
+	c.complete = true
+	c.SetServers(now, servers("p", 2), servers("d", 1), strictPool, testTargets)
+	d := c.decodes[0]
+	d.polled = true
+	for n := range 6 {
+		now = now.Add(200 * time.Millisecond)
+		c.Offer(now, Ask{
+			Key: fmt.Sprint(n), From: fmt.Sprint("i", n%3), Account: "a", Weight: 1, Class: rule.ClassInteractive,
+			PromptTokens: 3000, MaxTokens: 500,
+		})
+		c.Step(now)
+	}
+	full := d.used
+	now = now.Add(4 * time.Second)
+	c.Reconcile(now, now, "i0", []Holding{{Key: "3", From: "i0", Decode: d.server.Server, PromptTokens: 3000, MaxTokens: 500}})
+	if d.used != full*5/6 {
+		t.Errorf("unexpected memory, got %d pieces instead of %d: one of six places has ended", d.used, full*5/6)
+	}
+	c.EndGone(now, map[string]bool{"i0": true, "i1": true, "i2": true})
+	now = now.Add(goneDelay + time.Second)
+	c.EndGone(now, map[string]bool{"i0": true, "i1": true})
+	if d.used != full*3/6 {
+		t.Errorf("unexpected memory, got %d pieces instead of %d: the places of an instance that is gone have ended", d.used, full*3/6)
+	}
+	c.Reconcile(now, now.Add(-time.Minute), "i1", nil)
+	if d.used != full*3/6 {
+		t.Error("an old answer ended places that were given after it")
+	}
+	c.Reconcile(now, now, "i1", nil)
+	if d.used != full/6 {
+		t.Errorf("unexpected memory, got %d pieces instead of %d", d.used, full/6)
+	}
+}
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -4,11 +4,14 @@
 	"context"
 	"sync"
 	"time"
+
+	"teaselgate/delay"
 )
 
 // Holding is a place that an instance holds. A new dispatcher learns from the instances which places were given.
 type Holding struct {
 	Key          string
+	From         string // name of the instance that holds it
 	Decode       string
 	PromptTokens int
 	MaxTokens    int // of the answer, as estimated
@@ -103,10 +106,10 @@
 	ctx, stop := context.WithTimeout(context.Background(), gatherTimeout)
 	defer stop()
 	var asks sync.WaitGroup
-	for _, address := range h.Peers() {
+	for _, m := range h.Peers() {
 		asks.Go(func() {
 			var reply HoldingsReply
-			if h.Call(ctx, address, RPCName+".Holdings", HoldingsArgs{Cell: d.id}, &reply) == nil {
+			if h.Call(ctx, m.Peer, RPCName+".Holdings", HoldingsArgs{Cell: d.id}, &reply) == nil {
 				d.adopt(h.Now(), reply.Holdings, false)
 			}
 		})
@@ -117,6 +120,101 @@
 	h.nudge()
 }
 
+// Timing of reconciling.
+const (
+	reconcileInterval = time.Second
+	reconcileTimeout  = 400 * time.Millisecond
+	reportDelay       = 500 * time.Millisecond // that a place's report may be on its way
+	goneDelay         = 4 * time.Second        // after which the places of an instance that is not heard have ended
+)
+
+// reconcileLoop reconciles the cells that this instance dispatches until the context ends. Load that it answers: reports
+// of places that ended were lost, since this instance or its links stood still; it would take the servers for full.
+func (h *Hub) reconcileLoop(ctx context.Context) {
+	for delay.For(ctx, reconcileInterval) == nil {
+		for _, d := range h.dispatchers() {
+			if d.active(h.Now()) {
+				h.reconcile(ctx, d)
+			}
+		}
+	}
+}
+
+// reconcile asks all instances what they hold in a cell, and ends the places that they hold no more.
+func (h *Hub) reconcile(ctx context.Context, d *dispatcher) {
+	ctx, stop := context.WithTimeout(ctx, reconcileTimeout)
+	defer stop()
+	asked := h.Now()
+	live := map[string]bool{h.Self: true}
+	var asks sync.WaitGroup
+	for _, m := range h.Peers() {
+		live[m.Name] = true
+		asks.Go(func() {
+			var reply HoldingsReply
+			if h.Call(ctx, m.Peer, RPCName+".Holdings", HoldingsArgs{Cell: d.id}, &reply) == nil {
+				d.reconcile(h.Now(), asked, m.Name, reply.Holdings)
+			}
+		})
+	}
+	d.reconcile(h.Now(), asked, h.Self, h.holdings.list(d.id))
+	asks.Wait()
+	d.mu.Lock()
+	d.core.EndGone(d.clock(h.Now()), live)
+	d.mu.Unlock()
+}
+
+func (d *dispatcher) reconcile(now, asked time.Time, from string, holdings []Holding) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.Reconcile(d.clock(now), d.clock(asked), from, holdings)
+	d.step(now)
+}
+
+// active tells whether the cell has been used lately.
+func (d *dispatcher) active(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.used) <= pollLife
+}
+
+// Reconcile takes in what an instance held when it was asked: places that it does not hold any more have ended, and
+// places that are not known here were given by another dispatcher.
+func (c *Core) Reconcile(now, asked instant, from string, holdings []Holding) {
+	listed := make(map[string]bool, len(holdings))
+	for _, h := range holdings {
+		listed[h.Key] = true
+	}
+	c.end(now, func(r *reservation) bool {
+		return r.from == from && !listed[r.key] && r.placed.Add(reportDelay).Before(asked)
+	})
+	for _, h := range holdings {
+		c.Adopt(now, h)
+	}
+}
+
+// EndGone ends the places of instances that have not been heard for a while: their callers' connections are broken.
+func (c *Core) EndGone(now instant, live map[string]bool) {
+	for name := range live {
+		c.heard[name] = now
+	}
+	c.end(now, func(r *reservation) bool {
+		if r.from == "" || live[r.from] {
+			return false
+		}
+		last, ok := c.heard[r.from]
+		return !ok && now.Sub(r.placed) > goneDelay || ok && now.Sub(last) > goneDelay
+	})
+}
+
+// end ends the places that a filter names.
+func (c *Core) end(now instant, ended func(*reservation) bool) {
+	for _, r := range c.placed {
+		if ended(r) {
+			c.Release(now, r.key, Report{})
+		}
+	}
+}
+
 func (d *dispatcher) adopt(now time.Time, holdings []Holding, last bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -134,7 +232,7 @@
 	}
 	d.advance(now)
 	r := &reservation{
-		key: h.Key, decode: d, promptTokens: h.PromptTokens, maxTokens: h.MaxTokens, ceiling: h.Ceiling, placed: now,
+		key: h.Key, from: h.From, decode: d, promptTokens: h.PromptTokens, maxTokens: h.MaxTokens, ceiling: h.Ceiling, placed: now,
 		pieces: c.piecesOf(Ask{PromptTokens: h.PromptTokens, MaxTokens: h.MaxTokens}),
 	}
 	r.deadline = now.Add(seconds(float64(r.maxTokens) * d.steps.step(d.slots))).Add(placeLife)
--- a/cell/hub.go
+++ b/cell/hub.go
@@ -7,6 +7,7 @@
 
 	"teaselgate/engine"
 	"teaselgate/event"
+	"teaselgate/fleet"
 	"teaselgate/rule"
 )
 
@@ -25,8 +26,9 @@
 	Record func(event.Event)
 	Now    func() time.Time
 	Heard  func() (heard, known int) // instances of the fleet that this one hears, itself included, and all known
-	// Peers lists the addresses of the other instances, which are asked what they hold; nil: engines are asked.
-	Peers   func() []string
+	// Peers lists the other instances that are heard, which are asked what they hold; nil: engines are asked.
+	Peers   func() []fleet.Member
+	Self    string // name of this instance
 	Call    func(ctx context.Context, address, method string, args, reply any) error
 	Leaving func() bool // whether this instance gives its cells up; nil means never
 
@@ -159,6 +161,9 @@
 // Serve steps the cells and polls their servers until the context ends.
 func (h *Hub) Serve(ctx context.Context) error {
 	defer h.polls.Wait()
+	if h.Peers != nil {
+		h.polls.Go(func() { h.reconcileLoop(ctx) })
+	}
 	timer := time.NewTimer(pollCheck)
 	defer timer.Stop()
 	next := h.Now()
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -92,7 +92,7 @@
 		if !ok {
 			break
 		}
-		reply, err := p.ask(ctx, m, id, askOf(r, p.Hub.Now().Sub(arrived)))
+		reply, err := p.ask(ctx, m, id, p.askOf(r, p.Hub.Now().Sub(arrived)))
 		if ctx.Err() != nil {
 			p.giveBack(m, id, Released{Key: r.ID})
 			return nil, ctx.Err()
@@ -157,7 +157,7 @@
 		return nil, nil
 	}
 	placed := p.Hub.Now()
-	holding := Holding{Key: r.ID, Decode: reply.Decode, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling}
+	holding := Holding{Key: r.ID, From: p.Self, Decode: reply.Decode, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling}
 	p.Hub.holdings.add(id, holding)
 	p.tellNew(m, id, holding)
 	release := func(report Report) {
@@ -174,14 +174,22 @@
 	return placement, nil
 }
 
-func askOf(r Request, waited time.Duration) Ask {
+func (p *Placer) askOf(r Request, waited time.Duration) Ask {
 	return Ask{
-		Key: r.ID, Account: r.Account, Weight: r.Weight, Class: r.Class, PromptTokens: r.PromptTokens,
+		Key: r.ID, From: p.asker(), Account: r.Account, Weight: r.Weight, Class: r.Class, PromptTokens: r.PromptTokens,
 		MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone, Exclude: r.Exclude, Waited: waited,
 		Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
 	}
 }
 
+// asker names this instance to dispatchers that ask instances what they hold.
+func (p *Placer) asker() string {
+	if p.Hub.Peers == nil {
+		return ""
+	}
+	return p.Self
+}
+
 // ask calls a dispatcher, directly if it is this instance's own.
 func (p *Placer) ask(ctx context.Context, m fleet.Member, id ID, ask Ask) (PlaceReply, error) {
 	args := PlaceArgs{Cell: id, Ask: ask}
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -121,7 +121,7 @@
 	placer := cell.NewPlacer(rules, cell.NewHub(rules, polls, record))
 	placer.Self = "i1"
 	placer.Live = func() []fleet.Member { return []fleet.Member{{Name: "i1"}} }
-	placer.Hub.Peers = func() []string { return nil }
+	placer.Hub.Peers, placer.Hub.Self = func() []fleet.Member { return nil }, "i1"
 	serving.Go(func() { _ = placer.Hub.Serve(ctx) })
 	serving.Go(func() { _ = placer.Serve(ctx) })
 	h := NewHandler()
--- a/instance/build_cell.go
+++ b/instance/build_cell.go
@@ -16,7 +16,7 @@
 	hub.Heard = i.fleet.Hearing
 	hub.Leaving = i.leaving.Load
 	if i.registry != nil {
-		hub.Peers, hub.Call = i.heardPeers, i.peers.Call
+		hub.Peers, hub.Call, hub.Self = i.heardMembers, i.peers.Call, i.Options.Name
 	}
 	i.placer = cell.NewPlacer(i.serverRules, hub)
 	i.placer.Self = i.Options.Name
--- a/instance/build_registry.go
+++ b/instance/build_registry.go
@@ -1,8 +1,11 @@
 package instance
 
 import (
+	"slices"
+
 	"github.com/thejerf/suture/v4"
 
+	"teaselgate/fleet"
 	"teaselgate/registry"
 )
 
@@ -21,13 +24,19 @@
 	return i.peerServer.Register(registry.RPCName, i.registry.Receiver())
 }
 
-// heardPeers lists the addresses of the other instances that are heard.
+// heardMembers lists the other instances that are heard.
+func (i *Instance) heardMembers() []fleet.Member {
+	return slices.DeleteFunc(i.fleet.Members(), func(m fleet.Member) bool {
+		return m.Name == i.Options.Name || !m.Working()
+	})
+}
+
+// heardPeers lists their addresses.
 func (i *Instance) heardPeers() []string {
-	var out []string
-	for _, m := range i.fleet.Members() {
-		if m.Name != i.Options.Name && m.Working() {
-			out = append(out, m.Peer)
-		}
+	members := i.heardMembers()
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.Peer)
 	}
 	return out
 }
