--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselgate/peer"
+	"teaselgate/platform"
 )
 
 // run runs a test with a network in faked time.
@@ -161,3 +162,33 @@
 		t.Error("peers that hold the earlier run for gone would not believe the new one")
 	}
 }
+
+// Replays the start of all instances at once while one of the list is gone for good: the first exchange must carry the
+// starter's own word, so that all agree at once on who started first.
+func TestTheFirstExchangeCarriesTheStartersOwnWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer stop()
+		f := New(Member{Name: "a", Incarnation: 5, Peer: "a:1"}, peer.NewPool("secret"))
+		f.Instances = func(context.Context) ([]platform.Instance, error) {
+			return []platform.Instance{{Name: "gone", Peer: "gone:1", Incarnation: 1}, {Name: "b", Peer: "b:1", Incarnation: 4}}, nil
+		}
+		var heartbeat uint64
+		f.Call = func(ctx context.Context, address, _ string, args, _ any) error {
+			if address == "gone:1" {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			for _, m := range args.(SyncArgs).Members {
+				if m.Name == "a" {
+					heartbeat = m.Heartbeat
+				}
+			}
+			return nil
+		}
+		f.join(ctx)
+		if heartbeat == 0 {
+			t.Error("a peer was not told the starter's own word while another one did not answer")
+		}
+	})
+}
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -114,6 +114,7 @@
 
 // join learns the first peers from the platform and from the settings.
 func (f *Fleet) join(ctx context.Context) {
+	f.restate(f.Self.State) // so that those it exchanges with have its own word at once
 	f.poll(ctx)
 	for _, address := range f.Seeds {
 		if address != f.Self.Peer {
