Soak real instances under random faults from outside

teaselgate soak starts instances of the program as processes, with emulated servers and a store behind loopback proxies, and injects in series and overlapping: SIGKILL, SIGTERM, SIGHUP, SIGSTOP; connections slow, silent, one way, refused, reset; the store down, without history; servers that fail, reject, lose, cut and break answers. It checks at most once, true refusals, whole answers, the account, no key passed on, nothing held, service after the faults.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -75,6 +75,7 @@
 	root.AddCommand(
 		newServe(),
 		newExplain(),
+		newSoak(),
 		newCheck(),
 		newPlan(),
 		newApprove(),
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one instance of the real program.
+type process struct {
+	name     string
+	binary   string
+	settings string
+	log      *os.File
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{}
+	wanted bool // whether it is started again when it ends
+}
+
+// restartDelay is the time after which a process that ended is started again, as by a process supervisor.
+const restartDelay = 300 * time.Millisecond
+
+const settingsText = `name: %s
+zone: %s
+listen: %s
+admin: %s
+peer: %s
+platform: http://%s
+source: store
+stop: {grace: 8s}
+retry: {share: 0.2, extra: 50, window: 10s}
+log: {format: json}
+`
+
+// newProcess writes the settings of an instance.
+func newProcess(binary, dir, name, zone, listen, admin, peer, store string) (*process, error) {
+	p := &process{name: name, binary: binary, settings: filepath.Join(dir, name+".yaml")}
+	text := fmt.Sprintf(settingsText, name, zone, listen, admin, peer, store)
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("soak: unable to write settings: %w", err)
+	}
+	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("soak: unable to open a log: %w", err)
+	}
+	p.log = log
+	return p, nil
+}
+
+// start starts the process, and again each time it ends, until stop.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = true
+	if p.cmd != nil {
+		return nil
+	}
+	cmd := exec.CommandContext(context.Background(), p.binary, "serve", "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("soak: unable to start %s: %w", p.name, err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait() // a process that was killed ends with an error
+		p.mu.Lock()
+		p.cmd = nil
+		wanted := p.wanted
+		p.mu.Unlock()
+		close(done)
+		if wanted {
+			time.Sleep(restartDelay)
+			if err := p.start(); err != nil {
+				fmt.Fprintln(p.log, err)
+			}
+		}
+	}()
+	return nil
+}
+
+// stop sends a signal that ends the process, which is not started again until start.
+func (p *process) stop(s syscall.Signal) {
+	p.mu.Lock()
+	p.wanted = false
+	p.mu.Unlock()
+	p.signal(s)
+}
+
+// signal sends a signal to the process that this soak started, if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s) // it may have ended just now
+	}
+}
+
+// end stops the process for good.
+func (p *process) end(grace time.Duration) {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.wanted = false
+	p.mu.Unlock()
+	defer p.log.Close()
+	if cmd == nil {
+		return
+	}
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-done:
+	case <-time.After(grace):
+		p.signal(syscall.SIGKILL)
+		<-done
+	}
+}
