Use paused engines when no other is left, and pause them for 4 s at most

Ruled out: the store and the instances (all live, entries fresh, memory empty in the refusals' lines). Change: a pause lasts 4 s at most, and while no engine of a stage works paused ones are used. Test: TestPausedServersAreUsedWhileNoOtherIsThere.

--- a/cell/core.go
+++ b/cell/core.go
@@ -393,8 +393,9 @@
 func (c *Core) choosePrefill(now instant, ask *Ask) (best *prefillServer, bestWork work, hit int) {
 	hits := c.hints.find(now, ask.Prefixes)
 	var bestEnd instant
+	allPaused := !slices.ContainsFunc(c.prefills, func(p *prefillServer) bool { return works(now, p.server, p.health) })
 	for _, p := range c.prefills {
-		if !p.usable(now) || c.onHold(now, p.server.Server) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
+		if !p.usable(now) && !(allPaused && p.server.State == rule.Live) || c.onHold(now, p.server.Server) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
 			continue
 		}
 		found := min(cached(hits, p), ask.PromptTokens)
@@ -419,8 +420,9 @@
 	var best *decodeServer
 	var bestFree bool
 	var bestScore float64
+	allPaused := !slices.ContainsFunc(c.decodes, func(d *decodeServer) bool { return works(now, d.server, d.health) })
 	for _, d := range c.decodes {
-		if !d.usable(now) || c.onHold(now, d.server.Server) || slices.Contains(ask.Exclude, d.server.Server) {
+		if !d.usable(now) && !(allPaused && d.server.State == rule.Live) || c.onHold(now, d.server.Server) || slices.Contains(ask.Exclude, d.server.Server) {
 			continue
 		}
 		c.advance(now, d)
--- a/cell/growth_test.go
+++ b/cell/growth_test.go
@@ -120,3 +120,33 @@
 		t.Errorf("unexpected memory, got %d pieces instead of %d", d.used, full/6)
 	}
 }
+
+// Replays seed 33 of the soak: both prefill engines had failed calls and were paused for up to 30 s, and everything was
+// shed although they worked again.
+func TestPausedServersAreUsedWhileNoOtherIsThere(t *testing.T) {
+	now := clockStart
+	c := NewCore(now)
+	c.complete = true
+	c.SetServers(now, servers("p", 2), servers("d", 2), strictPool, testTargets)
+	for _, d := range c.decodes {
+		d.polled = true
+	}
+	for range 6 {
+		for _, p := range c.prefills {
+			p.health.callFailed(now)
+		}
+		c.decodes[0].health.callFailed(now)
+	}
+	c.Offer(now, Ask{Key: "x", Account: "a", Weight: 1, Class: rule.ClassInteractive, PromptTokens: 100, MaxTokens: 100})
+	out := c.Step(now)
+	if len(out) != 1 || out[0].Err != nil {
+		t.Fatalf("unexpected decisions %+v instead of a place", out)
+	}
+	if out[0].Decode != c.decodes[1].server.Server {
+		t.Errorf("a paused decode server was used although another works")
+	}
+	now = now.Add(maxServerPause)
+	if !c.decodes[0].health.usable(now) {
+		t.Errorf("a server is still paused after %v", maxServerPause)
+	}
+}
--- a/cell/health.go
+++ b/cell/health.go
@@ -1,11 +1,18 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"teaselgate/rule"
+)
 
 const (
 	trialInterval = 5 * time.Second // between trials of a slow server
 	pollTimeout   = 400 * time.Millisecond
-	maxFailures   = 3 // calls in a row that failed, after which an answered poll proves nothing
+	// maxServerPause is the longest pause of a model engine. A trial costs one request, while an engine that works again
+	// and is not used costs a share of the pool.
+	maxServerPause = 4 * time.Second
+	maxFailures    = 3 // calls in a row that failed, after which an answered poll proves nothing
 )
 
 // health tells whether a server answers. A failed call or poll pauses it. An answered poll ends the
@@ -23,7 +30,7 @@
 
 // failed notes a call or poll that the server did not answer.
 func (h *health) failed(now instant) {
-	h.pause = min(max(2*h.pause, minPause), maxPause)
+	h.pause = min(max(2*h.pause, minPause), maxServerPause)
 	h.retry = now.Add(h.pause)
 }
 
@@ -42,3 +49,9 @@
 
 // worked notes that the server did a request's work.
 func (h *health) worked() { *h = health{} }
+
+// works tells whether a server takes work and is not paused. While none of a stage does, paused ones are used: that all
+// fail at once is more likely a fault that has passed, and refusing everything helps nobody.
+func works(now instant, s rule.Server, h health) bool {
+	return s.State == rule.Live && h.usable(now)
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"teaselgate/standin/backend"
+	"teaselgate/standin/caller"
 )
 
 // Bounds of the users' rules that the tests check.
@@ -21,7 +21,7 @@
 	inWorld(t, func(w *world) {
 		for _, a := range []ask{order("o1"), status("s1")} {
 			got := w.ask(a)
-			if got.Code != http.StatusOK || got.Body.String() != "whole answer of "+a.id || got.Header().Get("Response-Seal") == "" {
+			if got.Code != http.StatusOK || got.Body.String() != "whole answer of "+a.id || !caller.Sealed(got.Header()) {
 				t.Errorf("unexpected answer to %s, got %d %q", a.id, got.Code, got.Body)
 			}
 		}
@@ -41,40 +41,33 @@
 	if seen.Path != want.path || seen.Body != want.body {
 		t.Errorf("unexpected request, got %q %q instead of %q %q", seen.Path, seen.Body, want.path, want.body)
 	}
-	for name, value := range map[string]string{"Tenant-Name": "dala", "Expected-Instance": server, "Authorization": ""} {
-		if got := seen.Header.Get(name); got != value {
-			t.Errorf("unexpected %s, got %q instead of %q", name, got, value)
-		}
+	if seen.Account() != caller.Account || seen.Meant() != server {
+		t.Errorf("unexpected account %q or server %q", seen.Account(), seen.Meant())
 	}
-	if left, err := strconv.Atoi(seen.Header.Get("Deadline-Ms")); err != nil || left > 600 || left < 500 {
-		t.Errorf("unexpected time left, got %q", seen.Header.Get("Deadline-Ms"))
+	if left, ok := seen.TimeLeft(); !ok || left > 600*time.Millisecond || left < 500*time.Millisecond {
+		t.Errorf("unexpected time left, got %v", left)
 	}
-	for name, values := range seen.Header {
-		if strings.Contains(strings.Join(values, " "), secret) {
-			t.Errorf("the key reached a backend server in %s", name)
-		}
+	if seen.Shows(secret) {
+		t.Errorf("the key reached %s", server)
 	}
 }
 
 func TestHeadersOfTheRouterAreNotTakenFromCallers(t *testing.T) {
 	inWorld(t, func(w *world) {
 		a := stream("/draft/1", "d1")
-		forged := []string{"Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-Fetch", "Request-Priority", "Expected-Version", "X-Copy"}
-		for _, name := range forged {
-			a.header[name] = "forged " + secret
-		}
-		a.header["Tenant-Name"], a.header["Kv-Source"], a.header["Serving-Stage"] = "other", "10.9.9.9:1/h", "decode"
+		a.forged = true
 		if got := w.ask(a); got.Code != http.StatusOK {
 			t.Fatalf("unexpected status %d", got.Code)
 		}
+		hidden := caller.Forge(make(http.Header), "")
 		for _, s := range append(w.prefill, w.decode...) {
 			for _, seen := range s.Seen() {
-				for _, name := range forged {
+				for _, name := range hidden {
 					if seen.Header.Get(name) != "" {
 						t.Errorf("%s of a caller reached %s", name, s.ID)
 					}
 				}
-				if seen.Header.Get("Tenant-Name") != "dala" || strings.HasPrefix(seen.Header.Get("Kv-Source"), "10.9.9.9") {
+				if seen.Account() != caller.Account || strings.HasPrefix(seen.Source(), "10.9.9.9") || seen.Shows(secret) {
 					t.Errorf("unexpected headers at %s, got %v", s.ID, seen.Header)
 				}
 			}
@@ -150,7 +143,7 @@
 		t.Errorf("%s got a wrong answer %q", a.id, got.Body)
 	case (got.Code == http.StatusServiceUnavailable || got.Code == http.StatusTooManyRequests) && a.method == "POST" && n > 0:
 		t.Errorf("%s was refused as not run, but ran", a.id)
-	case got.Code >= http.StatusInternalServerError && got.Header().Get("Response-Seal") != "" && !f.Fail:
+	case got.Code >= http.StatusInternalServerError && caller.Sealed(got.Header()) && !f.Fail:
 		t.Errorf("%s got a failure with a server's proof that it did not give", a.id)
 	}
 	if got.took > 600*time.Millisecond+finalBound {
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -23,26 +23,23 @@
 	"teaselgate/registry"
 	"teaselgate/rule"
 	"teaselgate/standin/backend"
+	"teaselgate/standin/caller"
 	"teaselgate/upstream"
 )
 
 // Names of the tests' deployment.
 const (
-	host     = "shop.example"
-	secret   = "key-of-dala"
-	plainAt  = "10.0.0.%d:80"
-	engineAt = "10.0.1.%d:80"
+	secret = "key-of-dala"
+
+	forgedValue = "forged " + secret
+	plainAt     = "10.0.0.%d:80"
+	engineAt    = "10.0.1.%d:80"
 )
 
-const configuration = `{"version":1,"routes":[
- {"name":"order","hostname":"shop.example","pathPrefix":"/order/","routeType":"non_idempotent","timeoutMs":600,"targetLatencyMs":100,"service":"shop","maxAttempts":1},
- {"name":"status","hostname":"shop.example","pathPrefix":"/status/","routeType":"idempotent","timeoutMs":600,"targetLatencyMs":100,"service":"shop","maxAttempts":2},
- {"name":"open","hostname":"shop.example","pathPrefix":"/open/","routeType":"idempotent","timeoutMs":600,"targetLatencyMs":100,"service":"shop","maxAttempts":2,"public":true},
- {"name":"draft","hostname":"shop.example","pathPrefix":"/draft/","routeType":"streaming","timeoutMs":14000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":1,"sticky":true},
- {"name":"digest","hostname":"shop.example","pathPrefix":"/digest/","routeType":"streaming","timeoutMs":14000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true}],
- "services":[{"name":"shop"},{"name":"llm","engine":{"slots":4,"kvCapacityTokens":16000,"stride":8,"kvHoldS":0.5}}],
- "limits":{"maxBodyBytes":4096},
- "tenants":[{"name":"dala","apiKeys":["key-of-dala"],"unit":"tokens","plainTokens":200,"ratePerS":100000,"burst":100000}]}`
+// settings are those of the tests' configuration.
+var settings = caller.Settings{
+	Version: 1, Timeout: 600 * time.Millisecond, Slots: 4, Memory: 16000, Rate: 100000, Key: secret,
+}
 
 // world is a handler with emulated backend servers, in fake time and without a network.
 type world struct {
@@ -66,9 +63,9 @@
 		var entries []platform.Server
 		add := func(at string, s *backend.Server, stage platform.Stage) *backend.Server {
 			w.servers[at] = s.Start()
-			service := "llm"
+			service := caller.Models
 			if stage == platform.NoStage {
-				service = "shop"
+				service = caller.Plain
 			}
 			entries = append(entries, platform.Server{ID: s.ID, Service: service, Address: at, Zone: "a", Stage: stage})
 			return s
@@ -94,7 +91,7 @@
 }
 
 func (w *world) build(ctx context.Context, t *testing.T, entries []platform.Server, serving *sync.WaitGroup) {
-	c, err := platform.ReadConfiguration([]byte(configuration))
+	c, err := platform.ReadConfiguration(caller.Configuration(settings))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -177,7 +174,8 @@
 type ask struct {
 	method, path, id, key, body string
 	deadline                    time.Duration
-	header                      map[string]string
+	model                       bool
+	forged                      bool          // the caller sets the router's headers
 	leave                       time.Duration // after which the caller leaves; 0: it stays
 }
 
@@ -189,14 +187,14 @@
 }
 
 func (w *world) ask(a ask) answer {
-	r := httptest.NewRequest(a.method, "http://"+host+a.path, strings.NewReader(a.body))
-	r.Header.Set("Attempt-Id", a.id)
-	r.Header.Set("Authorization", "Bearer "+a.key)
-	if a.deadline > 0 {
-		r.Header.Set("Deadline-Ms", fmt.Sprint(a.deadline.Milliseconds()))
+	r := httptest.NewRequest(a.method, "http://"+caller.Host+a.path, strings.NewReader(a.body))
+	mark := caller.Call{ID: a.id, Key: a.key, Deadline: a.deadline}
+	if a.model {
+		mark.Prompt, mark.Output, mark.Hint = 3000, 180, 80
 	}
-	for name, value := range a.header {
-		r.Header.Set(name, value)
+	mark.Mark(r.Header)
+	if a.forged {
+		caller.Forge(r.Header, forgedValue)
 	}
 	ctx, stop := context.WithCancel(r.Context())
 	defer stop()
@@ -236,8 +234,7 @@
 
 func stream(path, id string) ask {
 	return ask{
-		method: "POST", path: path, id: id, key: secret, body: "prompt", deadline: 14 * time.Second,
-		header: map[string]string{"Model-Name": "m", "Token-Count": "3000,180", "Length-Hint": "80", "Prompt-Prefix": "a:200,b:2800"},
+		method: "POST", path: path, id: id, key: secret, body: "prompt", deadline: 14 * time.Second, model: true,
 	}
 }
 
--- a/soak/client.go
+++ b/soak/client.go
@@ -9,16 +9,21 @@
 	"strings"
 	"sync"
 	"time"
+
+	"teaselgate/standin/caller"
 )
 
 // Sizes of the traffic.
 const (
-	clientCount = 12
-	callPause   = 30 * time.Millisecond
-	callTimeout = 10 * time.Second
-	streamSize  = 12 // events, as the emulated engines make them
-	leaveShare  = 0.1
-	leaveAfter  = 60 * time.Millisecond
+	clientCount  = 12
+	callPause    = 30 * time.Millisecond
+	callTimeout  = 10 * time.Second
+	streamSize   = 12 // events, as the emulated engines make them
+	leaveShare   = 0.1
+	promptTokens = 2000
+	streamTokens = 8 * streamSize
+	callDeadline = 9 * time.Second
+	leaveAfter   = 60 * time.Millisecond
 )
 
 // call is one request with what its caller saw.
@@ -98,15 +103,12 @@
 		return out
 	}
 	req.GetBody = nil // net/http must not send it again
-	req.Host = "soak.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Authorization", "Bearer "+clientKey)
-	req.Header.Set("Deadline-Ms", "9000")
+	req.Host = caller.Host
+	mark := caller.Call{ID: id, Key: clientKey, Deadline: callDeadline}
 	if path != "/order/1" && path != "/status/1" {
-		req.Header.Set("Model-Name", "m")
-		req.Header.Set("Token-Count", "2000,200")
-		req.Header.Set("Length-Hint", "90")
+		mark.Prompt, mark.Output, mark.Hint = promptTokens, 2*streamTokens, streamTokens
 	}
+	mark.Mark(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return out
@@ -128,11 +130,11 @@
 			if seen.Ran && !seen.Prefill {
 				runs[seen.ID]++
 			}
-			if strings.Contains(fmt.Sprint(seen.Header), clientKey) {
+			if seen.Shows(clientKey) {
 				c.fail("%s reached %s with the caller's key", seen.ID, m.server.ID)
 			}
-			if seen.Header.Get("Tenant-Name") != "dala" {
-				c.fail("%s reached %s for account %q", seen.ID, m.server.ID, seen.Header.Get("Tenant-Name"))
+			if seen.Account() != caller.Account {
+				c.fail("%s reached %s for account %q", seen.ID, m.server.ID, seen.Account())
 			}
 		}
 		if n := m.server.Working(); n > 0 {
--- a/soak/run.go
+++ b/soak/run.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// fault is a disturbance with its end.
+// fault is a failure that is injected, and its end.
 type fault struct{ begin, end func() }
 
 // draw chooses a fault.
--- a/soak/world.go
+++ b/soak/world.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -14,6 +13,7 @@
 	"teaselgate/platform"
 	"teaselgate/socket"
 	"teaselgate/standin/backend"
+	"teaselgate/standin/caller"
 	store "teaselgate/standin/platform"
 )
 
@@ -28,17 +28,12 @@
 	readyCheck     = 50 * time.Millisecond
 	clientKey      = "soak-key"
 	anyPort        = "127.0.0.1:0"
+	plainTimeout   = 2 * time.Second
+	engineSlots    = 8
+	engineMemory   = 32_000     // tokens
+	accountRate    = 10_000_000 // tokens a second: no request is over it
 )
 
-const configurationText = `{"version":%d,"routes":[
- {"name":"order","hostname":"soak.example","pathPrefix":"/order/","routeType":"non_idempotent","timeoutMs":2000,"targetLatencyMs":100,"service":"shop","maxAttempts":1},
- {"name":"status","hostname":"soak.example","pathPrefix":"/status/","routeType":"idempotent","timeoutMs":2000,"targetLatencyMs":100,"service":"shop","maxAttempts":2},
- {"name":"draft","hostname":"soak.example","pathPrefix":"/draft/","routeType":"streaming","timeoutMs":9000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":1,"sticky":true},
- {"name":"digest","hostname":"soak.example","pathPrefix":"/digest/","routeType":"streaming","timeoutMs":9000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true}],
- "services":[{"name":"shop"},{"name":"llm","engine":{"slots":8,"kvCapacityTokens":32000,"stride":8,"kvHoldS":0.5}}],
- "limits":{"maxBodyBytes":65536},
- "tenants":[{"name":"dala","apiKeys":["%s"],"unit":"tokens","plainTokens":200,"ratePerS":10000000,"burst":10000000}]}`
-
 // member is a backend server with its place in the world.
 type member struct {
 	server  *backend.Server
@@ -94,7 +89,9 @@
 	if err != nil && w.version > 1 {
 		return fmt.Errorf("soak: unable to read the configuration: %w", err)
 	}
-	text := json.RawMessage(fmt.Sprintf(configurationText, w.version, clientKey))
+	text := caller.Configuration(caller.Settings{
+		Version: w.version, Timeout: plainTimeout, Slots: engineSlots, Memory: engineMemory, Rate: accountRate, Key: clientKey,
+	})
 	if _, err := w.direct.Update(ctx, platform.ConfigurationKind, platform.ConfigurationName, old.Version, text); err != nil {
 		return fmt.Errorf("soak: unable to write the configuration: %w", err)
 	}
@@ -117,20 +114,20 @@
 		return nil
 	}
 	for n := range plainServers {
-		if err := add(&backend.Server{ID: fmt.Sprintf("s%d", n), Slots: 6, Queue: 24, Work: 10 * time.Millisecond}, "shop"); err != nil {
+		if err := add(&backend.Server{ID: fmt.Sprintf("s%d", n), Slots: 6, Queue: 24, Work: 10 * time.Millisecond}, caller.Plain); err != nil {
 			return err
 		}
 	}
 	for n := range prefillServers {
 		s := &backend.Server{ID: fmt.Sprintf("p%d", n), Stage: "prefill", Slots: 1, Queue: 16, Rate: 100_000, Hold: time.Second / 2}
-		if err := add(s, "llm"); err != nil {
+		if err := add(s, caller.Models); err != nil {
 			return err
 		}
 	}
 	for n := range decodeServers {
-		s := &backend.Server{ID: fmt.Sprintf("d%d", n), Stage: "decode", Slots: 8, Memory: 32000, Events: 12, Step: 20 * time.Millisecond}
+		s := &backend.Server{ID: fmt.Sprintf("d%d", n), Stage: "decode", Slots: engineSlots, Memory: engineMemory, Events: 12, Step: 20 * time.Millisecond}
 		s.Sources = w.source
-		if err := add(s, "llm"); err != nil {
+		if err := add(s, caller.Models); err != nil {
 			return err
 		}
 	}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -402,3 +402,28 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(report)
 }
+
+// Account returns the client account for which a request came.
+func (s Seen) Account() string { return s.Header.Get("Tenant-Name") }
+
+// Meant returns the server for which a request was meant.
+func (s Seen) Meant() string { return s.Header.Get(headerServer) }
+
+// Source returns where a prompt's KV cache was to be fetched.
+func (s Seen) Source() string { return s.Header.Get(headerSource) }
+
+// TimeLeft returns how long the caller still waited, or false if the request does not say.
+func (s Seen) TimeLeft() (time.Duration, bool) {
+	ms, err := strconv.Atoi(s.Header.Get("Deadline-Ms"))
+	return time.Duration(ms) * time.Millisecond, err == nil
+}
+
+// Shows tells whether a text stands in any header of a request.
+func (s Seen) Shows(text string) bool {
+	for _, values := range s.Header {
+		if strings.Contains(strings.Join(values, " "), text) {
+			return true
+		}
+	}
+	return false
+}
