Let a dispatcher count at once how many instances it reaches

Ruled out: plain requests (metered in the same place). Change: each second a dispatcher asks all for their places anyway; how many answer is its part of the rate. One that was not asked for 3 s starts its meters anew. Test: TestADividedFleetGivesOutItsPartAtOnce.

--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -28,6 +28,9 @@
 	core    *Core
 	set     *rule.Set // that the core's servers are of
 	cells   int       // that share the pools
+	// answered is the number of instances, this one included, that answered last when all were asked what they hold.
+	// It shows at once that a fleet is divided, which probes of a few peers a second show late; 0 before the first time.
+	answered int
 
 	waiters map[string]*waiter
 	polls   map[string]time.Time // when a server is polled next
@@ -87,9 +90,15 @@
 func (d *dispatcher) place(ctx context.Context, now func() time.Time, set *rule.Set, ask Ask, nudge func(), heard func() (int, int)) PlaceReply {
 	d.mu.Lock()
 	at := now()
+	if at.Sub(d.used) > pollLife {
+		d.core.meters = newMeters() // another one has given the rates out meanwhile
+	}
 	d.used = at
 	d.refresh(at, set)
 	hears, known := heard()
+	if d.answered > 0 {
+		hears = min(hears, d.answered)
+	}
 	d.core.meters.hear(hears, known, d.cells)
 	w, ok := d.waiters[ask.Key]
 	if !ok {
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"teaselgate/delay"
@@ -146,12 +147,14 @@
 	defer stop()
 	asked := h.Now()
 	live := map[string]bool{h.Self: true}
+	var answered atomic.Int64
 	var asks sync.WaitGroup
 	for _, m := range h.Peers() {
 		live[m.Name] = true
 		asks.Go(func() {
 			var reply HoldingsReply
 			if h.Call(ctx, m.Peer, RPCName+".Holdings", HoldingsArgs{Cell: d.id}, &reply) == nil {
+				answered.Add(1)
 				d.reconcile(h.Now(), asked, m.Name, reply.Holdings)
 			}
 		})
@@ -159,6 +162,7 @@
 	d.reconcile(h.Now(), asked, h.Self, h.holdings.list(d.id))
 	asks.Wait()
 	d.mu.Lock()
+	d.answered = 1 + int(answered.Load())
 	d.core.EndGone(d.clock(h.Now()), live)
 	d.mu.Unlock()
 }
--- a/cell/meter_test.go
+++ b/cell/meter_test.go
@@ -1,8 +1,16 @@
 package cell
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
 	"testing"
 	"time"
+
+	"teaselgate/event"
+	"teaselgate/fleet"
+	"teaselgate/rule"
 )
 
 // Figures of an account as the users' sites have them.
@@ -100,3 +108,34 @@
 		m.giveBack(ask)
 	}
 }
+
+// Replays a fleet that is divided at once under a hot account: its dispatchers must not wait for the membership, which
+// takes tens of seconds at 81 instances, to give out their parts only.
+func TestADividedFleetGivesOutItsPartAtOnce(t *testing.T) {
+	const peers, reached = 80, 23
+	h := NewHub(func() *rule.Set { return nil }, Polls{}, func(event.Event) {})
+	h.Self = "self"
+	h.Heard = func() (int, int) { return peers + 1, peers + 1 } // the membership does not know yet
+	h.Peers = func() []fleet.Member {
+		out := make([]fleet.Member, peers)
+		for n := range out {
+			out[n] = fleet.Member{Name: fmt.Sprint(n), Peer: fmt.Sprint(n)}
+		}
+		return out
+	}
+	h.Call = func(_ context.Context, address, _ string, _, _ any) error {
+		if n, err := strconv.Atoi(address); err != nil || n >= reached {
+			return errors.New("no answer")
+		}
+		return nil
+	}
+	d := newDispatcher(ID{Prefill: "p", Decode: "d"}, h.Now())
+	h.reconcile(t.Context(), d)
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	d.place(ctx, h.Now, nil, Ask{Key: "x", Account: "hot", Charge: testCharge, Rate: testRate, Burst: testBurst}, func() {}, h.Heard)
+	if most := hearingSlack * (reached + 1) / (peers + 1); d.core.meters.share-most > 1e-9 { // but for rounding
+		t.Errorf("the dispatcher gives out %.2f of the rate, more than %.2f for the %d of %d instances that it reaches",
+			d.core.meters.share, most, reached+1, peers+1)
+	}
+}
