Give out 1.2 times the rate at most over the parts of a divided fleet

The bound follows from the users' limit: a tenth of the rate and the slack; the price stands in docs/PLATFORM.md.

--- a/cell/meter.go
+++ b/cell/meter.go
@@ -5,12 +5,12 @@
 // Constants of the accounts' meters.
 const (
 	// meterStart is the part of the burst that a new dispatcher begins with: the one before may have given it out.
-	meterStart = 0.25
+	meterStart = 0.15
 	// minMeterRetry is the least time after which a caller over its rate may come back.
 	minMeterRetry = 50 * time.Millisecond
 	// hearingSlack lets a dispatcher that does not hear a few instances still give out the whole rate; all parts of a
 	// divided fleet together give out at most this many times it.
-	hearingSlack = 1.3
+	hearingSlack = 1.2
 )
 
 // meters hold the client accounts to their rates. Load that they answer: one account sends many times its rate, while
