Drop what nothing reads: counters, a result, a setting, headers

Read as a newcomer: upstream.Stats and forward.Result had no reader, the settings' engine.lease changed nothing (a lease lasts 10 s whatever it says, and the users ask for 3 s at least), four header names and a field were unused. The linter's two findings in cell became one function, takesWork. No behaviour changed; go test of the packages and the linter pass.

--- a/cell/core.go
+++ b/cell/core.go
@@ -389,13 +389,18 @@
 	return (ask.PromptTokens + ask.MaxTokens + piece - 1) / piece
 }
 
+// takesWork tells whether a server may get a request, as far as that does not depend on its work.
+func (c *Core) takesWork(now instant, ask *Ask, s rule.Server, usable bool) bool {
+	return usable && s.State == rule.Live && !c.onHold(now, s.Server) && !slices.Contains(ask.Exclude, s.Server)
+}
+
 // choosePrefill returns the prefill server at which a prompt and its transfer end first.
 func (c *Core) choosePrefill(now instant, ask *Ask) (best *prefillServer, bestWork work, hit int) {
 	hits := c.hints.find(now, ask.Prefixes)
 	var bestEnd instant
 	allPaused := !slices.ContainsFunc(c.prefills, func(p *prefillServer) bool { return works(now, p.server, p.health) })
 	for _, p := range c.prefills {
-		if !p.usable(now) && !(allPaused && p.server.State == rule.Live) || c.onHold(now, p.server.Server) || p.free.Sub(now) > lookahead || slices.Contains(ask.Exclude, p.server.Server) {
+		if !c.takesWork(now, ask, p.server, p.usable(now) || allPaused) || p.free.Sub(now) > lookahead {
 			continue
 		}
 		found := min(cached(hits, p), ask.PromptTokens)
@@ -422,7 +427,7 @@
 	var bestScore float64
 	allPaused := !slices.ContainsFunc(c.decodes, func(d *decodeServer) bool { return works(now, d.server, d.health) })
 	for _, d := range c.decodes {
-		if !d.usable(now) && !(allPaused && d.server.State == rule.Live) || c.onHold(now, d.server.Server) || slices.Contains(ask.Exclude, d.server.Server) {
+		if !c.takesWork(now, ask, d.server, d.usable(now) || allPaused) {
 			continue
 		}
 		c.advance(now, d)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -28,33 +28,23 @@
 
 // Handler answers callers. Its exported fields are set before it serves.
 type Handler struct {
-	Zone     string
-	View     func() *registry.View
-	Place    func(context.Context, cell.Request) (*cell.Placement, error)
-	Pick     func(pool string, exclude []string) (rule.Server, error)
-	Picked   func(server string, took time.Duration, failed bool) // follows each Pick
-	Charge   func(a platform.Account, tokens int64) (time.Time, error)
-	Budget   func(service string) *outcome.Budget
-	Servers  *upstream.Pool
-	Engines  *platform.Engines
-	Record   func(event.Event)
-	Now      func() time.Time
-	Random   func() float64 // in [0, 1)
-	Finished func(Result)   // told of each request's end
-}
-
-// Result is how a request ended.
-type Result struct {
-	Route  string
-	Kind   platform.Repeat
-	Status int // 0 if the answer was broken off
-	Took   time.Duration
-	First  time.Duration // until the first event of a stream; 0 if none
+	Zone    string
+	View    func() *registry.View
+	Place   func(context.Context, cell.Request) (*cell.Placement, error)
+	Pick    func(pool string, exclude []string) (rule.Server, error)
+	Picked  func(server string, took time.Duration, failed bool) // follows each Pick
+	Charge  func(a platform.Account, tokens int64) (time.Time, error)
+	Budget  func(service string) *outcome.Budget
+	Servers *upstream.Pool
+	Engines *platform.Engines
+	Record  func(event.Event)
+	Now     func() time.Time
+	Random  func() float64 // in [0, 1)
 }
 
 // NewHandler returns a handler with the usual clock and randomness.
 func NewHandler() *Handler {
-	return &Handler{Now: time.Now, Random: rand.Float64, Record: func(event.Event) {}, Finished: func(Result) {}}
+	return &Handler{Now: time.Now, Random: rand.Float64, Record: func(event.Event) {}}
 }
 
 // request is one caller's request on its way through the instance.
@@ -70,9 +60,7 @@
 	out      http.ResponseWriter
 	received time.Time
 	deadline time.Time
-	first    time.Time // when the first event of a stream went out
-	ran      int       // servers that may have run it
-	status   int       // sent to the caller; 0 before
+	ran      int // servers that may have run it
 }
 
 // ServeHTTP implements http.Handler.
@@ -84,13 +72,6 @@
 	}
 	ctx, stop := context.WithDeadline(r.Context(), q.deadline)
 	defer stop()
-	defer func() {
-		result := Result{Route: q.route.Name, Kind: q.route.Kind, Status: q.status, Took: h.Now().Sub(q.received)}
-		if !q.first.IsZero() {
-			result.First = q.first.Sub(q.received)
-		}
-		h.Finished(result)
-	}()
 	if q.service.Engine != nil && q.Sized {
 		q.serveModel(ctx)
 		return
@@ -189,7 +170,6 @@
 
 func (q *request) refuse(status int, retry time.Duration, reason string) {
 	q.note(event.RequestRefused, "", reason)
-	q.status = status
 	platform.Refuse(q.out, q.Call, status, retry)
 }
 
--- a/forward/model.go
+++ b/forward/model.go
@@ -166,7 +166,7 @@
 	m.again = true
 	ctx, stop := context.WithTimeout(ctx, time.Duration(prefillPatience*float64(expected))+prefillMargin)
 	defer stop()
-	resp, err := m.send(ctx, platform.Forward{Server: server.Server, Address: server.At, Model: true, Prefill: true, LastEvent: m.event})
+	resp, err := m.send(ctx, platform.Forward{Server: server.Server, Address: server.At, Prefill: true, LastEvent: m.event})
 	if err != nil {
 		return platform.Handle{}, ending{notRun: true, unsent: errors.Is(err, upstream.ErrNotSent), failed: true, reason: err.Error()}
 	}
@@ -203,7 +203,7 @@
 // decode fetches the prompt's KV cache and passes the stream on.
 func (m *modelRun) decode(ctx context.Context, place *cell.Placement, handle platform.Handle, report *cell.Report) ending {
 	resp, err := m.send(ctx, platform.Forward{
-		Server: place.Decode.Server, Address: place.Decode.At, Model: true,
+		Server: place.Decode.Server, Address: place.Decode.At,
 		Source: platform.SourceOf(place.Prefill.At, handle), LastEvent: m.event,
 	})
 	if err != nil {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -205,6 +205,5 @@
 
 // begin sets the header of a server's answer.
 func (q *request) begin(resp *http.Response) {
-	q.status = resp.StatusCode
 	platform.CopyAnswer(q.out.Header(), resp.Header)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,9 +49,6 @@
 		if m.has(id) {
 			continue
 		}
-		if m.first.IsZero() {
-			m.first = m.handler.Now()
-		}
 		if _, err := m.out.Write(text); err != nil {
 			m.cancelled("the stream was not taken: " + err.Error())
 		}
--- a/option/field.go
+++ b/option/field.go
@@ -159,10 +159,6 @@
 		Name: "engine.fenced", check: checkAny, at: func(o *Options) any { return &o.Engine.Fenced },
 		Text: "Whether model engines refuse orders with an old fencing number. Used with `source: store`.",
 	},
-	{
-		Name: "engine.lease", check: checkTime, at: func(o *Options) any { return &o.Engine.Lease },
-		Text: "Least time between orders of different instances to one engine. Used with `source: store`.",
-	},
 	{
 		Name: "engine.stages", check: checkOneOf(StagesBalance, StagesKeep), at: func(o *Options) any { return &o.Engine.Stages },
 		Text: "Whether model engines are ordered to change between prefill and decode as the load asks for it, `balance`, or stay as they are, `keep`. Used with `source: store`.",
--- a/option/option.go
+++ b/option/option.go
@@ -50,9 +50,8 @@
 
 // Engine tells how model engines take orders.
 type Engine struct {
-	Fenced bool          `yaml:"fenced"` // whether they refuse an old fencing number
-	Lease  time.Duration `yaml:"lease"`  // least time between orders of different holders
-	Stages string        `yaml:"stages"` // whether engines are ordered to change their stage
+	Fenced bool   `yaml:"fenced"` // whether they refuse an old fencing number
+	Stages string `yaml:"stages"` // whether engines are ordered to change their stage
 }
 
 // Stop bounds the end of the process.
@@ -113,7 +112,7 @@
 		},
 		Source: SourceRules,
 		Retry:  Retry{Share: 0.1, Extra: 20, Window: 10 * time.Second},
-		Engine: Engine{Fenced: true, Lease: 3 * time.Second, Stages: StagesBalance},
+		Engine: Engine{Fenced: true, Stages: StagesBalance},
 		Stop:   Stop{Grace: 45 * time.Second},
 		Log:    Logging{Format: "text", Level: "info"},
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -74,7 +74,6 @@
 		if e.owns(resp) {
 			return resp, nil
 		}
-		e.pool.countForeign()
 		if !e.conn.reused || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errForeign
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -45,16 +45,8 @@
 	KeepAlive func(http.Header) (time.Duration, bool) // how long a server keeps an idle connection, if it says so
 	ID        func(http.Header) string                // of the request that an answer belongs to; nil: not checked
 
-	mu    sync.Mutex
-	idle  map[string][]*conn // the one used last at the end
-	stats Stats
-}
-
-// Stats counts what the pool has done.
-type Stats struct {
-	Dialed  uint64
-	Reused  uint64
-	Foreign uint64 // answers of other requests
+	mu   sync.Mutex
+	idle map[string][]*conn // the one used last at the end
 }
 
 // NewPool returns a pool without connections.
@@ -69,13 +61,6 @@
 	}
 }
 
-// Stats returns the counts so far.
-func (p *Pool) Stats() Stats {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.stats
-}
-
 // Close drops the idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -122,9 +107,6 @@
 	if err != nil {
 		return nil, notSent.Wrap(err, "upstream: unable to reach %s", address)
 	}
-	p.mu.Lock()
-	p.stats.Dialed++
-	p.mu.Unlock()
 	return newConn(raw), nil
 }
 
@@ -137,7 +119,6 @@
 	}
 	c := kept[len(kept)-1]
 	p.idle[address] = kept[:len(kept)-1]
-	p.stats.Reused++
 	return c
 }
 
@@ -160,9 +141,3 @@
 	}
 	p.idle[address] = append(p.idle[address], c)
 }
-
-func (p *Pool) countForeign() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.stats.Foreign++
-}
