Decode the configuration once, and keep one size of a memory block

Read again: the follower decoded the whole configuration anew at each change of a server's entry, though it had decoded it when it took it, and dropped an error there that could not occur; it keeps what it decoded now. The block size stood in registry and instance; instance uses registry.BlockTokens.

--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -13,6 +13,7 @@
 	"teaselgate/forward"
 	"teaselgate/outcome"
 	"teaselgate/platform"
+	"teaselgate/registry"
 	"teaselgate/socket"
 	"teaselgate/upstream"
 )
@@ -103,7 +104,7 @@
 	return cell.Polls{
 		Load: func(ctx context.Context, at string) (engine.Load, error) {
 			r, err := engines.Report(ctx, at)
-			return engine.Load{Slots: r.Running, QueueDepth: r.Waiting, Pieces: r.UsedTokens / blockTokens}, err
+			return engine.Load{Slots: r.Running, QueueDepth: r.Waiting, Pieces: r.UsedTokens / registry.BlockTokens}, err
 		},
 		Events: func(ctx context.Context, at string, _ uint64) ([]engine.CacheEvent, error) {
 			_, err := engines.Report(ctx, at)
@@ -112,8 +113,6 @@
 	}
 }
 
-const blockTokens = 16 // in one block of a model engine's memory, as the users' pages give it
-
 // forwardedRoute names the route of a path for the metrics; the names are bounded by the configuration.
 func (i *Instance) forwardedRoute(path string) string {
 	view := i.registry.Current()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -54,9 +54,10 @@
 	view     atomic.Pointer[View]
 	mu       sync.Mutex
 	config   Entry
-	servers  map[string]Entry // by id
-	listed   bool             // whether the servers were ever listed
-	version  uint64           // newest version of anything kept
+	decoded  *platform.Configuration // of config
+	servers  map[string]Entry        // by id
+	listed   bool                    // whether the servers were ever listed
+	version  uint64                  // newest version of anything kept
 	lapses   map[string]time.Time
 	down     map[string]bool // kinds whose store calls fail
 	returned time.Time       // when the store last answered again
@@ -289,7 +290,7 @@
 		f.Record(event.Event{Code: event.RulesRejected, Detail: fmt.Sprintf("version %d: %v", e.Version, err)})
 		return false
 	}
-	f.config = e
+	f.config, f.decoded = e, c
 	f.version = max(f.version, e.Version)
 	f.Record(event.Event{Code: event.RulesInForce, Detail: fmt.Sprintf("configuration %d, version %d", c.Version, e.Version)})
 	return true
@@ -300,10 +301,6 @@
 	if f.config.Version == 0 || !f.listed {
 		return
 	}
-	c, err := platform.ReadConfiguration(f.config.Data)
-	if err != nil {
-		return // it was read before it was kept
-	}
 	var servers []platform.Server
 	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
 		e := f.servers[id]
@@ -318,7 +315,7 @@
 		servers = append(servers, s)
 	}
 	old := f.view.Load()
-	view := NewView(c, servers, f.Fenced)
+	view := NewView(f.decoded, servers, f.Fenced)
 	f.view.Store(view)
 	f.recordServers(old, view)
 	select {
--- a/registry/view.go
+++ b/registry/view.go
@@ -16,8 +16,8 @@
 	decodePool  = "/decode"
 )
 
-// blockTokens is the number of tokens in one block of a model engine's memory, as the users' pages give it.
-const blockTokens = 16
+// BlockTokens is the number of tokens in one block of a model engine's memory, as the users' pages give it.
+const BlockTokens = 16
 
 // memoryShare is the part of an engine's memory that is given out: few requests reach their expected end together.
 const memoryShare = 1.06
@@ -109,8 +109,8 @@
 			c.Pools = append(c.Pools, rule.Pool{Pool: s.Name, Duty: rule.Plain})
 			continue
 		}
-		memory := int(float64(s.Engine.MemoryTokens) * memoryShare / blockTokens)
-		pool := rule.Pool{Slots: s.Engine.Slots, Pieces: memory, Block: blockTokens, Strict: true, Fenced: fenced}
+		memory := int(float64(s.Engine.MemoryTokens) * memoryShare / BlockTokens)
+		pool := rule.Pool{Slots: s.Engine.Slots, Pieces: memory, Block: BlockTokens, Strict: true, Fenced: fenced}
 		prefill, decode := pool, pool
 		prefill.Pool, prefill.Duty = s.Name+prefillPool, rule.Prefill
 		decode.Pool, decode.Duty = s.Name+decodePool, rule.Decode
