Take decode engines for slow only against most of their pool, and learn steps from whole streams

Streams that broke off after an event or two taught a step time near nothing (the time between first event and break, over all their tokens).

--- a/cell/core.go
+++ b/cell/core.go
@@ -290,13 +290,7 @@
 func (c *Core) learn(now instant, r *reservation, report Report) {
 	d := r.decode
 	c.learnPrefill(now, r, report)
-	if !report.Imported.IsZero() && report.Generated > 0 {
-		took := report.Ended.Sub(report.Imported)
-		if span := now.Sub(r.placed).Seconds(); span > 0 {
-			d.steps.observe(now, (d.batched-r.startBatched)/span, took/time.Duration(report.Generated))
-			d.limit = d.steps.limit(d.slots, c.targets.Between)
-		}
-	}
+	c.learnStep(now, r, report)
 	switch {
 	case report.Refused:
 		d.refused(now, r.pieces)
@@ -309,6 +303,22 @@
 	}
 }
 
+// learnStep learns from a whole stream; one that broke tells nothing of the time that steps take.
+func (c *Core) learnStep(now instant, r *reservation, report Report) {
+	span := now.Sub(r.placed).Seconds()
+	if report.BadDecode || report.Imported.IsZero() || report.Generated == 0 || span <= 0 {
+		return
+	}
+	d, took := r.decode, report.Ended.Sub(report.Imported)
+	d.steps.observe(now, (d.batched-r.startBatched)/span, took/time.Duration(report.Generated))
+	d.limit = d.steps.limit(d.slots, c.targets.Between)
+	factors := make([]float64, 0, len(c.decodes))
+	for _, d := range c.decodes {
+		factors = append(factors, d.steps.factor)
+	}
+	c.slope.compare(factors)
+}
+
 // Step places what can be placed, refuses what can no longer be useful, and returns all decisions
 // since the last step.
 func (c *Core) Step(now instant) []Decision {
@@ -420,7 +430,8 @@
 }
 
 // chooseDecode returns the decode server with the shortest step among those that have room when the
-// prompt's KV cache is ready; room that is free already goes before room that is predicted.
+// prompt's KV cache is ready; room that is free already goes before room that is predicted. An idle
+// server that was never measured is tried first: else a slow one stays in use while no other is known.
 func (c *Core) chooseDecode(now instant, ask *Ask, pieces int, wait time.Duration) *decodeServer {
 	var best *decodeServer
 	var bestFree bool
@@ -435,7 +446,11 @@
 		if !fits || c.pool.Strict && !free {
 			continue
 		}
-		score := d.steps.step(len(d.streams) + d.others(now) + 1)
+		batch := len(d.streams) + d.others(now)
+		score := d.steps.step(batch + 1)
+		if batch == 0 && d.steps.at.IsZero() {
+			score = 0
+		}
 		if d.server.Zone != ask.Zone {
 			score += stepPenalty.Seconds()
 		}
--- a/cell/decode.go
+++ b/cell/decode.go
@@ -159,7 +159,7 @@
 	if d.server.State != rule.Live || !d.health.usable(now) || (d.health.trial() && len(d.streams) > 0) {
 		return false
 	}
-	if d.steps.factor < outlierFactor {
+	if !d.steps.outlier() {
 		return true
 	}
 	d.steps.recover(now)
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -61,9 +61,9 @@
 type Report struct {
 	Placed     time.Time // when the place was given; the other times are compared with it
 	Prefilled  time.Time // when the prefill answered; zero if it did not
-	Imported   time.Time // when the transfer ended; zero if it did not
+	Imported   time.Time // when the transfer ended or, if that is not known, the first event came; zero if it did not
 	Ended      time.Time
-	Generated  int  // tokens
+	Generated  int  // tokens after Imported
 	Cached     int  // prompt tokens that the prefill found in its cache
 	Refused    bool // the decode server had no room
 	BadPrefill bool
--- a/cell/prefill_test.go
+++ b/cell/prefill_test.go
@@ -1,11 +1,8 @@
 package cell
 
 import (
-	"fmt"
 	"testing"
 	"time"
-
-	"teaselgate/rule"
 )
 
 // prefillBench books prompts at one server that computes 60,000 tokens a second.
@@ -75,38 +72,19 @@
 // prompt and transfer it in 15 ms each.
 func TestStalledTransferIsForgotten(t *testing.T) {
 	const (
-		tokens = 2000
 		quick  = 15 * time.Millisecond
 		stall  = 3 * time.Second
 		stream = 250 * time.Millisecond
 	)
-	core := testCore(clockStart, 2, 4)
-	now := clockStart
-	serve := func(n int, compute, transfer time.Duration) time.Duration {
-		key := fmt.Sprintf("r%d", n)
-		core.Offer(now, Ask{Key: key, Account: "a", PromptTokens: tokens, MaxTokens: 96, Class: rule.ClassInteractive})
-		for asked := now; ; now = now.Add(stepInterval) {
-			for _, d := range core.Step(now) {
-				if d.Err != nil {
-					t.Fatalf("request %d: unexpected refusal after %v at idle engines: %v", n, now.Sub(asked), d.Err)
-				}
-				waited := now.Sub(asked)
-				epoch := time.Unix(0, 0)
-				r := Report{Placed: epoch, Prefilled: epoch.Add(compute), Imported: epoch.Add(compute + transfer), Ended: epoch.Add(compute + transfer + stream), Generated: 96}
-				now = now.Add(compute + transfer + stream)
-				core.Release(now, key, r)
-				return waited
-			}
-		}
-	}
-	for n := range 4 {
-		serve(n, quick, quick)
+	s := &sequence{core: testCore(clockStart, 2, 4), now: clockStart}
+	for range 4 {
+		s.run(t, quick, quick, stream, nil)
 	}
-	for n := 4; n < 8; n++ {
-		serve(n, quick, stall)
+	for range 4 {
+		s.run(t, quick, stall, stream, nil)
 	}
-	for n := 8; n < 40; n++ {
-		if waited := serve(n, quick, quick); waited > 0 {
+	for n := range 32 {
+		if waited := s.run(t, quick, quick, stream, nil); waited > 0 {
 			t.Errorf("request %d: unexpected wait of %v at idle engines", n, waited)
 		}
 	}
--- a/cell/step.go
+++ b/cell/step.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Constants of the step-time model.
 const (
@@ -19,10 +22,21 @@
 type slopeModel struct {
 	n, x, y, xx, xy float64
 	base, slope     float64 // of the line, in seconds
+	typical         float64 // median factor of the servers, 1 at least
 }
 
 func newSlopeModel() slopeModel {
-	return slopeModel{base: initialStep.Seconds()}
+	return slopeModel{base: initialStep.Seconds(), typical: 1}
+}
+
+// compare takes in the servers' factors. Load that it answers: faults spoil what was learnt of the pool, so that all
+// servers look slow. Those that are like most others are not left out, and teach the pool's mean.
+func (m *slopeModel) compare(factors []float64) {
+	if len(factors) == 0 {
+		return
+	}
+	slices.Sort(factors)
+	m.typical = max(factors[(len(factors)-1)/2], 1)
 }
 
 func (m *slopeModel) observe(batch, step float64) {
@@ -75,12 +89,15 @@
 	ratio := step.Seconds() / m.pool.mean(batch)
 	ratio = min(max(ratio, 1/maxStepRatio), maxStepRatio)
 	m.factor += stepLearning * (ratio - m.factor)
-	if m.factor < outlierFactor {
+	if !m.outlier() {
 		m.pool.observe(batch, step.Seconds())
 	}
 	m.at = now
 }
 
+// outlier tells whether the server is slow compared with most of its pool.
+func (m *stepModel) outlier() bool { return m.factor >= outlierFactor*m.pool.typical }
+
 // recover lets the factor of a server without new samples return to the pool's mean, so that a
 // server that was slow is tried again.
 func (m *stepModel) recover(now instant) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -41,7 +41,8 @@
 		if err != nil {
 			return ending{failed: true, reason: "the stream broke off: " + err.Error()}
 		}
-		if report.Imported.IsZero() {
+		first := report.Imported.IsZero()
+		if first {
 			report.Imported = m.handler.Now()
 			place.Progress(*report)
 		}
@@ -55,9 +56,12 @@
 		if err := control.Flush(); err != nil {
 			m.cancelled("the stream was not taken: " + err.Error())
 		}
-		if id != "" {
-			m.event = id
-			m.events++
+		if id == "" {
+			continue
+		}
+		m.event = id
+		m.events++
+		if !first {
 			report.Generated += m.service.Engine.EventTokens
 		}
 	}
