Choose plain servers by their rate of errors too

Cause: servers that fail part of their requests with an error of their own (health good) were seen as working, and as the fastest: an error ends a pause and its short time pulls requests in. Change: an error rate of the newest requests, forgotten within 3 s, is part of a server's score; where the better of two servers fails often, a third is looked at. A server that works again gets its share back by steps.

--- a/cell/ewma_test.go
+++ b/cell/ewma_test.go
@@ -104,7 +104,11 @@
 				t.Fatal(err)
 			}
 			out[s.Server]++
-			p.PlainDone(s.Server, time.Millisecond, s.Server == "o1")
+			result := Answered
+			if s.Server == "o1" {
+				result = Failed
+			}
+			p.PlainDone(s.Server, time.Millisecond, result)
 		}
 		return out
 	}
--- a/cell/plain.go
+++ b/cell/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -26,8 +27,31 @@
 	servers   map[string]*plainServer
 }
 
+// Result is how a plain server dealt with a request.
+type Result int
+
+// The results of requests to plain servers.
+const (
+	Answered Result = iota
+	Erred           // it answered with an error of its own
+	Failed          // no whole answer came, or nothing could be sent
+)
+
+// ResultOf returns the result of a request by its answer, or by the error that came instead.
+func ResultOf(answer *http.Response, err error) Result {
+	switch {
+	case err != nil:
+		return Failed
+	case answer.StatusCode >= http.StatusInternalServerError:
+		return Erred
+	default:
+		return Answered
+	}
+}
+
 type plainServer struct {
 	latency peakEWMA
+	errors  errorRate
 	pause   time.Duration
 	retry   time.Time // when the server is tried again; zero while it works
 }
@@ -47,8 +71,7 @@
 	}
 	now := p.Now()
 	candidates := p.working(live, now)
-	score := func(i int) float64 { return p.server(candidates[i].Server).latency.score(now) }
-	picked := candidates[chooseTwo(len(candidates), p.Random, score)]
+	picked := candidates[p.choose(now, candidates)]
 	s := p.server(picked.Server)
 	s.latency.pending++
 	if !s.retry.IsZero() {
@@ -58,6 +81,31 @@
 	return picked, nil
 }
 
+// choose returns the better of two servers at random, or of three if that one often fails.
+func (p *Plain) choose(now time.Time, servers []rule.Server) int {
+	n := len(servers)
+	if n < 2 {
+		return 0
+	}
+	first, second := p.Random(n), 1+p.Random(n-1) // the others are counted from the first
+	best := p.better(now, servers, first, (first+second)%n)
+	if n == 2 || p.server(servers[best].Server).errors.at(now) < errorSuspect {
+		return best
+	}
+	third := 1 + p.Random(n-2)
+	if third >= second {
+		third++
+	}
+	return p.better(now, servers, best, (first+third)%n)
+}
+
+func (p *Plain) better(now time.Time, servers []rule.Server, a, b int) int {
+	if p.server(servers[b].Server).score(now) < p.server(servers[a].Server).score(now) {
+		return b
+	}
+	return a
+}
+
 // working leaves out paused servers, unless all are paused.
 func (p *Plain) working(live []rule.Server, now time.Time) []rule.Server {
 	out := make([]rule.Server, 0, len(live))
@@ -72,19 +120,29 @@
 	return out
 }
 
+// score is the expected cost of a request: its time, and what its failure would cost.
+func (s *plainServer) score(now time.Time) float64 {
+	return s.latency.score(now) + errorCost.Seconds()*s.errors.at(now)
+}
+
 // PlainDone takes in how a call went; took is the time to the answer's head.
-func (p *Plain) PlainDone(server string, took time.Duration, failed bool) {
+func (p *Plain) PlainDone(server string, took time.Duration, result Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.Now()
 	s := p.server(server)
 	s.latency.pending--
-	if !failed {
-		s.latency.observe(p.Now(), took)
+	s.errors.observe(now, result != Answered)
+	switch result {
+	case Answered:
+		s.latency.observe(now, took)
 		s.pause, s.retry = 0, time.Time{}
-		return
+	case Erred:
+		s.pause, s.retry = 0, time.Time{}
+	case Failed:
+		s.pause = min(max(2*s.pause, minPause), maxPause)
+		s.retry = now.Add(s.pause)
 	}
-	s.pause = min(max(2*s.pause, minPause), maxPause)
-	s.retry = p.Now().Add(s.pause)
 }
 
 func (p *Plain) server(name string) *plainServer {
--- a/entry/authorize_test.go
+++ b/entry/authorize_test.go
@@ -22,6 +22,7 @@
 
 	"teaselgate/account"
 	"teaselgate/allowance"
+	"teaselgate/cell"
 	"teaselgate/config"
 	"teaselgate/event"
 	"teaselgate/outcome"
@@ -127,7 +128,7 @@
 			return &allowance.Charge{}, time.Time{}, nil
 		},
 		PickPlain: func(string, []string) (rule.Server, error) { return rule.Server{Server: "s", At: at}, nil },
-		PlainDone: func(string, time.Duration, bool) {},
+		PlainDone: func(string, time.Duration, cell.Result) {},
 		Services:  services,
 		Budget:    outcome.NewBudget(),
 		Record:    b.recorder.Record,
--- a/entry/charge_test.go
+++ b/entry/charge_test.go
@@ -50,7 +50,7 @@
 			return nil, cell.ErrShed
 		},
 		PickPlain: func(string, []string) (rule.Server, error) { return rule.Server{Server: "s", At: at}, nil },
-		PlainDone: func(string, time.Duration, bool) {},
+		PlainDone: func(string, time.Duration, cell.Result) {},
 		Services:  services,
 		Budget:    outcome.NewBudget(),
 		Record:    func(event.Event) {},
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -37,7 +37,7 @@
 	Admit       func(context.Context, rule.Account, int64) (*allowance.Charge, time.Time, error)
 	Place       func(context.Context, cell.Request) (*cell.Placement, error)
 	PickPlain   func(pool string, exclude []string) (rule.Server, error)
-	PlainDone   func(server string, took time.Duration, failed bool) // follows each PickPlain
+	PlainDone   func(server string, took time.Duration, result cell.Result) // follows each PickPlain
 	Engines     *engine.Client
 	Services    *service.Client
 	Claims      *outcome.Claims
--- a/entry/once.go
+++ b/entry/once.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"teaselgate/cell"
 	"teaselgate/event"
 	"teaselgate/outcome"
 	"teaselgate/rule"
@@ -126,7 +127,7 @@
 		}
 	}
 	resp, err := conn.Send(ctx, serviceRequest(o.request, conn.server, o.body.reader()))
-	h.PlainDone(conn.server.Server, h.Now().Sub(conn.at), err != nil)
+	h.PlainDone(conn.server.Server, h.Now().Sub(conn.at), cell.ResultOf(resp, err))
 	if err != nil {
 		conn.Close()
 		h.Record(event.Event{Code: event.OnceUnknown, Request: o.id, Server: conn.server.Server, Detail: err.Error()})
@@ -139,7 +140,7 @@
 // closeUnused drops a connection on which nothing was sent.
 func (h *Handler) closeUnused(conn *opened) {
 	conn.Close()
-	h.PlainDone(conn.server.Server, h.Now().Sub(conn.at), false)
+	h.PlainDone(conn.server.Server, h.Now().Sub(conn.at), cell.Answered)
 }
 
 // openService connects to a live server; a failure leaves the call not run.
@@ -167,7 +168,7 @@
 		if err == nil {
 			return &opened{Conn: conn, server: server, at: start}, nil
 		}
-		h.PlainDone(server.Server, h.Now().Sub(start), true)
+		h.PlainDone(server.Server, h.Now().Sub(start), cell.Failed)
 		tried = append(tried, server.Server)
 		h.Record(event.Event{Code: event.RequestFailed, Request: o.id, Server: server.Server, Detail: err.Error()})
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 
+	"teaselgate/cell"
 	"teaselgate/event"
 	"teaselgate/outcome"
 	"teaselgate/rule"
@@ -86,7 +87,7 @@
 		tried = append(tried, server.Server)
 		start := h.Now()
 		resp, err := h.Services.Do(r.Context(), serviceRequest(r, server, body.reader()))
-		h.PlainDone(server.Server, h.Now().Sub(start), err != nil && r.Context().Err() == nil)
+		h.PlainDone(server.Server, h.Now().Sub(start), resultOf(r.Context(), resp, err))
 		if err == nil {
 			return resp, nil
 		}
@@ -100,6 +101,14 @@
 	}
 }
 
+// resultOf returns the result of a request; a caller that left is not the server's fault.
+func resultOf(ctx context.Context, answer *http.Response, err error) cell.Result {
+	if err != nil && ctx.Err() != nil {
+		return cell.Answered
+	}
+	return cell.ResultOf(answer, err)
+}
+
 // mayRepeat tells whether a failed idempotent call may be sent to another server.
 func (h *Handler) mayRepeat(ctx context.Context, c *call, err error, body callBody, tries int) bool {
 	if tries == maxPlainAttempts || ctx.Err() != nil {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -32,7 +32,7 @@
 	View    func() *registry.View
 	Place   func(context.Context, cell.Request) (*cell.Placement, error)
 	Pick    func(pool string, exclude []string) (rule.Server, error)
-	Picked  func(server string, took time.Duration, failed bool) // follows each Pick
+	Picked  func(server string, took time.Duration, result cell.Result) // follows each Pick
 	Charge  func(a platform.Account, tokens int64) (time.Time, error)
 	Budget  func(service string) *outcome.Budget
 	Servers *upstream.Pool
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"teaselgate/cell"
 	"teaselgate/event"
 	"teaselgate/platform"
 	"teaselgate/upstream"
@@ -44,7 +45,7 @@
 		tried = append(tried, server.Server)
 		start := h.Now()
 		end := q.attempt(ctx, server.Server, server.At, len(tried))
-		h.Picked(server.Server, h.Now().Sub(start), end.failed && ctx.Err() == nil)
+		h.Picked(server.Server, h.Now().Sub(start), end.result(ctx))
 		if end.answered {
 			return
 		}
@@ -65,10 +66,23 @@
 	notRun   bool   // the server has not run the request and never will
 	unsent   bool   // no byte reached the server
 	failed   bool   // the server is to blame
+	erred    bool   // the server answered with an error of its own
 	kept     *whole // the server's own failure, passed on if nothing better comes
 	reason   string
 }
 
+// result returns how the server dealt with the request; a caller that left is not its fault.
+func (e ending) result(ctx context.Context) cell.Result {
+	switch {
+	case e.erred:
+		return cell.Erred
+	case e.failed && ctx.Err() == nil:
+		return cell.Failed
+	default:
+		return cell.Answered
+	}
+}
+
 // whole is an answer that was read to its end.
 type whole struct {
 	*http.Response
@@ -138,11 +152,12 @@
 		return ending{answered: true}
 	}
 	answer := &whole{resp.Response, text}
-	if resp.StatusCode >= http.StatusInternalServerError && q.route.Kind == platform.Idempotent {
-		return ending{kept: answer, reason: fmt.Sprintf("failed with status %d", resp.StatusCode)}
+	erred := resp.StatusCode >= http.StatusInternalServerError
+	if erred && q.route.Kind == platform.Idempotent {
+		return ending{kept: answer, erred: true, reason: fmt.Sprintf("failed with status %d", resp.StatusCode)}
 	}
 	q.passWhole(answer, id)
-	return ending{answered: true}
+	return ending{answered: true, erred: erred}
 }
 
 // attemptContext bounds an attempt so that a silent server leaves time for another one.
