Serve metrics on their own address, and count stages, store calls, servers, beliefs and budgets

Cause: the metrics lay behind the operators' token, the deploy file named no address, and nothing told what a request waited for, how the store answered or how old a belief was. Names are bounded.

--- a/cell/hub.go
+++ b/cell/hub.go
@@ -136,6 +136,8 @@
 	Waiting int // requests
 	Used    int // slots given out
 	Slots   int // slots that may be given out
+
+	RateShare float64 // part of the accounts' rates that this instance gives out
 }
 
 // States returns the state by decode pool.
@@ -146,6 +148,7 @@
 		s := out[d.id.Decode]
 		d.mu.Lock()
 		s.Waiting += d.core.Waiting()
+		s.RateShare = d.core.meters.share
 		for _, server := range d.core.decodes {
 			s.Used += len(server.streams)
 			if server.health.usable(d.clock(now)) {
--- a/cell/sequence_test.go
+++ b/cell/sequence_test.go
@@ -30,23 +30,33 @@
 	s.n++
 	key := s.key()
 	s.core.Offer(s.now, Ask{Key: key, Account: "a", PromptTokens: sequencePrompt, MaxTokens: sequenceOutput, Class: rule.ClassInteractive})
-	for asked := s.now; ; s.now = s.now.Add(stepInterval) {
-		for _, d := range s.core.Step(s.now) {
-			if d.Err != nil {
-				t.Fatalf("request %d: unexpected refusal after %v at idle engines: %v", s.n, s.now.Sub(asked), d.Err)
-			}
-			waited := s.now.Sub(asked)
-			epoch := time.Unix(0, 0)
-			r := Report{
-				Placed: epoch, Prefilled: epoch.Add(compute), Imported: epoch.Add(compute + transfer),
-				Ended: epoch.Add(compute + transfer + stream), Generated: sequenceOutput,
-			}
-			if change != nil {
-				change(&r)
-			}
-			s.now = s.now.Add(r.Ended.Sub(epoch))
-			s.core.Release(s.now, key, r)
-			return waited
+	waited := s.await(t)
+	epoch := time.Unix(0, 0)
+	r := Report{
+		Placed: epoch, Prefilled: epoch.Add(compute), Imported: epoch.Add(compute + transfer),
+		Ended: epoch.Add(compute + transfer + stream), Generated: sequenceOutput,
+	}
+	if change != nil {
+		change(&r)
+	}
+	s.now = s.now.Add(r.Ended.Sub(epoch))
+	s.core.Release(s.now, key, r)
+	return waited
+}
+
+// await steps the core until it decides on the newest request, and returns how long that took.
+func (s *sequence) await(t *testing.T) time.Duration {
+	t.Helper()
+	asked := s.now
+	for {
+		decisions := s.core.Step(s.now)
+		if len(decisions) == 0 {
+			s.now = s.now.Add(stepInterval)
+			continue
+		}
+		if err := decisions[0].Err; err != nil {
+			t.Fatalf("request %d: unexpected refusal after %v at idle engines: %v", s.n, s.now.Sub(asked), err)
 		}
+		return s.now.Sub(asked)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -122,6 +122,13 @@
 	f.platform = f.Now()
 }
 
+// PlatformHeard returns when the platform last answered; zero before the first time.
+func (f *Fleet) PlatformHeard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.platform
+}
+
 // Connected tells whether the instance has heard the platform, or at least half of the peers
 // it tried, within the hearing window. Peers that are gone without having left are tried too, so
 // that an instance in the smaller part of a divided fleet does not take that part for the whole.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -11,6 +11,7 @@
 
 	"teaselgate/cell"
 	"teaselgate/event"
+	"teaselgate/metric"
 	"teaselgate/outcome"
 	"teaselgate/platform"
 	"teaselgate/registry"
@@ -38,13 +39,45 @@
 	Servers *upstream.Pool
 	Engines *platform.Engines
 	Record  func(event.Event)
+	Ended   func(platform.Repeat, End)               // told of each request that ended
+	Took    func(s metric.Stage, took time.Duration) // told of each stage that went well
 	Now     func() time.Time
 	Random  func() float64 // in [0, 1)
 }
 
+// End is how a request ended.
+type End string
+
+// The ends of requests.
+const (
+	Done      End = "done"
+	OverRate  End = "over-rate"
+	NotRun    End = "not-run"
+	Broken    End = "failed"
+	Late      End = "late"
+	Cancelled End = "cancelled"
+)
+
+// endOf returns the end that a refusal's status stands for.
+func endOf(status int) End {
+	switch status {
+	case http.StatusTooManyRequests:
+		return OverRate
+	case http.StatusBadGateway:
+		return Broken
+	case http.StatusGatewayTimeout:
+		return Late
+	default:
+		return NotRun
+	}
+}
+
 // NewHandler returns a handler with the usual clock and randomness.
 func NewHandler() *Handler {
-	return &Handler{Now: time.Now, Random: rand.Float64, Record: func(event.Event) {}}
+	return &Handler{
+		Now: time.Now, Random: rand.Float64,
+		Record: func(event.Event) {}, Ended: func(platform.Repeat, End) {}, Took: func(metric.Stage, time.Duration) {},
+	}
 }
 
 // request is one caller's request on its way through the instance.
@@ -170,6 +203,7 @@
 
 func (q *request) refuse(status int, retry time.Duration, reason string) {
 	q.note(event.RequestRefused, "", reason)
+	q.handler.Ended(q.route.Kind, endOf(status))
 	platform.Refuse(q.out, q.Call, status, retry)
 }
 
@@ -193,9 +227,16 @@
 // cancelled ends a request whose caller is gone.
 func (q *request) cancelled(reason string) {
 	q.note(event.RequestCancelled, "", reason)
+	q.handler.Ended(q.route.Kind, Cancelled)
 	panic(http.ErrAbortHandler)
 }
 
+// done notes a request that was answered.
+func (q *request) done(server, detail string) {
+	q.note(event.RequestDone, server, detail)
+	q.handler.Ended(q.route.Kind, Done)
+}
+
 func (q *request) note(code event.Code, server, detail string) {
 	q.handler.Record(event.Event{Code: code, Request: q.ID, Account: q.account.Name, Server: server, Detail: detail})
 }
--- a/forward/model.go
+++ b/forward/model.go
@@ -11,6 +11,7 @@
 
 	"teaselgate/cell"
 	"teaselgate/event"
+	"teaselgate/metric"
 	"teaselgate/platform"
 	"teaselgate/rule"
 	"teaselgate/upstream"
@@ -35,11 +36,13 @@
 	h.Budget(q.service.Name).Deposit()
 	m := &modelRun{request: q}
 	for n := 1; ; n++ {
+		asked := h.Now()
 		place, err := h.Place(ctx, m.placeRequest())
 		if err != nil {
 			m.endUnplaced(ctx, err)
 			return
 		}
+		h.Took(metric.Queue, h.Now().Sub(asked))
 		end := m.run(ctx, place)
 		if end.answered {
 			return
@@ -135,6 +138,7 @@
 		place.Release(report)
 	}()
 	m.note(event.RequestPlaced, place.Decode.Server, placeDetail(place))
+	start := m.handler.Now()
 	handle, end := m.prefill(ctx, place.Prefill, place.Inputs.Prefill)
 	if !end.answered {
 		report.BadPrefill = end.failed && ctx.Err() == nil
@@ -142,6 +146,7 @@
 		return end
 	}
 	report.Prefilled = m.handler.Now()
+	m.handler.Took(metric.Prefill, report.Prefilled.Sub(start))
 	end = m.decode(ctx, place, handle, &report)
 	if !end.answered {
 		report.BadDecode = end.failed && ctx.Err() == nil
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -11,6 +11,7 @@
 
 	"teaselgate/cell"
 	"teaselgate/event"
+	"teaselgate/metric"
 	"teaselgate/platform"
 	"teaselgate/upstream"
 )
@@ -45,8 +46,10 @@
 		tried = append(tried, server.Server)
 		start := h.Now()
 		end := q.attempt(ctx, server.Server, server.At, len(tried))
-		h.Picked(server.Server, h.Now().Sub(start), end.result(ctx))
+		took := h.Now().Sub(start)
+		h.Picked(server.Server, took, end.result(ctx))
 		if end.answered {
+			h.Took(metric.Service, took)
 			return
 		}
 		q.note(event.RequestFailed, server.Server, end.reason)
@@ -196,7 +199,7 @@
 	if _, err := q.out.Write(a.text); err != nil {
 		q.cancelled("the answer was not taken: " + err.Error())
 	}
-	q.note(event.RequestDone, server, q.doneDetail(a.StatusCode))
+	q.done(server, q.doneDetail(a.StatusCode))
 }
 
 // doneDetail tells how a request was answered.
@@ -215,7 +218,7 @@
 	if _, err := io.CopyBuffer(q.out, source, make([]byte, copyBufferBytes)); err != nil {
 		q.cancelled("the answer broke off: " + err.Error())
 	}
-	q.note(event.RequestDone, "", q.doneDetail(resp.StatusCode))
+	q.done("", q.doneDetail(resp.StatusCode))
 }
 
 // begin sets the header of a server's answer.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,7 +10,7 @@
 	"strconv"
 
 	"teaselgate/cell"
-	"teaselgate/event"
+	"teaselgate/metric"
 	"teaselgate/upstream"
 )
 
@@ -35,7 +35,7 @@
 	for {
 		text, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
-			m.note(event.RequestDone, place.Decode.Server, fmt.Sprintf("%d events", m.events))
+			m.done(place.Decode.Server, fmt.Sprintf("%d events", m.events))
 			return ending{answered: true}
 		}
 		if err != nil {
@@ -44,6 +44,7 @@
 		first := report.Imported.IsZero()
 		if first {
 			report.Imported = m.handler.Now()
+			m.handler.Took(metric.Transfer, report.Imported.Sub(report.Prefilled))
 			place.Progress(*report)
 		}
 		id := eventID(text)
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -11,6 +11,7 @@
 	"teaselgate/cell"
 	"teaselgate/engine"
 	"teaselgate/forward"
+	"teaselgate/metric"
 	"teaselgate/outcome"
 	"teaselgate/platform"
 	"teaselgate/registry"
@@ -32,7 +33,7 @@
 	i.servers.KeepAlive, i.servers.ID = platform.KeepAlive, platform.AnswerID
 	i.debits = cell.NewDebits(i.placer)
 	i.debits.Record = i.events.Record
-	budgets := &budgets{instance: i, services: make(map[string]*outcome.Budget)}
+	i.budgets = &budgets{instance: i, services: make(map[string]*outcome.Budget)}
 	handler := forward.NewHandler()
 	handler.Zone = i.Options.Zone
 	handler.View = i.registry.Current
@@ -41,10 +42,12 @@
 	handler.Charge = func(a platform.Account, tokens int64) (time.Time, error) {
 		return i.debits.Take(cell.Debit{Account: a.Name, Tokens: tokens, Rate: a.Rate, Burst: a.Burst})
 	}
-	handler.Budget = budgets.of
+	handler.Budget = i.budgets.of
 	handler.Servers = i.servers
 	handler.Engines = newEngines()
 	handler.Record = i.events.Record
+	handler.Ended = func(kind platform.Repeat, e forward.End) { i.metrics.Answer(kindName(kind), string(e)) }
+	handler.Took = func(s metric.Stage, took time.Duration) { i.metrics.Stage(s, took) }
 	i.handler = handler
 	supervisor.Add(i.debits)
 	supervisor.Add(&pruner{i.servers})
@@ -81,6 +84,31 @@
 	return budget
 }
 
+// left returns what is left of each budget.
+func (b *budgets) left() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]float64, len(b.services))
+	for service, budget := range b.services {
+		out[service] = budget.Left()
+	}
+	return out
+}
+
+// kindName names the kind of a route for the metrics.
+func kindName(kind platform.Repeat) string {
+	switch kind {
+	case platform.Idempotent:
+		return "idempotent"
+	case platform.Once:
+		return "once"
+	case platform.Streaming:
+		return "streaming"
+	default:
+		return "none"
+	}
+}
+
 // pruner closes idle connections.
 type pruner struct{ pool *upstream.Pool }
 
--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -11,6 +12,8 @@
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/metric"
+	"teaselgate/platform"
+	"teaselgate/rule"
 )
 
 // collectInterval is how often values that are not counted where they arise are taken over.
@@ -19,14 +22,34 @@
 // buildMetrics makes the metrics and the service that keeps them current.
 func (i *Instance) buildMetrics(supervisor *suture.Supervisor) error {
 	i.metrics = metric.New()
+	i.platform.Told = func(t platform.Told) { i.metrics.StoreCall(t.Method, storeResult(t.Err), t.Took, t.Waited) }
 	supervisor.Add(&collector{instance: i, counts: make(map[event.Code]uint64)})
 	return nil
 }
 
+// storeResult names how a call to the store ended.
+func storeResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	case errors.Is(err, platform.ErrNotFound):
+		return "missing"
+	case errors.Is(err, platform.ErrHistory):
+		return "history"
+	case errors.Is(err, platform.ErrUnknown):
+		return "unknown"
+	default:
+		return "down"
+	}
+}
+
 // collector takes over counts of events and states into the metrics.
 type collector struct {
 	instance *Instance
 	counts   map[event.Code]uint64 // as of the last time
+	dropped  uint64                // the same, lines that the log left out
 }
 
 // Serve collects until the context ends.
@@ -58,6 +81,50 @@
 	i.metrics.Revision(i.revision())
 	i.metrics.InFlight(i.requests.InFlight())
 	i.metrics.Connections(i.connections.Open())
+	if i.Lines != nil {
+		dropped := i.Lines.Dropped()
+		i.metrics.LinesDropped(dropped - c.dropped)
+		c.dropped = dropped
+	}
+	i.collectServers()
+	if i.registry != nil {
+		i.collectBeliefs()
+	}
+}
+
+// collectServers takes over how many backend servers are in force; every duty and state is present.
+func (i *Instance) collectServers() {
+	rules := i.ruleSet()
+	if rules == nil {
+		return
+	}
+	type group struct {
+		duty  rule.Duty
+		state rule.State
+	}
+	counts := make(map[group]int)
+	for _, s := range rules.AllServers() {
+		pool, _ := rules.Pool(s.Pool)
+		counts[group{pool.Duty, s.State}]++
+	}
+	for _, duty := range []rule.Duty{rule.Plain, rule.Prefill, rule.Decode} {
+		for _, state := range []rule.State{rule.Live, rule.Leaving} {
+			i.metrics.Servers(string(duty), string(state), counts[group{duty, state}])
+		}
+	}
+}
+
+// collectBeliefs takes over the ages of what is believed, and what is left of budgets.
+func (i *Instance) collectBeliefs() {
+	now := time.Now()
+	for belief, at := range map[string]time.Time{"store": i.fleet.PlatformHeard(), "fleet": i.registry.Sighted()} {
+		if !at.IsZero() {
+			i.metrics.BeliefAge(belief, now.Sub(at))
+		}
+	}
+	for service, left := range i.budgets.left() {
+		i.metrics.RetriesLeft(service, left)
+	}
 }
 
 // collectCells takes over the state of the dispatchers; a pool that has none here shows 0.
@@ -70,6 +137,7 @@
 	for _, m := range rules.Models() {
 		s := states[m.Decode]
 		i.metrics.Cell(m.Decode, s.Waiting, s.Used, s.Slots)
+		i.metrics.RateShare(s.RateShare)
 	}
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -58,6 +58,7 @@
 	registry    *registry.Follower
 	servers     *upstream.Pool
 	debits      *cell.Debits
+	budgets     *budgets // of retries; nil with the rules file
 	engines     *engine.Client
 	services    *service.Client
 	claims      *outcome.Claims
@@ -77,6 +78,8 @@
 	caller net.Listener
 	admin  net.Listener
 	peer   net.Listener
+
+	metrics net.Listener // nil without a setting
 }
 
 // Open binds the listeners, so that addresses are known before Run.
@@ -95,7 +98,12 @@
 		}
 		*l.out = listener
 	}
-	return nil
+	if i.Options.Metrics == "" {
+		return nil
+	}
+	var err error
+	i.listeners.metrics, err = socket.Listen(ctx, i.Options.Metrics)
+	return err
 }
 
 // Address returns the address of the callers' listener.
@@ -107,6 +115,14 @@
 // PeerAddress returns the address for other instances.
 func (i *Instance) PeerAddress() string { return i.listeners.peer.Addr().String() }
 
+// MetricsAddress returns the address of the listener for metrics, empty if there is none.
+func (i *Instance) MetricsAddress() string {
+	if i.listeners.metrics == nil {
+		return ""
+	}
+	return i.listeners.metrics.Addr().String()
+}
+
 // Run serves until the context ends, then finishes the requests in flight.
 func (i *Instance) Run(ctx context.Context) error {
 	supervisor := suture.New(i.Options.Name, suture.Spec{EventHook: i.recordFailure})
@@ -126,11 +142,16 @@
 	done := supervisor.ServeBackground(background)
 	go func() { fail(serveHTTP(caller, i.connections, i.callerTLS)) }()
 	go func() { fail(serveHTTP(admin, i.listeners.admin, i.adminTLS)) }()
+	metrics := i.metricsServer()
+	if i.listeners.metrics != nil {
+		go func() { fail(serveHTTP(metrics, i.listeners.metrics, nil)) }()
+	}
 	go i.join(background)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
 	<-ctx.Done()
 	err := errors.Join(listenerFailure(ctx), i.leave(background, caller, endRequests))
 	admin.Close()
+	metrics.Close()
 	stop()
 	if stopped := <-done; !errors.Is(stopped, context.Canceled) {
 		err = errors.Join(err, stopped)
@@ -209,6 +230,9 @@
 	for _, l := range []net.Listener{i.listeners.caller, i.listeners.admin, i.listeners.peer} {
 		l.Close()
 	}
+	if i.listeners.metrics != nil {
+		i.listeners.metrics.Close()
+	}
 }
 
 // listenerFailure returns the error of a listener that ended the instance, if one did.
--- a/instance/server.go
+++ b/instance/server.go
@@ -110,6 +110,20 @@
 	}
 }
 
+// metricsServer makes the HTTP server for collectors of metrics, which show no token.
+func (i *Instance) metricsServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", i.metrics.ServeHTTP)
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout:       adminHeaderTimeout,
+		WriteTimeout:      adminWriteTimeout,
+		MaxHeaderBytes:    adminMaxHeaderBytes,
+		ErrorLog:          i.serverLog(),
+	}
+}
+
 func (i *Instance) getReady(w http.ResponseWriter, _ *http.Request) {
 	if !i.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -82,8 +82,56 @@
 	}
 )
 
+// The metrics of the path between callers and backend servers, of the store and of what is believed.
+var (
+	Answers = Definition{
+		"answers", Counter,
+		[]string{"kind", "outcome"},
+		"Requests by the kind of their route (`idempotent`, `once`, `streaming`, `none` before it is known) and how they ended: `done`, `over-rate` (429), `not-run` (other refusals), `failed` (502, it may have run), `late` (504), `cancelled` (the caller is gone, or the answer was cut).",
+	}
+	StageTime = Definition{
+		"stage_seconds", Histogram,
+		[]string{"stage"},
+		"Time of the stages of requests: `queue` (until a place is given), `prefill`, `transfer` (from the request to the decode engine to the first event), `service` (one plain server, to the end of its answer). The time between events is `chunk_gap_seconds`.",
+	}
+	StoreCalls = Definition{
+		"store_calls", Counter,
+		[]string{"method", "result"},
+		"Calls to the platform's store. The result is `ok`, `conflict`, `missing`, `history` (changes not kept any more), `down` or `unknown` (a write without an answer).",
+	}
+	StoreTime = Definition{
+		"store_seconds", Histogram,
+		[]string{"method"},
+		"Time of calls to the platform's store, without those that wait for changes.",
+	}
+	Servers = Definition{
+		"servers", Gauge,
+		[]string{"duty", "state"},
+		"Backend servers in force by duty (`plain`, `prefill`, `decode`) and state (`live`, `leaving`).",
+	}
+	BeliefAge = Definition{
+		"belief_age_seconds", Gauge,
+		[]string{"belief"},
+		"Age of what is believed: `store` (since this instance last heard the store), `fleet` (since any instance that is heard did).",
+	}
+	RetriesLeft = Definition{
+		"retries_left", Gauge,
+		[]string{"service"},
+		"Repeats of requests that this instance may still send to a service, which its retry budget bounds.",
+	}
+	RateShare = Definition{
+		"rate_share", Gauge, nil,
+		"Part of each client account's rate that this instance's dispatcher may give out; 0 where it does not dispatch.",
+	}
+	LinesDropped = Definition{
+		"log_lines_dropped", Counter, nil,
+		"Lines of the log that were left out because its reader was too slow.",
+	}
+)
+
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	Requests, RequestTime, FirstChunk, ChunkGap, InFlight, Connections, Events, Members, Revision,
 	CellWaiting, CellUsed, CellSlots,
+	Answers, StageTime, StoreCalls, StoreTime, Servers, BeliefAge, RetriesLeft, RateShare, LinesDropped,
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -48,6 +48,10 @@
 	inFlight tally.Gauge
 	open     tally.Gauge
 	revision tally.Gauge
+
+	stages    map[Stage]tally.Histogram
+	rateShare tally.Gauge
+	lines     tally.Counter
 }
 
 // New returns metrics that report until Close.
@@ -69,6 +73,10 @@
 		inFlight: scope.Gauge(InFlight.Name),
 		open:     scope.Gauge(Connections.Name),
 		revision: scope.Gauge(Revision.Name),
+
+		stages:    newStages(scope),
+		rateShare: scope.Gauge(RateShare.Name),
+		lines:     scope.Counter(LinesDropped.Name),
 	}
 }
 
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -18,7 +18,8 @@
 
 const pageHead = `# Metrics
 
-` + "`GET /metrics`" + ` on the admin listener, with the operators' token, gives these values in the Prometheus text format.
+` + "`GET /metrics`" + ` on the admin listener, with the operators' token, and on the address ` + "`metrics`" + ` of the settings, without one, gives these
+values in the Prometheus text format.
 Tags have few values: routes come from the rules, and no value is kept per client account, key, request or backend
 server, so that 35,000 accounts add nothing. What an account sees is in the events and in ` + "`teaselgate load`" + `.
 
@@ -69,6 +70,14 @@
 	m.Connections(2)
 	m.Revision(7)
 	m.Cell("chat-decode", 1, 2, 3)
+	m.Answer("unsafe", "late")
+	m.Stage(Queue, time.Millisecond)
+	m.StoreCall(http.MethodGet, "ok", time.Millisecond, false)
+	m.Servers("plain", "live", 3)
+	m.BeliefAge("store", time.Second)
+	m.RetriesLeft("shop", 4)
+	m.RateShare(1)
+	m.LinesDropped(2)
 	text := scrape(t, m)
 	kinds := make(map[string]Kind)
 	for _, match := range typeLine.FindAllStringSubmatch(text, -1) {
--- a/option/field.go
+++ b/option/field.go
@@ -51,6 +51,10 @@
 		Name: "admin", Need: true, check: checkReachable, at: func(o *Options) any { return &o.Admin },
 		Text: "IP number and port of the operators' listener: `/health`, `/ready`, `/metrics`, `/events`.",
 	},
+	{
+		Name: "metrics", check: checkAddress, at: func(o *Options) any { return &o.Metrics },
+		Text: "IP number and port of a plain listener that serves `/metrics` without a token, for collectors inside the installation; without it they are on `admin` alone.",
+	},
 	{
 		Name: "peer", Need: true, check: checkReachable, at: func(o *Options) any { return &o.Peer },
 		Text: "IP number and port for calls of other instances, as these reach it.",
--- a/option/option.go
+++ b/option/option.go
@@ -9,6 +9,7 @@
 	Zone          string   `yaml:"zone"`
 	Listen        string   `yaml:"listen"`
 	Admin         string   `yaml:"admin"`
+	Metrics       string   `yaml:"metrics"`
 	Peer          string   `yaml:"peer"`
 	Peers         []string `yaml:"peers"`
 	Platform      string   `yaml:"platform"`
--- a/outcome/budget.go
+++ b/outcome/budget.go
@@ -33,6 +33,13 @@
 	b.level = min(b.level, burst)
 }
 
+// Left returns the retries that are left.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.level
+}
+
 // Deposit notes a first attempt.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -169,6 +169,13 @@
 	return f.Now().Sub(f.sight) < sightLife
 }
 
+// Sighted returns when an instance that is heard was last known to see the store; zero before the first time.
+func (f *Follower) Sighted() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sight
+}
+
 // sees notes that an instance has just seen the store.
 func (f *Follower) sees() {
 	f.mu.Lock()
