--- a/registry/registry.go
+++ b/registry/registry.go
@@ -58,6 +58,7 @@
 	servers  map[string]Entry        // by id
 	listed   bool                    // whether the servers were ever listed
 	version  uint64                  // newest version of anything kept
+	digest   uint64                  // of all that is kept
 	lapses   map[string]time.Time
 	down     map[string]bool // kinds whose store calls fail
 	returned time.Time       // when the store last answered again
@@ -94,16 +95,6 @@
 // Current returns what is in force, nil before both the configuration and the servers are known.
 func (f *Follower) Current() *View { return f.view.Load() }
 
-// Version returns the newest version of anything known, 0 before all is known.
-func (f *Follower) Version() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.view.Load() == nil {
-		return 0
-	}
-	return f.version
-}
-
 // Serve follows both kinds until the context ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	defer f.calls.Wait()
@@ -244,9 +235,14 @@
 	returned := f.Now().Sub(f.returned) < lapseGrace
 	changed := whole && !f.listed
 	f.listed = f.listed || whole
-	named := make(map[string]bool, len(list.Objects))
-	for _, o := range list.Objects {
-		named[o.Name] = true
+	last := make(map[string]int, len(list.Objects)) // change of each entry that counts: it may have gone and come back
+	for n, o := range list.Objects {
+		last[o.Name] = n
+	}
+	for n, o := range list.Objects {
+		if n < last[o.Name] {
+			continue
+		}
 		if o.Deleted {
 			changed = f.takeServer(o.Name, Entry{Version: max(o.Version, list.Version), Gone: true}, returned) || changed
 			continue
@@ -257,7 +253,7 @@
 		return changed
 	}
 	for id, e := range f.servers {
-		if !named[id] && !e.Gone {
+		if _, named := last[id]; !named && !e.Gone {
 			changed = f.takeServer(id, Entry{Version: list.Version, Gone: true}, returned) || changed
 		}
 	}
@@ -324,6 +320,7 @@
 	old := f.view.Load()
 	view := NewView(f.decoded, servers, f.Fenced)
 	f.view.Store(view)
+	f.digest = f.digestOf()
 	f.recordServers(old, view)
 	select {
 	case f.news <- struct{}{}:
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -91,6 +92,7 @@
 			}
 		}
 		s.mu.Unlock()
+		slices.SortFunc(list.Objects, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
 		switch {
 		case down:
 			return platform.List{}, platform.ErrUnavailable
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 
@@ -25,10 +27,11 @@
 	Listed  bool
 }
 
-// TellArgs says which version an instance knows.
+// TellArgs says what an instance knows.
 type TellArgs struct {
 	Address string // of that instance
-	Version uint64
+	Version uint64 // the newest
+	Digest  uint64 // of all that it knows
 	Sighted bool // whether it has just seen the store itself
 }
 
@@ -61,7 +64,8 @@
 
 // tell tells peers in the background.
 func (f *Follower) tell(ctx context.Context, peers []string, sighted bool) {
-	args := TellArgs{Address: f.Self, Version: f.Version(), Sighted: sighted}
+	version, digest := f.newest()
+	args := TellArgs{Address: f.Self, Version: version, Digest: digest, Sighted: sighted}
 	for _, address := range peers {
 		f.calls.Go(func() {
 			ctx, stop := context.WithTimeout(ctx, tellTimeout)
@@ -78,7 +82,7 @@
 	if args.Sighted {
 		r.follower.sees()
 	}
-	r.follower.Nudge(args.Address, args.Version)
+	r.follower.compare(args)
 	return nil
 }
 
@@ -107,7 +111,21 @@
 
 // Nudge fetches from a peer that knows a newer version; it returns at once.
 func (f *Follower) Nudge(address string, version uint64) {
-	if version <= f.Version() || !f.fetching.CompareAndSwap(false, true) {
+	if version > f.Version() {
+		f.startFetch(address)
+	}
+}
+
+// compare fetches from a peer that knows something else. The newest version alone does not show it: a server that is
+// dropped because its entry is missing after an outage leaves no newer one.
+func (f *Follower) compare(args TellArgs) {
+	if version, digest := f.newest(); args.Version > version || args.Digest != digest {
+		f.startFetch(args.Address)
+	}
+}
+
+func (f *Follower) startFetch(address string) {
+	if !f.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	f.calls.Go(func() {
@@ -116,6 +134,36 @@
 	})
 }
 
+// Version returns the newest version of anything known, 0 before all is known.
+func (f *Follower) Version() uint64 {
+	version, _ := f.newest()
+	return version
+}
+
+// newest returns the newest version and the digest of what is known, zeros before all is known.
+func (f *Follower) newest() (version, digest uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view.Load() == nil {
+		return 0, 0
+	}
+	return f.version, f.digest
+}
+
+// digestOf joins the versions of the configuration and of the servers that are not gone.
+func (f *Follower) digestOf() uint64 {
+	sum := f.config.Version
+	for id, e := range f.servers {
+		if e.Gone {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(id), e.Version)) // never fails
+		sum ^= h.Sum64()
+	}
+	return sum
+}
+
 // known returns the versions that are known here.
 func (f *Follower) known() FetchArgs {
 	f.mu.Lock()
