--- a/forward/model.go
+++ b/forward/model.go
@@ -127,7 +127,19 @@
 	if !end.notRun && (!m.route.Resumable || m.ran >= m.route.MaxAttempts) {
 		return false
 	}
-	return end.unsent || m.spendRetry()
+	return m.spendRetries(end.repeats())
+}
+
+// repeats returns how many more requests a repeat sends to engines than the first time would have.
+func (e ending) repeats() int {
+	n := 0
+	if e.computed {
+		n++
+	}
+	if !e.unsent {
+		n++
+	}
+	return n
 }
 
 // run carries a request through one place.
@@ -148,6 +160,7 @@
 	report.Prefilled = m.handler.Now()
 	m.handler.Took(metric.Prefill, report.Prefilled.Sub(start))
 	end = m.decode(ctx, place, handle, &report)
+	end.computed = true
 	if !end.answered {
 		report.BadDecode = end.failed && ctx.Err() == nil
 		report.Refused = end.notRun && !end.unsent
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -70,6 +70,7 @@
 	unsent   bool   // no byte reached the server
 	failed   bool   // the server is to blame
 	erred    bool   // the server answered with an error of its own
+	computed bool   // a prompt was computed for it, which a repeat has computed again
 	kept     *whole // the server's own failure, passed on if nothing better comes
 	reason   string
 }
@@ -118,12 +119,12 @@
 	if !end.notRun && (q.route.Kind != platform.Idempotent || q.ran >= q.route.MaxAttempts) {
 		return false
 	}
-	return end.unsent || q.spendRetry()
+	return end.unsent || q.spendRetries(1)
 }
 
-// spendRetry takes one more arrival at the service from the budget that all instances share.
-func (q *request) spendRetry() bool {
-	if q.handler.Budget(q.service.Name).Withdraw() {
+// spendRetries takes more arrivals at the service from the budget that all instances share.
+func (q *request) spendRetries(n int) bool {
+	if q.handler.Budget(q.service.Name).WithdrawMany(n) {
 		return true
 	}
 	q.note(event.RetryBudgetSpent, "", q.service.Name)
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -36,6 +36,12 @@
 	engineAt    = "10.0.1.%d:80"
 )
 
+// The retry budget of a service.
+const (
+	budgetShare = 0.2
+	budgetBurst = 10
+)
+
 // settings are those of the tests' configuration.
 var settings = caller.Settings{
 	Version: 1, Timeout: 600 * time.Millisecond, Slots: 4, Memory: 16000, Rate: 100000, Key: secret,
@@ -49,7 +55,7 @@
 	decode  []*backend.Server
 	servers map[string]*backend.Server // by address
 	down    map[string]bool            // addresses that refuse connections
-	budget  *outcome.Budget
+	budgets map[string]*outcome.Budget // by service
 	mu      sync.Mutex
 	events  []event.Event
 }
@@ -59,7 +65,10 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		w := &world{servers: make(map[string]*backend.Server), down: make(map[string]bool), budget: outcome.NewBudgetOf(0.2, 10)}
+		w := &world{servers: make(map[string]*backend.Server), down: make(map[string]bool), budgets: make(map[string]*outcome.Budget)}
+		for _, service := range []string{caller.Plain, caller.Models} {
+			w.budgets[service] = outcome.NewBudgetOf(budgetShare, budgetBurst)
+		}
 		var entries []platform.Server
 		add := func(at string, s *backend.Server, stage platform.Stage) *backend.Server {
 			w.servers[at] = s.Start()
@@ -126,7 +135,7 @@
 	h.View = func() *registry.View { return view }
 	h.Place, h.Pick, h.Picked = placer.Place, placer.Plain.PickPlain, placer.Plain.PlainDone
 	h.Charge = func(platform.Account, int64) (time.Time, error) { return time.Time{}, nil }
-	h.Budget = func(string) *outcome.Budget { return w.budget }
+	h.Budget = func(service string) *outcome.Budget { return w.budgets[service] }
 	h.Servers = upstream.NewPool()
 	h.Servers.KeepAlive, h.Servers.ID = platform.KeepAlive, platform.AnswerID
 	h.Servers.Dial = func(ctx context.Context, _, at string) (net.Conn, error) { return w.dial(ctx, at) }
@@ -138,8 +147,11 @@
 
 // dial connects to an emulated server by a pipe.
 func (w *world) dial(_ context.Context, at string) (net.Conn, error) {
+	w.mu.Lock()
 	s, ok := w.servers[at]
-	if !ok || w.down[at] {
+	down := w.down[at]
+	w.mu.Unlock()
+	if !ok || down {
 		return nil, errRefused
 	}
 	near, far := net.Pipe()
@@ -148,6 +160,23 @@
 	return near, nil
 }
 
+// setDown makes an address refuse connections, or accept them again.
+func (w *world) setDown(at string, down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down[at] = down
+}
+
+// addressOf returns the address of a server.
+func (w *world) addressOf(server *backend.Server) string {
+	for at, s := range w.servers {
+		if s == server {
+			return at
+		}
+	}
+	return ""
+}
+
 // single is a listener for one connection.
 type single struct {
 	conn net.Conn
--- a/outcome/budget.go
+++ b/outcome/budget.go
@@ -48,12 +48,15 @@
 }
 
 // Withdraw takes one retry, or returns false if none is left.
-func (b *Budget) Withdraw() bool {
+func (b *Budget) Withdraw() bool { return b.WithdrawMany(1) }
+
+// WithdrawMany takes a number of retries, or returns false if not so many are left.
+func (b *Budget) WithdrawMany(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.level < 1 {
+	if b.level < float64(n) {
 		return false
 	}
-	b.level--
+	b.level -= float64(n)
 	return true
 }
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -32,7 +32,7 @@
 	Address string // of that instance
 	Version uint64 // the newest
 	Digest  uint64 // of all that it knows
-	Sighted bool // whether it has just seen the store itself
+	Sighted bool   // whether it has just seen the store itself
 }
 
 // TellReply answers TellArgs.
--- a/registry/walk_test.go
+++ b/registry/walk_test.go
@@ -133,7 +133,9 @@
 	}
 }
 
-func (w *walk) fail(format string, args ...any) { w.broken = append(w.broken, fmt.Sprintf(format, args...)) }
+func (w *walk) fail(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf(format, args...))
+}
 
 // TestWalk plays random changes and faults of the store: no instance goes back to anything older, and once the faults
 // have ended all know the newest within the time in which entries are kept that lapsed, and two readings.
