Let work count for more than reports, and an engine's own failure count against it; emulate more of the servers

Ruled out: early closing of idle connections loses no order on sockets, where the pool looks before it sends; over pipes it did (30 of 60 orders), and looks there now too. Change: an answer of 500 counts as a failed call of the decode engine; an engine is tried first only until it got one request; a report that fails while a call went well says nothing, and an engine that only reports speak against gets one request at a time after its pause. The emulator (standin/backend) answers late and twice, closes idle connections early, takes orders with fences, has batch step times and reports with a lag, and may give none; the walk uses the new faults.

--- a/cell/core.go
+++ b/cell/core.go
@@ -264,7 +264,7 @@
 		return
 	}
 	r.prefilled = true
-	r.prefill.health.worked()
+	r.prefill.health.worked(now)
 	r.prefill.observe(now, r, report)
 }
 
@@ -297,7 +297,7 @@
 	case report.BadDecode:
 		d.health.callFailed(now)
 	case report.Generated > 0:
-		d.health.worked()
+		d.health.worked(now)
 	case report.BadPrefill:
 		r.prefill.health.callFailed(now)
 	}
@@ -431,7 +431,7 @@
 
 // chooseDecode returns the decode server with the shortest step among those that have room when the
 // prompt's KV cache is ready; room that is free already goes before room that is predicted. An idle
-// server that was never measured is tried first: else a slow one stays in use while no other is known.
+// server that never got a request is tried first: else a slow one stays in use while no other is known.
 func (c *Core) chooseDecode(now instant, ask *Ask, pieces int, wait time.Duration) *decodeServer {
 	var best *decodeServer
 	var bestFree bool
@@ -448,7 +448,7 @@
 		}
 		batch := len(d.streams) + d.others(now)
 		score := d.steps.step(batch + 1)
-		if batch == 0 && d.steps.at.IsZero() {
+		if batch == 0 && !d.tried {
 			score = 0
 		}
 		if d.server.Zone != ask.Zone {
--- a/cell/decode.go
+++ b/cell/decode.go
@@ -29,6 +29,7 @@
 	streams []*reservation // by the progress at which they end
 	used    int            // pieces
 	limit   int            // batch that keeps the target
+	tried   bool           // it got a request
 	told    bool           // the server told what it holds
 	polled  bool           // the server reported its load
 
@@ -82,6 +83,7 @@
 	step := d.steps.step(len(d.streams) + 1)
 	r.endProgress = d.progress + wait.Seconds()/step + float64(r.maxTokens)
 	r.startBatched = d.batched
+	d.tried = true
 	d.insert(r)
 	d.peaks[0] = max(d.peaks[0], len(d.streams))
 }
--- a/cell/health.go
+++ b/cell/health.go
@@ -15,40 +15,55 @@
 	maxFailures    = 3 // calls in a row that failed, after which an answered poll proves nothing
 )
 
-// health tells whether a server answers. A failed call or poll pauses it. An answered poll ends the
-// pause, unless several calls in a row failed: then only a call that goes well does.
+// health tells whether a server answers. A failed call or poll pauses it. An answered poll ends the pause, unless several
+// calls in a row failed: then only a call that goes well does. Load that it answers: health answers are false either way,
+// so that calls count for more than polls: a poll that failed while a call went well says nothing, and a server that only
+// polls speak against is tried again after its pause.
 type health struct {
 	retry    instant // end of the pause
 	pause    time.Duration
-	failures int // calls in a row
+	failures int     // calls in a row
+	silent   bool    // the newest poll failed, and nothing went well since
+	proved   instant // when a call last went well
 }
 
 func (h *health) usable(now instant) bool { return !h.retry.After(now) }
 
 // trial tells whether the server gets one request at a time.
-func (h *health) trial() bool { return h.failures >= maxFailures }
+func (h *health) trial() bool { return h.failures >= maxFailures || h.silent }
 
-// failed notes a call or poll that the server did not answer.
-func (h *health) failed(now instant) {
-	h.pause = min(max(2*h.pause, minPause), maxServerPause)
-	h.retry = now.Add(h.pause)
+// pollFailed notes a poll that the server did not answer in pollTimeout.
+func (h *health) pollFailed(now instant) {
+	if !h.proved.IsZero() && now.Sub(h.proved) <= pollTimeout {
+		return
+	}
+	if h.usable(now) {
+		h.wait(now)
+	}
+	h.silent = true
 }
 
 // callFailed notes a request that the server failed.
 func (h *health) callFailed(now instant) {
 	h.failures++
-	h.failed(now)
+	h.wait(now)
+}
+
+// wait pauses the server, longer each time.
+func (h *health) wait(now instant) {
+	h.pause = min(max(2*h.pause, minPause), maxServerPause)
+	h.retry = now.Add(h.pause)
 }
 
 // polled notes that the server answered a poll.
 func (h *health) polled() {
-	if !h.trial() {
+	if h.silent = false; !h.trial() {
 		h.pause, h.retry = 0, 0
 	}
 }
 
 // worked notes that the server did a request's work.
-func (h *health) worked() { *h = health{} }
+func (h *health) worked(now instant) { *h = health{proved: now} }
 
 // works tells whether a server takes work and is not paused. While none of a stage does, paused ones are used: that all
 // fail at once is more likely a fault that has passed, and refusing everything helps nobody.
--- a/cell/rebuild.go
+++ b/cell/rebuild.go
@@ -96,11 +96,11 @@
 // PollFailed notes a server that did not answer a poll.
 func (c *Core) PollFailed(now instant, server string) {
 	if d := c.decode(server); d != nil {
-		d.health.failed(now)
+		d.health.pollFailed(now)
 	}
 	for _, p := range c.prefills {
 		if p.server.Server == server {
-			p.health.failed(now)
+			p.health.pollFailed(now)
 		}
 	}
 }
--- a/forward/model.go
+++ b/forward/model.go
@@ -161,8 +161,8 @@
 	m.handler.Took(metric.Prefill, report.Prefilled.Sub(start))
 	end = m.decode(ctx, place, handle, &report)
 	end.computed = true
+	report.BadDecode = end.erred || !end.answered && end.failed && ctx.Err() == nil
 	if !end.answered {
-		report.BadDecode = end.failed && ctx.Err() == nil
 		report.Refused = end.notRun && !end.unsent
 		m.exclude, m.last = append(slices.Clone(m.exclude), place.Decode.Server), place.Decode.Server
 	}
@@ -253,5 +253,5 @@
 		return ending{failed: true, kept: &whole{resp.Response, text}, reason: fmt.Sprintf("decode: status %d", resp.StatusCode)}
 	}
 	m.passWhole(&whole{resp.Response, text}, "")
-	return ending{answered: true}
+	return ending{answered: true, erred: resp.StatusCode >= http.StatusInternalServerError}
 }
--- a/forward/walk_test.go
+++ b/forward/walk_test.go
@@ -43,6 +43,9 @@
 	{Another: true},
 	{Silent: true},
 	{BreakAfter: 3},
+	{NoReport: true},
+	{Double: true},
+	{Late: 300 * time.Millisecond},
 }
 
 // walkKinds are the paths by kind of request, with the number of servers that may run one.
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -56,6 +56,7 @@
 	servers map[string]*backend.Server // by address
 	down    map[string]bool            // addresses that refuse connections
 	budgets map[string]*outcome.Budget // by service
+	sent    int                        // requests of askAll
 	mu      sync.Mutex
 	events  []event.Event
 }
@@ -155,7 +156,7 @@
 		return nil, errRefused
 	}
 	near, far := net.Pipe()
-	server := &http.Server{Handler: s}
+	server := &http.Server{Handler: s, IdleTimeout: s.Idle}
 	go func() { _ = server.Serve(&single{conn: far}) }()
 	return near, nil
 }
@@ -267,6 +268,17 @@
 	}
 }
 
+func draft(id string) ask { return stream("/draft/1", id) }
+
+// order gives an engine an order and returns the status of its answer.
+func (w *world) order(t *testing.T, s *backend.Server, stage string, fence uint64) int {
+	t.Helper()
+	body := fmt.Sprintf(`{"opcode":"stage","stage":%q,"holder":"i1","fencingToken":%d}`, stage, fence)
+	out := httptest.NewRecorder()
+	s.ServeHTTP(out, httptest.NewRequest(http.MethodPost, "http://"+s.ID+"/-/order", strings.NewReader(body)))
+	return out.Code
+}
+
 // pass lets faked time pass.
 func pass(d time.Duration) { <-time.After(d) }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -3,7 +3,7 @@
 package backend
 
 import (
-	"encoding/json"
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,13 +23,23 @@
 	Work    time.Duration // of a plain request
 	Memory  int           // tokens of an engine
 	Rate    float64       // prompt tokens computed a second
-	Step    time.Duration // between events of a stream
+	Step    time.Duration // between events of a stream that runs alone
+	Batch   time.Duration // that each other stream adds to it
 	Events  int           // of a stream
 	Hold    time.Duration // life of a computed prompt
-	Lag     time.Duration // age of reports
+	Lag     time.Duration // age of reports at most
+	Order   time.Duration // that an order takes
+	Idle    time.Duration // after which idle connections are closed; what is said of them is Told
+	Told    time.Duration // how long idle connections are said to be kept; 0 if nothing is said
 	Sources func(address string) *Server
 
 	mu      sync.Mutex
+	stage   string    // in force
+	fence   uint64    // highest seen
+	orders  int64     // accepted
+	until   time.Time // end of the order in progress
+	report  []byte    // of a moment ago
+	taken   time.Time // when the report was taken
 	faults  Faults
 	busy    int
 	waiting int
@@ -52,6 +62,10 @@
 	Another    bool // another server has the address
 	Silent     bool // takes requests and does nothing
 	BreakAfter int  // events, after which a stream is cut
+	NoReport   bool // gives no reports, though it works
+	Double     bool // sends each answer of a plain service twice
+
+	Late time.Duration // that answers come late, after the work
 }
 
 // Seen is one request as it arrived.
@@ -67,20 +81,21 @@
 
 // Header names of the protocol that a server reads or writes.
 const (
-	headerID      = "Attempt-Id"
-	headerSeal    = "Response-Seal"
-	headerNotRun  = "Not-Executed"
-	headerServer  = "Expected-Instance"
-	headerStage   = "Serving-Stage"
-	headerSource  = "Kv-Source"
-	headerTokens  = "Token-Count"
-	headerLast    = "Last-Event-Id"
-	headerSelf    = "Instance-Id"
-	stagePrefill  = "prefill"
-	eventTokens   = 8 // in one event of a stream
-	halfAnswer    = "half"
-	wholeAnswer   = "whole answer of "
-	foreignAnswer = "another-request"
+	headerID        = "Attempt-Id"
+	headerSeal      = "Response-Seal"
+	headerNotRun    = "Not-Executed"
+	headerServer    = "Expected-Instance"
+	headerStage     = "Serving-Stage"
+	headerSource    = "Kv-Source"
+	headerTokens    = "Token-Count"
+	headerLast      = "Last-Event-Id"
+	headerSelf      = "Instance-Id"
+	headerKeepAlive = "Keep-Alive"
+	stagePrefill    = "prefill"
+	eventTokens     = 8 // in one event of a stream
+	halfAnswer      = "half"
+	wholeAnswer     = "whole answer of "
+	foreignAnswer   = "another-request"
 )
 
 // Start makes the server ready to serve.
@@ -88,6 +103,7 @@
 	s.handles = make(map[string]int)
 	s.working = make(map[string]int)
 	s.wake = make(chan struct{})
+	s.stage = s.Stage
 	return s
 }
 
@@ -145,8 +161,11 @@
 		Prefill: r.Header.Get(headerStage) == stagePrefill, At: time.Now(),
 	}
 	s.mu.Lock()
-	faults := s.faults
+	faults, changing := s.faults, time.Now().Before(s.until)
 	s.mu.Unlock()
+	if s.Told > 0 {
+		w.Header().Set(headerKeepAlive, fmt.Sprintf("timeout=%d", int(s.Told.Seconds())))
+	}
 	switch {
 	case faults.Silent:
 		<-r.Context().Done()
@@ -155,7 +174,7 @@
 		s.note(call, false)
 		w.Header().Set(headerSelf, "another")
 		w.WriteHeader(http.StatusMisdirectedRequest)
-	case faults.Shed:
+	case faults.Shed || changing:
 		s.note(call, false)
 		reject(w)
 	case s.Stage == "":
@@ -249,8 +268,15 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if !work(r, faults.Late) {
+		panic(http.ErrAbortHandler)
+	}
 	s.seal(w, call, faults)
 	text := wholeAnswer + call.ID
+	if faults.Double {
+		sendTwice(w, text)
+		return
+	}
 	if faults.Cut {
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		_, _ = io.WriteString(w, halfAnswer)
@@ -263,6 +289,24 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// sendTwice answers twice on one connection, as a server does that mixes its answers up.
+func sendTwice(w http.ResponseWriter, text string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	var answer bytes.Buffer
+	fmt.Fprintf(&answer, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(text))
+	if err := w.Header().Write(&answer); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	answer.WriteString("\r\n" + text)
+	_, _ = buffer.Write(answer.Bytes())
+	_, _ = buffer.Write(answer.Bytes())
+	_ = buffer.Flush() // the caller may be gone
+}
+
 // seal sets the headers of the server's own answers.
 func (s *Server) seal(w http.ResponseWriter, call Seen, faults Faults) {
 	id := call.ID
@@ -275,134 +319,6 @@
 	}
 }
 
-func promptTokens(r *http.Request) int {
-	text, _, _ := strings.Cut(r.Header.Get(headerTokens), ",")
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
-func (s *Server) servePrefill(w http.ResponseWriter, r *http.Request, call Seen, faults Faults) {
-	tokens := promptTokens(r)
-	if !s.begin(w, r, call, 0) {
-		return
-	}
-	defer s.end(call, 0)
-	if !work(r, time.Duration(float64(tokens)/s.Rate*float64(time.Second))) {
-		panic(http.ErrAbortHandler)
-	}
-	if faults.LoseAnswer {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	handle := s.keep(tokens)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(headerID, call.ID)
-	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "tokens": tokens, "version": 1})
-}
-
-// keep holds a computed prompt until it is taken or expires.
-func (s *Server) keep(tokens int) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.next++
-	handle := fmt.Sprintf("h%d", s.next)
-	s.handles[handle] = tokens
-	s.used += tokens
-	time.AfterFunc(s.Hold, func() { s.Take(handle) })
-	return handle
-}
-
-// Take removes a computed prompt and returns its tokens, or false if it is gone.
-func (s *Server) Take(handle string) (int, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	tokens, ok := s.handles[handle]
-	if ok {
-		delete(s.handles, handle)
-		s.used -= tokens
-	}
-	return tokens, ok
-}
-
-func (s *Server) serveDecode(w http.ResponseWriter, r *http.Request, call Seen, faults Faults) {
-	if source := r.Header.Get(headerSource); source != "" {
-		address, handle, _ := strings.Cut(source, "/")
-		if from := s.Sources(address); from == nil || !from.takes(handle) {
-			s.note(call, false)
-			reject(w)
-			return
-		}
-	}
-	tokens := promptTokens(r) + s.Events*eventTokens
-	if !s.begin(w, r, call, tokens) {
-		return
-	}
-	defer s.end(call, tokens)
-	if faults.LoseAnswer {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	if faults.Fail {
-		s.seal(w, call, faults)
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	s.stream(w, r, call, faults)
-}
-
-func (s *Server) takes(handle string) bool {
-	_, ok := s.Take(handle)
-	return ok
-}
-
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, call Seen, faults Faults) {
-	s.seal(w, call, faults)
-	w.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(w)
-	first, err := strconv.Atoi(r.Header.Get(headerLast))
-	if err != nil {
-		first = 0
-	}
-	for n := first + 1; n <= s.Events; n++ {
-		if !work(r, s.Step) {
-			panic(http.ErrAbortHandler)
-		}
-		if faults.BreakAfter > 0 && n-first > faults.BreakAfter {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", n) // torn in the middle of an event
-			_ = control.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n)
-		if control.Flush() != nil {
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-// serveControl answers what is not a request: reports and the freeing of computed prompts.
-func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
-	if handle, ok := strings.CutPrefix(r.URL.Path, "/-/kv-handle/"); ok && r.Method == http.MethodDelete {
-		if !s.takes(handle) {
-			w.WriteHeader(http.StatusNotFound)
-		}
-		return
-	}
-	if r.URL.Path != "/-/report" {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	s.mu.Lock()
-	report := map[string]any{
-		"stage": s.Stage, "active": s.busy, "queued": s.waiting, "kvUsed": s.used, "kvTotal": s.Memory, "sequence": 0,
-	}
-	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(report)
-}
-
 // Account returns the client account for which a request came.
 func (s Seen) Account() string { return s.Header.Get("Tenant-Name") }
 
--- /dev/null
+++ b/standin/backend/control.go
@@ -0,0 +1,103 @@
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// serveControl answers what is not a request: reports and the freeing of computed prompts.
+func (s *Server) serveControl(w http.ResponseWriter, r *http.Request) {
+	if handle, ok := strings.CutPrefix(r.URL.Path, "/-/kv-handle/"); ok && r.Method == http.MethodDelete {
+		if !s.takes(handle) {
+			w.WriteHeader(http.StatusNotFound)
+		}
+		return
+	}
+	switch {
+	case r.URL.Path == "/-/order" && r.Method == http.MethodPost:
+		s.serveOrder(w, r)
+	case r.URL.Path == "/-/report":
+		s.serveReport(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// serveReport answers with a report that may be as old as Lag.
+func (s *Server) serveReport(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	if s.faults.NoReport {
+		s.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	now := time.Now()
+	if s.report == nil || now.Sub(s.taken) >= s.Lag {
+		s.report, s.taken = s.newReport(now), now
+	}
+	report := s.report
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(report) // the caller may be gone
+}
+
+// newReport encodes the present state; the caller holds the lock.
+func (s *Server) newReport(now time.Time) []byte {
+	text, err := json.Marshal(map[string]any{
+		"stage": s.stage, "active": s.busy, "queued": s.waiting, "kvUsed": s.used, "kvTotal": s.Memory,
+		"sequence": s.orders, "busy": now.Before(s.until),
+	})
+	if err != nil {
+		panic(fmt.Errorf("backend: unable to encode a report: %w", err))
+	}
+	return text
+}
+
+// serveOrder changes the stage of an engine, unless a higher fence was seen or an order is in progress. Requests are
+// rejected until it is carried out.
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Operation string `json:"opcode"`
+		Stage     string `json:"stage"`
+		Holder    string `json:"holder"`
+		Fence     uint64 `json:"fencingToken"`
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Operation != "stage" || order.Holder == "" || order.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if meant := r.Header.Get(headerServer); meant != "" && meant != s.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.WriteHeader(s.takeOrder(order.Stage, order.Fence))
+}
+
+func (s *Server) takeOrder(stage string, fence uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	switch {
+	case fence < s.fence:
+		return http.StatusPreconditionFailed
+	case now.Before(s.until):
+		return http.StatusConflict
+	}
+	s.fence = fence
+	if stage == s.stage {
+		return http.StatusOK
+	}
+	s.stage, s.until = stage, now.Add(s.Order)
+	s.orders++
+	return http.StatusAccepted
+}
+
+// StageNow returns the stage in force.
+func (s *Server) StageNow() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stage
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -29,7 +30,7 @@
 	}
 	sys, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return c.silent()
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
@@ -43,3 +44,12 @@
 	})
 	return err == nil && quiet
 }
+
+// silent is quiet for a connection that is no socket: it tries to read without waiting.
+func (c *conn) silent() bool {
+	if c.SetReadDeadline(time.Unix(1, 0)) != nil {
+		return false
+	}
+	_, err := c.reader.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+}
