Serve model requests that can't be on time behind those that can, instead of refusing them

A refused caller gets nothing, one that is served late still gets its answer. Change: class patient: urgent while it can be on time; then it waits up to four times its aim behind all urgent work of all accounts, if the wait that the measured rate of late work predicts allows that, and is placed only where another request would still fit.

--- a/cell/core.go
+++ b/cell/core.go
@@ -20,6 +20,7 @@
 	zonePenalty   = 2 * time.Millisecond   // for work outside the availability zone of the instance
 	stepPenalty   = 200 * time.Microsecond // the same, against the length of a decode step
 	shedShare     = 0.9                    // share of the time left that the predicted wait may take
+	spareRoom     = 1                      // requests that must still fit beside a late one, for those that can be on time
 )
 
 // Ask is what a dispatcher needs to know of a request.
@@ -232,6 +233,8 @@
 	case !i.urgent():
 		i.limit = i.arrived.Add(c.targets.Wait)
 		i.late = now.After(i.useful)
+	case i.ask.Class == rule.ClassPatient && now.After(i.useful):
+		c.makeLate(i)
 	}
 	return i
 }
@@ -356,7 +359,11 @@
 		return false
 	}
 	pieces := c.piecesOf(i.ask)
-	d := c.chooseDecode(now, &i.ask, pieces, w.end.Sub(now))
+	need := pieces
+	if i.spare() {
+		need += spareRoom * pieces
+	}
+	d := c.chooseDecode(now, &i.ask, need, w.end.Sub(now))
 	if d == nil {
 		return false
 	}
--- a/cell/core_test.go
+++ b/cell/core_test.go
@@ -208,6 +208,26 @@
 	}
 }
 
+// Replays a burst that makes patient requests late: none of them is taken while one waits that can be on time, whatever
+// the shares of the accounts.
+func TestLatePatientWorkTakesOnlyWhatIsLeft(t *testing.T) {
+	q := newFairQueue()
+	push := func(account string, late bool) {
+		q.push(&item{ask: Ask{Class: rule.ClassPatient}, cost: 100, account: q.account(account, 1), late: late})
+	}
+	for range 20 {
+		push("a", true)
+		push("b", false)
+		push("a", false)
+	}
+	for n := range 60 {
+		i := q.pick(clockStart, 0, func(*item) bool { return true })
+		if i.late != (n >= 40) {
+			t.Fatalf("unexpected pick %d, late %v", n, i.late)
+		}
+	}
+}
+
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	now := clockStart
 	c := testCore(now, 2, 2)
--- a/cell/queue.go
+++ b/cell/queue.go
@@ -30,7 +30,11 @@
 	late    bool    // slow work past its target
 }
 
-func (i *item) urgent() bool { return i.ask.Class != rule.ClassSummary }
+func (i *item) urgent() bool { return i.ask.Class != rule.ClassSummary && !i.spare() }
+
+// spare tells whether the request gets only what those leave that can be on time. Load that it answers: a burst makes more
+// requests late than can be served.
+func (i *item) spare() bool { return i.late && i.ask.Class == rule.ClassPatient }
 
 // accountQueue holds the waiting requests of one client account.
 type accountQueue struct {
@@ -48,7 +52,7 @@
 
 // head returns the request that an account sends next for one of the two heaps.
 func (a *accountQueue) head(now instant, slow bool) *item {
-	if !slow && a.run >= urgentRun && a.slowLen() > 0 {
+	if !slow && a.run >= urgentRun && a.slowLen() > 0 && !a.onlySpare() {
 		slow = true
 	}
 	if !slow {
@@ -64,6 +68,9 @@
 	return a.fresh.last()
 }
 
+// onlySpare tells whether all slow work is such that gets only what urgent work leaves.
+func (a *accountQueue) onlySpare() bool { return a.fresh.len() == 0 && a.late.first().spare() }
+
 func (a *accountQueue) slowLen() int { return a.fresh.len() + a.late.len() }
 
 func (a *accountQueue) fifoOf(i *item) *fifo[*item] {
@@ -267,7 +274,7 @@
 	case len(s) == 0:
 		return u[0], false
 	}
-	if q.picks%slowShare == slowShare-1 || u[0].tag > s[0].tag+ahead {
+	if !s[0].onlySpare() && (q.picks%slowShare == slowShare-1 || u[0].tag > s[0].tag+ahead) {
 		return s[0], true
 	}
 	return u[0], false
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"teaselgate/rule"
 )
 
 const (
@@ -57,12 +59,29 @@
 	if c.isRetry(i) {
 		return 0, nil
 	}
-	if left := i.limit.Sub(now); wait.Seconds() > shedShare*left.Seconds() {
-		return retryIn(wait), shed.New("cell: the wait of %v would be too long", wait.Round(time.Millisecond))
+	if wait.Seconds() <= shedShare*i.limit.Sub(now).Seconds() {
+		return 0, nil
+	}
+	if i.ask.Class != rule.ClassPatient || i.late {
+		return retryIn(wait), tooLong(wait)
+	}
+	c.makeLate(i)
+	if wait = c.predictWait(i); now.Add(wait).After(i.limit) {
+		return retryIn(wait), tooLong(wait)
 	}
 	return 0, nil
 }
 
+func tooLong(wait time.Duration) error {
+	return shed.New("cell: the wait of %v would be too long", wait.Round(time.Millisecond))
+}
+
+// makeLate turns a request into one that is past its target; it must not be in the queue.
+func (c *Core) makeLate(i *item) {
+	i.late = true
+	i.limit = i.arrived.Add(c.targets.Wait)
+}
+
 // isRetry tells whether a request was placed before and failed through no fault of its caller.
 func (c *Core) isRetry(i *item) bool { return len(i.ask.Exclude) > 0 }
 
@@ -125,7 +144,7 @@
 	}
 	c.swept = now
 	for _, i := range c.overdue(now) {
-		if now.After(i.limit) {
+		if now.After(i.limit) && (i.late || i.ask.Class != rule.ClassPatient) {
 			c.refuse(i, shed.New("cell: no place in time"), retryIn(c.predictWait(i)))
 		} else {
 			c.turnLate(now, i)
@@ -153,16 +172,15 @@
 	return out
 }
 
-// turnLate moves slow work past its target behind other slow work, or refuses it if even that would
-// take too long.
+// turnLate moves work past its target behind other work, or refuses it if even that would take too long.
 func (c *Core) turnLate(now instant, i *item) {
 	late := *i
-	late.late = true
-	if wait := c.predictWait(&late); now.Add(wait).After(i.limit) {
-		c.refuse(i, shed.New("cell: the wait of %v would be too long", wait.Round(time.Millisecond)), retryIn(wait))
+	c.makeLate(&late)
+	if wait := c.predictWait(&late); now.Add(wait).After(late.limit) {
+		c.refuse(i, tooLong(wait), retryIn(wait))
 		return
 	}
 	c.queue.remove(i)
-	i.late = true
+	c.makeLate(i)
 	c.queue.push(i)
 }
--- a/forward/health_test.go
+++ b/forward/health_test.go
@@ -11,11 +11,11 @@
 )
 
 // askAll sends requests one after the other with a pause between them and returns how many were answered whole.
-func (w *world) askAll(n int, pause time.Duration, make func(id string) ask) int {
+func (w *world) askAll(n int, pause time.Duration, request func(id string) ask) int {
 	served := 0
 	for range n {
 		w.sent++
-		got := w.ask(make(fmt.Sprintf("r%d", w.sent)))
+		got := w.ask(request(fmt.Sprintf("r%d", w.sent)))
 		if got.Code == http.StatusOK && !got.broken {
 			served++
 		}
--- a/registry/view.go
+++ b/registry/view.go
@@ -22,8 +22,9 @@
 // memoryShare is the part of an engine's memory that is given out: few requests reach their expected end together.
 const memoryShare = 1.06
 
-// waitShare bounds the wait of a model request by its aim: one that would be late is worth a fifth of one on time.
-const waitShare = 1.0
+// waitShare bounds the wait of a model request by its aim, as callers wait a few seconds for one that is late: about a
+// quarter of the time that they give it, so that a refusal leaves them time to come back.
+const waitShare = 4.0
 
 // View is a configuration with the servers that were registered with it. It is not changed once made.
 type View struct {
--- a/rule/rule.go
+++ b/rule/rule.go
@@ -143,6 +143,9 @@
 	ClassOrder       Class = "order"
 	ClassInteractive Class = "interactive"
 	ClassSummary     Class = "summary"
+	// ClassPatient is interactive as long as it can be on time, then waits behind all that can. Routes of the users'
+	// platform have it; a rules file can't name it.
+	ClassPatient Class = "patient"
 )
 
 // Open tells whether a route needs no key.
