Count the decode stage's demand with the placing of requests, as the prefill stage's

Ruled out: the rule itself (its table test is right for a steady load), the rates. Change: both stages count the work of a request when it is placed; what rested on the initial step time is dropped with the first measured one; no order in the first 1.5 s of load; a dispatcher without the lease looks each second whether it is free. Conclusion: the split follows the load from its beginning.

--- a/cell/core.go
+++ b/cell/core.go
@@ -312,6 +312,9 @@
 	if report.BadDecode || report.Imported.IsZero() || report.Generated == 0 || span <= 0 {
 		return
 	}
+	if c.slope.n == 0 {
+		c.demand = demand{at: now} // what was counted rested on the initial step time
+	}
 	d, took := r.decode, report.Ended.Sub(report.Imported)
 	d.steps.observe(now, (d.batched-r.startBatched)/span, took/time.Duration(report.Generated))
 	d.limit = d.steps.limit(d.slots, c.targets.Between)
@@ -328,7 +331,6 @@
 	c.rate.advance(now, c.backlog)
 	c.lateRate.advance(now, c.backlog && c.queue.lateCost > 0)
 	c.queue.credit = c.lead()
-	c.observe(now)
 	c.sweep(now)
 	ready := c.ready(now)
 	if ready {
@@ -372,9 +374,9 @@
 		maxTokens: i.ask.MaxTokens, ceiling: i.ask.Ceiling, cached: hit, prefixes: i.ask.Prefixes, work: w, placed: now,
 	}
 	p.book(r)
-	c.demand.prefill += w.end.Sub(w.start).Seconds()
 	c.advance(now, d)
 	d.add(r, w.linkEnd.Sub(now))
+	c.demand.add(now, r, seconds(float64(r.maxTokens)*d.steps.step(len(d.streams))))
 	r.deadline = w.linkEnd.Add(seconds(float64(r.maxTokens) * d.steps.step(d.slots))).Add(placeLife)
 	c.placed[r.key] = r
 	c.hints.stored(now, p, r.prefixes)
--- a/cell/demand.go
+++ b/cell/demand.go
@@ -18,40 +18,37 @@
 	Decodes  int
 }
 
-// demand averages the work of a core's stages.
+// demand averages the work of a core's stages. Both count with the placing of a request: at the beginning of a burst the
+// memory in use would show less than the burst will need, while the prompts are there at once.
 type demand struct {
 	prefill float64 // seconds of prefill work placed, forgotten exponentially
-	decode  float64 // mean of the pieces given out
+	decode  float64 // pieces times the seconds for which they will be held, the same
 	at      instant
 }
 
 // advance brings the averages up to now.
-func (d *demand) advance(now instant, pieces int) {
-	if d.at.IsZero() {
-		d.at, d.decode = now, float64(pieces)
-		return
+func (d *demand) advance(now instant) {
+	if !d.at.IsZero() {
+		keep := math.Exp(-now.Sub(d.at).Seconds() / demandWindow.Seconds())
+		d.prefill *= keep
+		d.decode *= keep
 	}
-	keep := math.Exp(-now.Sub(d.at).Seconds() / demandWindow.Seconds())
-	d.prefill *= keep
-	d.decode = d.decode*keep + float64(pieces)*(1-keep)
 	d.at = now
 }
 
-// observe takes the load in at a step.
-func (c *Core) observe(now instant) {
-	pieces := 0
-	for _, d := range c.decodes {
-		pieces += d.used
-	}
-	c.demand.advance(now, pieces)
+// add takes the work of a request in that was placed.
+func (d *demand) add(now instant, r *reservation, stream time.Duration) {
+	d.advance(now)
+	d.prefill += r.work.end.Sub(r.work.start).Seconds()
+	d.decode += float64(r.pieces) * (r.work.linkEnd.Sub(now) + stream).Seconds()
 }
 
 // Demand returns what the stages have to do.
 func (c *Core) Demand(now instant) Demand {
-	c.observe(now)
+	c.demand.advance(now)
 	out := Demand{Prefill: c.demand.prefill / demandWindow.Seconds()}
 	if c.pool.Pieces > 0 {
-		out.Decode = c.demand.decode / float64(c.pool.Pieces)
+		out.Decode = c.demand.decode / demandWindow.Seconds() / float64(c.pool.Pieces)
 	}
 	for _, p := range c.prefills {
 		if p.server.State == rule.Live && !c.onHold(now, p.server.Server) {
--- a/order/stager.go
+++ b/order/stager.go
@@ -13,11 +13,13 @@
 // Times of the work on the split between the stages.
 const (
 	stagerInterval = 500 * time.Millisecond
-	learnTime      = 3 * time.Second        // in which a new holder sees the load before it changes anything
-	changePause    = 2 * time.Second        // between two orders of a holder
-	turnPause      = 12 * time.Second       // before a change back: two changes of stage
-	stageSettle    = 250 * time.Millisecond // in which requests that were placed before reach the engine
-	changeTimeout  = 15 * time.Second       // after which an engine that does not show its new stage is asked again
+	tryInterval    = time.Second             // between looks at a lease that another instance holds
+	learnTime      = 3 * time.Second         // in which a new holder sees the load before it changes anything
+	firstLoadTime  = 1500 * time.Millisecond // the same when load begins: a few answers
+	changePause    = 2 * time.Second         // between two orders of a holder
+	turnPause      = 12 * time.Second        // before a change back: two changes of stage
+	stageSettle    = 250 * time.Millisecond  // in which requests that were placed before reach the engine
+	changeTimeout  = 15 * time.Second        // after which an engine that does not show its new stage is asked again
 )
 
 var (
@@ -59,6 +61,7 @@
 	held     bool
 	tryAt    time.Time
 	since    time.Time // since when the lease is held
+	loaded   time.Time // when there was last no load
 	next     time.Time // no order before
 	last     Change
 	lastAt   time.Time
@@ -96,18 +99,21 @@
 		if err := s.Lease.Try(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
 			s.note(event.OrderFailed, "", err.Error())
 		}
-		s.tryAt = now.Add(renewInterval)
+		s.tryAt = now.Add(tryInterval)
+		if s.Lease.Held() {
+			s.tryAt = now.Add(renewInterval)
+		}
 	}
 	s.noteLease()
 	if !s.Lease.Held() || !s.Chosen() {
 		return
 	}
 	s.forgetChanged()
-	if now = s.Now(); now.Before(s.next) || now.Sub(s.since) < learnTime {
-		return
-	}
 	load, ok := s.Load()
-	if !ok {
+	if now = s.Now(); !ok || load.Prefill+load.Decode == 0 {
+		s.loaded = now
+	}
+	if !ok || now.Before(s.next) || now.Sub(s.since) < learnTime || now.Sub(s.loaded) < firstLoadTime {
 		return
 	}
 	load.Changing = len(s.changing)
--- a/order/stager_test.go
+++ b/order/stager_test.go
@@ -157,6 +157,35 @@
 	})
 }
 
+// Replays the first seconds of traffic: the load of the first requests says nothing yet.
+func TestTheFirstRequestsChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngineSet(6, 12)
+		ctx, stop := context.WithTimeout(t.Context(), 20*time.Second)
+		defer stop()
+		start := time.Now()
+		stager := e.stager(newStore(), "i1", 1.75, 6.1)
+		load := stager.Load
+		stager.Load = func() (Load, bool) {
+			if time.Since(start) < 10*time.Second {
+				return Load{Prefills: 6, Decodes: 12}, true
+			}
+			return load()
+		}
+		first := time.Duration(0)
+		stager.Order = func(_ context.Context, _ StageOrder) error {
+			if first == 0 {
+				first = time.Since(start)
+			}
+			return nil
+		}
+		stager.Run(ctx)
+		if least := 10*time.Second + firstLoadTime - stagerInterval; first < least || first > least+2*time.Second {
+			t.Errorf("unexpected first order after %v instead of soon after %v", first, least)
+		}
+	})
+}
+
 // Two instances that both take themselves for the dispatcher: only the lease's holder orders.
 func TestOnlyOneHolderOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
