--- a/order/stager.go
+++ b/order/stager.go
@@ -93,37 +93,52 @@
 }
 
 func (s *Stager) step(ctx context.Context) {
-	now := s.Now()
-	if s.Chosen() && !now.Before(s.tryAt) {
-		// A conflict says that another instance has just taken the lease.
-		if err := s.Lease.Try(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
-			s.note(event.OrderFailed, "", err.Error())
-		}
-		s.tryAt = now.Add(tryInterval)
-		if s.Lease.Held() {
-			s.tryAt = now.Add(renewInterval)
-		}
-	}
+	s.tryLease(ctx)
 	s.noteLease()
 	if !s.Lease.Held() || !s.Chosen() {
 		return
 	}
 	s.forgetChanged()
-	load, ok := s.Load()
-	if now = s.Now(); !ok || load.Prefill+load.Decode == 0 {
-		s.loaded = now
-	}
-	if !ok || now.Before(s.next) || now.Sub(s.since) < learnTime || now.Sub(s.loaded) < firstLoadTime {
+	load, ok := s.settledLoad()
+	if !ok {
 		return
 	}
 	load.Changing = len(s.changing)
 	direction := Balance(load)
-	if direction == Keep || s.last != Keep && direction != s.last && now.Sub(s.lastAt) < turnPause {
+	if direction == Keep || s.last != Keep && direction != s.last && s.Now().Sub(s.lastAt) < turnPause {
 		return
 	}
 	s.change(ctx, direction == ToDecode, load)
 }
 
+// tryLease takes or renews the lease when that is due.
+func (s *Stager) tryLease(ctx context.Context) {
+	now := s.Now()
+	if !s.Chosen() || now.Before(s.tryAt) {
+		return
+	}
+	// A conflict says that another instance has just taken the lease.
+	if err := s.Lease.Try(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
+		s.note(event.OrderFailed, "", err.Error())
+	}
+	s.tryAt = now.Add(tryInterval)
+	if s.Lease.Held() {
+		s.tryAt = now.Add(renewInterval)
+	}
+}
+
+// settledLoad returns the load, false while an order would come too early.
+func (s *Stager) settledLoad() (Load, bool) {
+	load, ok := s.Load()
+	now := s.Now()
+	if !ok || load.Prefill+load.Decode == 0 {
+		s.loaded = now
+		return load, false
+	}
+	early := now.Before(s.next) || now.Sub(s.since) < learnTime || now.Sub(s.loaded) < firstLoadTime
+	return load, !early
+}
+
 func (s *Stager) noteLease() {
 	held := s.Lease.Held()
 	switch {
