Refuse model requests whose callers will be gone before their answer

Ruled out: the instance (it recorded the cancellation at once), the dispatcher's queue limit (four times the aim). Change: a request tells its caller's time; work past its aim waits only while an answer of the expected length still fits, and a prompt that can't be computed in time is refused at once.

--- a/cell/core.go
+++ b/cell/core.go
@@ -37,6 +37,7 @@
 	Zone         string
 	Exclude      []string
 	Waited       time.Duration // before this dispatcher was asked
+	Left         time.Duration // until the caller stops waiting; 0 if that is not known
 	Charge       int64         // tokens to take from the account's rate
 	Rate         float64       // of the account, tokens a second
 	Burst        float64       // tokens
@@ -226,12 +227,18 @@
 	idle := c.idleTime(ask)
 	budget := max(c.targets.First-firstMargin-idle, time.Duration(longAnswer*float64(idle)))
 	i.useful = i.arrived.Add(budget)
+	i.latest = i.arrived.Add(c.targets.Wait)
+	retryLimit := now.Add(retryWait)
+	if ask.Left > 0 {
+		first := now.Add(ask.Left - idle)
+		i.latest, i.useful, retryLimit = min(i.latest, first.Add(-c.streamTime(ask.MaxTokens))), min(i.useful, first), min(retryLimit, first)
+	}
 	i.limit = i.useful
 	switch {
 	case c.isRetry(i):
-		i.limit = now.Add(retryWait)
+		i.limit = retryLimit
 	case !i.urgent():
-		i.limit = i.arrived.Add(c.targets.Wait)
+		i.limit = i.latest
 		i.late = now.After(i.useful)
 	case i.ask.Class == rule.ClassPatient && now.After(i.useful):
 		c.makeLate(i)
@@ -245,6 +252,14 @@
 	return seconds(float64(ask.PromptTokens)/prefill + float64(ask.PromptTokens)/link)
 }
 
+// streamTime is the least time to generate an answer; 0 before a step was measured.
+func (c *Core) streamTime(tokens int) time.Duration {
+	if c.slope.n == 0 {
+		return 0
+	}
+	return seconds(float64(tokens) * c.slope.mean(1))
+}
+
 // Withdraw takes back a request that its caller does not want any more.
 func (c *Core) Withdraw(now instant, key string) {
 	if i, ok := c.items[key]; ok {
--- a/cell/core_test.go
+++ b/cell/core_test.go
@@ -228,6 +228,42 @@
 	}
 }
 
+// A request whose caller will be gone before it can have its answer is refused at once, or as soon as that is known.
+func TestRequestsAreNotHeldLongerThanTheirCallersWait(t *testing.T) {
+	cases := []struct {
+		name    string
+		tokens  int
+		left    time.Duration
+		blocked bool          // no room at any engine
+		held    time.Duration // at most
+	}{
+		{"no time for the prompt", 20000, 500 * time.Millisecond, false, 0},
+		{"no room in the caller's time", 1000, time.Second, true, time.Second},
+		{"time enough", 1000, 10 * time.Second, false, -1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := testCore(clockStart, 2, 1)
+			c.SetServers(clockStart, servers("p", 2), servers("d", 1), rule.Pool{Slots: 1, Pieces: 3000, Block: 16}, testTargets)
+			now := clockStart
+			if test.blocked {
+				c.Offer(now, Ask{Key: "first", Account: "a", PromptTokens: 1000, MaxTokens: 100, Class: rule.ClassPatient})
+				c.Step(now)
+			}
+			c.Offer(now, Ask{Key: "x", Account: "a", PromptTokens: test.tokens, MaxTokens: 100, Left: test.left, Class: rule.ClassPatient})
+			for ; now.Sub(clockStart) < 5*time.Second; now = now.Add(stepInterval) {
+				for _, d := range c.Step(now) {
+					if held := now.Sub(clockStart); (d.Err != nil) != (test.held >= 0) || held > max(test.held, 0) {
+						t.Errorf("unexpected decision after %v with error %v", held, d.Err)
+					}
+					return
+				}
+			}
+			t.Error("no decision")
+		})
+	}
+}
+
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	now := clockStart
 	c := testCore(now, 2, 2)
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -40,9 +40,10 @@
 	Zone         string   // availability zone of the instance that asks
 	Exclude      []string
 
-	Charge int64   // tokens that the dispatcher takes from the account's rate; 0 if the rate is held elsewhere
-	Rate   float64 // of the account, tokens a second
-	Burst  float64 // tokens
+	Charge   int64     // tokens that the dispatcher takes from the account's rate; 0 if the rate is held elsewhere
+	Rate     float64   // of the account, tokens a second
+	Burst    float64   // tokens
+	Deadline time.Time // when the caller stops waiting; zero if that is not known
 }
 
 // Placement names the backend servers of one attempt.
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -175,8 +175,12 @@
 }
 
 func (p *Placer) askOf(r Request, waited time.Duration) Ask {
+	left := time.Duration(0)
+	if !r.Deadline.IsZero() {
+		left = max(r.Deadline.Sub(p.Hub.Now()), 1)
+	}
 	return Ask{
-		Key: r.ID, From: p.asker(), Account: r.Account, Weight: r.Weight, Class: r.Class, PromptTokens: r.PromptTokens,
+		Key: r.ID, From: p.asker(), Left: left, Account: r.Account, Weight: r.Weight, Class: r.Class, PromptTokens: r.PromptTokens,
 		MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone, Exclude: r.Exclude, Waited: waited,
 		Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
 	}
--- a/cell/queue.go
+++ b/cell/queue.go
@@ -26,6 +26,7 @@
 	account *accountQueue
 	arrived instant
 	useful  instant // the first token meets its target if placed until then
+	latest  instant // the caller has the whole answer in time if placed until then
 	limit   instant // end of the wait
 	late    bool    // slow work past its target
 }
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -56,6 +56,9 @@
 	if c.queue.length >= maxQueue && !c.makeRoom(i) {
 		return retryIn(wait), shed.New("cell: the queue is full")
 	}
+	if now.After(i.limit) && now.After(i.latest) {
+		return retryIn(wait), shed.New("cell: the caller's time is too short for an answer")
+	}
 	if c.isRetry(i) {
 		return 0, nil
 	}
@@ -79,7 +82,7 @@
 // makeLate turns a request into one that is past its target; it must not be in the queue.
 func (c *Core) makeLate(i *item) {
 	i.late = true
-	i.limit = i.arrived.Add(c.targets.Wait)
+	i.limit = i.latest
 }
 
 // isRetry tells whether a request was placed before and failed through no fault of its caller.
--- a/forward/model.go
+++ b/forward/model.go
@@ -71,7 +71,7 @@
 	return cell.Request{
 		ID: m.ID, Account: m.account.Name, Weight: 1, Class: rule.ClassPatient, Model: model,
 		PromptTokens: m.PromptTokens + m.made(), MaxTokens: max(m.expectedOutput()-m.made(), m.service.Engine.EventTokens),
-		Ceiling: max(m.OutputTokens-m.made(), 1), Zone: m.handler.Zone, Exclude: m.exclude, Charge: m.charge(), Rate: m.account.Rate, Burst: m.account.Burst,
+		Deadline: m.deadline, Ceiling: max(m.OutputTokens-m.made(), 1), Zone: m.handler.Zone, Exclude: m.exclude, Charge: m.charge(), Rate: m.account.Rate, Burst: m.account.Burst,
 	}
 }
 
