--- a/cell/core_test.go
+++ b/cell/core_test.go
@@ -252,12 +252,15 @@
 			}
 			c.Offer(now, Ask{Key: "x", Account: "a", PromptTokens: test.tokens, MaxTokens: 100, Left: test.left, Class: rule.ClassPatient})
 			for ; now.Sub(clockStart) < 5*time.Second; now = now.Add(stepInterval) {
-				for _, d := range c.Step(now) {
-					if held := now.Sub(clockStart); (d.Err != nil) != (test.held >= 0) || held > max(test.held, 0) {
-						t.Errorf("unexpected decision after %v with error %v", held, d.Err)
-					}
-					return
+				decisions := c.Step(now)
+				if len(decisions) == 0 {
+					continue
+				}
+				err := decisions[0].Err
+				if held := now.Sub(clockStart); (err != nil) != (test.held >= 0) || held > max(test.held, 0) {
+					t.Errorf("unexpected decision after %v with error %v", held, err)
 				}
+				return
 			}
 			t.Error("no decision")
 		})
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -202,7 +203,11 @@
 func (q *request) limited() bool { return q.account.Rate > 0 }
 
 func (q *request) refuse(status int, retry time.Duration, reason string) {
-	q.note(event.RequestRefused, "", reason)
+	detail := fmt.Sprintf("status %d: %s", status, reason)
+	if retry > 0 {
+		detail = fmt.Sprintf("status %d, back in %v: %s", status, retry.Round(time.Millisecond), reason)
+	}
+	q.note(event.RequestRefused, "", detail)
 	q.handler.Ended(q.route.Kind, endOf(status))
 	platform.Refuse(q.out, q.Call, status, retry)
 }
--- a/registry/view.go
+++ b/registry/view.go
@@ -22,9 +22,9 @@
 // memoryShare is the part of an engine's memory that is given out: few requests reach their expected end together.
 const memoryShare = 1.06
 
-// waitShare bounds the wait of a model request by its aim, as callers wait a few seconds for one that is late: about a
-// quarter of the time that they give it, so that a refusal leaves them time to come back.
-const waitShare = 4.0
+// waitShare bounds the wait of a model request by its aim. Callers of the users' sites leave when four times the aim has
+// passed without a first event; the rest is for the prompt and its transfer.
+const waitShare = 3.0
 
 // View is a configuration with the servers that were registered with it. It is not changed once made.
 type View struct {
--- a/timeline/explain.go
+++ b/timeline/explain.go
@@ -123,8 +123,14 @@
 	switch last.Code {
 	case event.RequestDone:
 		outcome = "answered"
+		if strings.HasPrefix(last.Detail, "status 5") {
+			outcome = "answered with a failure of the backend server's own"
+		}
 	case event.RequestRefused:
-		outcome = "refused"
+		outcome = "refused; it has not run"
+		if strings.HasPrefix(last.Detail, "status 502") || strings.HasPrefix(last.Detail, "status 504") {
+			outcome = "failed; it may have run"
+		}
 	case event.RequestCancelled:
 		outcome = "ended by its caller, or broken off"
 	default:
--- a/timeline/explain_test.go
+++ b/timeline/explain_test.go
@@ -44,9 +44,9 @@
 				{Code: event.ServerReady, Instance: "i1", Server: "s1", Detail: "plain of shop at 10.0.0.1:80, version 7"},
 				{Code: event.RequestDone, Instance: "i2", Request: "other", Detail: "status 200"},
 				{Code: event.RequestFailed, Instance: "i1", Request: "x", Server: "s1", Detail: "upstream: no answer of 10.0.0.1:80"},
-				{Code: event.RequestRefused, Instance: "i1", Request: "x", Detail: "upstream: no answer of 10.0.0.1:80"},
+				{Code: event.RequestRefused, Instance: "i1", Request: "x", Detail: "status 502: upstream: no answer of 10.0.0.1:80"},
 			},
-			"refused", "no answer of 10.0.0.1:80, at server s1", "server-ready",
+			"failed; it may have run", "no answer of 10.0.0.1:80, at server s1", "server-ready",
 		},
 		{
 			"a stream that broke",
@@ -63,9 +63,9 @@
 			[]event.Event{
 				{Code: event.CellTaken, Instance: "i2", Detail: "llm"},
 				{Code: event.DispatcherSilent, Instance: "i1", Request: "x-1", Server: "i3", Detail: "no answer"},
-				{Code: event.RequestRefused, Instance: "i1", Request: "x", Detail: "cell: the request could not be answered in time"},
+				{Code: event.RequestRefused, Instance: "i1", Request: "x", Detail: "status 503, back in 1s: cell: the request could not be answered in time"},
 			},
-			"refused", "could not be answered in time", "",
+			"refused; it has not run", "could not be answered in time", "",
 		},
 	}
 	for _, c := range cases {
