Pause servers that have become others

Ruled out: the entries (they can't change behind the cut), the reports (they answer). Change: such a rejection counts as a failed call, for plain servers, prefill and decode engines. Conclusion: a rejection says two things, that nothing ran and who answered.

--- a/forward/health_test.go
+++ b/forward/health_test.go
@@ -165,3 +165,24 @@
 		}
 	})
 }
+
+// Replays servers that crash and start again under another identity while their entries can't change: what is sent to
+// them is rejected, and after a few requests nothing is.
+func TestServersThatHaveBecomeOthersAreLeftOut(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plain[0].SetFaults(backend.Faults{Another: true})
+		w.prefill[0].SetFaults(backend.Faults{Another: true})
+		w.decode[0].SetFaults(backend.Faults{Another: true})
+		if served := w.askAll(40, 50*time.Millisecond, order); served < 40 {
+			t.Errorf("unexpected %d of 40 orders served", served)
+		}
+		if served := w.askAll(40, 50*time.Millisecond, draft); served < 40 {
+			t.Errorf("unexpected %d of 40 streams served", served)
+		}
+		for _, s := range []*backend.Server{w.plain[0], w.prefill[0], w.decode[0]} {
+			if got := len(s.Seen()); got > 12 {
+				t.Errorf("unexpected %d requests at %s, which is another server now", got, s.ID)
+			}
+		}
+	})
+}
--- a/forward/model.go
+++ b/forward/model.go
@@ -163,7 +163,7 @@
 	end.computed = true
 	report.BadDecode = end.erred || !end.answered && end.failed && ctx.Err() == nil
 	if !end.answered {
-		report.Refused = end.notRun && !end.unsent
+		report.Refused = end.notRun && !end.unsent && !end.failed
 		m.exclude, m.last = append(slices.Clone(m.exclude), place.Decode.Server), place.Decode.Server
 	}
 	return end
@@ -190,7 +190,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		rejected := platform.IsNotRun(resp.Response)
+		rejected := platform.IsNotRun(resp.Response) && !platform.IsAnother(resp.Response)
 		return platform.Handle{}, ending{notRun: true, failed: !rejected, reason: fmt.Sprintf("prefill: status %d", resp.StatusCode)}
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxHandleBytes))
@@ -231,7 +231,10 @@
 	defer resp.Body.Close()
 	if platform.IsNotRun(resp.Response) {
 		m.free(place.Prefill, handle)
-		return ending{notRun: true, reason: fmt.Sprintf("decode: rejected with status %d", resp.StatusCode)}
+		return ending{
+			notRun: true, failed: platform.IsAnother(resp.Response),
+			reason: fmt.Sprintf("decode: rejected with status %d", resp.StatusCode),
+		}
 	}
 	m.ran++
 	if !platform.IsSealed(resp.Header) || platform.IsEncoded(resp.Header) {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -141,7 +141,7 @@
 	}
 	defer resp.Body.Close()
 	if platform.IsNotRun(resp.Response) {
-		return ending{notRun: true, reason: fmt.Sprintf("rejected with status %d", resp.StatusCode)}
+		return ending{notRun: true, failed: platform.IsAnother(resp.Response), reason: fmt.Sprintf("rejected with status %d", resp.StatusCode)}
 	}
 	q.ran++
 	if !platform.IsSealed(resp.Header) || platform.IsEncoded(resp.Header) {
