Find peers by the installation's seeds, and let leaving instances serve while none is live

Ruled out: the relay between peers (it works once one is known), the readiness of the instances. Change: instances call each other on the control port, as the installation's seeds name it, and ask the seeds at the start and each second while no peer is heard; members that are leaving rank as dispatchers while none is live. Conclusion: the store is not needed for a restart while one instance of the seeds, or one it knows, runs.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -93,6 +93,19 @@
 	return slices.DeleteFunc(f.Members(), func(m Member) bool { return m.State != Live })
 }
 
+// Serving returns the live instances, or those that are leaving while none is live. Load that it answers: instances are
+// rolled faster than they end, so that for a while all of them are leaving and still serve.
+func (f *Fleet) Serving() []Member {
+	members := f.Members()
+	for _, state := range []State{Live, Leaving} {
+		serving := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.State != state })
+		if len(serving) > 0 {
+			return serving
+		}
+	}
+	return nil
+}
+
 // Member finds an instance by name.
 func (f *Fleet) Member(name string) (Member, error) {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -192,3 +192,41 @@
 		}
 	})
 }
+
+// Replays a roll of all instances while the platform is down: one that starts finds the others by the addresses of the
+// settings, of which some are stale or answer later.
+func TestAnInstanceThatStartsInAnOutageFindsTheOthers(t *testing.T) {
+	run(t, func(n *network) {
+		fleets := n.startAll(6)
+		cut := func(from, to string) bool { return from == fleets[1].Self.Peer || to == fleets[1].Self.Peer }
+		n.set(cut, true)
+		n.seeds = []string{"stale:7000", fleets[1].Self.Peer}
+		late := n.start("a9", 9)
+		wait(3 * time.Second)
+		n.expect(late, "while no seed answers", 1, Live)
+		n.set(func(string, string) bool { return false }, true)
+		wait(2 * lonelyPolling)
+		n.expect(late, "when one does", 7, Live)
+	})
+}
+
+// Replays a roll that is faster than instances end: with all of them leaving, those still do what has to be done.
+func TestLeavingInstancesServeWhileNoneIsLive(t *testing.T) {
+	run(t, func(n *network) {
+		fleets := n.startAll(4)
+		for i, f := range fleets[:3] {
+			f.Leave(n.ctx)
+			wait(time.Second)
+			if got := len(fleets[3].Serving()); got != 3-i {
+				t.Errorf("unexpected %d serving instances while %d are live", got, 3-i)
+			}
+		}
+		fleets[3].Leave(n.ctx)
+		wait(time.Second)
+		for _, f := range fleets {
+			if got := len(f.Serving()); got != 4 {
+				t.Errorf("unexpected %d serving instances at %s while all four are leaving", got, f.Self.Name)
+			}
+		}
+	})
+}
--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -31,6 +31,7 @@
 	mu      sync.Mutex
 	fleets  map[string]*running // by peer address
 	cut     func(from, to string) bool
+	seeds   []string // of the instances that start from now on
 	outage  bool
 	wires   map[string]*wire
 	traffic map[string]int // bytes sent and received by address
@@ -69,7 +70,7 @@
 	f.Call = func(ctx context.Context, address, method string, args, reply any) error {
 		return n.call(ctx, f.Self.Peer, address, method, args, reply)
 	}
-	f.Instances = n.instances
+	f.Instances, f.Seeds = n.instances, n.seeds
 	ctx, stop := context.WithCancel(n.ctx)
 	r := &running{f, stop, make(chan struct{})}
 	n.mu.Lock()
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -115,14 +115,23 @@
 // join learns the first peers from the platform and from the settings.
 func (f *Fleet) join(ctx context.Context) {
 	f.restate(f.Self.State) // so that those it exchanges with have its own word at once
-	f.poll(ctx)
+	var asking sync.WaitGroup
+	asking.Go(func() { f.poll(ctx) })
+	asking.Go(func() { f.askSeeds(ctx) })
+	asking.Wait()
+	f.syncMany(ctx)
+	f.restate(f.Self.State)
+}
+
+// askSeeds exchanges all members with the instances that the settings name, some of which may be down or gone.
+func (f *Fleet) askSeeds(ctx context.Context) {
+	var asking sync.WaitGroup
 	for _, address := range f.Seeds {
 		if address != f.Self.Peer {
-			f.sync(ctx, address)
+			asking.Go(func() { f.sync(ctx, address) })
 		}
 	}
-	f.syncMany(ctx)
-	f.restate(f.Self.State)
+	asking.Wait()
 }
 
 // syncMany exchanges all members with many peers at once, so that all of a small fleet know at once of an instance that
@@ -135,11 +144,13 @@
 	syncs.Wait()
 }
 
-// pollWhenDue asks the platform for its list: often only while too few peers are heard.
+// pollWhenDue asks the platform for its list: often only while too few peers are heard, and then the seeds too. Load that
+// it answers: an instance starts while the platform is down, and the seeds are restarted in turn.
 func (f *Fleet) pollWhenDue(ctx context.Context) {
 	f.mu.Lock()
 	now := f.Now()
-	due := now.Sub(f.polled) >= platformPolling || !f.hearsPeers(now)
+	lonely := !f.hearsPeers(now)
+	due := lonely || now.Sub(f.polled) >= platformPolling
 	if due {
 		f.polled = now
 	}
@@ -147,6 +158,9 @@
 	if due {
 		f.calls.Go(func() { f.poll(ctx) })
 	}
+	if lonely {
+		f.calls.Go(func() { f.askSeeds(ctx) })
+	}
 }
 
 // poll takes instances that are not known yet from the platform's lagging list.
--- a/instance/build_cell.go
+++ b/instance/build_cell.go
@@ -14,13 +14,13 @@
 	}
 	hub := cell.NewHub(i.serverRules, polls, i.events.Record)
 	hub.Heard = i.fleet.Hearing
-	hub.Leaving = i.leaving.Load
+	hub.Leaving = func() bool { return i.leaving.Load() && len(i.fleet.Live()) > 0 }
 	if i.registry != nil {
 		hub.Peers, hub.Call, hub.Self = i.heardMembers, i.peers.Call, i.Options.Name
 	}
 	i.placer = cell.NewPlacer(i.serverRules, hub)
 	i.placer.Self = i.Options.Name
-	i.placer.Live = i.fleet.Live
+	i.placer.Live = i.fleet.Serving
 	i.placer.Call = i.peers.Call
 	supervisor.Add(hub)
 	supervisor.Add(i.placer)
