--- a/cell/baseline.go
+++ b/cell/baseline.go
@@ -9,6 +9,9 @@
 	"teaselgate/rule"
 )
 
+// baselinePrefill is the time that a prefill may take where nothing predicts it, a wait in the server's queue included.
+const baselinePrefill = time.Second
+
 // Baseline places requests by what this instance alone has seen: round robin, least requests or
 // the better of two by peak-sensitive latency. Its exported fields are set before use.
 type Baseline struct {
@@ -49,7 +52,7 @@
 	b.server(decode.Server).pending++
 	placed := b.Now()
 	release := func(report Report) { b.release(prefill, decode, placed, report) }
-	return &Placement{Prefill: prefill, Decode: decode, release: release}, nil
+	return &Placement{Prefill: prefill, Decode: decode, Inputs: Inputs{Prefill: baselinePrefill}, release: release}, nil
 }
 
 // release takes in how an attempt went. A decode server's latency is its time per token, which
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	view := registry.NewView(c, entries, true)
+	view := registry.NewView(c, entries, registry.Engines{Fenced: true})
 	record := func(e event.Event) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/instance/build_registry.go
+++ b/instance/build_registry.go
@@ -7,6 +7,7 @@
 
 	"teaselgate/fleet"
 	"teaselgate/registry"
+	"teaselgate/rule"
 )
 
 // buildRegistry makes the follower of the operator's configuration and the servers' entries.
@@ -18,7 +19,7 @@
 	i.registry.Rank = i.rank
 	i.registry.Heard = func() { i.fleet.HeardPlatform() }
 	i.registry.Record = i.events.Record
-	i.registry.Fenced = i.Options.Engine.Fenced
+	i.registry.Engines = registry.Engines{Fenced: i.Options.Engine.Fenced, Place: rule.Place(i.Options.Engine.Place)}
 	supervisor.Add(i.registry)
 	supervisor.Add(&entryPruner{i})
 	return i.peerServer.Register(registry.RPCName, i.registry.Receiver())
--- a/option/field.go
+++ b/option/field.go
@@ -167,6 +167,10 @@
 		Name: "engine.stages", check: checkOneOf(StagesBalance, StagesKeep), at: func(o *Options) any { return &o.Engine.Stages },
 		Text: "Whether model engines are ordered to change between prefill and decode as the load asks for it, `balance`, or stay as they are, `keep`. Used with `source: store`.",
 	},
+	{
+		Name: "engine.place", check: checkOneOf(PlaceCell, PlaceRobin, PlaceLeast, PlaceEWMA), at: func(o *Options) any { return &o.Engine.Place },
+		Text: "How model requests are placed with `source: store`: `cell`, by dispatchers that know all reservations, or for comparison `robin`, `least` (requests) or `ewma` (latency), by what each instance alone has seen. The baselines hold no account to its rate for model requests. With `source: rules` the models' rules say it.",
+	},
 	{
 		Name: "stop.grace", check: checkTime, at: func(o *Options) any { return &o.Stop.Grace },
 		Text: "Time between SIGTERM and SIGKILL, within which the instance finishes its requests.",
--- a/option/option.go
+++ b/option/option.go
@@ -42,6 +42,14 @@
 	StagesKeep    = "keep"    // engines stay in the stage in which they are
 )
 
+// The values of Engine.Place. All but cells are baselines, which each instance runs by what it alone has seen.
+const (
+	PlaceCell  = "cell"
+	PlaceRobin = "robin"
+	PlaceLeast = "least"
+	PlaceEWMA  = "ewma"
+)
+
 // Retry bounds what all instances together send to a service beyond the first time of each request.
 type Retry struct {
 	Share  float64       `yaml:"share"`  // of the requests
@@ -53,6 +61,7 @@
 type Engine struct {
 	Fenced bool   `yaml:"fenced"` // whether they refuse an old fencing number
 	Stages string `yaml:"stages"` // whether engines are ordered to change their stage
+	Place  string `yaml:"place"`  // how requests are placed on engines
 }
 
 // Stop bounds the end of the process.
@@ -113,7 +122,7 @@
 		},
 		Source: SourceRules,
 		Retry:  Retry{Share: 0.1, Extra: 20, Window: 10 * time.Second},
-		Engine: Engine{Fenced: true, Stages: StagesBalance},
+		Engine: Engine{Fenced: true, Stages: StagesBalance, Place: PlaceCell},
 		Stop:   Stop{Grace: 45 * time.Second},
 		Log:    Logging{Format: "text", Level: "info"},
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -49,7 +49,8 @@
 	Record func(event.Event)
 	Now    func() time.Time
 	Self   string // peer address of this instance
-	Fenced bool   // whether engines refuse orders with an old fencing number
+
+	Engines Engines
 
 	view     atomic.Pointer[View]
 	mu       sync.Mutex
@@ -318,7 +319,7 @@
 		servers = append(servers, s)
 	}
 	old := f.view.Load()
-	view := NewView(f.decoded, servers, f.Fenced)
+	view := NewView(f.decoded, servers, f.Engines)
 	f.view.Store(view)
 	f.digest = f.digestOf()
 	f.recordServers(old, view)
--- a/registry/view.go
+++ b/registry/view.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"math"
 	"strings"
 	"time"
@@ -37,8 +38,14 @@
 	servers  map[string]platform.Server
 }
 
+// Engines is what the settings say of model engines.
+type Engines struct {
+	Fenced bool       // whether they refuse orders with an old fencing number
+	Place  rule.Place // how requests are placed on them; empty for the cells' dispatchers
+}
+
 // NewView joins a configuration with the servers.
-func NewView(c *platform.Configuration, servers []platform.Server, fenced bool) *View {
+func NewView(c *platform.Configuration, servers []platform.Server, engines Engines) *View {
 	v := &View{
 		Configuration: c,
 		routes:        make(map[string][]platform.Route),
@@ -58,7 +65,7 @@
 	for _, s := range servers {
 		v.servers[s.ID] = s
 	}
-	v.Rules = v.rules(servers, fenced)
+	v.Rules = v.rules(servers, engines)
 	return v
 }
 
@@ -103,7 +110,7 @@
 }
 
 // rules states services, servers and client accounts as the rules that placement works by.
-func (v *View) rules(servers []platform.Server, fenced bool) *rule.Set {
+func (v *View) rules(servers []platform.Server, engines Engines) *rule.Set {
 	var c rule.Contents
 	for _, s := range v.services {
 		if s.Engine == nil {
@@ -111,12 +118,12 @@
 			continue
 		}
 		memory := int(float64(s.Engine.MemoryTokens) * memoryShare / BlockTokens)
-		pool := rule.Pool{Slots: s.Engine.Slots, Pieces: memory, Block: BlockTokens, Strict: true, Fenced: fenced}
+		pool := rule.Pool{Slots: s.Engine.Slots, Pieces: memory, Block: BlockTokens, Strict: true, Fenced: engines.Fenced}
 		prefill, decode := pool, pool
 		prefill.Pool, prefill.Duty = s.Name+prefillPool, rule.Prefill
 		decode.Pool, decode.Duty = s.Name+decodePool, rule.Decode
 		c.Pools = append(c.Pools, prefill, decode)
-		c.Models = append(c.Models, v.model(s))
+		c.Models = append(c.Models, v.model(s, engines.Place))
 	}
 	for _, s := range servers {
 		c.Servers = append(c.Servers, serverRule(s))
@@ -133,7 +140,7 @@
 }
 
 // model states the targets of a service's engines: the tightest of the routes that lead to it.
-func (v *View) model(s platform.Service) rule.Model {
+func (v *View) model(s platform.Service, place rule.Place) rule.Model {
 	first, pause := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, r := range v.Configuration.Routes {
 		for _, t := range r.Targets {
@@ -156,7 +163,7 @@
 		between = pause / time.Duration(max(s.Engine.EventTokens, 1))
 	}
 	return rule.Model{
-		Model: s.Name, Prefill: s.Name + prefillPool, Decode: s.Name + decodePool, Place: rule.PlaceCell,
+		Model: s.Name, Prefill: s.Name + prefillPool, Decode: s.Name + decodePool, Place: cmp.Or(place, rule.PlaceCell),
 		First: first, Between: between, Wait: time.Duration(float64(first) * waitShare),
 	}
 }
