--- a/forward/health_test.go
+++ b/forward/health_test.go
@@ -186,3 +186,17 @@
 		}
 	})
 }
+
+// Replays a grey server, which fails every second request while its reports are good: nearly all lookups are
+// served, and most orders go to the servers that work.
+func TestGreyServersGetLess(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plain[0].SetFaults(backend.Faults{Fail: true, Every: 2})
+		if served := w.askAll(100, 50*time.Millisecond, status); served < 100 {
+			t.Errorf("unexpected %d of 100 lookups served", served)
+		}
+		if served := w.askAll(100, 50*time.Millisecond, order); served < 90 {
+			t.Errorf("unexpected %d of 100 orders served", served)
+		}
+	})
+}
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -127,6 +128,7 @@
 	}
 	placer := cell.NewPlacer(rules, cell.NewHub(rules, polls, record))
 	placer.Self = "i1"
+	placer.Plain.Random = rand.New(rand.NewPCG(1, 2)).IntN // called under the picker's lock
 	placer.Live = func() []fleet.Member { return []fleet.Member{{Name: "i1"}} }
 	placer.Hub.Peers, placer.Hub.Self = func() []fleet.Member { return nil }, "i1"
 	serving.Go(func() { _ = placer.Hub.Serve(ctx) })
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -21,7 +21,7 @@
 	Slots   int           // requests that run at once
 	Queue   int           // requests that wait; more are rejected
 	Work    time.Duration // of a plain request
-	Memory  int           // tokens of an engine
+	Memory  int           // tokens of an engine, given out in blocks
 	Rate    float64       // prompt tokens computed a second
 	Step    time.Duration // between events of a stream that runs alone
 	Batch   time.Duration // that each other stream adds to it
@@ -41,6 +41,7 @@
 	report  []byte    // of a moment ago
 	taken   time.Time // when the report was taken
 	faults  Faults
+	arrived int
 	busy    int
 	waiting int
 	used    int
@@ -65,7 +66,14 @@
 	NoReport   bool // gives no reports, though it works
 	Double     bool // sends each answer of a plain service twice
 
-	Late time.Duration // that answers come late, after the work
+	Late  time.Duration // that answers come late, after the work
+	Every int           // one in so many requests meets the faults, as at a grey server; 0: all
+}
+
+// meets tells whether the next request meets the faults, and counts it; the caller holds the lock.
+func (s *Server) meets() bool {
+	s.arrived++
+	return s.faults.Every == 0 || s.arrived%s.faults.Every == 0
 }
 
 // Seen is one request as it arrived.
@@ -162,6 +170,9 @@
 	}
 	s.mu.Lock()
 	faults, changing := s.faults, time.Now().Before(s.until)
+	if !s.meets() {
+		faults = Faults{}
+	}
 	s.mu.Unlock()
 	if s.Told > 0 {
 		w.Header().Set(headerKeepAlive, fmt.Sprintf("timeout=%d", int(s.Told.Seconds())))
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -9,6 +9,12 @@
 	"time"
 )
 
+// blockTokens is the size of a block of an engine's memory.
+const blockTokens = 16
+
+// blocks rounds tokens up to whole blocks.
+func blocks(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
+
 func promptTokens(r *http.Request) int {
 	text, _, _ := strings.Cut(r.Header.Get(headerTokens), ",")
 	n, err := strconv.Atoi(text)
@@ -34,7 +40,7 @@
 	if !work(r, faults.Late) {
 		panic(http.ErrAbortHandler)
 	}
-	handle := s.keep(tokens)
+	handle := s.keep(blocks(tokens))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(headerID, call.ID)
 	_ = json.NewEncoder(w).Encode(map[string]any{"kvHandle": handle, "tokens": tokens, "version": 1})
@@ -73,7 +79,7 @@
 			return
 		}
 	}
-	tokens := promptTokens(r) + s.Events*eventTokens
+	tokens := blocks(promptTokens(r) + s.Events*eventTokens)
 	if !s.begin(w, r, call, tokens) {
 		return
 	}
