--- a/cell/core.go
+++ b/cell/core.go
@@ -231,7 +231,8 @@
 	retryLimit := now.Add(retryWait)
 	if ask.Left > 0 {
 		first := now.Add(ask.Left - idle)
-		i.latest, i.useful, retryLimit = min(i.latest, first.Add(-c.streamTime(ask.MaxTokens))), min(i.useful, first), min(retryLimit, first)
+		i.useful, retryLimit = min(i.useful, first), min(retryLimit, first)
+		i.latest = min(i.latest, first.Add(-c.streamTime(ask.MaxTokens)))
 	}
 	i.limit = i.useful
 	switch {
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -175,7 +175,7 @@
 }
 
 func (p *Placer) askOf(r Request, waited time.Duration) Ask {
-	left := time.Duration(0)
+	left := time.Duration(0) // a time that is left is the same by the dispatcher's clock
 	if !r.Deadline.IsZero() {
 		left = max(r.Deadline.Sub(p.Hub.Now()), 1)
 	}
--- a/instance/server.go
+++ b/instance/server.go
@@ -100,22 +100,20 @@
 		mux.HandleFunc("GET "+config.StatusPath, i.requireAdmin(i.getStatus))
 		mux.HandleFunc("POST /evict", i.requireAdmin(i.allowance.ServeEvict))
 	}
-	return &http.Server{
-		Handler:           http.MaxBytesHandler(mux, adminMaxBodyBytes),
-		ReadHeaderTimeout: adminHeaderTimeout,
-		ReadTimeout:       adminHeaderTimeout,
-		WriteTimeout:      adminWriteTimeout,
-		MaxHeaderBytes:    adminMaxHeaderBytes,
-		ErrorLog:          i.serverLog(),
-	}
+	return i.operatorsServer(http.MaxBytesHandler(mux, adminMaxBodyBytes))
 }
 
 // metricsServer makes the HTTP server for collectors of metrics, which show no token.
 func (i *Instance) metricsServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", i.metrics.ServeHTTP)
+	return i.operatorsServer(mux)
+}
+
+// operatorsServer makes an HTTP server with the limits of what operators and collectors use.
+func (i *Instance) operatorsServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           mux,
+		Handler:           handler,
 		ReadHeaderTimeout: adminHeaderTimeout,
 		ReadTimeout:       adminHeaderTimeout,
 		WriteTimeout:      adminWriteTimeout,
