--- a/standin/backend/control.go
+++ b/standin/backend/control.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -76,6 +77,12 @@
 	w.WriteHeader(s.takeOrder(order.Stage, order.Fence))
 }
 
+// NewOrder makes a request that orders an engine into a stage.
+func NewOrder(ctx context.Context, stage, holder string, fence uint64) (*http.Request, error) {
+	body := fmt.Sprintf(`{"opcode":"stage","stage":%q,"holder":%q,"fencingToken":%d}`, stage, holder, fence)
+	return http.NewRequestWithContext(ctx, http.MethodPost, "http://engine/-/order", strings.NewReader(body))
+}
+
 func (s *Server) takeOrder(stage string, fence uint64) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
