Give each call between instances a reply of its own

Cause: peer.Pool.Call passed the caller's reply to net/rpc.

Change: the connection decodes into a new value; Call copies it to the caller's reply once the call has succeeded.

Result: TestReplyAfterEndOfCallIsDropped failed before (the reply of a call that was given up changed to "late") and passes after; the race tests of peer, allowance, demo, cell and fleet pass.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,15 +35,17 @@
 	return &Pool{Token: token, clients: make(map[string]*client)}
 }
 
-// Call runs a method at a peer and waits for its reply until the context ends. If the context's deadline passes and no
-// reply to any call has come over the connection since the call began, Call closes the connection: it may be dead.
+// Call runs a method at a peer and waits for its reply until the context ends. reply must be a pointer; it is left as it
+// is if the call fails. If the context's deadline passes and no reply to any call has come over the connection since the
+// call began, Call closes the connection: it may be dead.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	c, err := p.client(ctx, address)
 	if err != nil {
 		return unreachable.Wrap(err, "peer: unable to reach %s", address)
 	}
 	start := time.Now().UnixNano()
-	call := c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
+	received := newReply(reply)
+	call := c.rpc.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) && c.lastReply.Load() < start {
@@ -50,10 +53,17 @@
 		}
 		return noReply.Wrap(ctx.Err(), "peer: no reply from %s to %s", address, method)
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(received.Elem())
+		}
 		return p.result(address, c, call.Error)
 	}
 }
 
+// newReply returns a pointer to a new value of the type that reply points to. The connection decodes into it, since it
+// may still do so after the caller has stopped waiting and uses reply for something else.
+func newReply(reply any) reflect.Value { return reflect.New(reflect.TypeOf(reply).Elem()) }
+
 // result returns the error of a call that has ended. It closes the connection unless the peer replied.
 func (p *Pool) result(address string, c *client, err error) error {
 	var serverError rpc.ServerError
