--- a/allowance/assignment.go
+++ b/allowance/assignment.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"teaselgate/platform"
 )
 
 // Tick returns the actions that are due. It is called at short intervals.
@@ -210,7 +212,7 @@
 
 // HandleWriteResult handles the result of an attempt to write. If the write took effect, version is that of the stored
 // object.
-func (m *ShardManager) HandleWriteResult(now time.Time, w Write, result WriteResult, version uint64) {
+func (m *ShardManager) HandleWriteResult(now time.Time, w Write, result WriteResult, version platform.Version) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &m.shards[w.Shard]
@@ -232,7 +234,7 @@
 
 // HandleRead handles an object that was read from the platform or reported by a watch. Version 0 means that the
 // platform has no object for the shard.
-func (m *ShardManager) HandleRead(now time.Time, shard int, version uint64, a Assignment) {
+func (m *ShardManager) HandleRead(now time.Time, shard int, version platform.Version, a Assignment) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &m.shards[shard]
@@ -249,7 +251,7 @@
 // KnownAssignment is the newest object of a shard that an instance knows.
 type KnownAssignment struct {
 	Shard   int
-	Version uint64
+	Version platform.Version
 	Object  Assignment
 }
 
@@ -297,7 +299,7 @@
 }
 
 // adoptAssignment replaces the known object of a shard by a newer one and takes on the role that it assigns.
-func (m *ShardManager) adoptAssignment(now time.Time, shard int, version uint64, a Assignment) {
+func (m *ShardManager) adoptAssignment(now time.Time, shard int, version platform.Version, a Assignment) {
 	s := &m.shards[shard]
 	if a.Epoch <= s.assignment.Epoch {
 		return
--- a/allowance/platform.go
+++ b/allowance/platform.go
@@ -27,15 +27,15 @@
 
 // StoreArgs asks another instance to read a shard's object at the platform or, if Object is set, to update it.
 type StoreArgs struct {
-	Name    string // name of the object
-	Version uint64 // version that the update replaces; 0 to create the object
+	Name    string           // name of the object
+	Version platform.Version // version that the update replaces; 0 to create the object
 	Object  *Assignment
 }
 
 // StoreReply carries the result of a call to the platform.
 type StoreReply struct {
-	End     WriteResult // result of a write
-	Version uint64      // 0 if there is no object
+	End     WriteResult      // result of a write
+	Version platform.Version // 0 if there is no object
 	Object  Assignment
 }
 
@@ -146,7 +146,7 @@
 
 // watchAssignments keeps the shard manager up to date with the platform's objects.
 func (l *Limiter) watchAssignments(ctx context.Context, manager *ShardManager) {
-	var seenVersion uint64
+	var seenVersion platform.Version
 	for listed := false; ctx.Err() == nil; {
 		var list platform.List
 		var err error
--- a/allowance/renew.go
+++ b/allowance/renew.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"teaselgate/platform"
 )
 
 // Renewal is a message that asks a successor to renew its leases.
@@ -24,9 +26,9 @@
 type RenewShard struct {
 	Shard   int
 	Epoch   uint64
-	Release bool        // asks the successor to resign instead
-	Version uint64      // version of Object
-	Object  *Assignment // sent until the successor has issued a lease in this epoch
+	Release bool             // asks the successor to resign instead
+	Version platform.Version // version of Object
+	Object  *Assignment      // sent until the successor has issued a lease in this epoch
 }
 
 // RenewReply lists the shards for which no lease is issued.
--- a/allowance/shard.go
+++ b/allowance/shard.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"teaselgate/platform"
 )
 
 // ShardKind is the kind of the platform's objects that hold the assignments of the shards.
@@ -62,9 +64,9 @@
 
 // shardState is an instance's knowledge of one shard and its role in it.
 type shardState struct {
-	version    uint64     // version of the object at the platform
-	assignment Assignment // newest known object; epoch 0 if none
-	absent     bool       // the platform has no object of the shard
+	version    platform.Version // version of the object at the platform
+	assignment Assignment       // newest known object; epoch 0 if none
+	absent     bool             // the platform has no object of the shard
 
 	acting        bool // the instance acts as primary in this epoch
 	sole          bool // the instance needs no lease, since no other one can act
--- a/allowance/shard_manager.go
+++ b/allowance/shard_manager.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"teaselgate/platform"
 	"teaselgate/rule"
 )
 
@@ -85,7 +86,7 @@
 // Write is a conditional update of a shard's object.
 type Write struct {
 	Shard   int
-	Version uint64 // version that the update replaces; 0 to create the object
+	Version platform.Version // version that the update replaces; 0 to create the object
 	Object  Assignment
 }
 
--- a/allowance/sim_node_test.go
+++ b/allowance/sim_node_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"teaselgate/platform"
 	"teaselgate/rule"
 )
 
@@ -259,7 +260,7 @@
 func (n *simNode) writeAssignment(w Write) {
 	s := n.sim
 	finished := false
-	finish := func(version uint64, result WriteResult) {
+	finish := func(version platform.Version, result WriteResult) {
 		if !finished {
 			finished = true
 			n.manager.HandleWriteResult(s.now, w, result, version)
--- a/allowance/sim_test.go
+++ b/allowance/sim_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"teaselgate/platform"
 	"teaselgate/rule"
 )
 
@@ -29,7 +30,7 @@
 
 	platformOutage     bool
 	writeRepliesToLose int                   // number of replies to writes that will be lost
-	version            uint64                // newest version at the platform
+	version            platform.Version      // newest version at the platform
 	assignments        map[int]simAssignment // objects at the platform, by shard
 	platformCut        map[int]bool          // instances that can't reach the platform, by index
 	relaying           bool                  // instances relay calls to the platform for each other
@@ -55,7 +56,7 @@
 
 // simAssignment is a stored object of a shard.
 type simAssignment struct {
-	version    uint64
+	version    platform.Version
 	assignment Assignment
 }
 
@@ -212,7 +213,7 @@
 }
 
 // writeAssignment carries out a conditional update.
-func (s *sim) writeAssignment(w Write) (uint64, WriteResult) {
+func (s *sim) writeAssignment(w Write) (platform.Version, WriteResult) {
 	if s.assignments[w.Shard].version != w.Version {
 		return 0, WriteConflict
 	}
--- a/config/apply.go
+++ b/config/apply.go
@@ -107,8 +107,8 @@
 
 // unconfirmedWrite is a conditional write of the head whose response was lost.
 type unconfirmedWrite struct {
-	headVersion      uint64 // version of the head object that the write replaces
-	replacedRevision uint64 // number of the revision that the write replaces
+	headVersion      platform.Version // version of the head object that the write replaces
+	replacedRevision uint64           // number of the revision that the write replaces
 }
 
 // attempt makes one attempt; retry reports whether the outcome is still open.
--- a/config/follower.go
+++ b/config/follower.go
@@ -96,7 +96,7 @@
 
 // watchLoop watches the head in the platform store while Watches reports true.
 func (f *Follower) watchLoop(ctx context.Context) {
-	var seen uint64
+	var seen platform.Version
 	for ctx.Err() == nil {
 		if !f.Watches() {
 			_ = delay.For(ctx, pollInterval)
@@ -118,7 +118,7 @@
 
 // watch waits for changes of the head after the version seen, puts the newest revision in force and returns the
 // version to watch from next.
-func (f *Follower) watch(ctx context.Context, seen uint64) (uint64, error) {
+func (f *Follower) watch(ctx context.Context, seen platform.Version) (platform.Version, error) {
 	list, err := f.Platform.Watch(ctx, HeadKind, seen)
 	if err != nil {
 		return seen, err
--- a/event/config_events.go
+++ b/event/config_events.go
@@ -15,6 +15,8 @@
 	ServerEntryMissing Code = 1108
 	ServerEntryInvalid Code = 1109
 	RelayFailed        Code = 1110
+	StoreRestored      Code = 1111
+	RulesOutdated      Code = 1112
 )
 
 var configEvents = map[Code]Definition{
@@ -28,5 +30,7 @@
 	ServerRemoved:      {"server-gone", logrus.InfoLevel, "a backend server's entry was removed"},
 	ServerEntryMissing: {"server-lapsed", logrus.InfoLevel, "a backend server's entry is missing after an outage of the platform; it is kept for a grace period"},
 	ServerEntryInvalid: {"server-unreadable", logrus.WarnLevel, "the entry of a backend server is invalid"},
+	StoreRestored:      {"store-restored", logrus.WarnLevel, "the platform store was restored from an older copy"},
+	RulesOutdated:      {"rules-outdated", logrus.WarnLevel, "the restored platform store has older rules than those in force, which stay in force"},
 	RelayFailed:        {"relay-failed", logrus.WarnLevel, "a call to exchange the state of the platform store with a peer failed"},
 }
--- a/instance/build_config.go
+++ b/instance/build_config.go
@@ -30,7 +30,7 @@
 // store, the newest version of the stored objects; 0 before the first.
 func (i *Instance) revision() uint64 {
 	if i.registry != nil {
-		return i.registry.Version()
+		return uint64(i.registry.Version())
 	}
 	if r := i.rules.Current(); r != nil {
 		return r.Number
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -17,6 +18,7 @@
 const (
 	entryTimeout       = 3 * time.Second // limit for reading this instance's entry and then writing or deleting it
 	entryRetryInterval = time.Second     // time between attempts to write the entry
+	entryRewriteSpread = time.Second     // time over which the instances write their entries after a restore of the store
 )
 
 // buildFleet builds the fleet membership.
@@ -42,12 +44,36 @@
 // newer than its own.
 func (i *Instance) fetchIfNewer(address string, revision uint64) {
 	if i.registry != nil {
-		i.registry.FetchIfNewer(address, revision)
+		i.registry.FetchIfNewer(address, platform.Version(revision))
 		return
 	}
 	i.rules.HandlePeerRevision(address, revision)
 }
 
+// keepEntryStored writes this instance's entry, and writes it again after each restore of the platform store, until the
+// instance is leaving or the context ends.
+func (i *Instance) keepEntryStored(ctx context.Context) {
+	for {
+		i.writeEntryUntilStored(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-i.storeRestored:
+		}
+		if delay.For(ctx, rand.N(entryRewriteSpread)) != nil || i.leaving.Load() {
+			return
+		}
+	}
+}
+
+// recordStoreRestored makes keepEntryStored write the entry again.
+func (i *Instance) recordStoreRestored(uint64) {
+	select {
+	case i.storeRestored <- struct{}{}:
+	default: // a write is due already
+	}
+}
+
 // writeEntryUntilStored writes this instance's entry, and retries until it is stored, the instance is leaving or the
 // context ends.
 func (i *Instance) writeEntryUntilStored(ctx context.Context) {
--- a/instance/build_order.go
+++ b/instance/build_order.go
@@ -28,6 +28,7 @@
 		Update:          i.platform.Update,
 		FirstOrderDelay: func() time.Duration { return order.FirstOrderDelay(i.rules.Rules(), group) },
 		NewClaim:        uuid.NewString,
+		Era:             i.platform.Era,
 		Now:             time.Now,
 	}
 	return &order.GroupController{
--- a/instance/build_registry.go
+++ b/instance/build_registry.go
@@ -18,6 +18,7 @@
 	i.registry.Peers = i.reachablePeers
 	i.registry.StartRank = i.startRank
 	i.registry.OnStoreResponse = func() { i.fleet.RecordPlatformContact() }
+	i.registry.OnPeerVersion = i.platform.LearnEra
 	i.registry.Record = i.events.Record
 	i.registry.Engines = registry.EngineSettings{
 		Fenced: i.Options.Engine.Fenced, Place: rule.PlacementPolicy(i.Options.Engine.Place),
--- a/instance/build_stage_balancers.go
+++ b/instance/build_stage_balancers.go
@@ -88,7 +88,7 @@
 		Service: model,
 		Lease: &order.Lease{
 			Name: "stage-" + model, Holder: i.owner(), Get: i.platform.Get, Update: i.platform.Update,
-			FirstOrderDelay: s.firstOrderDelay, NewClaim: uuid.NewString, Now: time.Now,
+			FirstOrderDelay: s.firstOrderDelay, NewClaim: uuid.NewString, Era: i.platform.Era, Now: time.Now,
 		},
 		IsDispatcher: func() bool { return !i.leaving.Load() && i.placer.Dispatches(cellID()) },
 		Load: func() (order.StageLoad, bool) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -73,6 +73,7 @@
 	callerTLS       *certificate.Store    // nil if the caller listener is without TLS
 	adminTLS        *certificate.Store    // nil if the admin listener is without TLS
 	leaving         atomic.Bool
+	storeRestored   chan struct{}                  // receives a value when the platform store was restored
 	reloaded        atomic.Pointer[option.Options] // settings of the last reload; nil before the first
 }
 
@@ -148,7 +149,7 @@
 	if i.listeners.metrics != nil {
 		go func() { fail(serveHTTP(metrics, i.listeners.metrics, nil)) }()
 	}
-	go i.writeEntryUntilStored(background)
+	go i.keepEntryStored(background)
 	i.events.Record(event.Event{Code: event.InstanceStarted, Detail: i.Address()})
 	<-ctx.Done()
 	err := errors.Join(listenerFailure(ctx), i.leave(background, caller, abortRequests))
@@ -167,6 +168,8 @@
 	i.incarnation = uint64(time.Now().UnixNano())
 	i.events = event.NewRecorder(i.Options.Name, i.Log)
 	i.platform = platform.NewClient(i.Options.Platform, i.Secrets.Platform)
+	i.storeRestored = make(chan struct{}, 1)
+	i.platform.OnRestored = i.recordStoreRestored
 	i.peers = peer.NewPool(i.Secrets.Peer)
 	i.peerServer = peer.NewServer(i.listeners.peer, i.Secrets.Peer)
 	clock := peer.Clock{
--- a/instance/store_test.go
+++ b/instance/store_test.go
@@ -31,6 +31,9 @@
 type storeTestSite struct {
 	instance *instance.Instance
 	options  *option.Options
+	store    *standplatform.Server
+	client   *platform.Client
+	initial  standplatform.Backup // copy of the store from before the start of the instance
 }
 
 // startStoreSite starts the store, the servers and the instance on loopback, and stops them when the test ends.
@@ -49,6 +52,7 @@
 		t.Fatal(err)
 	}
 	addServers(t, client)
+	initial := storeHandler.Backup()
 	o := option.Default()
 	o.Name, o.Zone, o.Platform, o.Source = "i1", "a", storeServer.URL, option.SourceStore
 	o.Listen, o.Admin, o.Peer, o.Metrics = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
@@ -65,7 +69,7 @@
 			t.Errorf("unexpected error %v", err)
 		}
 	})
-	return &storeTestSite{i, o}
+	return &storeTestSite{i, o, storeHandler, client, initial}
 }
 
 // addServers starts one server of each duty and writes its entry to the platform store.
@@ -201,3 +205,21 @@
 	}
 	t.Errorf("missing metrics: %q", missing)
 }
+
+// TestInstanceWritesItsEntryAgainAfterARestore covers a store that is restored from a copy without the instance's entry.
+func TestInstanceWritesItsEntryAgainAfterARestore(t *testing.T) {
+	s := startStoreSite(t)
+	waitForEntry := func() {
+		t.Helper()
+		for range maxPolls {
+			if _, err := s.client.Get(t.Context(), platform.InstanceKind, "i1"); err == nil {
+				return
+			}
+			time.Sleep(pollInterval)
+		}
+		t.Error("the store has no entry of the instance")
+	}
+	waitForEntry()
+	s.store.Restore(s.initial)
+	waitForEntry()
+}
--- a/order/controller.go
+++ b/order/controller.go
@@ -43,9 +43,9 @@
 
 	wasHeld               bool // whether the lease was held at the last step
 	nextLeaseAttempt      time.Time
-	record                GroupRecord // record as last read or written
-	version               uint64      // version of record
-	recordCurrent         bool        // whether record and version are those of the store
+	record                GroupRecord      // record as last read or written
+	version               platform.Version // version of record
+	recordCurrent         bool             // whether record and version are those of the store
 	resolved              resolvedRules
 	draining              drainState
 	stepsSinceMeasurement int                  // steps since the last load measurement
@@ -57,8 +57,8 @@
 // resolvedRules caches what follows from the rules and the record, until one of them changes.
 type resolvedRules struct {
 	rules   *rule.Set
-	version uint64    // version of the record
-	set     *rule.Set // rules with the record applied
+	version platform.Version // version of the record
+	set     *rule.Set        // rules with the record applied
 	group   Group
 	found   bool // whether the rules have the group
 }
--- a/order/controller_test.go
+++ b/order/controller_test.go
@@ -10,6 +10,7 @@
 
 	"teaselgate/engine"
 	"teaselgate/event"
+	"teaselgate/platform"
 	"teaselgate/rule"
 )
 
@@ -357,7 +358,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		env := newTestEnv(t, true, "")
 		env.outage = true
-		versioned := func(version uint64, pool string) VersionedRecord {
+		versioned := func(version platform.Version, pool string) VersionedRecord {
 			return VersionedRecord{version, GroupRecord{Moves: map[string]Move{"p0": {From: "prefill", Pool: pool}}}}
 		}
 		peers := map[string]*RecordFollower{"older": {}, "newer": {}}
--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -17,7 +19,7 @@
 // fakeStore is a platform store in memory, with outages and lost responses.
 type fakeStore struct {
 	mu            sync.Mutex
-	version       uint64
+	version       platform.Version // with the era of the store
 	objects       map[string]platform.Object
 	changed       chan struct{}
 	outage        bool
@@ -49,7 +51,7 @@
 }
 
 // Update replaces an object whose version must be the given one.
-func (s *fakeStore) Update(_ context.Context, kind, name string, version uint64, data any) (platform.Object, error) {
+func (s *fakeStore) Update(_ context.Context, kind, name string, version platform.Version, data any) (platform.Object, error) {
 	text, err := json.Marshal(data)
 	if err != nil {
 		return platform.Object{}, err
@@ -75,7 +77,7 @@
 }
 
 // Watch waits for changes of objects of a kind.
-func (s *fakeStore) Watch(ctx context.Context, kind string, after uint64) (platform.List, error) {
+func (s *fakeStore) Watch(ctx context.Context, kind string, after platform.Version) (platform.List, error) {
 	for {
 		s.mu.Lock()
 		list, changed, outage := platform.List{Version: s.version}, s.changed, s.outage
@@ -99,10 +101,69 @@
 	}
 }
 
+// fakeBackup is a copy of a fakeStore's objects.
+type fakeBackup struct {
+	version platform.Version
+	objects map[string]platform.Object
+}
+
+func (s *fakeStore) backup() fakeBackup {
+	return fakeBackup{s.version, maps.Clone(s.objects)}
+}
+
+// restore goes back to a backup in a new era.
+func (s *fakeStore) restore(b fakeBackup) {
+	era := s.version.Era() + 1
+	s.version = platform.NewVersion(era, b.version.Revision())
+	s.objects = maps.Clone(b.objects)
+	for key, o := range s.objects {
+		o.Version = platform.NewVersion(era, o.Version.Revision())
+		s.objects[key] = o
+	}
+}
+
+// client is the view of one instance on the store, which knows the era of the last response only.
+type client struct {
+	store *fakeStore
+	era   uint64
+}
+
+// Get reads one object.
+func (c *client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	o, err := c.store.Get(ctx, kind, name)
+	if !errors.Is(err, platform.ErrUnavailable) {
+		c.era = c.store.version.Era()
+	}
+	return o, err
+}
+
+// Update replaces an object as the store does: by the revision, whatever the era is.
+func (c *client) Update(
+	ctx context.Context, kind, name string, version platform.Version, data any,
+) (platform.Object, error) {
+	if version != 0 && version.Era() < c.era {
+		return platform.Object{}, platform.ErrConflict
+	}
+	sent := version
+	if version != 0 {
+		sent = platform.NewVersion(c.store.version.Era(), version.Revision())
+	}
+	o, err := c.store.Update(ctx, kind, name, sent, data)
+	if err != nil {
+		return o, err
+	}
+	c.era = o.Version.Era()
+	if version != 0 && c.era != version.Era() {
+		return platform.Object{}, platform.ErrOutcomeUnknown
+	}
+	return o, nil
+}
+
 func (s *fakeStore) newLease(name, holder string, delay time.Duration, now func() time.Time) *Lease {
 	claims := 0
+	c := &client{store: s}
 	return &Lease{
-		Name: name, Holder: holder, Get: s.Get, Update: s.Update, Now: now,
+		Name: name, Holder: holder, Get: c.Get, Update: c.Update, Now: now, Era: func() uint64 { return c.era },
 		FirstOrderDelay: func() time.Duration { return delay },
 		NewClaim: func() string {
 			claims++
--- a/order/lease.go
+++ b/order/lease.go
@@ -30,42 +30,48 @@
 	Holder  string `json:"holder"`  // name and incarnation of the holding instance; empty once released
 	Claim   string `json:"claim"`   // unique to each acquisition, to recognise it after a lost response
 	Renewal uint64 `json:"renewal"` // number of renewals by this process, so that each write differs
+	Era     uint64 `json:"era"`     // era of the store in which the holder acquired the lease
 }
 
 // Lease is one instance's view of a lease. It compares no clocks of different machines: the holder counts the duration
 // from the moment when it sent the last confirmed write, and another instance acquires the lease only after it has seen
-// the same version for longer than that. Its exported fields are set before use; it is not safe for concurrent use.
+// the same version for longer than that. A restore of the store ends the lease, since the store may have lost it: the
+// holder stops once it learns of the new era, and in that era nobody acquires the lease for as long as it could last.
+// Its exported fields are set before use; it is not safe for concurrent use.
 type Lease struct {
 	Name            string
 	Holder          string
 	Get             func(ctx context.Context, kind, name string) (platform.Object, error)
-	Update          func(ctx context.Context, kind, name string, version uint64, data any) (platform.Object, error)
+	Update          func(ctx context.Context, kind, name string, version platform.Version, data any) (platform.Object, error)
 	FirstOrderDelay func() time.Duration // time from acquiring the lease to the first order
 	NewClaim        func() string        // returns a unique id for an acquisition
+	Era             func() uint64        // newest known era of the store
 	Now             func() time.Time
 
-	claim           string    // claim of the newest attempt to acquire the lease; empty if none
-	renewals        uint64    // number of renewals over all acquisitions
-	version         uint64    // version of the last confirmed write
-	fence           uint64    // fencing number: the version of the acquisition
-	deadline        time.Time // end of the lease while this instance holds it
-	firstOrderAt    time.Time // time before which no order may be sent
-	versionUnknown  bool      // whether the version must be read again before the next write
-	observedVersion uint64    // last version seen of a lease that another instance holds
-	observedAt      time.Time // time at which observedVersion was first seen
+	claim           string           // claim of the newest attempt to acquire the lease; empty if none
+	renewals        uint64           // number of renewals over all acquisitions
+	version         platform.Version // version of the last confirmed write
+	fence           platform.Version // fencing number: the version of the acquisition
+	deadline        time.Time        // end of the lease while this instance holds it
+	firstOrderAt    time.Time        // time before which no order may be sent
+	versionUnknown  bool             // whether the version must be read again before the next write
+	observedVersion platform.Version // last version seen of a lease that another instance holds
+	observedAt      time.Time        // time at which observedVersion was first seen
+	observedEra     uint64           // era of the store in which observedVersion was seen
+	claimEra        uint64           // era of the store in which claim was made
 }
 
 // Held reports whether this instance holds the lease.
-func (l *Lease) Held() bool { return l.Now().Before(l.deadline) }
+func (l *Lease) Held() bool { return l.fence.Era() == l.Era() && l.Now().Before(l.deadline) }
 
 // Fence returns the fencing number for an order that is sent now, or false if none may be sent: the lease must last
 // until the order has ended or timed out.
 func (l *Lease) Fence() (uint64, bool) {
 	now := l.Now()
-	if now.Before(l.firstOrderAt) || now.Add(orderTimeout).After(l.deadline) {
+	if !l.Held() || now.Before(l.firstOrderAt) || now.Add(orderTimeout).After(l.deadline) {
 		return 0, false
 	}
-	return l.fence, true
+	return uint64(l.fence), true
 }
 
 // AcquireOrRenew renews the lease if this instance holds it, and acquires it if it is free or has expired.
@@ -78,6 +84,10 @@
 	if err != nil {
 		return err
 	}
+	era := l.Era()
+	if l.claimEra < era {
+		l.Abandon()
+	}
 	switch {
 	case l.claim != "" && record.Claim == l.claim:
 		l.version, l.versionUnknown = object.Version, false
@@ -85,12 +95,13 @@
 			return l.renew(ctx)
 		}
 		return l.acquire(ctx, object.Version)
-	case record.Holder == "":
+	case record.Holder == "" && record.Era == era:
 		return l.acquire(ctx, object.Version)
 	}
+	// A record of an earlier era counts as held, since the restore may have undone a later acquisition.
 	l.deadline, l.versionUnknown = time.Time{}, false
-	if object.Version != l.observedVersion {
-		l.observedVersion, l.observedAt = object.Version, l.Now()
+	if object.Version != l.observedVersion || era != l.observedEra {
+		l.observedVersion, l.observedEra, l.observedAt = object.Version, era, l.Now()
 		return nil
 	}
 	if readStarted.Sub(l.observedAt) < leaseDuration+leaseMargin {
@@ -119,7 +130,7 @@
 func (l *Lease) renew(ctx context.Context) error {
 	sent := l.Now()
 	l.renewals++
-	record := LeaseRecord{Holder: l.Holder, Claim: l.claim, Renewal: l.renewals}
+	record := LeaseRecord{Holder: l.Holder, Claim: l.claim, Renewal: l.renewals, Era: l.fence.Era()}
 	object, err := l.Update(ctx, LeaseKind, l.Name, l.version, record)
 	if err != nil {
 		// The write may have taken effect; the old deadline stays, and the version is read again.
@@ -132,13 +143,17 @@
 
 // acquire writes a new claim. If the response is lost, the next AcquireOrRenew finds the claim and acquires the lease
 // again.
-func (l *Lease) acquire(ctx context.Context, version uint64) error {
-	l.claim = l.NewClaim()
+func (l *Lease) acquire(ctx context.Context, version platform.Version) error {
+	l.claim, l.claimEra = l.NewClaim(), l.Era()
 	sent := l.Now()
-	object, err := l.Update(ctx, LeaseKind, l.Name, version, LeaseRecord{Holder: l.Holder, Claim: l.claim})
+	record := LeaseRecord{Holder: l.Holder, Claim: l.claim, Era: l.claimEra}
+	object, err := l.Update(ctx, LeaseKind, l.Name, version, record)
 	if err != nil {
 		return fmt.Errorf("order: unable to acquire lease %s: %w", l.Name, err)
 	}
+	if object.Version.Era() != l.claimEra {
+		return nil // the store was restored before the write; the next attempt begins anew
+	}
 	l.version, l.fence = object.Version, object.Version
 	l.deadline, l.firstOrderAt = sent.Add(leaseDuration), l.Now().Add(l.FirstOrderDelay())
 	l.versionUnknown = false
@@ -157,7 +172,7 @@
 		return nil
 	}
 	l.deadline = time.Time{}
-	if _, err := l.Update(ctx, LeaseKind, l.Name, l.version, LeaseRecord{Claim: l.claim}); err != nil {
+	if _, err := l.Update(ctx, LeaseKind, l.Name, l.version, LeaseRecord{Claim: l.claim, Era: l.fence.Era()}); err != nil {
 		return fmt.Errorf("order: unable to release lease %s: %w", l.Name, err)
 	}
 	return nil
--- a/order/lease_test.go
+++ b/order/lease_test.go
@@ -141,12 +141,13 @@
 
 // arrival is the arrival of an order at an engine.
 type arrival struct {
-	at    time.Time
-	fence uint64
+	at     time.Time
+	fence  uint64
+	holder string
 }
 
-// simulateHolders runs random steps of several holders, with pauses, lost responses, outages and delayed orders. It
-// fails if two hold the lease at once, and returns two orders of which the older arrived last, if there are any.
+// simulateHolders runs random steps of several holders, with pauses, lost responses, outages, restores of the store and
+// delayed orders. It fails if two hold the lease at once or orders of two acquisitions have the same fencing number, and returns two orders of which the older arrived last, if there are any.
 func simulateHolders(t *rapid.T, firstOrderDelay time.Duration) (older, newer *arrival) {
 	const holders = 3
 	s := newFakeStore()
@@ -157,9 +158,14 @@
 		leases[i] = s.newLease("chat", string(rune('a'+i)), firstOrderDelay, func() time.Time { return now.Add(offset) })
 	}
 	var arrivals []arrival
+	backup := s.backup()
 	for range rapid.IntRange(1, 120).Draw(t, "steps") {
 		l := leases[rapid.IntRange(0, holders-1).Draw(t, "holder")]
-		switch rapid.IntRange(0, 9).Draw(t, "step") {
+		switch rapid.IntRange(0, 11).Draw(t, "step") {
+		case 10:
+			backup = s.backup()
+		case 11:
+			s.restore(backup)
 		case 0, 1:
 			now = now.Add(time.Duration(rapid.IntRange(0, 13000).Draw(t, "ms")) * time.Millisecond)
 		case 2:
@@ -173,7 +179,7 @@
 				// The process may pause between the check and the sending, and the network may be slow.
 				late := time.Duration(rapid.IntRange(0, int((leaseDuration+orderTimeout)/time.Millisecond)).
 					Draw(t, "late")) * time.Millisecond
-				arrivals = append(arrivals, arrival{now.Add(late), fence})
+				arrivals = append(arrivals, arrival{now.Add(late), fence, l.Holder})
 			}
 		default:
 			_ = l.AcquireOrRenew(t.Context())
@@ -184,6 +190,9 @@
 	}
 	for i := range arrivals {
 		for j := range arrivals {
+			if arrivals[i].fence == arrivals[j].fence && arrivals[i].holder != arrivals[j].holder {
+				t.Fatalf("%s and %s have the fencing number %d", arrivals[i].holder, arrivals[j].holder, arrivals[i].fence)
+			}
 			if arrivals[i].fence < arrivals[j].fence && arrivals[i].at.After(arrivals[j].at) {
 				return &arrivals[i], &arrivals[j]
 			}
@@ -218,14 +227,91 @@
 	a, b := s.newLease("chat", "a", 0, c.Now), s.newLease("chat", "b", 0, c.Now)
 	acquireOrRenew(t, a)
 	old, _ := a.Fence()
-	oldOrder := arrival{c.now.Add(5 * time.Second), old}
+	oldOrder := arrival{c.now.Add(5 * time.Second), old, a.Holder}
 	if err := a.Release(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	c.now = c.now.Add(time.Second)
 	acquireOrRenew(t, b)
 	fence, ok := b.Fence()
-	if newOrder := (arrival{c.now, fence}); !ok || !oldOrder.at.After(newOrder.at) || oldOrder.fence >= newOrder.fence {
+	if newOrder := (arrival{c.now, fence, b.Holder}); !ok || !oldOrder.at.After(newOrder.at) || oldOrder.fence >= newOrder.fence {
 		t.Errorf("no old order after a new one without the delay: %v and %v", oldOrder, newOrder)
 	}
 }
+
+func TestRestoredStoreDoesNotGiveALeaseTwice(t *testing.T) {
+	s, c := newFakeStore(), &clock{time.Unix(1000, 0)}
+	a, b := s.newLease("chat", "a", 0, c.Now), s.newLease("chat", "b", 0, c.Now)
+	backup := s.backup()
+	acquireOrRenew(t, a)
+	old, ok := a.Fence()
+	if !ok {
+		t.Fatal("got no fencing number before the restore")
+	}
+	// The restored store has no lease, but a holds it and does not know of the restore.
+	s.restore(backup)
+	acquireOrRenew(t, b)
+	if b.Held() {
+		t.Fatal("lease acquired from the restored store while its holder may go on")
+	}
+	for range 5 {
+		c.now = c.now.Add(renewInterval)
+		acquireOrRenew(t, b)
+		if a.Held() && b.Held() {
+			t.Fatal("two holders after the restore")
+		}
+	}
+	if fence, ok := b.Fence(); !ok || fence <= old {
+		t.Errorf("unexpected fencing number %d, valid %v, after %d of the earlier era", fence, ok, old)
+	}
+	if b.fence.Revision() != a.fence.Revision() {
+		t.Errorf("the revision was not given twice: %d and %d", a.fence.Revision(), b.fence.Revision())
+	}
+}
+
+func TestHolderStopsOnceItLearnsOfARestore(t *testing.T) {
+	s, c := newFakeStore(), &clock{time.Unix(1000, 0)}
+	a := s.newLease("chat", "a", 0, c.Now)
+	acquireOrRenew(t, a)
+	s.restore(s.backup())
+	if _, err := a.Get(t.Context(), LeaseKind, "other"); !errors.Is(err, platform.ErrNotFound) {
+		t.Fatalf("unexpected error of reading another object: %v", err)
+	}
+	if _, ok := a.Fence(); ok || a.Held() {
+		t.Error("lease still held after a response of the restored store")
+	}
+}
+
+// TestRenewalOverAnotherAcquisitionEndsTheLease covers a holder whose renewal carries a revision that the restored store
+// has given to another holder's acquisition.
+func TestRenewalOverAnotherAcquisitionEndsTheLease(t *testing.T) {
+	s, c := newFakeStore(), &clock{time.Unix(1000, 0)}
+	a, b := s.newLease("chat", "a", 0, c.Now), s.newLease("chat", "b", 0, c.Now)
+	backup := s.backup()
+	acquireOrRenew(t, a)
+	s.restore(backup)
+	acquireOrRenew(t, b) // learns of the new era
+	if err := b.acquire(t.Context(), 0); err != nil || !b.Held() {
+		t.Fatalf("unexpected result of the acquisition by b: %v, held %v", err, b.Held())
+	}
+	if err := a.AcquireOrRenew(t.Context()); !errors.Is(err, platform.ErrOutcomeUnknown) || a.Held() {
+		t.Errorf("unexpected renewal by a: %v, held %v", err, a.Held())
+	}
+	for range 3 {
+		acquireOrRenew(t, a)
+		if a.Held() {
+			t.Fatal("a holds the lease again while b may hold it")
+		}
+	}
+}
+
+// TestLeaseCreatedAfterARestoreIsNotHeld covers a restore between the read that finds no lease and the write that creates
+// it.
+func TestLeaseCreatedAfterARestoreIsNotHeld(t *testing.T) {
+	s, c := newFakeStore(), &clock{time.Unix(1000, 0)}
+	a := s.newLease("chat", "a", 0, c.Now)
+	s.restore(s.backup())
+	if err := a.acquire(t.Context(), 0); err != nil || a.Held() {
+		t.Errorf("unexpected result of an acquisition after a restore: %v, held %v", err, a.Held())
+	}
+}
--- a/order/record_follower.go
+++ b/order/record_follower.go
@@ -25,14 +25,14 @@
 
 // VersionedRecord is a group record with the version of its object in the platform store.
 type VersionedRecord struct {
-	Version uint64
+	Version platform.Version
 	Record  GroupRecord
 }
 
 // RecordFollower keeps a copy of all group records and applies them to the rules, so that each moved server is in
 // its current pool. Its exported fields are set before Serve.
 type RecordFollower struct {
-	Watch func(ctx context.Context, kind string, after uint64) (platform.List, error)
+	Watch func(ctx context.Context, kind string, after platform.Version) (platform.List, error)
 	Peers func() []string // addresses of other instances, asked while the platform store is down
 	Call  func(ctx context.Context, address, method string, args, reply any) error
 
@@ -45,7 +45,7 @@
 // Serve follows the records until the context ends. While the platform store is down, it asks other instances for their
 // records, so that an instance that starts during an outage knows which servers have been moved.
 func (f *RecordFollower) Serve(ctx context.Context) error {
-	var seen uint64
+	var seen platform.Version
 	peersAsked := false // records do not change during an outage, so one reply is enough
 	for ctx.Err() == nil {
 		list, err := f.Watch(ctx, GroupRecordKind, seen)
--- a/outcome/claim.go
+++ b/outcome/claim.go
@@ -6,15 +6,16 @@
 	"time"
 
 	"teaselgate/event"
+	"teaselgate/platform"
 )
 
 // Claim is a claim that this instance holds on a request with an idempotency key.
 type Claim struct {
 	store   *ClaimStore
 	name    string
-	version uint64       // version of the stored claim that the next write replaces; 0 if there is none
-	record  ClaimRecord  // record that this holder wrote last, or writes first
-	final   *ClaimRecord // record of the final write; nil to delete the claim
+	version platform.Version // version of the stored claim that the next write replaces; 0 if there is none
+	record  ClaimRecord      // record that this holder wrote last, or writes first
+	final   *ClaimRecord     // record of the final write; nil to delete the claim
 }
 
 // MarkSent acquires the right to send the request. Not a byte of it may be sent before MarkSent has returned nil.
--- a/outcome/claim_store.go
+++ b/outcome/claim_store.go
@@ -145,7 +145,7 @@
 
 // storedClaim is a claim as read from the platform store.
 type storedClaim struct {
-	version uint64 // 0 if the store has no such claim
+	version platform.Version // 0 if the store has no such claim
 	record  ClaimRecord
 }
 
--- a/registry/random_test.go
+++ b/registry/random_test.go
@@ -36,7 +36,7 @@
 func drawSteps(t *rapid.T) []step {
 	kinds := []string{
 		"configure", "join", "leave", "remove", "down", "up", "silence watches", "resume watches", "drop history",
-		"ignore instances", "serve instances",
+		"ignore instances", "serve instances", "copy", "restore",
 	}
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 		return step{
@@ -50,9 +50,13 @@
 // randomRun is a store, with the state that all instances must reach and the failures found.
 type randomRun struct {
 	store    *fakeStore
-	version  int                 // newest version of the configuration
-	servers  map[int]string      // state of each server by number
-	seen     []map[string]uint64 // newest version seen of each object, by instance
+	version  int                           // newest version of the configuration
+	servers  map[int]string                // state of each server by number
+	starts   map[int]int                   // number of starts of each server
+	copied   fakeBackup                    // copy from which the store is restored
+	left     []map[string]bool             // starts of servers that were seen leaving or gone, by instance
+	numbers  []int64                       // newest number of the configuration seen, by instance
+	seen     []map[string]platform.Version // newest version seen of each object, by instance
 	failures []string
 }
 
@@ -66,22 +70,75 @@
 			configurationJSON(run.version, configurationHost(run.version)))
 	case "join":
 		run.servers[s.n] = "ready"
-		run.store.put(platform.ServerKind, name, serverEntryJSON(fmt.Sprintf("10.0.0.%d:80", s.n+1), "ready"))
+		run.starts[s.n]++
+		run.writeServer(s.n)
 	case "leave":
 		if run.servers[s.n] != "" {
 			run.servers[s.n] = "draining"
-			run.store.put(platform.ServerKind, name, serverEntryJSON(fmt.Sprintf("10.0.0.%d:80", s.n+1), "draining"))
+			run.writeServer(s.n)
 		}
 	case "remove":
 		if run.servers[s.n] != "" {
 			delete(run.servers, s.n)
 			run.store.remove(platform.ServerKind, name)
 		}
+	case "copy":
+		run.copied = run.store.backup()
+	case "restore":
+		run.restore()
 	default:
 		run.store.set(func() { run.injectFault(s) })
 	}
 }
 
+// writeServer writes the entry of a server.
+func (run *randomRun) writeServer(n int) {
+	run.store.put(platform.ServerKind, fmt.Sprintf("s%d", n),
+		startedServerJSON(fmt.Sprintf("10.0.0.%d:80", n+1), run.servers[n], run.starts[n]))
+}
+
+// restore restores the store from the copy. A second later the operator and the servers have written all again.
+func (run *randomRun) restore() {
+	run.store.restore(run.copied)
+	sleep(time.Second)
+	run.store.put(platform.ConfigurationKind, platform.ConfigurationName,
+		configurationJSON(run.version, configurationHost(run.version)))
+	for n := range runServers {
+		if run.servers[n] != "" {
+			run.writeServer(n)
+			continue
+		}
+		run.store.remove(platform.ServerKind, fmt.Sprintf("s%d", n))
+	}
+}
+
+// checkLeft checks that no instance uses a start of a server again which it has seen leaving or gone, and that none went
+// back to an earlier configuration.
+func (run *randomRun) checkLeft(followers []*Follower) {
+	for n, f := range followers {
+		f.mu.Lock()
+		for id, e := range f.servers {
+			server, err := platform.ReadServer(id, e.Data)
+			if err != nil {
+				continue
+			}
+			start := fmt.Sprint(id, " ", server.StartedMS)
+			if e.Gone || server.Leaving {
+				run.left[n][start] = true
+			} else if run.left[n][start] {
+				run.fail("instance %d uses start %s again", n, start)
+			}
+		}
+		if c := f.decodedConfig; c != nil {
+			if c.Version < run.numbers[n] {
+				run.fail("instance %d went back from configuration %d to %d", n, run.numbers[n], c.Version)
+			}
+			run.numbers[n] = c.Version
+		}
+		f.mu.Unlock()
+	}
+}
+
 // injectFault starts or ends a fault of the store.
 func (run *randomRun) injectFault(s step) {
 	switch s.kind {
@@ -105,7 +162,7 @@
 func (run *randomRun) checkVersions(followers []*Follower) {
 	for n, f := range followers {
 		f.mu.Lock()
-		now := map[string]uint64{platform.ConfigurationKind: f.config.Version}
+		now := map[string]platform.Version{platform.ConfigurationKind: f.config.Version}
 		for id, e := range f.servers {
 			now[id] = e.Version
 		}
@@ -151,17 +208,23 @@
 	const settleTime = lapseGrace + retryDelay + 2*unansweredPollInterval
 	rapid.Check(t, func(r *rapid.T) {
 		steps := drawSteps(r)
-		run := &randomRun{store: newFakeStore(), version: 1, servers: map[int]string{0: "ready"}}
+		run := &randomRun{
+			store: newFakeStore(), version: 1, servers: map[int]string{0: "ready"}, starts: make(map[int]int),
+			numbers: make([]int64, runInstances),
+		}
 		run.store.put(platform.ConfigurationKind, platform.ConfigurationName, configurationJSON(1, configurationHost(1)))
-		run.store.put(platform.ServerKind, "s0", serverEntryJSON("10.0.0.1:80", "ready"))
+		run.writeServer(0)
+		run.copied = run.store.backup()
 		for range runInstances {
-			run.seen = append(run.seen, make(map[string]uint64))
+			run.left = append(run.left, make(map[string]bool))
+			run.seen = append(run.seen, make(map[string]platform.Version))
 		}
 		runFollowers(t, run.store, runInstances, func(followers []*Follower) {
 			for _, s := range steps {
 				run.apply(s)
 				sleep(s.pause)
 				run.checkVersions(followers)
+				run.checkLeft(followers)
 			}
 			run.store.set(func() { run.store.down, run.store.watchesSilent, run.store.ignoredInstances = false, false, 0 })
 			sleep(settleTime)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -26,6 +26,9 @@
 	// during the outage is back within two seconds, and a server that is gone must get no requests after two seconds.
 	lapseGrace    = 1800 * time.Millisecond
 	tombstoneLife = time.Minute // how long a removed entry is kept as a tombstone
+	// revivalDelay is how long an entry of a removed server must stay in a restored store before the server is used again:
+	// longer than the entry of a server that sends no heartbeats is kept.
+	revivalDelay = 5 * time.Second
 	// pollInterval is the time between readings of the store by the first instances of the fleet, since a watch may miss
 	// a change. After each reading they notify the other instances, so that all know a change within the two seconds that
 	// are allowed.
@@ -43,11 +46,12 @@
 // Follower follows the operator's configuration and the entries of backend servers. Its exported fields are set before
 // Serve.
 type Follower struct {
-	Watch           func(ctx context.Context, kind string, after uint64) (platform.List, error)
+	Watch           func(ctx context.Context, kind string, after platform.Version) (platform.List, error)
 	Call            func(ctx context.Context, address, method string, args, reply any) error
-	Peers           func() []string // addresses of the other reachable instances
-	StartRank       func() int      // number of live instances that started earlier
-	OnStoreResponse func()          // called when the store responds
+	Peers           func() []string        // addresses of the other reachable instances
+	StartRank       func() int             // number of live instances that started earlier
+	OnStoreResponse func()                 // called when the store responds
+	OnPeerVersion   func(platform.Version) // called with the versions of peers, which tell the era of the store
 	Record          func(event.Event)
 	Now             func() time.Time
 	Self            string // peer address of this instance
@@ -60,9 +64,12 @@
 	decodedConfig  *platform.Configuration // decoded form of config
 	servers        map[string]Entry        // entries and tombstones by id
 	serversListed  bool                    // whether a complete list of the servers has been merged
-	version        uint64                  // newest version of the configuration and all entries
+	version        platform.Version        // newest version of the configuration and all entries
 	digest         uint64                  // digest of the versions in force; see computeDigest
 	lapseDeadlines map[string]time.Time    // time until which a lapsed entry is kept, by server id
+	revivals       map[string]revival      // entries of removed servers in a restored store, by server id
+	era            uint64                  // newest era of the store of which a list was merged
+	outdatedConfig platform.Version        // last recorded configuration that is older than the one in force
 	failing        map[string]bool         // whether store calls fail, by kind
 	storeBackAt    time.Time               // when the store last responded again after a failure
 	fetching       atomic.Bool             // whether a fetch from a peer is running
@@ -74,23 +81,27 @@
 // Entry is a stored object as known to this instance. A removed one is kept as a tombstone, so that an older version
 // does not bring it back.
 type Entry struct {
-	Version  uint64
+	Version  platform.Version
 	Gone     bool // whether the object has been removed
+	Revived  bool // whether it is in use again after its removal, because a restored store kept it for revivalDelay
+	Lapsed   bool // whether it counts as removed only because it was missing after an outage or a restore
 	Data     []byte
 	mergedAt time.Time // time at which this instance merged the entry
 }
 
 // NewFollower returns a follower without data, which reads the store with watch.
-func NewFollower(watch func(context.Context, string, uint64) (platform.List, error)) *Follower {
+func NewFollower(watch func(context.Context, string, platform.Version) (platform.List, error)) *Follower {
 	return &Follower{
 		Watch:           watch,
 		Peers:           func() []string { return nil },
 		StartRank:       func() int { return 0 },
 		OnStoreResponse: func() {},
+		OnPeerVersion:   func(platform.Version) {},
 		Record:          func(event.Event) {},
 		Now:             time.Now,
 		servers:         make(map[string]Entry),
 		lapseDeadlines:  make(map[string]time.Time),
+		revivals:        make(map[string]revival),
 		failing:         make(map[string]bool),
 		peersOutdated:   make(chan struct{}, 1),
 	}
@@ -114,7 +125,7 @@
 // After a failure it continues from the last version seen. An instance that is no watcher reads only until it has a
 // view.
 func (f *Follower) watchKind(ctx context.Context, kind string) {
-	var seen uint64
+	var seen platform.Version
 	for ctx.Err() == nil {
 		if seen > 0 && f.StartRank() >= watchers {
 			seen = 0
@@ -224,6 +235,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := false
+	f.recordEra(list.Version.Era())
 	if kind == platform.ConfigurationKind {
 		for _, o := range list.Objects {
 			if o.Name == platform.ConfigurationName && !o.Deleted {
@@ -261,6 +273,7 @@
 	if !complete {
 		return changed
 	}
+	f.dropUnlistedRevivals(last)
 	for id, e := range f.servers {
 		if _, listed := last[id]; !listed && !e.Gone {
 			changed = f.mergeServer(id, Entry{Version: list.Version, Gone: true}, afterOutage) || changed
@@ -277,40 +290,66 @@
 	if known && e.Version <= old.Version || !known && e.Gone {
 		return false
 	}
-	if _, waiting := f.lapseDeadlines[id]; e.Gone && mayHaveLapsed && waiting {
-		return false
+	if known && !e.Gone && e.Version.Era() > old.Version.Era() {
+		var keep bool
+		if e, keep = f.resolveRestored(id, old, e); keep {
+			return false
+		}
 	}
-	if e.Gone && mayHaveLapsed && !old.Gone {
-		f.lapseDeadlines[id] = f.Now().Add(lapseGrace)
-		f.Record(event.Event{Code: event.ServerEntryMissing, Server: id, Detail: fmt.Sprintf("version %d", e.Version)})
+	if e.Gone && mayHaveLapsed && f.delayLapse(id, old, e) {
 		return false
 	}
 	delete(f.lapseDeadlines, id)
+	delete(f.revivals, id)
+	if e.Gone && len(e.Data) == 0 {
+		e.Data = old.Data // tells the server's last start and state
+	}
 	e.mergedAt = f.Now()
 	f.servers[id] = e
 	f.version = max(f.version, e.Version)
 	if e.Gone {
-		f.Record(event.Event{Code: event.ServerRemoved, Server: id, Detail: fmt.Sprintf("version %d", e.Version)})
+		f.Record(event.Event{Code: event.ServerRemoved, Server: id, Detail: fmt.Sprintf("version %v", e.Version)})
+	}
+	return true
+}
+
+// delayLapse reports whether a removal that may be a lapse is to be delayed, and starts the delay at the first one.
+// The caller holds the lock.
+func (f *Follower) delayLapse(id string, old, removal Entry) bool {
+	if _, waiting := f.lapseDeadlines[id]; waiting {
+		return true
+	}
+	if old.Gone {
+		return false
 	}
+	f.lapseDeadlines[id] = f.Now().Add(lapseGrace)
+	f.Record(event.Event{Code: event.ServerEntryMissing, Server: id, Detail: fmt.Sprintf("version %v", removal.Version)})
 	return true
 }
 
 // mergeConfig stores a configuration if it is newer than the known one and valid, and reports whether it did.
 // The caller holds the lock.
 func (f *Follower) mergeConfig(e Entry) bool {
-	if e.Version <= f.config.Version {
+	if e.Version == f.config.Version || e.Version < f.config.Version && e.Version.Era() == f.config.Version.Era() {
 		return false
 	}
 	c, err := platform.ReadConfiguration(e.Data)
 	if err != nil {
-		f.Record(event.Event{Code: event.RulesRejected, Detail: fmt.Sprintf("version %d: %v", e.Version, err)})
+		f.Record(event.Event{Code: event.RulesRejected, Detail: fmt.Sprintf("version %v: %v", e.Version, err)})
+		return false
+	}
+	if !f.supersedesConfig(e.Version, c.Version) {
+		f.recordOutdatedConfig(e.Version, c.Version)
 		return false
 	}
+	isNew := f.decodedConfig == nil || c.Version != f.decodedConfig.Version
 	f.config, f.decodedConfig = e, c
 	f.version = max(f.version, e.Version)
-	f.Record(event.Event{
-		Code: event.RulesApplied, Detail: fmt.Sprintf("configuration %d, version %d", c.Version, e.Version),
-	})
+	if isNew {
+		f.Record(event.Event{
+			Code: event.RulesApplied, Detail: fmt.Sprintf("configuration %d, version %v", c.Version, e.Version),
+		})
+	}
 	return true
 }
 
@@ -359,7 +398,7 @@
 		}
 		f.Record(event.Event{
 			Code: code, Server: id,
-			Detail: fmt.Sprintf("%s of %s at %s, version %d",
+			Detail: fmt.Sprintf("%s of %s at %s, version %v",
 				cmp.Or(string(s.Stage), "plain"), s.Service, s.Address, f.servers[id].Version),
 		})
 	}
@@ -373,9 +412,10 @@
 		now, changed := f.Now(), false
 		for id, until := range f.lapseDeadlines {
 			if now.After(until) {
-				changed = f.mergeServer(id, Entry{Version: f.servers[id].Version + 1, Gone: true}, false) || changed
+				changed = f.mergeServer(id, Entry{Version: f.servers[id].Version + 1, Gone: true, Lapsed: true}, false) || changed
 			}
 		}
+		changed = f.mergeRevivals(now) || changed
 		for id, e := range f.servers {
 			if e.Gone && now.Sub(e.mergedAt) > tombstoneLife {
 				delete(f.servers, id)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -17,14 +17,14 @@
 // fakeStore is a platform store in memory, with faults. It is safe for concurrent use.
 type fakeStore struct {
 	mu               sync.Mutex
-	version          uint64
+	version          platform.Version
 	objects          map[string]map[string]platform.Object
 	removals         map[string][]platform.Object
 	changed          chan struct{}
 	watchesSilent    bool // whether watches return no changes
 	down             bool
-	historyStart     uint64 // version before which the history is gone
-	ignoredInstances int    // number of instances, from the first, that get no response
+	historyStart     platform.Version // version before which the history is gone
+	ignoredInstances int              // number of instances, from the first, that get no response
 }
 
 const watchTimeout = 10 * time.Second // after which a watch without changes returns
@@ -78,12 +78,13 @@
 }
 
 // watch returns all objects of a kind if after is 0, and otherwise waits for changes after that version.
-func (s *fakeStore) watch(ctx context.Context, kind string, after uint64) (platform.List, error) {
+func (s *fakeStore) watch(ctx context.Context, kind string, after platform.Version) (platform.List, error) {
 	end := time.After(watchTimeout)
 	for {
 		s.mu.Lock()
 		list, changed := platform.List{Version: s.version}, s.changed
 		down, silent, gone := s.down, s.watchesSilent, after > 0 && after < s.historyStart
+		gone = gone || after > 0 && after.Era() != s.version.Era()
 		for _, o := range s.objects[kind] {
 			if o.Version > after {
 				list.Objects = append(list.Objects, o)
@@ -123,8 +124,12 @@
 }
 
 // serverEntryJSON returns the entry of a backend server.
-func serverEntryJSON(address, state string) string {
-	return fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":6,"state":%q,"sequence":1}`, address, state)
+func serverEntryJSON(address, state string) string { return startedServerJSON(address, state, 0) }
+
+// startedServerJSON returns the entry of a backend server that started at a time.
+func startedServerJSON(address, state string, startedMS int) string {
+	return fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":6,"state":%q,"sequence":1,"born":%d}`,
+		address, state, startedMS)
 }
 
 // runFollowers runs followers of a store in fake time. The address of a peer is its number.
@@ -136,7 +141,7 @@
 		followers := make([]*Follower, instances)
 		var serving sync.WaitGroup
 		for n := range followers {
-			f := NewFollower(func(ctx context.Context, kind string, after uint64) (platform.List, error) {
+			f := NewFollower(func(ctx context.Context, kind string, after platform.Version) (platform.List, error) {
 				if s.ignores(n) {
 					<-ctx.Done()
 					return platform.List{}, platform.ErrUnavailable
@@ -282,7 +287,7 @@
 		connected := followers[2]
 		s.put("servers", "b", serverEntryJSON("10.0.0.2:80", "ready"))
 		sleep(300 * time.Millisecond)
-		isolated := NewFollower(func(context.Context, string, uint64) (platform.List, error) {
+		isolated := NewFollower(func(context.Context, string, platform.Version) (platform.List, error) {
 			return platform.List{}, platform.ErrUnavailable
 		})
 		isolated.Call = connected.Call
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -9,6 +9,7 @@
 
 	"teaselgate/delay"
 	"teaselgate/event"
+	"teaselgate/platform"
 )
 
 // RPCName is the name under which the follower's methods are registered for other instances.
@@ -16,8 +17,9 @@
 
 // FetchArgs asks an instance for everything newer than the caller has.
 type FetchArgs struct {
-	Config  uint64            // version of the configuration that the caller has
-	Servers map[string]uint64 // versions of the entries that the caller has, by id
+	Config  platform.Version            // version of the configuration that the caller has
+	Number  int64                       // number of that configuration
+	Servers map[string]platform.Version // versions of the entries that the caller has, by id
 }
 
 // FetchReply carries the configuration and the entries that are newer than the caller has.
@@ -29,10 +31,10 @@
 
 // TellArgs tells a peer which version an instance has.
 type TellArgs struct {
-	Address string // peer address of that instance
-	Version uint64 // newest version of the configuration and all entries
-	Digest  uint64 // digest of the versions in force at that instance
-	Sighted bool   // whether it has just had contact with the store
+	Address string           // peer address of that instance
+	Version platform.Version // newest version of the configuration and all entries
+	Digest  uint64           // digest of the versions in force at that instance
+	Sighted bool             // whether it has just had contact with the store
 }
 
 // TellReply is the empty reply to TellArgs.
@@ -98,7 +100,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	*reply = FetchReply{Servers: make(map[string]Entry), Listed: f.serversListed}
-	if f.config.Version > args.Config {
+	if f.decodedConfig != nil && isNewerConfig(f.config.Version, f.decodedConfig.Version, args.Config, args.Number) {
 		reply.Config = f.config
 	}
 	for id, e := range f.servers {
@@ -110,7 +112,8 @@
 }
 
 // FetchIfNewer fetches in the background from a peer whose version is newer.
-func (f *Follower) FetchIfNewer(address string, version uint64) {
+func (f *Follower) FetchIfNewer(address string, version platform.Version) {
+	f.OnPeerVersion(version)
 	if version > f.Version() {
 		f.startFetch(address)
 	}
@@ -119,6 +122,7 @@
 // fetchIfDifferent fetches in the background from a peer with a newer version or another digest. The version alone is
 // not enough: the removal of a server whose entry is missing after an outage leaves no newer version in the store.
 func (f *Follower) fetchIfDifferent(args TellArgs) {
+	f.OnPeerVersion(args.Version)
 	if version, digest := f.versionAndDigest(); args.Version > version || args.Digest != digest {
 		f.startFetch(args.Address)
 	}
@@ -136,13 +140,13 @@
 }
 
 // Version returns the newest version of the configuration and all entries, or 0 until there is a view.
-func (f *Follower) Version() uint64 {
+func (f *Follower) Version() platform.Version {
 	version, _ := f.versionAndDigest()
 	return version
 }
 
 // versionAndDigest returns the newest version and the digest, or zeros until there is a view.
-func (f *Follower) versionAndDigest() (version, digest uint64) {
+func (f *Follower) versionAndDigest() (version platform.Version, digest uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.view.Load() == nil {
@@ -153,13 +157,13 @@
 
 // computeDigest returns a digest of the versions of the configuration and of the servers that are not gone.
 func (f *Follower) computeDigest() uint64 {
-	sum := f.config.Version
+	sum := uint64(f.config.Version)
 	for id, e := range f.servers {
 		if e.Gone {
 			continue
 		}
 		h := fnv.New64a()
-		_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(id), e.Version)) // never fails
+		_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(id), uint64(e.Version))) // never fails
 		sum ^= h.Sum64()
 	}
 	return sum
@@ -169,7 +173,10 @@
 func (f *Follower) knownVersions() FetchArgs {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	args := FetchArgs{Config: f.config.Version, Servers: make(map[string]uint64, len(f.servers))}
+	args := FetchArgs{Config: f.config.Version, Servers: make(map[string]platform.Version, len(f.servers))}
+	if f.decodedConfig != nil {
+		args.Number = f.decodedConfig.Version
+	}
 	for id, e := range f.servers {
 		args.Servers[id] = e.Version
 	}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -80,6 +80,7 @@
 
 	mu             sync.Mutex
 	version        uint64
+	era            uint64                       // number of restores
 	droppedThrough uint64                       // version up to which the change history has been dropped
 	objects        map[string]map[string]object // by kind and name
 	deleted        map[string]map[string]object // deleted objects by kind and name, for watches
@@ -143,6 +144,7 @@
 	mux.HandleFunc("PUT /-/objects/{kind}/{name}", s.putObject)
 	mux.HandleFunc("DELETE /-/objects/{kind}/{name}", s.deleteObject)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w = &eraWriter{w, s}
 		if s.Token != "" && r.Header.Get("Authorization") != "Bearer "+s.Token {
 			http.Error(w, "bad token", http.StatusUnauthorized)
 			return
@@ -415,7 +417,7 @@
 	if s.faults.Outage {
 		return response, http.StatusServiceUnavailable, s.changed
 	}
-	if after < s.droppedThrough {
+	if after < s.droppedThrough || after > s.version {
 		return response, http.StatusGone, s.changed
 	}
 	for _, o := range s.objects[kind] {
