Heed what backend servers say about themselves: that they leave, or want no requests for a time

Cause: Server-Leaving and the Retry-After of a replica's 503 were not read. A server that the store still lists as ready got requests after it had said that it leaves, one that asked for quiet got all that was placed on it, and both headers reached the caller.

Change: a leaving server is taken out of use at once by an overlay on the registry's view, until it starts anew, and the dispatcher is told; servers that want no requests are kept in upstream.Backoff, checked before each send and call (requests, prefills, reports, orders and releases all count), passed to the dispatcher with each placement, and lead to a refusal with the right time if a whole pool is paused. The stand-in servers and the soak inject both headers and restores of the store.

--- a/cell/core.go
+++ b/cell/core.go
@@ -35,7 +35,8 @@
 	Ceiling      int // upper bound of the output tokens if MaxTokens is an estimate; 0 if it is not
 	Prefixes     []string
 	Zone         string        // availability zone of the calling instance
-	Exclude      []string      // names of servers not to use
+	Exclude      []string      // names of servers not to use, since they failed the request before
+	Avoid        []string      // names of servers that want no requests from the caller of the dispatcher
 	Waited       time.Duration // time that the request waited before this call
 	Left         time.Duration // time until the caller's deadline; 0 if unknown
 	Charge       int64         // tokens to charge to the client account
@@ -437,7 +438,8 @@
 // eligible reports whether a server may get a request, regardless of its load. The caller passes in whether the server
 // is usable.
 func (c *Core) eligible(now instant, request *PlaceRequest, s rule.Server, usable bool) bool {
-	return usable && s.State == rule.ServerLive && !c.placementPaused(now, s.Server) && !slices.Contains(request.Exclude, s.Server)
+	return usable && s.State == rule.ServerLive && !c.placementPaused(now, s.Server) &&
+		!slices.Contains(request.Exclude, s.Server) && !slices.Contains(request.Avoid, s.Server)
 }
 
 // choosePrefill returns the prefill server at which the transfer of a prompt's KV cache is predicted to end first, the
--- a/cell/local.go
+++ b/cell/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -84,7 +85,7 @@
 
 // pick returns a live server of a pool. The caller holds l.mu.
 func (l *LocalPlacer) pick(pool string, r Request) (rule.Server, error) {
-	live := l.directory.live(l.Rules(), pool, r.Exclude)
+	live := l.directory.live(l.Rules(), pool, slices.Concat(r.Exclude, r.Avoid))
 	if len(live) == 0 {
 		return rule.Server{}, noServer.New("cell: no live server in pool %s", pool)
 	}
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -39,7 +39,8 @@
 	Ceiling      int      // upper bound of the output tokens if MaxTokens is an estimate; 0 if it is not
 	Prefixes     []string // hashes of the prompt's prefixes, as returned by engine.PrefixHashes
 	Zone         string   // availability zone of the instance
-	Exclude      []string // servers not to use
+	Exclude      []string // servers not to use, since they failed the request before
+	Avoid        []string // servers that want no requests from this instance
 
 	Charge   int64     // tokens that the dispatcher charges to the account; 0 if its rate is limited elsewhere
 	Rate     float64   // rate of the client account, tokens per second
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -192,7 +192,7 @@
 	return PlaceRequest{
 		Key: r.ID, From: p.ownerName(), Left: left, Account: r.Account, Weight: r.Weight, Class: r.Class,
 		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone,
-		Exclude: r.Exclude, Waited: waited,
+		Exclude: r.Exclude, Avoid: r.Avoid, Waited: waited,
 		Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
 	}
 }
@@ -248,6 +248,9 @@
 	return id
 }
 
+// Dispatcher returns the preferred dispatcher of a cell, if there is one.
+func (p *Placer) Dispatcher(id ID) (fleet.Member, bool) { return p.nextDispatcher(id, nil) }
+
 // rankedDispatchers returns the instances that may be a cell's dispatcher, the preferred one first.
 func (p *Placer) rankedDispatchers(id ID) []fleet.Member {
 	p.mu.Lock()
--- a/event/config_events.go
+++ b/event/config_events.go
@@ -17,6 +17,8 @@
 	RelayFailed        Code = 1110
 	StoreRestored      Code = 1111
 	RulesOutdated      Code = 1112
+	ServerSaysLeaving  Code = 1113
+	ServerBusy         Code = 1114
 )
 
 var configEvents = map[Code]Definition{
@@ -30,6 +32,8 @@
 	ServerRemoved:      {"server-gone", logrus.InfoLevel, "a backend server's entry was removed"},
 	ServerEntryMissing: {"server-lapsed", logrus.InfoLevel, "a backend server's entry is missing after an outage of the platform; it is kept for a grace period"},
 	ServerEntryInvalid: {"server-unreadable", logrus.WarnLevel, "the entry of a backend server is invalid"},
+	ServerSaysLeaving:  {"server-says-leaving", logrus.InfoLevel, "a backend server's response says that it is leaving; it gets no new work from this instance"},
+	ServerBusy:         {"server-busy", logrus.InfoLevel, "a backend server wants no requests from this instance for a time"},
 	StoreRestored:      {"store-restored", logrus.WarnLevel, "the platform store was restored from an older copy"},
 	RulesOutdated:      {"rules-outdated", logrus.WarnLevel, "the restored platform store has older rules than those in force, which stay in force"},
 	RelayFailed:        {"relay-failed", logrus.WarnLevel, "a call to exchange the state of the platform store with a peer failed"},
--- /dev/null
+++ b/forward/backoff.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"teaselgate/rule"
+	"teaselgate/upstream"
+)
+
+// refusedByBackoff refuses the request if all live servers of one of the pools that it needs want no requests at present,
+// with the time at which the first of them takes requests again. It reports whether it did. A burst that fills all queues
+// of a service leads to that: waiting would only make the requests late.
+func (q *request) refusedByBackoff(pools ...string) bool {
+	if len(q.handler.Backoff.Servers()) == 0 {
+		return false
+	}
+	for _, pool := range pools {
+		if until := q.poolBackoff(pool); !until.IsZero() {
+			q.refuse(http.StatusServiceUnavailable, max(until.Sub(q.handler.Now()), minRateRetryAfter),
+				"all servers of "+pool+" want no requests")
+			return true
+		}
+	}
+	return false
+}
+
+// poolBackoff returns the time at which the first live server of a pool takes requests again, or the zero time if one
+// takes them now or there is none.
+func (q *request) poolBackoff(pool string) time.Time {
+	var first time.Time
+	for _, s := range q.view.Rules.Servers(pool) {
+		if s.State != rule.ServerLive {
+			continue
+		}
+		until := q.handler.Backoff.Until(upstream.ServerKey{Server: s.Server, Address: s.At})
+		if until.IsZero() {
+			return time.Time{}
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -39,6 +39,8 @@
 	Charge        func(a platform.Account, tokens int64) (time.Time, error)
 	RetryBudget   func(service string) *outcome.RetryBudget
 	Servers       *upstream.Pool
+	Backoff       *upstream.Backoff                                 // servers that want no requests
+	Observe       func(key upstream.ServerKey, resp *http.Response) // called with each response of a backend server
 	Engines       *platform.EngineClient
 	Record        func(event.Event)
 	ObserveResult func(platform.RouteKind, RequestResult)  // called once for each request
@@ -78,6 +80,8 @@
 func NewHandler() *Handler {
 	return &Handler{
 		Now: time.Now, Random: rand.Float64,
+		Backoff:       upstream.NewBackoff(),
+		Observe:       func(upstream.ServerKey, *http.Response) {},
 		Record:        func(event.Event) {},
 		ObserveResult: func(platform.RouteKind, RequestResult) {},
 		ObserveStage:  func(metric.Stage, time.Duration) {},
--- a/forward/model.go
+++ b/forward/model.go
@@ -35,6 +35,9 @@
 	h := q.handler
 	h.RetryBudget(q.service.Name).Deposit()
 	m := &modelRequest{request: q}
+	if model, _ := q.view.Rules.Model(q.service.Name); q.refusedByBackoff(model.Prefill, model.Decode) {
+		return
+	}
 	for n := 1; ; n++ {
 		start := h.Now()
 		placement, err := h.Place(ctx, m.placementRequest())
@@ -73,7 +76,7 @@
 		PromptTokens: m.PromptTokens + m.tokensSent(),
 		MaxTokens:    max(m.expectedOutputTokens()-m.tokensSent(), m.service.Engine.TokensPerEvent),
 		Deadline:     m.deadline, Ceiling: max(m.MaxOutputTokens-m.tokensSent(), 1), Zone: m.handler.Zone,
-		Exclude: m.exclude, Charge: m.charge(), Rate: m.account.Rate, Burst: m.account.Burst,
+		Exclude: m.exclude, Avoid: m.handler.Backoff.Servers(), Charge: m.charge(), Rate: m.account.Rate, Burst: m.account.Burst,
 	}
 }
 
@@ -194,6 +197,9 @@
 	resp, err := m.send(ctx, platform.ForwardOptions{
 		Server: server.Server, Address: server.At, Prefill: true, LastEventID: m.lastEventID,
 	})
+	if errors.Is(err, errBackoff) {
+		return platform.Handle{}, m.resultFromSendError(err)
+	}
 	if err != nil {
 		return platform.Handle{}, attemptResult{
 			notRun: true, notSent: errors.Is(err, upstream.ErrNotSent), serverFault: true, reason: err.Error(),
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -37,9 +37,12 @@
 		}
 	}
 	h.RetryBudget(q.service.Name).Deposit()
+	if q.refusedByBackoff(q.service.Name) {
+		return
+	}
 	var tried []string
 	for {
-		server, err := h.PickServer(q.service.Name, tried)
+		server, err := h.PickServer(q.service.Name, append(h.Backoff.Servers(), tried...))
 		if err != nil {
 			q.handleNoServer(ctx, len(tried), err)
 			return
@@ -190,13 +193,27 @@
 
 // send sends the request to a server once, with the time left until the deadline.
 func (q *request) send(ctx context.Context, f platform.ForwardOptions) (*upstream.Response, error) {
+	key := upstream.ServerKey{Server: f.Server, Address: f.Address}
+	if !q.handler.Backoff.Until(key).IsZero() {
+		return nil, errBackoff
+	}
 	f.Account = q.account.Name
 	f.TimeLeft = q.deadline.Sub(q.handler.Now())
-	return q.handler.Servers.Do(ctx, f.Address, q.ID, platform.NewForwardRequest(q.incoming, q.body, q.Secret, f))
+	resp, err := q.handler.Servers.Do(ctx, f.Address, q.ID, platform.NewForwardRequest(q.incoming, q.body, q.Secret, f))
+	if err == nil {
+		q.handler.Observe(key, resp.Response)
+	}
+	return resp, err
 }
 
+// errBackoff means that a request was not sent because its server wants none at present.
+var errBackoff = errors.New("forward: the server wants no requests at present")
+
 // resultFromSendError returns the result of an attempt that got no response. It counts a run unless nothing was sent.
 func (q *request) resultFromSendError(err error) attemptResult {
+	if errors.Is(err, errBackoff) {
+		return attemptResult{notRun: true, notSent: true, reason: err.Error()}
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		return attemptResult{notRun: true, notSent: true, serverFault: true, reason: err.Error()}
 	}
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -45,7 +45,8 @@
 	}
 	handler.RetryBudget = i.retryBudgets.forService
 	handler.Servers = i.connectionPool
-	handler.Engines = newEngineClient()
+	handler.Engines = i.newEngineClient()
+	handler.Backoff, handler.Observe = i.backoff, i.observeResponse
 	handler.Record = i.events.Record
 	handler.ObserveResult = func(kind platform.RouteKind, result forward.RequestResult) {
 		i.metrics.CountRequestResult(routeKindTag(kind), string(result))
@@ -135,7 +136,7 @@
 // engineReportCalls returns calls that read engines' platform reports and convert them for the dispatchers. The reports
 // contain no cache events, so that Events only checks that the engine responds.
 func (i *Instance) engineReportCalls() cell.EngineCalls {
-	engines := newEngineClient()
+	engines := i.newEngineClient()
 	return cell.EngineCalls{
 		Load: func(ctx context.Context, address string) (engine.LoadReport, error) {
 			r, err := engines.Report(ctx, address)
--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// collectStoreState sets the ages of the last contacts with the platform store and the remaining retry budgets.
+// collectStoreState sets the ages of the last contacts with the platform store, the number of servers that want no
+// requests and the remaining retry budgets.
 func (i *Instance) collectStoreState() {
 	now := time.Now()
 	for contact, at := range map[string]time.Time{
@@ -126,6 +127,7 @@
 			i.metrics.SetStoreDataAge(contact, now.Sub(at))
 		}
 	}
+	i.metrics.SetServersBusy(len(i.backoff.Servers()))
 	for service, remaining := range i.retryBudgets.remaining() {
 		i.metrics.SetRetriesLeft(service, remaining)
 	}
--- a/instance/build_stage_balancers.go
+++ b/instance/build_stage_balancers.go
@@ -24,7 +24,7 @@
 	if i.Options.Engine.Stages == option.StagesKeep {
 		return nil
 	}
-	supervisor.Add(&stageBalancers{instance: i, engines: newEngineClient(), cancels: make(map[string]context.CancelFunc)})
+	supervisor.Add(&stageBalancers{instance: i, engines: i.newEngineClient(), cancels: make(map[string]context.CancelFunc)})
 	return nil
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -74,6 +74,7 @@
 	adminTLS        *certificate.Store    // nil if the admin listener is without TLS
 	leaving         atomic.Bool
 	storeRestored   chan struct{}                  // receives a value when the platform store was restored
+	backoff         *upstream.Backoff              // backend servers that want no requests
 	reloaded        atomic.Pointer[option.Options] // settings of the last reload; nil before the first
 }
 
@@ -169,6 +170,7 @@
 	i.events = event.NewRecorder(i.Options.Name, i.Log)
 	i.platform = platform.NewClient(i.Options.Platform, i.Secrets.Platform)
 	i.storeRestored = make(chan struct{}, 1)
+	i.backoff = upstream.NewBackoff()
 	i.platform.OnRestored = i.recordStoreRestored
 	i.peers = peer.NewPool(i.Secrets.Peer)
 	i.peerServer = peer.NewServer(i.listeners.peer, i.Secrets.Peer)
--- /dev/null
+++ b/instance/server_notices.go
@@ -0,0 +1,81 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"teaselgate/cell"
+	"teaselgate/event"
+	"teaselgate/platform"
+	"teaselgate/upstream"
+)
+
+// errServerBusy means that a backend server wants no requests from this instance at present.
+var errServerBusy = errors.New("instance: the backend server wants no requests at present")
+
+// observeResponse takes what a backend server says about itself in a response: that it is leaving, or that it wants no
+// requests for a time. A response of another server than the expected one says nothing about the latter.
+func (i *Instance) observeResponse(key upstream.ServerKey, resp *http.Response) {
+	if platform.IsMisdirected(resp) {
+		return
+	}
+	if platform.IsLeaving(resp.Header) {
+		if server, wasInUse := i.registry.MarkLeaving(key.Server); wasInUse {
+			i.tellDispatcher(server)
+		}
+	}
+	if d := platform.Backoff(resp); d > 0 && i.backoff.Start(key, d) {
+		i.events.Record(event.Event{
+			Code: event.ServerBusy, Server: key.Server, Detail: fmt.Sprintf("%s, for %v", key.Address, d.Round(time.Millisecond)),
+		})
+	}
+}
+
+// tellDispatcher tells the dispatcher that places requests on an engine, if it is another instance, that the engine is
+// leaving. It does not wait for the call.
+func (i *Instance) tellDispatcher(server platform.Server) {
+	model, ok := i.ruleSet().Model(server.Service)
+	if !ok {
+		return
+	}
+	dispatcher, ok := i.placer.Dispatcher(cell.ID{Prefill: model.Prefill, Decode: model.Decode})
+	if ok && dispatcher.Name != i.Options.Name {
+		go i.registry.TellLeaving(context.Background(), dispatcher.Peer, server)
+	}
+}
+
+// newEngineClient returns a client for calls to engines that heeds what they say about themselves.
+func (i *Instance) newEngineClient() *platform.EngineClient {
+	c := newEngineClient()
+	c.Admit = func(address string) error {
+		if len(i.backoff.Servers()) == 0 {
+			return nil
+		}
+		if key, ok := i.serverAt(address); ok && !i.backoff.Until(key).IsZero() {
+			return errServerBusy
+		}
+		return nil
+	}
+	c.Observe = func(address string, resp *http.Response) {
+		if !platform.IsLeaving(resp.Header) && resp.StatusCode != http.StatusServiceUnavailable {
+			return
+		}
+		if key, ok := i.serverAt(address); ok {
+			i.observeResponse(key, resp)
+		}
+	}
+	return c
+}
+
+// serverAt returns the key of the backend server at an address, if exactly one is registered there.
+func (i *Instance) serverAt(address string) (upstream.ServerKey, bool) {
+	view := i.registry.Current()
+	if view == nil {
+		return upstream.ServerKey{}, false
+	}
+	server, ok := view.ServerAt(address)
+	return upstream.ServerKey{Server: server.ID, Address: address}, ok
+}
--- a/instance/store_test.go
+++ b/instance/store_test.go
@@ -34,6 +34,7 @@
 	store    *standplatform.Server
 	client   *platform.Client
 	initial  standplatform.Backup // copy of the store from before the start of the instance
+	servers  map[string]*backend.Server
 }
 
 // startStoreSite starts the store, the servers and the instance on loopback, and stops them when the test ends.
@@ -51,7 +52,7 @@
 	); err != nil {
 		t.Fatal(err)
 	}
-	addServers(t, client)
+	servers := addServers(t, client)
 	initial := storeHandler.Backup()
 	o := option.Default()
 	o.Name, o.Zone, o.Platform, o.Source = "i1", "a", storeServer.URL, option.SourceStore
@@ -69,12 +70,13 @@
 			t.Errorf("unexpected error %v", err)
 		}
 	})
-	return &storeTestSite{i, o, storeHandler, client, initial}
+	return &storeTestSite{i, o, storeHandler, client, initial, servers}
 }
 
-// addServers starts one server of each duty and writes its entry to the platform store.
-func addServers(t *testing.T, client *platform.Client) {
+// addServers starts one server of each duty, writes its entry to the platform store and returns the servers by id.
+func addServers(t *testing.T, client *platform.Client) map[string]*backend.Server {
 	t.Helper()
+	servers := make(map[string]*backend.Server)
 	prefill := &backend.Server{ID: "p0", Stage: "prefill", Slots: 1, QueueLimit: 16, PrefillRate: 100_000, HandleLifetime: time.Second / 2}
 	for _, s := range []*backend.Server{
 		{ID: "s0", Slots: 6, QueueLimit: 24, ServiceTime: time.Millisecond},
@@ -97,7 +99,9 @@
 		if _, err := client.Create(t.Context(), platform.ServerKind, s.ID, entry); err != nil {
 			t.Fatal(err)
 		}
+		servers[s.ID] = s
 	}
+	return servers
 }
 
 // post sends one POST request and returns the status and body of the response.
@@ -223,3 +227,47 @@
 	s.store.Restore(s.initial)
 	waitForEntry()
 }
+
+// TestServerThatSaysItIsLeavingGetsNoRequests covers a server that the store lists as ready for longer than it takes
+// requests. Engines say it in reports, too, which the dispatcher reads.
+func TestServerThatSaysItIsLeavingGetsNoRequests(t *testing.T) {
+	for _, c := range []struct {
+		server, path string
+		call         caller.Request
+	}{
+		{"s0", "/order/1", caller.Request{Key: accountKey}},
+		{"p0", "/draft/1", caller.Request{Key: accountKey, PromptTokens: 100, MaxOutputTokens: 20}},
+		{"d0", "/draft/1", caller.Request{Key: accountKey, PromptTokens: 100, MaxOutputTokens: 20}},
+	} {
+		t.Run(c.server, func(t *testing.T) {
+			s := startStoreSite(t)
+			s.waitUntilServed(t, c.path, c.call)
+			s.servers[c.server].SetFaults(backend.Faults{Leaving: true})
+			c.call.ID = "with the notice"
+			s.post(t, c.path, c.call)
+			before := len(s.servers[c.server].Received())
+			for n := range 3 {
+				c.call.ID = fmt.Sprint("after the notice ", n)
+				if status, _ := s.post(t, c.path, c.call); status != http.StatusServiceUnavailable {
+					t.Errorf("unexpected status %d while the only server is leaving", status)
+				}
+			}
+			if after := len(s.servers[c.server].Received()); after != before {
+				t.Errorf("the leaving server got %d requests", after-before)
+			}
+		})
+	}
+}
+
+// waitUntilServed repeats a request until it is served.
+func (s *storeTestSite) waitUntilServed(t *testing.T, path string, call caller.Request) {
+	t.Helper()
+	for n := range maxPolls {
+		call.ID = fmt.Sprint("first ", n)
+		if status, _ := s.post(t, path, call); status == http.StatusOK {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+	t.Fatal("no request was served")
+}
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -109,6 +109,10 @@
 		[]string{"duty", "state"},
 		"Backend servers in force by duty (`plain`, `prefill`, `decode`) and state (`live`, `leaving`).",
 	}
+	ServersBusy = Definition{
+		"servers_busy", Gauge, nil,
+		"Backend servers that want no requests from this instance at present, by the Retry-After of a 503.",
+	}
 	StoreDataAge = Definition{
 		"belief_age_seconds", Gauge,
 		[]string{"belief"},
@@ -133,5 +137,5 @@
 var Catalogue = []Definition{
 	Requests, RequestTime, FirstChunk, ChunkGap, InFlight, Connections, Events, Members, Revision,
 	CellWaiting, CellUsed, CellSlots,
-	RequestResults, StageTime, StoreCalls, StoreTime, Servers, StoreDataAge, RetriesLeft, RateShare, LinesDropped,
+	RequestResults, StageTime, StoreCalls, StoreTime, Servers, ServersBusy, StoreDataAge, RetriesLeft, RateShare, LinesDropped,
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -67,6 +67,7 @@
 	version        platform.Version        // newest version of the configuration and all entries
 	digest         uint64                  // digest of the versions in force; see computeDigest
 	lapseDeadlines map[string]time.Time    // time until which a lapsed entry is kept, by server id
+	leaving        map[string]int64        // starts of servers that have said themselves that they leave, by id
 	revivals       map[string]revival      // entries of removed servers in a restored store, by server id
 	era            uint64                  // newest era of the store of which a list was merged
 	outdatedConfig platform.Version        // last recorded configuration that is older than the one in force
@@ -102,6 +103,7 @@
 		servers:         make(map[string]Entry),
 		lapseDeadlines:  make(map[string]time.Time),
 		revivals:        make(map[string]revival),
+		leaving:         make(map[string]int64),
 		failing:         make(map[string]bool),
 		peersOutdated:   make(chan struct{}, 1),
 	}
@@ -353,11 +355,22 @@
 	return true
 }
 
-// rebuildView puts a new view of the known configuration and servers in force. The caller holds the lock.
+// rebuildView puts a new view of the known configuration and servers in force, and has the peers notified. The caller
+// holds the lock.
 func (f *Follower) rebuildView() {
 	if f.config.Version == 0 || !f.serversListed {
 		return
 	}
+	f.replaceView()
+	f.digest = f.computeDigest()
+	select {
+	case f.peersOutdated <- struct{}{}:
+	default:
+	}
+}
+
+// replaceView puts a new view of the known configuration and servers in force. The caller holds the lock.
+func (f *Follower) replaceView() {
 	var servers []platform.Server
 	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
 		e := f.servers[id]
@@ -369,17 +382,13 @@
 			f.Record(event.Event{Code: event.ServerEntryInvalid, Server: id, Detail: err.Error()})
 			continue
 		}
+		server.Leaving = server.Leaving || f.saysLeaving(server)
 		servers = append(servers, server)
 	}
 	old := f.view.Load()
 	view := NewView(f.decodedConfig, servers, f.Engines)
 	f.view.Store(view)
-	f.digest = f.computeDigest()
 	f.recordServerChanges(old, view)
-	select {
-	case f.peersOutdated <- struct{}{}:
-	default:
-	}
 }
 
 // recordServerChanges records each server that is new or whose entry has changed, as ready or as leaving.
@@ -419,6 +428,7 @@
 		for id, e := range f.servers {
 			if e.Gone && now.Sub(e.mergedAt) > tombstoneLife {
 				delete(f.servers, id)
+				delete(f.leaving, id)
 			}
 		}
 		if changed {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -162,8 +162,11 @@
 			f.Call = func(_ context.Context, address, method string, args, reply any) error {
 				var m int
 				_, _ = fmt.Sscan(address, &m)
-				if method == RPCName+".Fetch" {
+				switch method {
+				case RPCName + ".Fetch":
 					return followers[m].Receiver().Fetch(args.(FetchArgs), reply.(*FetchReply))
+				case RPCName + ".Leaving":
+					return followers[m].Receiver().Leaving(args.(LeavingArgs), reply.(*LeavingReply))
 				}
 				return followers[m].Receiver().Tell(args.(TellArgs), reply.(*TellReply))
 			}
--- a/registry/view.go
+++ b/registry/view.go
@@ -110,6 +110,19 @@
 	return s, ok
 }
 
+// ServerAt returns the backend server at an address, if exactly one is registered there.
+func (v *View) ServerAt(address string) (platform.Server, bool) {
+	var found platform.Server
+	count := 0
+	for _, s := range v.servers {
+		if s.Address == address {
+			found = s
+			count++
+		}
+	}
+	return found, count == 1
+}
+
 // buildRules returns the rules for placement, made from the services, servers and client accounts.
 func (v *View) buildRules(servers []platform.Server, engines EngineSettings) *rule.Set {
 	var c rule.Contents
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"teaselgate/platform"
@@ -40,6 +41,13 @@
 	proxy      *proxy
 	service    string
 	httpServer *http.Server
+	starts     atomic.Int64 // number of starts after the first
+}
+
+// restart ends the faults of a server that was leaving, as a new start under the same id does.
+func (b *backendServer) restart() {
+	b.starts.Add(1)
+	b.backend.SetFaults(backend.Faults{})
 }
 
 // environment is the platform store, the backend servers and the instances.
@@ -225,7 +233,7 @@
 	}
 	entry := map[string]any{
 		"service": b.service, "address": b.proxy.address(), "zone": "a",
-		"slots": b.backend.Slots, "state": "ready", "stage": b.backend.Stage,
+		"slots": b.backend.Slots, "state": "ready", "stage": b.backend.Stage, "born": b.starts.Load(),
 	}
 	// If the update fails, registerServers tries again after the interval.
 	_, _ = e.storeClient.Update(ctx, platform.ServerKind, b.backend.ID, old.Version, entry)
--- a/soak/run.go
+++ b/soak/run.go
@@ -123,6 +123,8 @@
 		{func() { storeProxy.setMode(faultMode) }, func() { storeProxy.setMode(pass) }},
 		{func() { env.store.SetFaults(store.Faults{Outage: true}) }, func() { env.store.SetFaults(store.Faults{}) }},
 		{env.store.DropHistory, func() {}},
+		restoreFault(env.store),
+		{func() { server.backend.SetFaults(backend.Faults{Leaving: true}) }, server.restart},
 		{
 			func() { server.backend.SetFaults(serverFault(random.IntN(serverFaultKinds))) },
 			func() { server.backend.SetFaults(backend.Faults{}) },
@@ -131,13 +133,25 @@
 	return faults[random.IntN(len(faults))]
 }
 
+// restoreFault returns a fault whose end restores the store from a copy of its begin: what was written meanwhile is lost.
+func restoreFault(s *store.Server) fault {
+	var copied store.Backup
+	return fault{func() { copied = s.Backup() }, func() { s.Restore(copied) }}
+}
+
 // serverFaultKinds is the number of different faults that serverFault can return.
-const serverFaultKinds = 6
+const serverFaultKinds = 7
 
 // serverFault returns the nth fault of a backend server.
 func serverFault(n int) backend.Faults {
 	return []backend.Faults{
-		{Fail: true}, {Reject: true}, {LoseResponse: true}, {Truncate: true}, {OmitSeal: true}, {AbortAfterEvents: 4},
+		{Fail: true},
+		{Reject: true},
+		{LoseResponse: true},
+		{Truncate: true},
+		{OmitSeal: true},
+		{AbortAfterEvents: 4},
+		{Reject: true, RetryAfter: []string{"1.5"}},
 	}[n%serverFaultKinds]
 }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -67,6 +67,9 @@
 	NoReport         bool // gives no reports, but serves requests
 	Duplicate        bool // sends each response of a plain service twice
 
+	Leaving    bool     // says in all responses that the server is leaving, but serves
+	RetryAfter []string // values of Retry-After in the responses to rejected requests
+
 	ResponseDelay time.Duration // delay between the end of the work and the response; streams have none
 	EveryNth      int           // only every nth request meets the faults, as at a partly failed server; 0 means all
 }
@@ -100,6 +103,8 @@
 	headerLastEventID    = "Last-Event-Id"
 	headerInstanceID     = "Instance-Id"
 	headerKeepAlive      = "Keep-Alive"
+	headerLeaving        = "Server-Leaving"
+	headerRetryAfter     = "Retry-After"
 	stagePrefill         = "prefill"
 	eventTokens          = 8 // output tokens counted per event of a stream
 	partialBody          = "half"
@@ -155,8 +160,18 @@
 	return s.usedTokens
 }
 
+// markLeaving adds the header of a leaving server to a response.
+func (s *Server) markLeaving(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
+}
+
 // ServeHTTP serves requests, and control calls under /-/.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.markLeaving(w)
 	if strings.HasPrefix(r.URL.Path, "/-/") {
 		s.serveControl(w, r)
 		return
@@ -188,6 +203,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case faults.Reject || stageChanging:
 		s.record(received, false)
+		if len(faults.RetryAfter) > 0 {
+			w.Header()[headerRetryAfter] = faults.RetryAfter
+		}
 		reject(w)
 	case s.Stage == "":
 		s.servePlain(w, r, received, faults)
