Let a new dispatcher use all slots of engines whose step time it does not know

The new dispatcher had adopted all holdings within 40 ms, but its largest batch was 1 at each engine: before the first sample it took the initial step time of 30 ms for real, while the target between tokens is 4.3 ms there. After the first samples, a slope of 0.5 ms for each stream, more than a whole step there, pulled the line below zero: engines looked 3.8 times slower than their pool. Ruled out: lost holdings, load reports, rate limits (they refuse a few requests in the first half second).

Change: before the first sample the batch is limited by the slots alone; the initial slope is a part of the mean step, and the line keeps at least a tenth of the mean step at an empty batch.

Result: both new tests fail before (6 of 72 requests placed; 0.10 ms predicted instead of 0.76 ms).

--- a/cell/step.go
+++ b/cell/step.go
@@ -9,7 +9,8 @@
 const (
 	stepSampleWeight    = 0.2                    // weight of a new sample
 	initialStepTime     = 30 * time.Millisecond  // before the first sample
-	initialSlope        = 0.0005                 // seconds added to a step by one stream
+	initialSlopeShare   = 1.0 / 60               // part of the mean step that one stream adds, before it is measured
+	maxSlopeShare       = 0.9                    // largest part of the mean step that the streams of the mean batch add
 	poolSampleRetention = 0.995                  // factor on the weight of the older samples of the pool
 	stepRecoveryTime    = 20 * time.Second       // after which an outlier without samples is reset to the pool's mean
 	maxStepShare        = 0.92                   // share of the target that the step of a full batch may take
@@ -46,19 +47,20 @@
 	m.sumStep = m.sumStep*poolSampleRetention + step
 	m.sumBatchSquared = m.sumBatchSquared*poolSampleRetention + batch*batch
 	m.sumBatchStep = m.sumBatchStep*poolSampleRetention + batch*step
-	m.slope = m.fit()
-	m.base = m.sumStep/m.samples - m.slope*m.sumBatch/m.samples
+	meanBatch, meanStep := m.sumBatch/m.samples, m.sumStep/m.samples
+	m.slope = min(m.fit(meanBatch, meanStep), maxSlopeShare*meanStep/max(meanBatch, 1))
+	m.base = meanStep - m.slope*meanBatch
 }
 
 // fit returns the slope in seconds per stream, or the initial one until there are enough samples with
 // different batch sizes.
-func (m *poolStepModel) fit() float64 {
+func (m *poolStepModel) fit(meanBatch, meanStep float64) float64 {
 	const minSamples, minVariance = 20, 1
-	variance := m.sumBatchSquared/m.samples - (m.sumBatch/m.samples)*(m.sumBatch/m.samples)
+	variance := m.sumBatchSquared/m.samples - meanBatch*meanBatch
 	if m.samples < minSamples || variance < minVariance {
-		return initialSlope
+		return initialSlopeShare * meanStep
 	}
-	covariance := m.sumBatchStep/m.samples - (m.sumBatch/m.samples)*(m.sumStep/m.samples)
+	covariance := m.sumBatchStep/m.samples - meanBatch*meanStep
 	return max(covariance/variance, 0)
 }
 
@@ -109,8 +111,13 @@
 	}
 }
 
-// limit returns the largest batch size, up to slots and at least 1, at which a step meets the target.
+// limit returns the largest batch size, up to slots and at least 1, at which a step meets the target. Before the pool's
+// first sample that is slots: a new dispatcher that took the initial step time for real would use one slot of each server
+// under the load that it has just taken over.
 func (m *serverStepModel) limit(slots int, target time.Duration) int {
+	if m.pool.samples == 0 {
+		return slots
+	}
 	allowed := target.Seconds() * maxStepShare
 	for slots > 1 && m.step(slots) > allowed {
 		slots--
--- a/cell/step_test.go
+++ b/cell/step_test.go
@@ -1,10 +1,61 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"teaselgate/rule"
 )
 
+// Covers the take-over of a cell whose engines generate tokens faster than any default, and whose target for the time
+// between tokens is below the initial step time: the new dispatcher has no samples yet.
+func TestNewDispatcherUsesAllSlotsBeforeItKnowsStepTimes(t *testing.T) {
+	const engines, slots = 6, 12
+	c := NewCore(clockStart)
+	targets := testTargets
+	targets.TokenInterval = initialStepTime / 7
+	c.SetServers(clockStart, servers("p", 3), servers("d", engines), rule.Pool{Slots: slots, Pieces: 7050, Strict: true}, targets)
+	for i := range engines {
+		c.RecordHeld(clockStart, fmt.Sprintf("d%d", i), nil)
+	}
+	for n := range engines * slots {
+		c.Submit(clockStart, PlaceRequest{
+			Key: fmt.Sprint(n), Account: "a", Weight: 1, Class: rule.ClassPatient, PromptTokens: 200, MaxTokens: 300, Ceiling: 600,
+		})
+	}
+	placed := 0
+	for now := clockStart; now < clockStart.Add(time.Second); now = now.Add(decideInterval) {
+		for _, d := range c.Decide(now) {
+			if d.Err == nil {
+				placed++
+			}
+		}
+	}
+	if placed != engines*slots {
+		t.Errorf("%d of %d requests placed on idle engines", placed, engines*slots)
+	}
+}
+
+// Covers engines with short steps that run full batches only: the samples say little about small batches, and a line
+// that is too steep would predict steps of no time there and take normal engines for slow ones.
+func TestStepModelStaysNearTheSamplesOfFullBatches(t *testing.T) {
+	truth := func(batch float64) float64 { return 0.0006 + 0.00016*batch }
+	for _, samples := range []int{1, 5, 19, 60} {
+		m := newPoolStepModel()
+		for n := range samples {
+			batch := float64(9 + n%4)
+			noise := 1 + 0.3*float64(n%3-1)
+			m.observe(batch, truth(batch)*noise)
+		}
+		for _, batch := range []float64{1, 6, 12} {
+			if got, want := m.mean(batch), truth(batch); got < want/2.5 || got > want*2.5 {
+				t.Errorf("after %d samples: step of %.2f ms at batch %v instead of %.2f ms", samples, got*1000, batch, want*1000)
+			}
+		}
+	}
+}
+
 // Guards against a wrong step time after faults: samples that are far too short, as of streams that broke off at once,
 // make all healthy engines look slow.
 func TestUniformlySlowEnginesStayInUse(t *testing.T) {
