Let requests wait shortly for their account's tokens, and give a new dispatcher the levels of the accounts

A request charges some 14,000 tokens and an account's burst is three of them, so groups of requests within the rate exceed it for tenths of a second; and a new dispatcher began with 0.15 of the burst, less than one request, so that each take-over refused all accounts at first.

Change: a request whose account has the tokens within half of its time until it would be late waits for them, with the tokens reserved; otherwise it is refused at once, with the time at which they are there. Debts of plain requests do not count reserved tokens. Instances keep the levels that dispatchers reply; a new dispatcher asks for them with the holdings and charges nobody before (at most 150 ms). If it reaches too few instances it begins as before, since its predecessor may go on granting. The gathering takes the servers in first, as a dispatcher created by a debit would drop all holdings.

--- a/cell/core.go
+++ b/cell/core.go
@@ -109,6 +109,8 @@
 	hints                hints
 	queue                *fairQueue
 	waiting              map[string]*waitingRequest
+	delayed              map[string]*delayedRequest // requests that are not queued yet, by key
+	levelsDue            instant                    // time until which new requests wait for the accounts' levels
 	reservations         map[string]*reservation
 	costRate             costRateMeter // cost placed per second while requests are waiting
 	lateCostRate         costRateMeter // cost of late requests placed per second while late requests are waiting
@@ -130,6 +132,7 @@
 		hints:                newHints(),
 		queue:                newFairQueue(),
 		waiting:              make(map[string]*waitingRequest),
+		delayed:              make(map[string]*delayedRequest),
 		reservations:         make(map[string]*reservation),
 		limiter:              newRateLimiter(),
 		lastReachable:        make(map[string]instant),
@@ -198,7 +201,7 @@
 	return sum / n
 }
 
-// Submit queues a request. Submitting a waiting request again has no effect, and submitting a placed one repeats its
+// Submit charges a request to its account and queues it. Submitting a waiting request again has no effect, and submitting a placed one repeats its
 // decision. A reservation under the same key that this core did not place is released first.
 func (c *Core) Submit(now instant, request PlaceRequest) {
 	if r, ok := c.reservations[request.Key]; ok {
@@ -211,20 +214,14 @@
 	if _, ok := c.waiting[request.Key]; ok {
 		return
 	}
-	if wait, ok := c.limiter.charge(now, request); !ok {
-		c.decisions = append(c.decisions, Decision{
-			Key: request.Key, Err: overRate.New("cell: account %s is over its rate", request.Account), RetryIn: wait,
-		})
+	if _, ok := c.delayed[request.Key]; ok {
 		return
 	}
-	w := c.newWaitingRequest(now, request)
-	if retry, err := c.admit(now, w); err != nil {
-		c.limiter.refund(request)
-		c.decisions = append(c.decisions, Decision{Key: request.Key, Err: err, RetryIn: retry})
+	if now.Before(c.levelsDue) {
+		c.delayed[request.Key] = &delayedRequest{request: request, submitted: now, due: c.levelsDue}
 		return
 	}
-	c.waiting[request.Key] = w
-	c.queue.push(w)
+	c.chargeAndQueue(now, request)
 }
 
 func (c *Core) newWaitingRequest(now instant, request PlaceRequest) *waitingRequest {
@@ -270,6 +267,7 @@
 
 // Cancel removes a waiting request and refunds its charge, or releases the reservation of a placed one.
 func (c *Core) Cancel(now instant, key string) {
+	c.cancelDelayed(key)
 	if w, ok := c.waiting[key]; ok {
 		delete(c.waiting, key)
 		c.queue.remove(w)
@@ -355,6 +353,7 @@
 	c.costRate.advance(now, c.backlog)
 	c.lateCostRate.advance(now, c.backlog && c.queue.lateCost > 0)
 	c.queue.maxCredit = c.urgentLead()
+	c.queueDue(now)
 	c.sweep(now)
 	ready := c.readyToPlace(now)
 	if ready {
@@ -376,7 +375,7 @@
 }
 
 // QueueLength returns the number of waiting requests.
-func (c *Core) QueueLength() int { return c.queue.length }
+func (c *Core) QueueLength() int { return c.queue.length + len(c.delayed) }
 
 // tryPlace places a request if there is room, and reports whether it did.
 func (c *Core) tryPlace(now instant, w *waitingRequest) bool {
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -124,13 +124,23 @@
 	defer timer.Stop()
 	select {
 	case decision := <-w.decision:
-		return replyFromDecision(decision, waiting)
+		reply := replyFromDecision(decision, waiting)
+		reply.Level = d.level(now(), request.Account)
+		return reply
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	return PlaceReply{Status: Waiting, Waiting: waiting}
 }
 
+// level returns the level of an account's bucket.
+func (d *dispatcher) level(now time.Time, account string) Level {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	tokens, ok := d.core.limiter.level(d.coreTime(now), account)
+	return Level{ok, tokens}
+}
+
 // decide lets the core decide on waiting requests, and delivers the decisions. The caller holds d.mu.
 func (d *dispatcher) decide(now time.Time) {
 	for _, decision := range d.core.Decide(d.coreTime(now)) {
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -22,12 +22,14 @@
 
 // HoldingsArgs asks an instance for its holdings in a cell.
 type HoldingsArgs struct {
-	Cell ID
+	Cell   ID
+	Levels bool // whether the caller also wants the levels of the accounts
 }
 
 // HoldingsReply is the reply to HoldingsArgs.
 type HoldingsReply struct {
 	Holdings []Holding
+	Levels   map[string]AccountLevel // by account
 }
 
 // AdoptArgs informs a dispatcher of a reservation made by another one.
@@ -87,6 +89,9 @@
 // Holdings returns the holdings of this instance at a cell's pools.
 func (r *Receiver) Holdings(args HoldingsArgs, reply *HoldingsReply) error {
 	reply.Holdings = r.hub.holdings.list(args.Cell)
+	if args.Levels {
+		reply.Levels = r.hub.levels.list(args.Cell, r.hub.Now())
+	}
 	return nil
 }
 
@@ -106,22 +111,38 @@
 	}
 }
 
-// gatherHoldings collects the holdings of the instances for a new dispatcher, and lets it place when all have replied
-// or gatherTimeout has passed.
+// gatherHoldings collects the holdings of the instances and the levels of the accounts for a new dispatcher, and lets it
+// place when all have replied or gatherTimeout has passed.
 func (h *Hub) gatherHoldings(d *dispatcher) {
 	ctx, stop := context.WithTimeout(context.Background(), gatherTimeout)
 	defer stop()
+	d.tick(h.Now(), h.Rules()) // holdings at unknown servers would be dropped
+	var mu sync.Mutex
+	levels, asked, replied := make(map[string]levelReport), 0, 0
+	adopt := func(reply HoldingsReply) {
+		mu.Lock()
+		defer mu.Unlock()
+		replied++
+		newestLevels(levels, d.coreTime(h.Now()), reply.Levels)
+		d.adopt(h.Now(), reply.Holdings, false)
+	}
+	d.adopt(h.Now(), h.holdings.list(d.id), false)
+	newestLevels(levels, d.coreTime(h.Now()), h.levels.list(d.id, h.Now()))
 	var calls sync.WaitGroup
 	for _, m := range h.Peers() {
+		asked++
 		calls.Go(func() {
 			var reply HoldingsReply
-			if h.Call(ctx, m.Peer, RPCName+".Holdings", HoldingsArgs{Cell: d.id}, &reply) == nil {
-				d.adopt(h.Now(), reply.Holdings, false)
+			if h.Call(ctx, m.Peer, RPCName+".Holdings", HoldingsArgs{Cell: d.id, Levels: true}, &reply) == nil {
+				adopt(reply)
 			}
 		})
 	}
-	d.adopt(h.Now(), h.holdings.list(d.id), false)
 	calls.Wait()
+	if 2*replied < asked {
+		levels = nil
+	}
+	d.adoptLevels(h.Now(), levels)
 	d.adopt(h.Now(), nil, true)
 	h.wakeServe()
 }
@@ -237,6 +258,13 @@
 	d.core.holdingsKnown = d.core.holdingsKnown || complete
 }
 
+// adoptLevels lets the core charge requests, with the levels that the instances know; nil if too few have replied.
+func (d *dispatcher) adoptLevels(now time.Time, levels map[string]levelReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.adoptLevels(d.coreTime(now), levels)
+}
+
 // Adopt books a reservation made by another dispatcher. It ignores known reservations and unknown servers.
 func (c *Core) Adopt(now instant, h Holding) {
 	d := c.findDecode(h.Decode)
--- a/cell/hub.go
+++ b/cell/hub.go
@@ -33,6 +33,7 @@
 	Leaving func() bool // reports whether this instance gives up its cells; nil means never
 
 	holdings *holdingSet
+	levels   *levelSet
 
 	mu         sync.Mutex
 	cells      map[ID]*dispatcher
@@ -44,7 +45,7 @@
 func NewHub(rules func() *rule.Set, engines EngineCalls, record func(event.Event)) *Hub {
 	return &Hub{
 		Rules: rules, Engines: engines, Record: record, Now: time.Now,
-		Reachable: func() (int, int) { return 1, 1 }, holdings: newHoldingSet(),
+		Reachable: func() (int, int) { return 1, 1 }, holdings: newHoldingSet(), levels: newLevelSet(),
 		cells: make(map[ID]*dispatcher), wake: make(chan struct{}, 1),
 	}
 }
@@ -106,6 +107,7 @@
 		d = newDispatcher(id, h.Now())
 		h.cells[id] = d
 		if h.Peers != nil {
+			d.core.awaitLevels(d.core.started.Add(gatherTimeout))
 			h.background.Go(func() { h.gatherHoldings(d) })
 		}
 		h.Record(event.Event{Code: event.CellTakenOver, Detail: id.Prefill + " " + id.Decode})
--- a/cell/message.go
+++ b/cell/message.go
@@ -47,9 +47,16 @@
 	RetryIn time.Duration
 	Reason  string // why the request was not placed
 	Waiting int    // requests waiting in the cell
+	Level   Level  // of the bucket of the request's account
 	Inputs  Inputs
 }
 
+// Level is the level of a client account's token bucket.
+type Level struct {
+	Known  bool
+	Tokens float64
+}
+
 // Debit is the number of tokens that requests to plain services charged to a client account.
 type Debit struct {
 	Account string
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -209,7 +209,7 @@
 func (p *Placer) callPlace(ctx context.Context, m fleet.Member, id ID, request PlaceRequest) (PlaceReply, error) {
 	args := PlaceArgs{Cell: id, Ask: request}
 	if m.Name == p.Self {
-		return p.recordCellLoad(id, p.Hub.Place(ctx, args)), nil
+		return p.recordReply(id, request.Account, p.Hub.Place(ctx, args)), nil
 	}
 	ctx, stop := context.WithTimeout(ctx, placeTimeout)
 	defer stop()
@@ -217,11 +217,12 @@
 	if err := p.Call(ctx, m.Peer, RPCName+".Place", args, &reply); err != nil {
 		return reply, err
 	}
-	return p.recordCellLoad(id, reply), nil
+	return p.recordReply(id, request.Account, reply), nil
 }
 
-// recordCellLoad records the load of a cell from a reply, and returns the reply.
-func (p *Placer) recordCellLoad(id ID, r PlaceReply) PlaceReply {
+// recordReply records the load of a cell and the level of the account from a reply, and returns the reply.
+func (p *Placer) recordReply(id ID, account string, r PlaceReply) PlaceReply {
+	p.Hub.levels.record(id, account, r.Level, p.Hub.Now())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.loads[id] = cellLoad{r.Waiting, p.Hub.Now().Add(cellLoadTTL)}
--- a/cell/ratelimiter.go
+++ b/cell/ratelimiter.go
@@ -4,8 +4,11 @@
 
 // Constants of the rate limits of client accounts.
 const (
-	// initialFill is the part of the burst that a new dispatcher starts with: its predecessor may have granted it.
+	// initialFill is the part of the burst that a new dispatcher starts with if it can't learn what its predecessor has
+	// granted.
 	initialFill = 0.15
+	// unusedFill is the part of the burst with which an account starts that no instance has had requests of.
+	unusedFill = 0.75
 	// minRateRetry is the shortest time after which a caller over its rate may retry.
 	minRateRetry = 50 * time.Millisecond
 	// reachableSlack lets a dispatcher that does not reach a few instances still grant the whole rate. All parts of a
@@ -18,12 +21,22 @@
 type rateLimiter struct {
 	buckets map[string]*tokenBucket
 	share   float64 // part of each rate that this dispatcher may grant
+	// reports are the newest levels that the instances know from the predecessor, by account. They are nil while they are
+	// not known.
+	reports map[string]levelReport
+}
+
+// levelReport is the level of an account's bucket at a time.
+type levelReport struct {
+	tokens float64
+	at     instant
 }
 
 // tokenBucket is the token bucket of an account. Debits of requests that were admitted elsewhere can make its level
 // negative.
 type tokenBucket struct {
 	level, rate, burst float64 // tokens, tokens per second, tokens
+	reserved           float64 // tokens of requests that wait until the level allows them
 	at                 instant
 }
 
@@ -37,20 +50,41 @@
 	l.share = min(1, reachableSlack*float64(reachable)/float64(max(known, 1)*max(cells, 1)))
 }
 
-// charge charges a request to its account and reports whether the account had the tokens. If it had not, it charges
-// nothing and returns the time after which to retry.
-func (l *rateLimiter) charge(now instant, request PlaceRequest) (time.Duration, bool) {
+// charge charges a request to its account and reports whether the account had the tokens, or will have them within
+// patience. In the latter case it returns the time until then and reserves the tokens, which chargeReserved or unreserve
+// ends. Otherwise it charges nothing and returns the time after which to retry.
+func (l *rateLimiter) charge(now instant, request PlaceRequest, patience time.Duration) (time.Duration, bool) {
 	if request.Charge == 0 || request.Rate <= 0 {
 		return 0, true
 	}
 	b := l.bucket(now, request.Account, request.Rate, request.Burst)
 	// A request larger than the burst passes once the bucket is full, and leaves a debt.
-	need := min(float64(request.Charge), b.burst)
-	if b.level >= need {
+	missing := min(float64(request.Charge), b.burst) - (b.level - b.reserved)
+	if missing <= 0 {
 		b.level -= float64(request.Charge)
 		return 0, true
 	}
-	return max(seconds((need-b.level)/(b.rate*l.share)).Truncate(time.Millisecond)+time.Millisecond, minRateRetry), false
+	wait := seconds(missing/(b.rate*l.share)).Truncate(time.Millisecond) + time.Millisecond
+	if wait <= patience {
+		b.reserved += float64(request.Charge)
+		return wait, true
+	}
+	return max(wait, minRateRetry), false
+}
+
+// chargeReserved charges a request whose tokens were reserved.
+func (l *rateLimiter) chargeReserved(request PlaceRequest) {
+	if b, ok := l.buckets[request.Account]; ok {
+		b.reserved -= float64(request.Charge)
+		b.level -= float64(request.Charge)
+	}
+}
+
+// unreserve gives up the reserved tokens of a request.
+func (l *rateLimiter) unreserve(request PlaceRequest) {
+	if b, ok := l.buckets[request.Account]; ok {
+		b.reserved -= float64(request.Charge)
+	}
 }
 
 // refund refunds the charge of a request that was not placed.
@@ -73,13 +107,44 @@
 	return seconds(-b.level / (b.rate * l.share))
 }
 
+// level returns the level of an account's bucket, and false if it has none.
+func (l *rateLimiter) level(now instant, account string) (float64, bool) {
+	b, ok := l.buckets[account]
+	if !ok {
+		return 0, false
+	}
+	return l.bucket(now, account, b.rate, b.burst).level, true
+}
+
 func (l *rateLimiter) bucket(now instant, account string, rate, burst float64) *tokenBucket {
 	b, ok := l.buckets[account]
 	if !ok {
-		b = &tokenBucket{level: initialFill * burst, at: now}
+		b = &tokenBucket{level: l.initialLevel(now, account, rate, burst), at: now}
 		l.buckets[account] = b
 	}
 	b.level = min(burst, b.level+rate*l.share*now.Sub(b.at).Seconds())
 	b.rate, b.burst, b.at = rate, burst, now
 	return b
 }
+
+// initialLevel returns the level of a new bucket: the predecessor's, as far as it is known. A dispatcher that reaches too
+// few instances may be in another part of a partitioned fleet than its predecessor, which goes on granting.
+func (l *rateLimiter) initialLevel(now instant, account string, rate, burst float64) float64 {
+	if l.reports == nil || l.share < 1 {
+		return initialFill * burst
+	}
+	report, ok := l.reports[account]
+	if !ok {
+		return unusedFill * burst
+	}
+	return min(report.tokens+rate*now.Sub(report.at).Seconds(), burst)
+}
+
+// adoptLevels takes the newest levels that the instances know. Buckets that exist already began with initialFill, and
+// keep what was charged to them since.
+func (l *rateLimiter) adoptLevels(now instant, reports map[string]levelReport) {
+	l.reports = reports
+	for account, b := range l.buckets {
+		b.level = min(b.level+l.initialLevel(now, account, b.rate, b.burst)-initialFill*b.burst, b.burst)
+	}
+}
--- a/cell/ratelimiter_test.go
+++ b/cell/ratelimiter_test.go
@@ -30,7 +30,7 @@
 	for n := 0; now.Sub(clockStart) < testWindow; n++ {
 		now = now.Add(interval)
 		limiter := limiters[n%len(limiters)]
-		if _, ok := limiter.charge(now, PlaceRequest{Account: "hot", Charge: testCharge, Rate: testRate, Burst: testBurst}); ok {
+		if _, ok := limiter.charge(now, PlaceRequest{Account: "hot", Charge: testCharge, Rate: testRate, Burst: testBurst}, 0); ok {
 			tokens += testCharge
 		}
 	}
@@ -75,7 +75,7 @@
 	interval := seconds(testCharge / (0.9 * testRate))
 	for now.Sub(clockStart) < testWindow {
 		now = now.Add(interval)
-		if _, ok := limiter.charge(now, PlaceRequest{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}); !ok {
+		if _, ok := limiter.charge(now, PlaceRequest{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}, 0); !ok {
 			rejected++
 		}
 	}
@@ -90,11 +90,11 @@
 	if debt := limiter.debit(clockStart, debit); debt < time.Second {
 		t.Errorf("unexpected debt, got %v instead of seconds", debt)
 	}
-	wait, ok := limiter.charge(clockStart, PlaceRequest{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst})
+	wait, ok := limiter.charge(clockStart, PlaceRequest{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}, 0)
 	if ok || wait < time.Second {
 		t.Errorf("unexpected charge of an account in debt, got %v %v", ok, wait)
 	}
-	if _, ok := limiter.charge(clockStart.Add(wait), PlaceRequest{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}); !ok {
+	if _, ok := limiter.charge(clockStart.Add(wait), PlaceRequest{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}, 0); !ok {
 		t.Error("unexpected rejection of the account at its retry time")
 	}
 }
@@ -103,7 +103,7 @@
 	limiter := newRateLimiter()
 	request := PlaceRequest{Account: "a", Charge: testCharge, Rate: testRate, Burst: testBurst}
 	for n := range 100 {
-		if _, ok := limiter.charge(clockStart, request); !ok {
+		if _, ok := limiter.charge(clockStart, request, 0); !ok {
 			t.Fatalf("unexpected rejection of request %d after refunds of the ones before", n)
 		}
 		limiter.refund(request)
