Start a large fleet with fewer calls to the store and fewer bytes between instances

Change: an instance polls and watches 1.2 s after its first reading, which counts as a contact with the store; the entry is written by one call, and a conflict brings the stored one; a member exchange replies with news only, and a large fleet exchanges with 5 peers, the probes spread the rest; changes are notified to peers in the same zone first.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,7 @@
 	smallFleetSize = 16 // number of other instances from which on a fleet is large
 	smallFanout    = 5
 	largeFanout    = 2
+	largeSyncPeers = 5 // peers with which an instance of a large fleet exchanges members when it starts
 )
 
 // Fleet tracks which instances are live, suspected, leaving or gone. Its exported fields are set before Serve.
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -45,7 +45,7 @@
 	Members []Member
 }
 
-// SyncReply carries all members that the callee knows.
+// SyncReply carries the members that the callee knows and the caller does not, or of which it has older updates.
 type SyncReply struct {
 	Members []Member
 }
@@ -74,9 +74,17 @@
 	return nil
 }
 
-// Sync replies with all members known here, and merges those of the caller.
+// Sync replies with the members of which the caller has no update or an older one, and merges those of the caller.
 func (r *Receiver) Sync(args SyncArgs, reply *SyncReply) error {
-	reply.Members = r.fleet.Members()
+	known := make(map[string]Member, len(args.Members))
+	for _, m := range args.Members {
+		known[m.Name] = m
+	}
+	for _, m := range r.fleet.Members() {
+		if old, ok := known[m.Name]; !ok || m.supersedes(old) {
+			reply.Members = append(reply.Members, m)
+		}
+	}
 	r.fleet.merge(args.Members)
 	return nil
 }
@@ -135,11 +143,16 @@
 	exchanges.Wait()
 }
 
-// syncPeers exchanges all members with many peers at once, so that all of a small fleet soon know of an instance that
-// starts, even when all start together.
+// syncPeers exchanges members with several peers at once, so that all of a small fleet soon know of an instance that
+// starts, even when all start together. In a large fleet that would move the square of its size in members to each
+// instance; there the probes spread the rest.
 func (f *Fleet) syncPeers(ctx context.Context) {
+	peers := smallFleetSize
+	if f.peerCount() > smallFleetSize {
+		peers = largeSyncPeers
+	}
 	var exchanges sync.WaitGroup
-	for _, m := range f.pickPeers(smallFleetSize, Member.Reachable) {
+	for _, m := range f.pickPeers(peers, Member.Reachable) {
 		exchanges.Go(func() { f.syncWith(ctx, m.Peer) })
 	}
 	exchanges.Wait()
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -97,21 +97,26 @@
 
 		Incarnation: i.fleet.Incarnation(),
 	}
-	old, err := i.platform.Get(ctx, platform.InstanceKind, i.Options.Name)
-	if i.registry != nil {
-		i.raiseIncarnation(old, &entry)
+	stored, err := i.platform.Create(ctx, platform.InstanceKind, i.Options.Name, entry)
+	if errors.Is(err, platform.ErrConflict) {
+		err = i.replaceEntry(ctx, stored, entry)
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		i.events.Record(event.Event{Code: event.PlatformUnreachable, Detail: err.Error()})
-		return false
-	}
-	if _, err := i.platform.Update(ctx, platform.InstanceKind, i.Options.Name, old.Version, entry); err != nil {
+	if err != nil {
 		i.events.Record(event.Event{Code: event.PlatformUnreachable, Detail: err.Error()})
 		return false
 	}
 	return true
 }
 
+// replaceEntry replaces this instance's stored entry, which an earlier run or an earlier state of this one has written.
+func (i *Instance) replaceEntry(ctx context.Context, stored platform.Object, entry platform.Instance) error {
+	if i.registry != nil {
+		i.raiseIncarnation(stored, &entry)
+	}
+	_, err := i.platform.Update(ctx, platform.InstanceKind, i.Options.Name, stored.Version, entry)
+	return err
+}
+
 // raiseIncarnation raises the incarnation of this run above that of the previous run if it is lower, because the clock
 // was set back between them: peers ignore updates of a lower incarnation as stale.
 func (i *Instance) raiseIncarnation(old platform.Object, entry *platform.Instance) {
--- a/instance/build_registry.go
+++ b/instance/build_registry.go
@@ -15,7 +15,10 @@
 	i.registry = registry.NewFollower(i.platform.Watch)
 	i.registry.Call = i.peers.Call
 	i.registry.Self = i.PeerAddress()
-	i.registry.Peers = i.reachablePeers
+	i.registry.Peers = func() []string { return peerAddresses(i.reachableMembers()) }
+	i.registry.NearPeers = func() []string {
+		return peerAddresses(slices.DeleteFunc(i.reachableMembers(), func(m fleet.Member) bool { return m.Zone != i.Options.Zone }))
+	}
 	i.registry.StartRank = i.startRank
 	i.registry.OnStoreResponse = func() { i.fleet.RecordPlatformContact() }
 	i.registry.OnPeerVersion = i.platform.LearnEra
@@ -35,9 +38,8 @@
 	})
 }
 
-// reachablePeers returns the peer addresses of the other instances that are reachable.
-func (i *Instance) reachablePeers() []string {
-	members := i.reachableMembers()
+// peerAddresses returns the addresses of members for calls between instances.
+func peerAddresses(members []fleet.Member) []string {
 	out := make([]string, 0, len(members))
 	for _, m := range members {
 		out = append(out, m.Peer)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -39,6 +39,10 @@
 	pollers                = 2                       // instances that always poll; with two, polling goes on when one ends
 	watchers               = 3                       // instances that watch the store; the others are notified by them
 	watchCheckInterval     = 500 * time.Millisecond  // interval between checks whether to watch
+	// rankSettleTime is the time from the start to the first poll, and from the first reading of the store to the first
+	// watch, in which an instance learns which others started earlier. Without it all instances of a fleet that starts at
+	// once would watch and poll.
+	rankSettleTime = 1200 * time.Millisecond
 	// watchDelay is the delay between watches, since entries change in groups and each call to the store is charged.
 	watchDelay = 100 * time.Millisecond
 )
@@ -49,6 +53,7 @@
 	Watch           func(ctx context.Context, kind string, after platform.Version) (platform.List, error)
 	Call            func(ctx context.Context, address, method string, args, reply any) error
 	Peers           func() []string        // addresses of the other reachable instances
+	NearPeers       func() []string        // addresses of those in the availability zone of this instance
 	StartRank       func() int             // number of live instances that started earlier
 	OnStoreResponse func()                 // called when the store responds
 	OnPeerVersion   func(platform.Version) // called with the versions of peers, which tell the era of the store
@@ -95,6 +100,7 @@
 	return &Follower{
 		Watch:           watch,
 		Peers:           func() []string { return nil },
+		NearPeers:       func() []string { return nil },
 		StartRank:       func() int { return 0 },
 		OnStoreResponse: func() {},
 		OnPeerVersion:   func(platform.Version) {},
@@ -150,6 +156,10 @@
 		}
 		f.recordStoreResponse(kind)
 		f.mergeList(kind, list, seen == 0)
+		if seen == 0 {
+			f.recordStoreContact()
+			_ = delay.For(ctx, rankSettleTime)
+		}
 		seen = list.Version
 		_ = delay.For(ctx, watchDelay)
 	}
@@ -159,6 +169,7 @@
 // has recently had contact with the store. This covers a store whose watches return nothing while it serves reads, and
 // one that responds to all instances except those that watch it.
 func (f *Follower) pollStore(ctx context.Context) {
+	_ = delay.For(ctx, rankSettleTime-pollInterval)
 	for delay.For(ctx, pollInterval) == nil {
 		if f.StartRank() >= pollers && f.hasStoreContact() {
 			continue
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -25,6 +25,7 @@
 	down             bool
 	historyStart     platform.Version // version before which the history is gone
 	ignoredInstances int              // number of instances, from the first, that get no response
+	lists, watches   int              // number of calls so far
 }
 
 const watchTimeout = 10 * time.Second // after which a watch without changes returns
@@ -77,9 +78,28 @@
 	s.changed = make(chan struct{})
 }
 
+// count counts a call.
+func (s *fakeStore) count(after platform.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after == 0 {
+		s.lists++
+		return
+	}
+	s.watches++
+}
+
+// counts returns the numbers of lists and watches so far.
+func (s *fakeStore) counts() (lists, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists, s.watches
+}
+
 // watch returns all objects of a kind if after is 0, and otherwise waits for changes after that version.
 func (s *fakeStore) watch(ctx context.Context, kind string, after platform.Version) (platform.List, error) {
 	end := time.After(watchTimeout)
+	s.count(after)
 	for {
 		s.mu.Lock()
 		list, changed := platform.List{Version: s.version}, s.changed
@@ -134,6 +154,14 @@
 
 // runFollowers runs followers of a store in fake time. The address of a peer is its number.
 func runFollowers(t *testing.T, s *fakeStore, instances int, test func(followers []*Follower)) {
+	t.Helper()
+	runFollowersWith(t, s, instances, func(int, *Follower) {}, test)
+}
+
+// runFollowersWith is runFollowers with a function that sets up each follower.
+func runFollowersWith(
+	t *testing.T, s *fakeStore, instances int, setUp func(n int, f *Follower), test func(followers []*Follower),
+) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s.set(func() {}) // makes a channel that belongs to the bubble of synctest
@@ -170,6 +198,7 @@
 				}
 				return followers[m].Receiver().Tell(args.(TellArgs), reply.(*TellReply))
 			}
+			setUp(n, f)
 			followers[n] = f
 		}
 		for _, f := range followers {
@@ -289,7 +318,7 @@
 	runFollowers(t, s, 3, func(followers []*Follower) {
 		connected := followers[2]
 		s.put("servers", "b", serverEntryJSON("10.0.0.2:80", "ready"))
-		sleep(300 * time.Millisecond)
+		sleep(rankSettleTime)
 		isolated := NewFollower(func(context.Context, string, platform.Version) (platform.List, error) {
 			return platform.List{}, platform.ErrUnavailable
 		})
@@ -330,3 +359,55 @@
 		}
 	})
 }
+
+// A fleet that starts at once must not read the store much more often than once for each instance and kind: calls are
+// charged, and all instances begin without knowing which others started before.
+func TestFleetThatStartsAtOnceReadsTheStoreOnce(t *testing.T) {
+	const instances, settle = 40, time.Second
+	s := newFakeStore()
+	s.put("config", "main", configurationJSON(1, "a.example"))
+	s.put("servers", "a", serverEntryJSON("10.0.0.1:80", "ready"))
+	startedAt := time.Time{}
+	runFollowersWith(t, s, instances, func(n int, f *Follower) {
+		if startedAt.IsZero() {
+			startedAt = time.Now()
+		}
+		f.StartRank = func() int {
+			if time.Since(startedAt) < settle {
+				return 0 // the instance knows no others yet
+			}
+			return n
+		}
+	}, func([]*Follower) {
+		sleep(3 * time.Second)
+		lists, watches := s.counts()
+		polls := pollers * 2 * int(5*time.Second/pollInterval)
+		if most := 2*instances + polls; lists > most {
+			t.Errorf("%d lists read, more than %d", lists, most)
+		}
+		if most := 2 * watchers; watches > most {
+			t.Errorf("%d watches begun, more than %d", watches, most)
+		}
+	})
+}
+
+// Notifications of changes go to peers in the same availability zone first.
+func TestMostNotifiedPeersAreNear(t *testing.T) {
+	f := NewFollower(nil)
+	f.NearPeers = func() []string { return []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7"} }
+	f.Peers = func() []string {
+		return []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8", "f9"}
+	}
+	for range 50 {
+		picked := f.pickNotified()
+		near := 0
+		for _, address := range picked {
+			if address[0] == 'n' {
+				near++
+			}
+		}
+		if len(picked) != maxNotifiedPeers || near < maxNotifiedNear || len(slices.Compact(slices.Sorted(slices.Values(picked)))) != len(picked) {
+			t.Fatalf("unexpected peers to notify: %v", picked)
+		}
+	}
+}
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"teaselgate/delay"
@@ -45,6 +46,7 @@
 	notifyDelay      = 100 * time.Millisecond // collects changes, since entries change in groups
 	notifyTimeout    = 500 * time.Millisecond
 	maxNotifiedPeers = 8 // number of peers notified at once; each that gets something new notifies others in turn
+	maxNotifiedNear  = 6 // number of those in the same availability zone; most bytes then stay inside the zones
 )
 
 // notifyPeers notifies some peers after each change, until the context ends.
@@ -58,12 +60,24 @@
 		if delay.For(ctx, notifyDelay) != nil {
 			return
 		}
-		peers := f.Peers()
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		f.notify(ctx, peers[:min(len(peers), maxNotifiedPeers)], false)
+		f.notify(ctx, f.pickNotified(), false)
 	}
 }
 
+// pickNotified picks random peers to notify, most of them near ones.
+func (f *Follower) pickNotified() []string {
+	near, peers := f.NearPeers(), f.Peers()
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	out := near[:min(len(near), maxNotifiedNear)]
+	for _, address := range peers {
+		if len(out) < maxNotifiedPeers && !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // notify tells peers in the background which version this instance has, and whether it has just reached the store.
 func (f *Follower) notify(ctx context.Context, peers []string, storeContact bool) {
 	version, digest := f.versionAndDigest()
