Count as a dispatcher's part of the rates only the instances that follow it

Traced with the charges of each dispatcher: a third of the instances was cut off and had a dispatcher of its own. Right after the cut an isolated instance still took the whole fleet for reachable, and with the new wait for tokens granted a request at the full rate; after the cut both dispatchers reached all instances and granted the full rate each until the membership had settled. The second fault is older; placed too little to show it.

Change: replies about holdings name the dispatcher that the instance prefers and say whether the replying one goes on placing. A dispatcher counts those that follow it, or follow one that no longer places, and does so already when it gathers the holdings, before it charges anybody.

Result: two new tests fail before.

--- a/cell/delayed_test.go
+++ b/cell/delayed_test.go
@@ -118,7 +118,11 @@
 			h := NewHub(func() *rule.Set { return nil }, EngineCalls{}, func(event.Event) {})
 			start := time.Unix(1000, 0)
 			h.Now = func() time.Time { return start }
-			h.Peers = func() []fleet.Member { return []fleet.Member{{Peer: "0"}, {Peer: "1"}, {Peer: "2"}, {Peer: "3"}} }
+			h.Peers = func() []fleet.Member {
+				return []fleet.Member{
+					{Name: "0", Peer: "0"}, {Name: "1", Peer: "1"}, {Name: "2", Peer: "2"}, {Name: "3", Peer: "3"},
+				}
+			}
 			h.Call = func(_ context.Context, address, _ string, _, reply any) error {
 				if address >= fmt.Sprint(c.replies) {
 					return context.DeadlineExceeded
@@ -147,3 +151,53 @@
 		})
 	}
 }
+
+// Covers an instance that is cut off from all others while an account sends many times its rate: it becomes the
+// dispatcher for its own callers before the membership notices the cut.
+func TestIsolatedDispatcherGrantsItsPartOnly(t *testing.T) {
+	const peers = 66
+	h := NewHub(func() *rule.Set { return nil }, EngineCalls{}, func(event.Event) {})
+	start := time.Unix(1000, 0)
+	h.Now = func() time.Time { return start }
+	h.Reachable = func() (int, int) { return peers + 1, peers + 1 }
+	h.Peers = func() []fleet.Member { return make([]fleet.Member, peers) }
+	h.Call = func(context.Context, string, string, any, any) error { return context.DeadlineExceeded }
+	d := newDispatcher(ID{Prefill: "p", Decode: "d"}, start)
+	d.core = idleCore()
+	d.core.awaitLevels(d.core.started.Add(gatherTimeout))
+	for n := range 4 {
+		d.core.Submit(clockStart, summary(n, summaryCharge))
+	}
+	h.gatherHoldings(d)
+	placed := 0
+	decideUntil(d.core, clockStart, clockStart.Add(time.Second), nil, func(instant, int64) { placed++ })
+	if placed > 0 {
+		t.Errorf("%d requests granted by an isolated instance, whose part of the rate allows none in a second", placed)
+	}
+}
+
+// Covers the time after a partition, in which two dispatchers reach all instances: each grants only the part of the rates
+// of the instances that follow it. A dispatcher that is gone or leaving does not count against its successor.
+func TestFollowersOfOtherDispatchersAreNotCounted(t *testing.T) {
+	reply := func(prefers string, dispatches bool) HoldingsReply {
+		return HoldingsReply{Prefers: prefers, Dispatches: dispatches}
+	}
+	cases := []struct {
+		name    string
+		replies map[string]HoldingsReply
+		want    int
+	}{
+		{"all follow", map[string]HoldingsReply{"b": reply("a", false), "c": reply("a", false)}, 2},
+		{"after a partition", map[string]HoldingsReply{
+			"b": reply("a", false), "c": reply("x", false), "d": reply("x", false), "x": reply("x", true),
+		}, 1},
+		{"the other one is gone", map[string]HoldingsReply{"b": reply("x", false), "c": reply("x", false)}, 2},
+		{"the other one is leaving", map[string]HoldingsReply{"b": reply("x", false), "x": reply("a", false)}, 2},
+		{"instances of an older build", map[string]HoldingsReply{"b": {}, "c": {}}, 2},
+	}
+	for _, c := range cases {
+		if got := countFollowers("a", c.replies); got != c.want {
+			t.Errorf("%s: %d followers instead of %d", c.name, got, c.want)
+		}
+	}
+}
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -28,9 +28,10 @@
 	core    *Core
 	rules   *rule.Set // rules from which the core's servers come
 	cells   int       // number of cells that share the pools
-	// replied is the number of instances, this one included, that replied when all were last asked for their holdings;
-	// 0 before the first time. It shows a partition of the fleet at once, unlike probes of a few peers per second.
-	replied int
+	// followers is the number of instances, this one included, that replied when all were last asked for their holdings and
+	// follow no other dispatcher; 0 before the first time. It shows a partition of the fleet at once, unlike probes of a few
+	// peers per second.
+	followers int
 
 	waiters  map[string]*waiter   // by request key
 	nextPoll map[string]time.Time // time of the next poll, by server name
@@ -102,11 +103,7 @@
 	}
 	d.lastUsed = at
 	d.refreshServers(at, rules)
-	reached, known := reachable()
-	if d.replied > 0 {
-		reached = min(reached, d.replied)
-	}
-	d.core.limiter.setShare(reached, known, d.cells)
+	d.updateShare(reachable)
 	w, ok := d.waiters[request.Key]
 	if !ok {
 		w = &waiter{decision: make(chan Decision, 1)}
@@ -133,6 +130,15 @@
 	return PlaceReply{Status: Waiting, Waiting: waiting}
 }
 
+// updateShare sets the part of the accounts' rates that this dispatcher may grant. The caller holds d.mu.
+func (d *dispatcher) updateShare(reachable func() (reached, known int)) {
+	reached, known := reachable()
+	if d.followers > 0 {
+		reached = min(reached, d.followers)
+	}
+	d.core.limiter.setShare(reached, known, d.cells)
+}
+
 // level returns the level of an account's bucket.
 func (d *dispatcher) level(now time.Time, account string) Level {
 	d.mu.Lock()
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"teaselgate/delay"
@@ -28,8 +27,10 @@
 
 // HoldingsReply is the reply to HoldingsArgs.
 type HoldingsReply struct {
-	Holdings []Holding
-	Levels   map[string]AccountLevel // by account
+	Holdings   []Holding
+	Prefers    string                  // name of the instance that the replying one takes for the cell's dispatcher
+	Dispatches bool                    // whether the replying instance is a dispatcher of the cell that goes on placing
+	Levels     map[string]AccountLevel // by account
 }
 
 // AdoptArgs informs a dispatcher of a reservation made by another one.
@@ -89,6 +90,7 @@
 // Holdings returns the holdings of this instance at a cell's pools.
 func (r *Receiver) Holdings(args HoldingsArgs, reply *HoldingsReply) error {
 	reply.Holdings = r.hub.holdings.list(args.Cell)
+	reply.Prefers, reply.Dispatches = r.hub.Preferred(args.Cell), r.hub.dispatches(args.Cell)
 	if args.Levels {
 		reply.Levels = r.hub.levels.list(args.Cell, r.hub.Now())
 	}
@@ -118,11 +120,11 @@
 	defer stop()
 	d.tick(h.Now(), h.Rules()) // holdings at unknown servers would be dropped
 	var mu sync.Mutex
-	levels, asked, replied := make(map[string]levelReport), 0, 0
-	adopt := func(reply HoldingsReply) {
+	levels, asked, replies := make(map[string]levelReport), 0, make(map[string]HoldingsReply)
+	adopt := func(from string, reply HoldingsReply) {
 		mu.Lock()
 		defer mu.Unlock()
-		replied++
+		replies[from] = reply
 		newestLevels(levels, d.coreTime(h.Now()), reply.Levels)
 		d.adopt(h.Now(), reply.Holdings, false)
 	}
@@ -134,15 +136,15 @@
 		calls.Go(func() {
 			var reply HoldingsReply
 			if h.Call(ctx, m.Peer, RPCName+".Holdings", HoldingsArgs{Cell: d.id, Levels: true}, &reply) == nil {
-				adopt(reply)
+				adopt(m.Name, reply)
 			}
 		})
 	}
 	calls.Wait()
-	if 2*replied < asked {
+	if 2*len(replies) < asked {
 		levels = nil
 	}
-	d.adoptLevels(h.Now(), levels)
+	d.adoptLevels(h.Now(), levels, 1+countFollowers(h.Self, replies), h.Reachable)
 	d.adopt(h.Now(), nil, true)
 	h.wakeServe()
 }
@@ -173,14 +175,17 @@
 	defer stop()
 	asked := h.Now()
 	reachable := map[string]bool{h.Self: true}
-	var replied atomic.Int64
+	var mu sync.Mutex
+	replies := make(map[string]HoldingsReply)
 	var calls sync.WaitGroup
 	for _, m := range h.Peers() {
 		reachable[m.Name] = true
 		calls.Go(func() {
 			var reply HoldingsReply
 			if h.Call(ctx, m.Peer, RPCName+".Holdings", HoldingsArgs{Cell: d.id}, &reply) == nil {
-				replied.Add(1)
+				mu.Lock()
+				replies[m.Name] = reply
+				mu.Unlock()
 				d.reconcile(h.Now(), asked, m.Name, reply.Holdings)
 			}
 		})
@@ -188,11 +193,30 @@
 	d.reconcile(h.Now(), asked, h.Self, h.holdings.list(d.id))
 	calls.Wait()
 	d.mu.Lock()
-	d.replied = 1 + int(replied.Load())
+	d.followers = 1 + countFollowers(h.Self, replies)
 	d.core.ReleaseUnreachable(d.coreTime(h.Now()), reachable)
 	d.mu.Unlock()
 }
 
+// countFollowers returns the number of instances among those that replied which get their placements from the dispatcher
+// self: not those that prefer another one which replied and goes on placing. While a fleet that was partitioned becomes one
+// again, several dispatchers reach all instances; counted so, their parts of the rates add up to no more than one's.
+func countFollowers(self string, replies map[string]HoldingsReply) int {
+	n := 0
+	for _, reply := range replies {
+		if reply.Prefers == self || !replies[reply.Prefers].Dispatches {
+			n++
+		}
+	}
+	return n
+}
+
+// dispatches reports whether this instance is a dispatcher of a cell that goes on placing.
+func (h *Hub) dispatches(id ID) bool {
+	d, ok := h.lookup(id)
+	return ok && d.recentlyUsed(h.Now()) && (h.Leaving == nil || !h.Leaving())
+}
+
 // reconcile applies the holdings that an instance had when it was asked.
 func (d *dispatcher) reconcile(now, asked time.Time, from string, holdings []Holding) {
 	d.mu.Lock()
@@ -258,10 +282,18 @@
 	d.core.holdingsKnown = d.core.holdingsKnown || complete
 }
 
-// adoptLevels lets the core charge requests, with the levels that the instances know; nil if too few have replied.
-func (d *dispatcher) adoptLevels(now time.Time, levels map[string]levelReport) {
+// adoptLevels lets the core charge requests, with the levels that the instances know, nil if too few have replied, and the
+// part of the rates that the number of its followers allows: an instance that has just been cut off from the others still counts
+// them as reachable.
+func (d *dispatcher) adoptLevels(
+	now time.Time, levels map[string]levelReport, followers int, reachable func() (reached, known int),
+) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.followers == 0 {
+		d.followers = followers
+	}
+	d.updateShare(reachable)
 	d.core.adoptLevels(d.coreTime(now), levels)
 }
 
--- a/cell/hub.go
+++ b/cell/hub.go
@@ -31,6 +31,8 @@
 	Self    string // name of this instance
 	Call    func(ctx context.Context, address, method string, args, reply any) error
 	Leaving func() bool // reports whether this instance gives up its cells; nil means never
+	// Preferred returns the name of the instance that this one takes for a cell's dispatcher.
+	Preferred func(ID) string
 
 	holdings *holdingSet
 	levels   *levelSet
@@ -45,7 +47,7 @@
 func NewHub(rules func() *rule.Set, engines EngineCalls, record func(event.Event)) *Hub {
 	return &Hub{
 		Rules: rules, Engines: engines, Record: record, Now: time.Now,
-		Reachable: func() (int, int) { return 1, 1 }, holdings: newHoldingSet(), levels: newLevelSet(),
+		Reachable: func() (int, int) { return 1, 1 }, Preferred: func(ID) string { return "" }, holdings: newHoldingSet(), levels: newLevelSet(),
 		cells: make(map[ID]*dispatcher), wake: make(chan struct{}, 1),
 	}
 }
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -65,7 +65,7 @@
 
 // NewPlacer returns a placer. The hub runs the cells that its instance dispatches.
 func NewPlacer(rules func() *rule.Set, hub *Hub) *Placer {
-	return &Placer{
+	p := &Placer{
 		Local:        NewLocalPlacer(rules),
 		Plain:        NewPlainPicker(rules),
 		Hub:          hub,
@@ -75,6 +75,11 @@
 		unresponsive: make(map[string]time.Time),
 		releases:     make(chan pendingRelease, releaseBuffer),
 	}
+	hub.Preferred = func(id ID) string {
+		m, _ := p.Dispatcher(id)
+		return m.Name
+	}
+	return p
 }
 
 // Place chooses the backend servers of one attempt.
--- a/fleet/sync_test.go
+++ b/fleet/sync_test.go
@@ -14,7 +14,9 @@
 func TestSyncRepliesWithNewsOnly(t *testing.T) {
 	f := New(Member{Name: "self", Incarnation: 1, Heartbeat: 5}, peer.NewPool(""))
 	f.merge([]Member{
-		{Name: "same", Incarnation: 1, Heartbeat: 3}, {Name: "newer", Incarnation: 2}, {Name: "unknown", Incarnation: 1},
+		{Name: "same", Incarnation: 1, Heartbeat: 3},
+		{Name: "newer", Incarnation: 2},
+		{Name: "unknown", Incarnation: 1},
 		{Name: "older", Incarnation: 1, Heartbeat: 1},
 	})
 	var reply SyncReply
@@ -24,7 +26,7 @@
 	if err := f.Receiver().Sync(args, &reply); err != nil {
 		t.Fatal(err)
 	}
-	var names []string
+	names := make([]string, 0, len(reply.Members))
 	for _, m := range reply.Members {
 		names = append(names, m.Name)
 	}
