Let requests wait shortly for what an instance learns after its start

Cause: after the loss of all instances callers return within a second.

Change: a request waits up to 300 ms for the configuration, and while entries of live servers may be missing up to a second and four tenths of its time for a live server of each pool. After that Retry-After is the time until the entries are back. Once they are, a pool without servers is refused at once, as before.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -23,7 +23,7 @@
 // Retry-After times of responses that the router sends itself.
 const (
 	startupRetryAfter  = 300 * time.Millisecond // an instance receives its configuration about this long after its start
-	noServerRetryAfter = 500 * time.Millisecond // the service has no usable server
+	noServerRetryAfter = 500 * time.Millisecond // the service has no usable server, and none is expected
 	failureRetryAfter  = 100 * time.Millisecond // no attempt ran the request; a server may soon be able to
 	deadlineMargin     = 30 * time.Millisecond  // reserved before the caller's deadline for returning the response; unused
 )
@@ -31,7 +31,9 @@
 // Handler serves callers' requests. Its exported fields are set before it serves.
 type Handler struct {
 	Zone               string
-	View               func() *registry.View // returns nil until the instance has a configuration
+	View               func() *registry.View  // returns nil until the instance has a configuration
+	ViewChanged        func() <-chan struct{} // returns a channel that is closed when View returns another view
+	SettledAt          func() time.Time       // returns the time until which entries of live servers may be missing
 	Place              func(context.Context, cell.Request) (*cell.Placement, error)
 	PickServer         func(pool string, exclude []string) (rule.Server, error)
 	ReportServerResult func(server string, took time.Duration, result cell.Result) // called once for each PickServer
@@ -80,6 +82,8 @@
 func NewHandler() *Handler {
 	return &Handler{
 		Now: time.Now, Random: rand.Float64,
+		ViewChanged:   func() <-chan struct{} { return nil },
+		SettledAt:     func() time.Time { return time.Time{} },
 		Backoff:       upstream.NewBackoff(),
 		Observe:       func(upstream.ServerKey, *http.Response) {},
 		Record:        func(event.Event) {},
@@ -114,17 +118,19 @@
 	ctx, stop := context.WithDeadline(r.Context(), q.deadline)
 	defer stop()
 	if q.service.Engine != nil && q.HasTokenCounts {
+		model, _ := q.view.Rules.Model(q.service.Name)
+		q.awaitServers(ctx, model.Prefill, model.Decode)
 		q.serveModel(ctx)
 		return
 	}
+	q.awaitServers(ctx, q.service.Name)
 	q.servePlain(ctx)
 }
 
 // admit looks up the route, the client account and the service, and sets the deadline. It returns false after it has
 // refused the request.
 func (q *request) admit() bool {
-	q.view = q.handler.View()
-	if q.view == nil {
+	if q.view = q.awaitView(); q.view == nil {
 		q.refuse(http.StatusServiceUnavailable, startupRetryAfter, "no configuration yet")
 		return false
 	}
--- a/forward/model.go
+++ b/forward/model.go
@@ -105,7 +105,7 @@
 		m.failOrAbort(ctx, err.Error())
 		return
 	}
-	status, retryAfter := http.StatusServiceUnavailable, noServerRetryAfter
+	status, retryAfter := http.StatusServiceUnavailable, m.serverExpectedIn()
 	var refusal *cell.Refusal
 	if errors.As(err, &refusal) {
 		retryAfter = max(refusal.RetryAt.Sub(m.handler.Now()), minRateRetryAfter)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -104,7 +104,7 @@
 		q.fail(ctx, "no other server for a retry: "+err.Error())
 		return
 	}
-	q.refuse(http.StatusServiceUnavailable, noServerRetryAfter, err.Error())
+	q.refuse(http.StatusServiceUnavailable, q.serverExpectedIn(), err.Error())
 }
 
 // handleAttemptFailure ends a request after its last attempt: with the server's error response, if there is one.
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -37,7 +37,7 @@
 	i.retryBudgets = &retryBudgets{instance: i, byService: make(map[string]*outcome.RetryBudget)}
 	handler := forward.NewHandler()
 	handler.Zone = i.Options.Zone
-	handler.View = i.registry.Current
+	handler.View, handler.ViewChanged, handler.SettledAt = i.registry.Current, i.registry.Changed, i.registry.SettledAt
 	handler.Place = i.placer.Place
 	handler.PickServer, handler.ReportServerResult = i.placer.Plain.Pick, i.placer.Plain.RecordResult
 	handler.Charge = func(a platform.Account, tokens int64) (time.Time, error) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -69,6 +69,8 @@
 	decodedConfig  *platform.Configuration // decoded form of config
 	servers        map[string]Entry        // entries and tombstones by id
 	serversListed  bool                    // whether a complete list of the servers has been merged
+	listedAt       time.Time               // when that was first so
+	changed        chan struct{}           // closed when the next view is put in force
 	version        platform.Version        // newest version of the configuration and all entries
 	digest         uint64                  // digest of the versions in force; see computeDigest
 	lapseDeadlines map[string]time.Time    // time until which a lapsed entry is kept, by server id
@@ -111,6 +113,7 @@
 		revivals:        make(map[string]revival),
 		leaving:         make(map[string]int64),
 		failing:         make(map[string]bool),
+		changed:         make(chan struct{}),
 		peersOutdated:   make(chan struct{}, 1),
 	}
 }
@@ -118,6 +121,25 @@
 // Current returns the view in force, or nil until both the configuration and the servers are known.
 func (f *Follower) Current() *View { return f.view.Load() }
 
+// Changed returns a channel that is closed when the next view is put in force.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// SettledAt returns the time until which the entries of live servers may be missing: they may have lapsed in an outage of
+// the store that ended shortly before, or before this instance started.
+func (f *Follower) SettledAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	latest := f.listedAt
+	if f.storeBackAt.After(latest) {
+		latest = f.storeBackAt
+	}
+	return latest.Add(lapseGrace)
+}
+
 // Serve follows the configuration and the servers until the context ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	defer f.background.Wait()
@@ -266,8 +288,7 @@
 // mergeServers merges the entries of servers and reports whether anything changed. The caller holds the lock.
 func (f *Follower) mergeServers(list platform.List, complete bool) bool {
 	afterOutage := f.Now().Sub(f.storeBackAt) < lapseGrace
-	changed := complete && !f.serversListed
-	f.serversListed = f.serversListed || complete
+	changed := complete && f.recordListed()
 	// last is the index of the last change of each entry, which may have been removed and added again.
 	last := make(map[string]int, len(list.Objects))
 	for n, o := range list.Objects {
@@ -295,6 +316,16 @@
 	return changed
 }
 
+// recordListed records that a complete list of the servers was merged, and reports whether it was the first. The caller
+// holds the lock.
+func (f *Follower) recordListed() bool {
+	if f.serversListed {
+		return false
+	}
+	f.serversListed, f.listedAt = true, f.Now()
+	return true
+}
+
 // mergeServer stores an entry if it is newer than the known one, and reports whether it did. A removal that may be a
 // lapse during an outage is delayed for lapseGrace from the first time that the entry is missing.
 // The caller holds the lock.
@@ -399,6 +430,8 @@
 	old := f.view.Load()
 	view := NewView(f.decodedConfig, servers, f.Engines)
 	f.view.Store(view)
+	close(f.changed)
+	f.changed = make(chan struct{})
 	f.recordServerChanges(old, view)
 }
 
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -208,8 +208,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	changed := reply.Listed && !f.serversListed
-	f.serversListed = f.serversListed || reply.Listed
+	changed := reply.Listed && f.recordListed()
 	if reply.Config.Version > 0 {
 		changed = f.mergeConfig(reply.Config) || changed
 	}
