--- a/forward/testenv_test.go
+++ b/forward/testenv_test.go
@@ -120,10 +120,11 @@
 		defer env.mu.Unlock()
 		env.events = append(env.events, e)
 	}
-	engines := &platform.EngineClient{HTTP: &http.Client{Transport: &http.Transport{
+	unpooled := &http.Client{Transport: &http.Transport{
 		DialContext:       func(ctx context.Context, _, at string) (net.Conn, error) { return env.dial(ctx, at) },
 		DisableKeepAlives: true,
-	}}}
+	}}
+	engines := &platform.EngineClient{HTTP: unpooled, Orders: unpooled}
 	rules := func() *rule.Set { return view.Rules }
 	calls := cell.EngineCalls{
 		Load: func(ctx context.Context, at string) (engine.LoadReport, error) {
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -15,7 +14,6 @@
 	"teaselgate/outcome"
 	"teaselgate/platform"
 	"teaselgate/registry"
-	"teaselgate/socket"
 	"teaselgate/upstream"
 )
 
@@ -58,13 +56,6 @@
 	return nil
 }
 
-func newEngineClient() *platform.EngineClient {
-	transport := &http.Transport{
-		DialContext: socket.NewDialer().DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: engineIdleTimeout,
-	}
-	return &platform.EngineClient{HTTP: &http.Client{Transport: transport}}
-}
-
 // engineIdleTimeout is how long an idle connection to an engine is kept: longer than the usual time between reports.
 const engineIdleTimeout = 10 * time.Second
 
--- a/instance/server_notices.go
+++ b/instance/server_notices.go
@@ -49,7 +49,7 @@
 
 // newEngineClient returns a client for calls to engines that heeds what they say about themselves.
 func (i *Instance) newEngineClient() *platform.EngineClient {
-	c := newEngineClient()
+	c := platform.NewEngineClient(engineIdleTimeout)
 	c.Admit = func(address string) error {
 		if len(i.backoff.Servers()) == 0 {
 			return nil
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -17,6 +18,21 @@
 	reader      *bufio.Reader
 	idleExpires time.Time // time from which the idle connection may no longer be used
 	reused      bool      // whether the connection has carried other requests
+	requestIDs  []string  // IDs of the newest requests on the connection, at most maxKnownIDs
+}
+
+// maxKnownIDs is the number of requests whose IDs a connection knows. A late response arrives within the next few.
+const maxKnownIDs = 8
+
+// hasCarried reports whether the connection has recently carried a request with an ID.
+func (c *conn) hasCarried(requestID string) bool { return slices.Contains(c.requestIDs, requestID) }
+
+// addRequestID records the ID of a request that the connection is going to carry.
+func (c *conn) addRequestID(requestID string) {
+	if len(c.requestIDs) == maxKnownIDs {
+		c.requestIDs = c.requestIDs[:copy(c.requestIDs, c.requestIDs[1:])]
+	}
+	c.requestIDs = append(c.requestIDs, requestID)
 }
 
 func newConn(raw net.Conn) *conn {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -17,7 +17,7 @@
 // Do sends a request once and returns the response with the same request ID. The context covers the whole exchange,
 // including the reading of the body. When it ends, the connection is closed, so that the server can stop its work.
 func (p *Pool) Do(ctx context.Context, address, requestID string, req *http.Request) (*Response, error) {
-	c, err := p.acquire(ctx, address)
+	c, err := p.acquire(ctx, address, requestID)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -96,11 +96,14 @@
 	}
 }
 
-// acquire returns the most recently used idle connection that is still usable, or dials a new one.
-func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
+// acquire returns the most recently used idle connection that is still usable, or dials a new one. A connection that has
+// carried a request with the same ID is not used: a late second response to that could not be told from the response to
+// this one.
+func (p *Pool) acquire(ctx context.Context, address, requestID string) (*conn, error) {
 	for c := p.popIdle(address); c != nil; c = p.popIdle(address) {
-		if p.Now().Before(c.idleExpires) && c.isReusable() {
+		if p.Now().Before(c.idleExpires) && c.isReusable() && !c.hasCarried(requestID) {
 			c.reused = true
+			c.addRequestID(requestID)
 			return c, nil
 		}
 		c.Close()
@@ -109,7 +112,9 @@
 	if err != nil {
 		return nil, notSent.Wrap(err, "upstream: unable to reach %s", address)
 	}
-	return newConn(raw), nil
+	c := newConn(raw)
+	c.addRequestID(requestID)
+	return c, nil
 }
 
 // popIdle removes the most recently used idle connection to a server and returns it, or nil if there is none.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -63,7 +63,12 @@
 
 // post sends a request with the given ID and returns the body of the response.
 func (p *Pool) post(ctx context.Context, id string) (string, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://server/", strings.NewReader("body"))
+	return p.postBody(ctx, id, "body")
+}
+
+// postBody sends a request with the given ID and body, and returns the body of the response.
+func (p *Pool) postBody(ctx context.Context, id, body string) (string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://server/", strings.NewReader(body))
 	if err != nil {
 		return "", err
 	}
@@ -212,3 +217,50 @@
 		t.Errorf("unexpected error %v instead of %v", err, ErrNotSent)
 	}
 }
+
+// A server sends a second copy of each response after a delay: between two requests, after the head of the next one, or
+// while that is being answered. No request gets the response to another one.
+func TestDelayedCopiesReachNoOtherRequest(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			p := NewPool()
+			p.RequestID = func(h http.Header) string { return h.Get(idHeader) }
+			p.Dial = func(context.Context, string, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go serveCopies(server, delay)
+				return client, nil
+			}
+			for n := range 40 {
+				id := string(rune('A' + n/2%7)) // each ID is used twice in a row, and again later
+				ctx, stop := context.WithTimeout(t.Context(), time.Second)
+				want := id + string(rune('0'+n%10))
+				got, err := p.postBody(ctx, id, want)
+				if err == nil && got != want {
+					t.Errorf("delay %v: unexpected response to request %d, got %q instead of %q", delay, n, got, want)
+				}
+				stop()
+				<-time.After(time.Duration(n%5) * 17 * time.Millisecond)
+			}
+			p.Close()
+		})
+	}
+}
+
+// serveCopies responds to each request with its ID and body, 20 ms later, and again after a delay.
+func serveCopies(conn net.Conn, delay time.Duration) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		text := responseText(req.Header.Get(idHeader), string(body))
+		<-time.After(20 * time.Millisecond)
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		time.AfterFunc(delay, func() { _, _ = io.WriteString(conn, text) })
+	}
+}
