Answer requests that have arrived in part when a planned stop begins

Connections with TLS are treated by the same count; HTTP/2 streams are ended by the shutdown as before.

--- a/instance/leave.go
+++ b/instance/leave.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/entry"
 	"teaselgate/event"
 	"teaselgate/fleet"
@@ -25,6 +26,7 @@
 	defaultShutdownTimeout = 30 * time.Second // limit for requests in flight to complete
 	abortTimeout           = 2 * time.Second  // limit for sending errors to the callers of aborted requests
 	cleanupTimeout         = 5 * time.Second  // limit for pending cancels at engines and claim writes
+	idleCheckInterval      = 10 * time.Millisecond
 )
 
 // prepareShutdown makes the server close keep-alive connections after the response once the instance is leaving. It
@@ -72,6 +74,8 @@
 	}
 	shutdownCtx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
+	i.limitedListener.StopAccepting(shutdownCtx)
+	i.closeIdleConnections(shutdownCtx)
 	shutdownErr := caller.Shutdown(shutdownCtx)
 	if shutdownErr == nil {
 		return nil
@@ -85,6 +89,14 @@
 	return fmt.Errorf("instance: requests aborted at shutdown: %w", shutdownErr)
 }
 
+// closeIdleConnections closes the callers' idle connections. It waits for requests that have arrived in part.
+func (i *Instance) closeIdleConnections(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, i.Options.Limit.Begin)
+	defer stop()
+	for i.limitedListener.CloseIdle() > 0 && delay.For(ctx, idleCheckInterval) == nil {
+	}
+}
+
 // finishCleanup waits for the pending cancels at engines and claim writes at the platform store.
 func (i *Instance) finishCleanup(ctx context.Context) {
 	if i.claims == nil {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -54,7 +54,8 @@
 // testServer is a server on in-memory connections that records its events.
 type testServer struct {
 	*pipeListener
-	server *http.Server
+	server   *http.Server
+	listener *Listener
 
 	mu    sync.Mutex
 	codes []event.Code
@@ -83,8 +84,8 @@
 	t.Helper()
 	s := &testServer{pipeListener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}}
 	s.server = NewServer(handler, limits, isModelPath, s.record)
-	listener := WrapListener(s.server, s.pipeListener, limits.Connections, s.record)
-	go func() { _ = s.server.Serve(listener) }()
+	s.listener = WrapListener(s.server, s.pipeListener, limits.Connections, s.record)
+	go func() { _ = s.server.Serve(s.listener) }()
 	t.Cleanup(func() {
 		s.server.Close()
 		sleep(time.Second) // the server waits a while before it closes a connection that it ends
--- a/limit/listener.go
+++ b/limit/listener.go
@@ -4,11 +4,15 @@
 	"container/list"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"teaselgate/event"
+	"teaselgate/socket"
 )
 
 // hardLimitFactor times MaxConnections is the number of open connections at which new ones are closed immediately.
@@ -22,6 +26,11 @@
 	MaxConnections int
 	Record         func(event.Event)
 
+	stopping  atomic.Bool   // whether StopAccepting was called
+	drained   chan struct{} // closed when all connections that had arrived before the stop are accepted
+	closed    chan struct{} // closed by Close
+	closeOnce sync.Once
+
 	mu           sync.Mutex
 	open         int
 	idle         list.List // idle connections (net.Conn), longest idle first
@@ -32,6 +41,7 @@
 func NewListener(inner net.Listener, maxConnections int, record func(event.Event)) *Listener {
 	return &Listener{
 		Listener: inner, MaxConnections: maxConnections, Record: record, idleElements: make(map[net.Conn]*list.Element),
+		drained: make(chan struct{}), closed: make(chan struct{}),
 	}
 }
 
@@ -41,6 +51,46 @@
 	overLimit   bool // whether the requests on the connection are refused
 	releaseOnce sync.Once
 	release     func() // takes the connection out of the count
+
+	mu        sync.Mutex
+	received  uint64 // bytes that Read has returned
+	receiving bool   // whether data was received after the newest response
+	ended     bool   // whether endIdle has ended the connection
+}
+
+// Read implements net.Conn. It returns no data that arrives after endIdle: the server must not run a request that it
+// can't answer.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return 0, net.ErrClosed
+	}
+	c.received += uint64(n)
+	c.receiving = c.receiving || n > 0
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.receiving = false
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// endIdle closes the connection unless a part of a request has arrived since the newest response, and reports whether it
+// did.
+func (c *conn) endIdle() bool {
+	c.mu.Lock()
+	c.ended = !c.receiving && !socket.HasReceivedMore(c.Conn, c.received)
+	ended := c.ended
+	c.mu.Unlock()
+	if ended {
+		c.Close()
+	}
+	return ended
 }
 
 // Close implements net.Conn.
@@ -53,6 +103,11 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
+		if err != nil && l.stopping.Load() {
+			l.Listener.Close()
+			close(l.drained)
+			<-l.closed // an error would make the server stop as if the listener had failed
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -129,12 +184,64 @@
 	}
 }
 
-// ConnContext marks the requests on a connection above the limit. It is meant for http.Server.ConnContext.
-func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+// acceptDrainTime is how long StopAccepting accepts further connections.
+const acceptDrainTime = 5 * time.Millisecond
+
+// StopAccepting accepts the connections that have arrived and closes the listening socket. Closing it at once would reset
+// them, with the requests that their callers have sent.
+func (l *Listener) StopAccepting(ctx context.Context) {
+	socket, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || l.stopping.Swap(true) || socket.SetDeadline(time.Now().Add(acceptDrainTime)) != nil {
+		return
+	}
+	select {
+	case <-l.drained:
+	case <-ctx.Done():
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	err := l.Listener.Close()
+	if l.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// CloseIdle closes the idle connections, except those on which a part of the next request has arrived, and returns the
+// number of these. The shutdown of http.Server closes them too, and the caller would get no response.
+func (l *Listener) CloseIdle() int {
+	l.mu.Lock()
+	var idle []*conn
+	for e := l.idle.Front(); e != nil; e = e.Next() {
+		if c, ok := countedConn(e.Value.(net.Conn)); ok {
+			idle = append(idle, c)
+		}
+	}
+	l.mu.Unlock()
+	left := 0
+	for _, c := range idle {
+		if !c.endIdle() {
+			left++
+		}
+	}
+	return left
+}
+
+// countedConn returns the connection that the listener has accepted, which TLS may wrap.
+func countedConn(c net.Conn) (*conn, bool) {
 	if secure, ok := c.(*tls.Conn); ok {
 		c = secure.NetConn()
 	}
-	if counted, ok := c.(*conn); ok && counted.overLimit {
+	counted, ok := c.(*conn)
+	return counted, ok
+}
+
+// ConnContext marks the requests on a connection above the limit. It is meant for http.Server.ConnContext.
+func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if counted, ok := countedConn(c); ok && counted.overLimit {
 		return context.WithValue(ctx, overLimitKey{}, true)
 	}
 	return ctx
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"teaselgate/socket"
 )
 
 // conn is a connection to a backend server.
@@ -45,21 +45,10 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return c.isReusableNonSocket()
+	if _, ok := c.Conn.(syscall.Conn); ok {
+		return socket.IsQuiet(c.Conn)
 	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isReusable := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isReusable = errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EWOULDBLOCK)
-	})
-	return err == nil && isReusable
+	return c.isReusableNonSocket()
 }
 
 // isReusableNonSocket is isReusable for a connection that is not a socket: it tries to read without blocking.
