End a stream whose engine sends bytes but no tokens

Cause: an operator of a similar system had stalled streams that sent a byte now and then and never ended.

Change: only chunks restart the limit; as before it runs only while the instance reads, so that a slow caller does not count. On the users' platform the caller's deadline bounds the stream.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -25,8 +25,8 @@
 func (c *Client) Decode(ctx context.Context, address string, req DecodeRequest, handle func(Chunk) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(c.SilenceTimeout, func() { cancel(errSilenceTimeout) })
-	defer timer.Stop()
+	silence := newSilenceTimer(c.SilenceTimeout, func() { cancel(errSilenceTimeout) })
+	defer silence.stop()
 	resp, err := send(ctx, c.pooled, http.MethodPost, address, DecodePath, req)
 	if err != nil {
 		return err
@@ -35,22 +35,44 @@
 	if err := checkStatus(resp, address, DecodePath); err != nil {
 		return err
 	}
-	return readChunks(&timedReader{body: resp.Body, timer: timer, timeout: c.SilenceTimeout}, req, handle)
+	return readChunks(&timedReader{body: resp.Body, silence: silence}, req, func(c Chunk) error {
+		silence.reset()
+		return handle(c)
+	})
 }
 
+// silenceTimer limits the time for which an engine sends no chunk of a stream. Bytes that are no chunk don't count, since
+// an engine that is stuck may still send some now and then.
+type silenceTimer struct {
+	timer   *time.Timer
+	timeout time.Duration
+	left    time.Duration // time left for the next chunk
+}
+
+// newSilenceTimer returns a running timer.
+func newSilenceTimer(timeout time.Duration, expired func()) *silenceTimer {
+	return &silenceTimer{timer: time.AfterFunc(timeout, expired), timeout: timeout, left: timeout}
+}
+
+// reset allows the whole timeout for the next chunk.
+func (t *silenceTimer) reset() { t.left = t.timeout }
+
+func (t *silenceTimer) stop() { t.timer.Stop() }
+
 // timedReader runs its timer only during reads from the engine, so that a slow caller does not count as a silent
 // engine.
 type timedReader struct {
 	body    io.Reader
-	timer   *time.Timer
-	timeout time.Duration
+	silence *silenceTimer
 }
 
 // Read implements io.Reader.
 func (r *timedReader) Read(p []byte) (int, error) {
-	r.timer.Reset(r.timeout)
+	start := time.Now()
+	r.silence.timer.Reset(max(r.silence.left, 0))
 	n, err := r.body.Read(p)
-	r.timer.Stop()
+	r.silence.timer.Stop()
+	r.silence.left -= time.Since(start)
 	return n, err
 }
 
