Send no order on a lease that ended while the process was paused or its host suspended

Cause: an operator of a similar system saw a process that was paused for seconds act on a permission that had run out. Leases of orders ran on a clock that stands still while the host is suspended: after 12 s of suspension the holder believed in its lease of 10 s beside the next holder (TestSuspendedHolderSendsNoOrder fails before). And between the check of the lease and the moment when the order is sent there was a dial, in which the process may be paused.

Change: the time for which a lease is held counts suspensions, and so does a wall clock that is set ahead, which only ends it early; the time after which another instance acquires it does not, so that a step of the clock gives it to nobody. The clock of the allowance moved to package clock.

--- a/allowance/limiter.go
+++ b/allowance/limiter.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"teaselgate/clock"
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/platform"
@@ -51,7 +52,7 @@
 	return &Limiter{
 		Self:    self,
 		Record:  func(event.Event) {},
-		Now:     NewClock().Now,
+		Now:     clock.New().Now,
 		ready:   make(chan struct{}),
 		wakeups: make(chan struct{}, 1),
 	}
--- a/allowance/clock.go
+++ b/clock/clock.go
@@ -1,4 +1,5 @@
-package allowance
+// Package clock provides a clock for permissions that end at a time: it never counts less time than has passed.
+package clock
 
 import (
 	"sync"
@@ -22,8 +23,8 @@
 	suspended     time.Duration // total time added for suspensions of the host
 }
 
-// NewClock returns a clock that reads the clocks of the host.
-func NewClock() *Clock {
+// New returns a clock that reads the clocks of the host.
+func New() *Clock {
 	start := time.Now()
 	return &Clock{
 		Wall:      func() time.Time { return time.Now().Round(0) },
--- a/allowance/clock_test.go
+++ b/clock/clock_test.go
@@ -1,4 +1,4 @@
-package allowance
+package clock
 
 import (
 	"testing"
--- a/engine/silence_test.go
+++ b/engine/silence_test.go
@@ -17,7 +17,9 @@
 	c := NewClient()
 	c.Dial = func(context.Context, string, string) (net.Conn, error) {
 		clientConn, serverConn := net.Pipe()
-		go func() { _ = (&http.Server{Handler: handler}).Serve(&oneConn{conn: serverConn, done: make(chan struct{})}) }()
+		go func() {
+			_ = (&http.Server{Handler: handler}).Serve(&oneConn{conn: serverConn, done: make(chan struct{})})
+		}()
 		return clientConn, nil
 	}
 	return c
--- a/instance/build_order.go
+++ b/instance/build_order.go
@@ -30,6 +30,7 @@
 		NewClaim:        uuid.NewString,
 		Era:             i.platform.Era,
 		Now:             time.Now,
+		HoldNow:         i.leaseClock.Now,
 	}
 	return &order.GroupController{
 		Group:     group,
--- a/instance/build_stage_balancers.go
+++ b/instance/build_stage_balancers.go
@@ -89,6 +89,7 @@
 		Lease: &order.Lease{
 			Name: "stage-" + model, Holder: i.owner(), Get: i.platform.Get, Update: i.platform.Update,
 			FirstOrderDelay: s.firstOrderDelay, NewClaim: uuid.NewString, Era: i.platform.Era, Now: time.Now,
+			HoldNow: i.leaseClock.Now,
 		},
 		IsDispatcher: func() bool { return !i.leaving.Load() && i.placer.Dispatches(cellID()) },
 		Load: func() (order.StageLoad, bool) {
@@ -140,7 +141,7 @@
 func (s *stageBalancers) sendOrder(ctx context.Context, request order.StageOrder) error {
 	err := s.engines.Order(ctx, platform.Order{
 		Server: request.Server, Address: request.Address, Stage: engineStage(request.Decode),
-		Holder: request.Holder, Fence: request.Fence,
+		Holder: request.Holder, Fence: request.Fence, Guard: request.Guard,
 	})
 	switch {
 	case errors.Is(err, platform.ErrOrderStale):
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -16,6 +16,7 @@
 	"teaselgate/allowance"
 	"teaselgate/cell"
 	"teaselgate/certificate"
+	"teaselgate/clock"
 	"teaselgate/config"
 	"teaselgate/engine"
 	"teaselgate/event"
@@ -49,6 +50,7 @@
 	incarnation     uint64
 	events          *event.Recorder
 	platform        *platform.Client
+	leaseClock      *clock.Clock // for leases, which must not outlast a suspension of the host
 	peers           *peer.Pool
 	peerServer      *peer.Server
 	fleet           *fleet.Fleet
@@ -172,13 +174,14 @@
 	i.storeRestored = make(chan struct{}, 1)
 	i.backoff = upstream.NewBackoff()
 	i.platform.OnRestored = i.recordStoreRestored
+	i.leaseClock = clock.New()
 	i.peers = peer.NewPool(i.Secrets.Peer)
 	i.peerServer = peer.NewServer(i.listeners.peer, i.Secrets.Peer)
-	clock := peer.Clock{
+	stamps := peer.Clock{
 		Next:    func() uint64 { return uint64(i.events.Clock.Next()) },
 		Observe: func(stamp uint64) { i.events.Clock.Observe(event.Stamp(stamp)) },
 	}
-	i.peers.Clock, i.peerServer.Clock = clock, clock
+	i.peers.Clock, i.peerServer.Clock = stamps, stamps
 	i.engines = engine.NewClient()
 	i.services = service.NewClient()
 	for _, step := range i.buildSteps() {
--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -163,7 +163,7 @@
 	claims := 0
 	c := &client{store: s}
 	return &Lease{
-		Name: name, Holder: holder, Get: c.Get, Update: c.Update, Now: now, Era: func() uint64 { return c.era },
+		Name: name, Holder: holder, Get: c.Get, Update: c.Update, Now: now, HoldNow: now, Era: func() uint64 { return c.era },
 		FirstOrderDelay: func() time.Duration { return delay },
 		NewClaim: func() string {
 			claims++
--- a/order/lease.go
+++ b/order/lease.go
@@ -46,13 +46,14 @@
 	FirstOrderDelay func() time.Duration // time from acquiring the lease to the first order
 	NewClaim        func() string        // returns a unique id for an acquisition
 	Era             func() uint64        // newest known era of the store
-	Now             func() time.Time
+	Now             func() time.Time     // for waits: it may stand still while the host is suspended
+	HoldNow         func() time.Time     // for the time for which the lease is held: it counts suspensions of the host
 
 	claim           string           // claim of the newest attempt to acquire the lease; empty if none
 	renewals        uint64           // number of renewals over all acquisitions
 	version         platform.Version // version of the last confirmed write
 	fence           platform.Version // fencing number: the version of the acquisition
-	deadline        time.Time        // end of the lease while this instance holds it
+	deadline        time.Time        // end of the lease by HoldNow while this instance holds it
 	firstOrderAt    time.Time        // time before which no order may be sent
 	versionUnknown  bool             // whether the version must be read again before the next write
 	observedVersion platform.Version // last version seen of a lease that another instance holds
@@ -62,13 +63,19 @@
 }
 
 // Held reports whether this instance holds the lease.
-func (l *Lease) Held() bool { return l.fence.Era() == l.Era() && l.Now().Before(l.deadline) }
+func (l *Lease) Held() bool { return l.fence.Era() == l.Era() && l.HoldNow().Before(l.deadline) }
+
+// Guard returns a function that reports whether the lease as it is now still lasts. It may be called from any goroutine,
+// right before an order is sent: the process may have been paused since Fence was called.
+func (l *Lease) Guard() func() bool {
+	fence, deadline := l.fence, l.deadline
+	return func() bool { return fence.Era() == l.Era() && l.HoldNow().Before(deadline) }
+}
 
 // Fence returns the fencing number for an order that is sent now, or false if none may be sent: the lease must last
 // until the order has ended or timed out.
 func (l *Lease) Fence() (uint64, bool) {
-	now := l.Now()
-	if !l.Held() || now.Before(l.firstOrderAt) || now.Add(orderTimeout).After(l.deadline) {
+	if !l.Held() || l.Now().Before(l.firstOrderAt) || l.HoldNow().Add(orderTimeout).After(l.deadline) {
 		return 0, false
 	}
 	return uint64(l.fence), true
@@ -128,7 +135,7 @@
 
 // renew extends the lease by writing the next renewal.
 func (l *Lease) renew(ctx context.Context) error {
-	sent := l.Now()
+	sent := l.HoldNow()
 	l.renewals++
 	record := LeaseRecord{Holder: l.Holder, Claim: l.claim, Renewal: l.renewals, Era: l.fence.Era()}
 	object, err := l.Update(ctx, LeaseKind, l.Name, l.version, record)
@@ -145,7 +152,7 @@
 // again.
 func (l *Lease) acquire(ctx context.Context, version platform.Version) error {
 	l.claim, l.claimEra = l.NewClaim(), l.Era()
-	sent := l.Now()
+	sent := l.HoldNow()
 	record := LeaseRecord{Holder: l.Holder, Claim: l.claim, Era: l.claimEra}
 	object, err := l.Update(ctx, LeaseKind, l.Name, version, record)
 	if err != nil {
--- a/order/lease_test.go
+++ b/order/lease_test.go
@@ -58,6 +58,31 @@
 	}
 }
 
+// The host of the holder is suspended, and its clock for waits stands still meanwhile, or its wall clock is set ahead. The
+// holder must not send an order on the lease, which another instance may hold, and nobody takes a lease early.
+func TestSuspendedHolderSendsNoOrder(t *testing.T) {
+	for _, pause := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second, 12 * time.Second, time.Hour} {
+		s, now, suspended := newFakeStore(), &clock{time.Unix(1000, 0)}, time.Duration(0)
+		holder := s.newLease("chat", "a", 0, now.Now)
+		holder.HoldNow = func() time.Time { return now.now.Add(suspended) }
+		acquireOrRenew(t, holder)
+		guard := holder.Guard()
+		suspended = pause
+		_, mayOrder := holder.Fence()
+		if lasts := pause < leaseDuration; holder.Held() != lasts || guard() != lasts || mayOrder && pause+orderTimeout > leaseDuration {
+			t.Errorf("%v: held %v, guard %v, order allowed %v", pause, holder.Held(), guard(), mayOrder)
+		}
+		observer := s.newLease("chat", "b", 0, now.Now)
+		observer.HoldNow = holder.HoldNow
+		acquireOrRenew(t, observer)
+		suspended += time.Hour
+		acquireOrRenew(t, observer)
+		if observer.Held() {
+			t.Errorf("%v: the lease was acquired because the wall clock was set ahead", pause)
+		}
+	}
+}
+
 func TestConcurrentAcquisitionFailsWithConflict(t *testing.T) {
 	s, c := newFakeStore(), &clock{time.Unix(1000, 0)}
 	a, b := s.newLease("chat", "a", 0, c.Now), s.newLease("chat", "b", 0, c.Now)
--- a/order/stage_balancer.go
+++ b/order/stage_balancer.go
@@ -36,6 +36,7 @@
 	Decode  bool // whether the new stage is decode; otherwise prefill
 	Holder  string
 	Fence   uint64
+	Guard   func() bool // reports whether the order may still be sent
 }
 
 // Candidate is an engine that may change its stage.
@@ -205,6 +206,7 @@
 	defer stop()
 	err := b.Order(ctx, StageOrder{
 		Server: engine.Server, Address: engine.Address, Decode: decode, Holder: b.Lease.Holder, Fence: fence,
+		Guard: b.Lease.Guard(),
 	})
 	b.cooldownUntil = b.Now().Add(changeCooldown)
 	switch {
--- a/order/stage_balancer_test.go
+++ b/order/stage_balancer_test.go
@@ -115,7 +115,7 @@
 		Service: "llm",
 		Lease: &Lease{
 			Name: "stage-llm", Holder: name, Get: s.Get, Update: s.Update, FirstOrderDelay: func() time.Duration { return 0 },
-			NewClaim: func() string { claim++; return fmt.Sprint(name, claim) }, Now: time.Now,
+			NewClaim: func() string { claim++; return fmt.Sprint(name, claim) }, Now: time.Now, HoldNow: time.Now,
 			Era: func() uint64 { return 0 },
 		},
 		IsDispatcher: func() bool { return true },
