Keep prompts in their zone while that costs little, and say in refusals what decided them

And the log line of a 429 had none of the figures that decided it, that of a 503 only the wait.

Change: a prefill server of the instance's zone is taken unless the first token would be later by a twentieth of its target. A 429 names the charge, level, burst, rate and how long the dispatcher has counted; a 503 the cost that waits, the rate at which it is placed and the time left.

--- a/cell/core.go
+++ b/cell/core.go
@@ -17,7 +17,7 @@
 	maxRebuildTime     = time.Second            // a new dispatcher places after this time, even if holdings are unknown
 	reservationGrace   = 30 * time.Second       // reservations without a report end this long after their predicted end
 	abandonTimeout     = 2 * time.Second        // a request whose instance has not called for this long is cancelled
-	prefillZonePenalty = 2 * time.Millisecond   // added to the predicted end outside the instance's availability zone
+	prefillZoneShare   = 0.05                   // part of the first-token target for a prefill in the instance's availability zone
 	decodeZonePenalty  = 200 * time.Microsecond // added to the predicted step outside the instance's availability zone
 	fullBatchPenalty   = 0.3                    // part by which the step of a server with a full batch counts as longer
 	maxWaitShare       = 0.9                    // part of the time to the deadline that the predicted wait may take
@@ -372,7 +372,9 @@
 }
 
 // choosePrefill returns the prefill server at which the transfer of a prompt's KV cache is predicted to end first, the
-// plan there, and the prompt tokens that are expected in its prefix cache.
+// plan there, and the prompt tokens that are expected in its prefix cache. Servers in the availability zone of the calling
+// instance, which also gets the decode server, are preferred as long as that delays the first token little: a transfer
+// between zones takes twice as long and fills the links between them.
 func (c *Core) choosePrefill(now instant, request *PlaceRequest) (best *prefillServer, bestPlan prefillPlan, cached int) {
 	hits := c.hints.find(now, request.Prefixes)
 	var bestEnd instant
@@ -390,7 +392,7 @@
 		}
 		end := plan.linkEnd
 		if p.server.Zone != request.Zone {
-			end = end.Add(prefillZonePenalty)
+			end = end.Add(time.Duration(prefillZoneShare * float64(c.targets.FirstToken)))
 		}
 		if best == nil || end.Before(bestEnd) {
 			best, bestPlan, bestEnd, cached = p, plan, end, expected
--- a/cell/debit.go
+++ b/cell/debit.go
@@ -37,7 +37,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if until := d.debtUntil[debit.Account]; d.Placer.Hub.Now().Before(until) {
-		return until, overRate.New("cell: account %s is over its rate", debit.Account)
+		return until, overRate.New("cell: account %s is over its rate: charge %d, in debt at the dispatcher for another %v",
+			debit.Account, debit.Tokens, until.Sub(d.Placer.Hub.Now()).Round(time.Millisecond))
 	}
 	p, ok := d.pending[debit.Account]
 	if !ok {
--- a/cell/delayed.go
+++ b/cell/delayed.go
@@ -38,7 +38,8 @@
 	switch {
 	case !ok:
 		c.decisions = append(c.decisions, Decision{
-			Key: request.Key, Err: overRate.New("cell: account %s is over its rate", request.Account), RetryIn: wait,
+			Key: request.Key, RetryIn: wait,
+			Err: overRate.New("cell: account %s is over its rate: %s", request.Account, c.limiter.describe(now, request)),
 		})
 	case wait > 0:
 		c.delayed[request.Key] = &delayedRequest{request: request, submitted: now, due: now.Add(wait), reserved: true}
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -155,7 +155,7 @@
 		}
 	case OverRate:
 		return nil, &Refusal{
-			Err: overRate.New("cell: the client account is over its rate"), RetryAt: p.Hub.Now().Add(reply.RetryIn),
+			Err: overRate.New("cell: refused by %s: %s", m.Name, reply.Reason), RetryAt: p.Hub.Now().Add(reply.RetryIn),
 		}
 	case NoServer:
 		return nil, &Refusal{
--- a/cell/ratelimiter.go
+++ b/cell/ratelimiter.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Constants of the rate limits of client accounts.
 const (
@@ -38,6 +41,7 @@
 	level, rate, burst float64 // tokens, tokens per second, tokens
 	reserved           float64 // tokens of requests that wait until the level allows them
 	at                 instant
+	since              instant // when this dispatcher began to count; until then it knew the level from the instances
 }
 
 func newRateLimiter() rateLimiter {
@@ -72,6 +76,13 @@
 	return max(wait, minRateRetry), false
 }
 
+// describe describes the figures that decide whether a request is within its account's rate, for the log.
+func (l *rateLimiter) describe(now instant, request PlaceRequest) string {
+	b := l.bucket(now, request.Account, request.Rate, request.Burst)
+	return fmt.Sprintf("charge %d, level %.0f of %.0f with %.0f reserved, %.0f/s of which %.2f here, counted for %v",
+		request.Charge, b.level, b.burst, b.reserved, b.rate, l.share, now.Sub(b.since).Round(time.Millisecond))
+}
+
 // chargeReserved charges a request whose tokens were reserved.
 func (l *rateLimiter) chargeReserved(request PlaceRequest) {
 	if b, ok := l.buckets[request.Account]; ok {
@@ -119,7 +130,7 @@
 func (l *rateLimiter) bucket(now instant, account string, rate, burst float64) *tokenBucket {
 	b, ok := l.buckets[account]
 	if !ok {
-		b = &tokenBucket{level: l.initialLevel(now, account, rate, burst), at: now}
+		b = &tokenBucket{level: l.initialLevel(now, account, rate, burst), at: now, since: now}
 		l.buckets[account] = b
 	}
 	b.level = min(burst, b.level+rate*l.share*now.Sub(b.at).Seconds())
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -68,17 +68,19 @@
 		return 0, nil
 	}
 	if w.request.Class != rule.ClassPatient || w.late {
-		return retryIn(wait), waitTooLong(wait)
+		return retryIn(wait), c.waitTooLong(now, w, wait)
 	}
 	c.markLate(w)
 	if wait = c.predictWait(w); now.Add(wait).After(w.waitDeadline) {
-		return retryIn(wait), waitTooLong(wait)
+		return retryIn(wait), c.waitTooLong(now, w, wait)
 	}
 	return 0, nil
 }
 
-func waitTooLong(wait time.Duration) error {
-	return shed.New("cell: the wait of %v would be too long", wait.Round(time.Millisecond))
+func (c *Core) waitTooLong(now instant, w *waitingRequest, wait time.Duration) error {
+	return shed.New("cell: the wait of %v would be too long: cost %.0f waits with %.0f of it late, %.0f/s are placed, %v left",
+		wait.Round(time.Millisecond), c.queue.waitingCost[0]+c.queue.waitingCost[1], c.queue.lateCost,
+		c.costRate.perSecond(), w.waitDeadline.Sub(now).Round(time.Millisecond))
 }
 
 // markLate marks a request that has missed its target or is predicted to miss it. The request must not be in the queue.
@@ -151,7 +153,7 @@
 	c.lastSweep = now
 	for _, w := range c.overdue(now) {
 		if now.After(w.waitDeadline) && (w.late || w.request.Class != rule.ClassPatient) {
-			c.reject(w, shed.New("cell: no place in time"), retryIn(c.predictWait(w)))
+			c.reject(w, shed.New("cell: no place in time: waited %v, %d wait", now.Sub(w.arrived).Round(time.Millisecond), c.queue.length), retryIn(c.predictWait(w)))
 		} else {
 			c.deferLate(now, w)
 		}
@@ -184,7 +186,7 @@
 	late := *w
 	c.markLate(&late)
 	if wait := c.predictWait(&late); now.Add(wait).After(late.waitDeadline) {
-		c.reject(w, waitTooLong(wait), retryIn(wait))
+		c.reject(w, c.waitTooLong(now, &late, wait), retryIn(wait))
 		return
 	}
 	c.queue.remove(w)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -31,8 +31,7 @@
 	h := q.handler
 	if q.rateLimited() {
 		if retryAt, err := h.Charge(q.account, q.cost()); err != nil {
-			q.refuse(http.StatusTooManyRequests, max(retryAt.Sub(h.Now()), minRateRetryAfter),
-				"the client account is over its rate")
+			q.refuse(http.StatusTooManyRequests, max(retryAt.Sub(h.Now()), minRateRetryAfter), err.Error())
 			return
 		}
 	}
