--- a/order/stage_balancer_test.go
+++ b/order/stage_balancer_test.go
@@ -204,6 +204,9 @@
 		go func() { e.newBalancer(s, "i2", 1.75, 6.1).Run(ctx); close(done) }()
 		e.newBalancer(s, "i1", 1.75, 6.1).Run(ctx)
 		<-done
+		if len(e.orders) == 0 {
+			t.Error("no order was sent")
+		}
 		for _, o := range e.orders {
 			if o.Holder != e.orders[0].Holder || o.Fence != e.orders[0].Fence {
 				t.Errorf("orders under different leases: %+v and %+v", e.orders[0], o)
--- a/outcome/faults_page_test.go
+++ b/outcome/faults_page_test.go
@@ -58,6 +58,37 @@
 Operators who race each other, and a configuration that is reverted, are tested in config; an owner of a shard whose
 lease expires in allowance; racing orders to engines in order. A request sees one revision of the rules throughout. A
 caller that stops reading is tested by TestStalledCallerReleasesEngine.
+
+## Failures of similar systems
+
+What operators of similar systems have reported, where it could happen here, and the test that shows it. "Mended" means
+that the test failed before the change.
+
+| failure | where it could happen | test | verdict |
+|---|---|---|---|
+| a late second copy of a response on a connection in use again | requests to servers: a request sent again with the same ID | upstream TestDelayedCopiesReachNoOtherRequest | mended |
+| | requests to servers: any other | the same, TestPoolMatchesResponsesToRequests, forward TestDuplicateResponsesAreDropped, TestLateResponsesAreDropped | can't happen: responses are matched by ID, surplus bytes end the connection |
+| | orders to engines, which shared a connection with reports | platform TestLateCopyOfAReportIsNotTheResponseToAnOrder | mended: a connection each |
+| | writes to the store, which shared connections with reads | platform TestLateCopyOfAReadIsNotTheResponseToAWrite | mended: a connection each |
+| | lists of the store | platform TestLateCopyOfAnotherCallIsNotAnEmptyList | mended |
+| | calls between instances | peer, tests of the pool | can't happen: net/rpc matches by number, each call has a reply of its own |
+| a planned stop cuts requests just accepted | a kept connection on which a part of the next request has arrived | limit TestStopAnswersRequestsThatHaveArrivedInPart | mended |
+| | the accept queue | limit TestStopServesTheAcceptQueue | mended |
+| | 200 stops in a row: queued, part of a head, part of a body, on the wire | limit TestRequestsSentBeforeAStopAreAnswered | 0 cut |
+| slow sound streams cut | engines' streams, a token just before each limit | engine TestSlowStreamsGoOnAndStalledOnesEnd | can't happen |
+| stalled streams that send a byte now and then | engines' streams: single bytes, empty lines, comments, no head | the same | mended; on the users' platform the caller's deadline ends the stream |
+| | callers that send or read slowly | limit TestSlowHeaderTimesOut, TestSlowBodyTimesOut, TestSlowReaderTimesOut | can't happen |
+| a paused process acts on a permission that ran out | leases of orders, host suspended | order TestSuspendedHolderSendsNoOrder | mended |
+| | an order between its check and its sending | platform TestOrderIsNotSentAfterItsPermissionHasEnded | mended |
+| | grants of tokens | allowance TestClockCountsHostSuspension, TestNeverExceedsRateBound | can't happen |
+| | keys and rules, claims | entry TestKeyIsRecheckedBeforeSending; the row "claim is taken over while its holder is paused" above | can't happen |
+| | pauses that servers ask for, servers' reservations | - | a suspension only makes them longer |
+| around a hand-over both act, orders go out twice | leases, with delays, losses and pauses at every step | order TestNoOrderArrivesAfterThoseOfTheNextHolder, TestOnlyLeaseHolderSendsOrders | can't happen since the guard above; without it seed 149 fails |
+| | primaries and successors of the allowance | allowance TestModelAllowsNoTwoGranters | can't happen |
+| | two dispatchers of a cell | cell, tests of the rate limiter and of delayed requests | bounded: together at most 1.2 times each rate; engines reject what does not fit |
+| the work of a silent machine is started again or given up | an engine without reports for 5 s | forward TestStreamOfAnEngineThatStopsReportingGoesOn | can't happen |
+| | a server that is no longer listed | forward TestOrderAtAServerThatIsNoLongerListedIsCompleted, registry TestLapsedServerIsKeptForGraceAfterOutage | can't happen |
+| | an instance that its peers don't reach | outcome TestSweeperCancelsOrphanedAttempts | what it still reads is kept for a minute |
 `
 
 func TestFaultPageIsCurrent(t *testing.T) {
