Let streams grow past their estimates behind one that has reached its ceiling

Change: the loop passes over those at their ceiling. TestStreamAtItsCeilingDoesNotKeepOthersFromGrowing fails before.

--- a/cell/growth.go
+++ b/cell/growth.go
@@ -11,11 +11,15 @@
 // any time are long ones, and together they need more memory than the estimates reserve.
 func (c *Core) advance(now instant, d *decodeServer) {
 	d.advance(now)
-	for len(d.streams) > 0 {
-		r := d.streams[0]
-		if r.endProgress > d.progress || r.maxTokens >= r.ceiling {
+	for atCeiling := 0; atCeiling < len(d.streams); {
+		r := d.streams[atCeiling]
+		if r.endProgress > d.progress {
 			return
 		}
+		if r.maxTokens >= r.ceiling {
+			atCeiling++ // about to end; those behind it may still grow
+			continue
+		}
 		more := max(int(growthShare*float64(r.maxTokens)), minGrowth)
 		more = min(more, r.ceiling-r.maxTokens)
 		d.remove(r)
--- a/cell/growth_test.go
+++ b/cell/growth_test.go
@@ -46,6 +46,33 @@
 	}
 }
 
+// A stream that has reached its ceiling is first in the order of predicted ends. The ones behind it, past their estimates,
+// must still reserve more memory.
+func TestStreamAtItsCeilingDoesNotKeepOthersFromGrowing(t *testing.T) {
+	now := clockStart
+	c := NewCore(now)
+	c.holdingsKnown = true
+	c.SetServers(now, servers("p", 2), servers("d", 1), strictPool, testTargets)
+	d := c.decodes[0]
+	d.loadKnown = true
+	const estimate = 200
+	for n, ceiling := range []int{estimate, 1440} {
+		now = now.Add(200 * time.Millisecond)
+		c.Submit(now, PlaceRequest{
+			Key: fmt.Sprint(n), Account: "a", Weight: 1, Class: rule.ClassInteractive, PromptTokens: 3000, MaxTokens: estimate,
+			Ceiling: ceiling,
+		})
+		c.Decide(now)
+	}
+	before := d.usedPieces
+	now = now.Add(time.Duration(2 * estimate * float64(time.Second) * d.steps.step(2)))
+	c.advance(now, d)
+	if growth := d.usedPieces - before; len(d.streams) != 2 || growth < estimate/strictPool.Block/2 {
+		t.Errorf("unexpected growth of %d pieces of %d streams, want at least half of what the longer one generated",
+			growth, len(d.streams))
+	}
+}
+
 // Guards against overbooked memory after the loss of a dispatcher under load: the next one learns of all reservations
 // from the instances.
 func TestNewDispatcherAdoptsReservationsOfPredecessor(t *testing.T) {
