Answer the linter on the tests of stops and on paired, and read sockets in one place

Cause: golangci-lint found response bodies that tests left open, commands without a context and a slice without its size; the two questions to a socket repeated how it is reached.

Change: readNoContent in the tests, contexts in paired, onSocket in package socket.

--- a/limit/idle_test.go
+++ b/limit/idle_test.go
@@ -30,11 +30,8 @@
 		for _, conn := range []net.Conn{kept, idle} {
 			fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		}
-		if resp, err := http.ReadResponse(reader, nil); err != nil || resp.StatusCode != http.StatusNoContent {
-			t.Fatalf("unexpected response %v, error %v", resp, err)
-		}
-		if _, err := http.ReadResponse(bufio.NewReader(idle), nil); err != nil {
-			t.Fatal(err)
+		if !readNoContent(reader) || !readNoContent(bufio.NewReader(idle)) {
+			t.Fatal("no response to the first request of a connection")
 		}
 		synctest.Wait()
 		fmt.Fprint(kept, "POST / HTTP/1.1\r\nHost: a\r\nContent-")
@@ -52,9 +49,8 @@
 		fmt.Fprint(kept, "Length: 2\r\n\r\n")
 		sleep(300 * time.Millisecond)
 		fmt.Fprint(kept, "ab")
-		resp, err := http.ReadResponse(reader, nil)
-		if err != nil || resp.StatusCode != http.StatusNoContent {
-			t.Errorf("unexpected response to the request that had arrived in part: %v, error %v", resp, err)
+		if !readNoContent(reader) {
+			t.Error("no response to the request that had arrived in part")
 		}
 		if err := <-stopped; err != nil {
 			t.Errorf("unexpected error of the stop: %v", err)
@@ -193,11 +189,15 @@
 }
 
 // readResponse reads a response and reports whether it is complete.
-func (c *stopClient) readResponse() bool {
-	resp, err := http.ReadResponse(c.reader, nil)
+func (c *stopClient) readResponse() bool { return readNoContent(c.reader) }
+
+// readNoContent reads a response and reports whether it is complete and has status 204.
+func readNoContent(reader *bufio.Reader) bool {
+	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return false
 	}
+	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err == nil && resp.StatusCode == http.StatusNoContent
 }
@@ -219,8 +219,8 @@
 		w.WriteHeader(http.StatusNoContent)
 	}), limits, isModelPath, func(event.Event) {})
 	listener := WrapListener(server, inner, 100, func(event.Event) {})
-	var clients []*stopClient
-	for range 20 {
+	clients := make([]*stopClient, 0, 20)
+	for range cap(clients) {
 		c := newStopClient(t, inner.Addr().String(), queued, "/")
 		c.sendFirstPart(t)
 		clients = append(clients, c)
--- a/paired/main.go
+++ b/paired/main.go
@@ -6,14 +6,20 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx, os.Args[1:])
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "paired:", err)
 		os.Exit(1)
 	}
@@ -21,10 +27,10 @@
 
 var errUsage = errors.New("usage: paired play OPTIONS, or paired compare BEFORE AFTER")
 
-func run(args []string) error {
+func run(ctx context.Context, args []string) error {
 	switch {
 	case len(args) > 0 && args[0] == "play":
-		return runPlay(args[1:])
+		return runPlay(ctx, args[1:])
 	case len(args) == 3 && args[0] == "compare":
 		return runCompare(args[1], args[2])
 	default:
@@ -32,7 +38,7 @@
 	}
 }
 
-func runPlay(args []string) error {
+func runPlay(ctx context.Context, args []string) error {
 	var p plays
 	flags := flag.NewFlagSet("play", flag.ContinueOnError)
 	flags.StringVar(&p.bench, "bench", "", "program that plays a day")
@@ -45,7 +51,7 @@
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
-	return p.run()
+	return p.run(ctx)
 }
 
 func runCompare(before, after string) error {
--- a/paired/play.go
+++ b/paired/play.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -29,14 +30,14 @@
 }
 
 // run plays all days, and writes a report of each into the output directory. It returns the errors of all failed plays.
-func (p *plays) run() error {
+func (p *plays) run(ctx context.Context) error {
 	if p.bench == "" || p.site == "" || p.out == "" || p.why == "" || len(p.days) == 0 || len(p.seeds) == 0 {
 		return errUsage
 	}
 	if err := os.MkdirAll(p.out, 0o755); err != nil {
 		return err
 	}
-	if output, err := exec.Command(p.bench, "build").CombinedOutput(); err != nil {
+	if output, err := exec.CommandContext(ctx, p.bench, "build").CombinedOutput(); err != nil {
 		return fmt.Errorf("build: %w\n%s", err, output)
 	}
 	var group sync.WaitGroup
@@ -48,7 +49,7 @@
 			group.Go(func() {
 				slots <- struct{}{}
 				defer func() { <-slots }()
-				if err := p.play(day, seed); err != nil {
+				if err := p.play(ctx, day, seed); err != nil {
 					mu.Lock()
 					defer mu.Unlock()
 					failed = errors.Join(failed, err)
@@ -60,11 +61,11 @@
 	return failed
 }
 
-func (p *plays) play(day, seed string) error {
+func (p *plays) play(ctx context.Context, day, seed string) error {
 	name := strings.TrimSuffix(filepath.Base(day), ".toml") + "_" + seed
 	report := filepath.Join(p.out, name+".json")
-	output, err := exec.Command(
-		p.bench, "run", p.site, day, "--no-cpu", "--seed", seed, "--report", report, "--why", p.why,
+	output, err := exec.CommandContext(
+		ctx, p.bench, "run", p.site, day, "--no-cpu", "--seed", seed, "--report", report, "--why", p.why,
 	).CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("%s: %w\n%s", name, err, output)
--- a/socket/quiet.go
+++ b/socket/quiet.go
@@ -11,38 +11,38 @@
 // IsQuiet reports whether a connection is open and has no received data that was not read yet. It does so only for
 // sockets; others count as quiet.
 func IsQuiet(c net.Conn) bool {
-	sys, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isQuiet := false
-	err = raw.Control(func(fd uintptr) {
+	isQuiet := true
+	onSocket(c, func(fd int) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		_, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		isQuiet = errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EWOULDBLOCK)
-	})
-	return err == nil && isQuiet
+	}, func() { isQuiet = false })
+	return isQuiet
 }
 
 // HasReceivedMore reports whether a TCP connection has received more than a number of bytes, whether or not they were
 // read. For other connections it reports false.
 func HasReceivedMore(c net.Conn, bytes uint64) bool {
+	more := false
+	onSocket(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		more = err == nil && info.Bytes_received > bytes
+	}, func() {})
+	return more
+}
+
+// onSocket calls use with the descriptor of a connection, or closed if it is a closed socket. It calls neither if the
+// connection is no socket.
+func onSocket(c net.Conn, use func(fd int), closed func()) {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
 	raw, err := sys.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { use(int(fd)) })
+	}
 	if err != nil {
-		return false
+		closed()
 	}
-	more := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		more = err == nil && info.Bytes_received > bytes
-	})
-	return err == nil && more
 }
