Accept all that waits before a stop, also on a busy machine

Beside six busy loops it then failed in phase 1, and TestStopServesTheAcceptQueue on its last connection: what the test had sent had not reached the other end's kernel yet, as loopback delivers late there.

Change: as long as a connection waits, the listener accepts for another 5 ms, up to half a second. The tests wait until the kernel has acknowledged what they sent, which is when it has arrived; the bound of 0 stays.

--- a/limit/idle_test.go
+++ b/limit/idle_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"teaselgate/event"
 	"teaselgate/option"
 )
@@ -110,6 +112,9 @@
 	for _, c := range clients {
 		c.sendFirstPart(t)
 	}
+	for _, c := range clients {
+		c.awaitArrival(t)
+	}
 	for _, c := range clients {
 		sending.Go(c.sendRest)
 	}
@@ -173,6 +178,25 @@
 	}
 }
 
+// awaitArrival waits until the other end's kernel has acknowledged what was sent. On a busy machine even the loopback
+// device delivers some milliseconds after the call that sends.
+func (c *stopClient) awaitArrival(t *testing.T) {
+	t.Helper()
+	raw, err := c.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for arrived := false; !arrived; time.Sleep(50 * time.Microsecond) {
+		err := raw.Control(func(fd uintptr) {
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			arrived = err != nil || info.Unacked == 0 && info.Notsent_bytes == 0
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // sendRest sends the rest of the request.
 func (c *stopClient) sendRest() {
 	switch c.phase {
@@ -225,6 +249,9 @@
 		c.sendFirstPart(t)
 		clients = append(clients, c)
 	}
+	for _, c := range clients {
+		c.awaitArrival(t)
+	}
 	go func() { _ = server.Serve(listener) }()
 	listener.StopAccepting(t.Context())
 	if err := server.Shutdown(t.Context()); err != nil {
--- a/limit/listener.go
+++ b/limit/listener.go
@@ -26,10 +26,11 @@
 	MaxConnections int
 	Record         func(event.Event)
 
-	stopping  atomic.Bool   // whether StopAccepting was called
-	drained   chan struct{} // closed when all connections that had arrived before the stop are accepted
-	closed    chan struct{} // closed by Close
-	closeOnce sync.Once
+	stopping      atomic.Bool   // whether StopAccepting was called
+	drainDeadline time.Time     // end of the longest time for which StopAccepting accepts; set before stopping
+	drained       chan struct{} // closed when all connections that had arrived before the stop are accepted
+	closed        chan struct{} // closed by Close
+	closeOnce     sync.Once
 
 	mu           sync.Mutex
 	open         int
@@ -104,6 +105,9 @@
 	for {
 		inner, err := l.Listener.Accept()
 		if err != nil && l.stopping.Load() {
+			if l.extendDrain() {
+				continue
+			}
 			l.Listener.Close()
 			close(l.drained)
 			<-l.closed // an error would make the server stop as if the listener had failed
@@ -184,14 +188,26 @@
 	}
 }
 
-// acceptDrainTime is how long StopAccepting accepts further connections.
-const acceptDrainTime = 5 * time.Millisecond
+// Time for which StopAccepting accepts further connections.
+const (
+	acceptDrainTime    = 5 * time.Millisecond
+	maxAcceptDrainTime = 500 * time.Millisecond // while more connections wait, as on a busy machine
+)
+
+// listenerWithDeadline is a listener whose Accept can be bounded, as that of a TCP listener.
+type listenerWithDeadline interface {
+	SetDeadline(deadline time.Time) error
+}
 
 // StopAccepting accepts the connections that have arrived and closes the listening socket. Closing it at once would reset
 // them, with the requests that their callers have sent.
 func (l *Listener) StopAccepting(ctx context.Context) {
-	socket, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	if !ok || l.stopping.Swap(true) || socket.SetDeadline(time.Now().Add(acceptDrainTime)) != nil {
+	inner, ok := l.Listener.(listenerWithDeadline)
+	if !ok {
+		return
+	}
+	l.drainDeadline = time.Now().Add(maxAcceptDrainTime)
+	if l.stopping.Swap(true) || inner.SetDeadline(time.Now().Add(acceptDrainTime)) != nil {
 		return
 	}
 	select {
@@ -200,6 +216,16 @@
 	}
 }
 
+// extendDrain lets Accept go on for another acceptDrainTime if connections still wait, and reports whether it does.
+func (l *Listener) extendDrain() bool {
+	now := time.Now()
+	if !now.Before(l.drainDeadline) || !socket.HasWaitingConnection(l.Listener) {
+		return false
+	}
+	inner, ok := l.Listener.(listenerWithDeadline)
+	return ok && inner.SetDeadline(now.Add(acceptDrainTime)) == nil
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
--- a/socket/quiet.go
+++ b/socket/quiet.go
@@ -31,9 +31,20 @@
 	return more
 }
 
-// onSocket calls use with the descriptor of a connection, or closed if it is a closed socket. It calls neither if the
-// connection is no socket.
-func onSocket(c net.Conn, use func(fd int), closed func()) {
+// HasWaitingConnection reports whether a listener has a connection that was not accepted yet. It does so only for sockets.
+func HasWaitingConnection(l net.Listener) bool {
+	waiting := false
+	onSocket(l, func(fd int) {
+		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(events, 0)
+		waiting = err == nil && n > 0
+	}, func() {})
+	return waiting
+}
+
+// onSocket calls use with the descriptor of a connection or listener, or closed if it is a closed socket. It calls neither
+// if it is no socket.
+func onSocket(c any, use func(fd int), closed func()) {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
 		return
