--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -125,6 +125,26 @@
 			[]string{"A", "B"},
 			2,
 		},
+		{
+			"interim responses before the response",
+			[]string{
+				"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nId: z\r\n\r\n" + responseText("a", "A"),
+				responseText("b", "B"),
+			},
+			[]string{"a", "b"},
+			[]string{"A", "B"},
+			1,
+		},
+		{
+			"extra bytes after the end of a chunked response",
+			[]string{
+				"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nA\r\n0\r\n\r\n" + responseText("b", "old"),
+				responseText("b", "B"),
+			},
+			[]string{"a", "b"},
+			[]string{"A", "B"},
+			2,
+		},
 		{
 			"truncated response",
 			[]string{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nA", ""},
