Log which parts a prompt had when its engine ended under it

The logs could not tell the hypotheses apart: a broken stream looked the same whether its engine had ended or not, whether its answer had begun, and whatever its prompt. When an attempt breaks off before its second event, the engine's address is now tried once; if it refuses connections, event 1206 names the shared parts of the prompt. Broken streams say after how many events.

--- a/event/request_events.go
+++ b/event/request_events.go
@@ -9,6 +9,7 @@
 	RequestCompleted Code = 1203
 	AttemptFailed    Code = 1204
 	RequestCancelled Code = 1205
+	EngineEnded      Code = 1206
 )
 
 var requestEvents = map[Code]Definition{
@@ -16,5 +17,6 @@
 	RequestPlaced:    {"request-placed", logrus.InfoLevel, "request placed on backend servers"},
 	RequestCompleted: {"request-done", logrus.InfoLevel, "request answered completely"},
 	AttemptFailed:    {"request-failed", logrus.WarnLevel, "an attempt failed at a backend server"},
+	EngineEnded:      {"engine-ended", logrus.WarnLevel, "an engine ended before it had written a request's answer; the detail names the shared parts of the prompt"},
 	RequestCancelled: {"request-cancelled", logrus.InfoLevel, "request cancelled: the caller disconnected or the response broke off"},
 }
--- a/forward/model.go
+++ b/forward/model.go
@@ -66,6 +66,7 @@
 	headerSent  bool     // whether the response header was sent to the caller
 	lastEventID string   // id of the last event sent to the caller
 	eventsSent  int      // number of events sent to the caller
+	events      int      // number of events received in this attempt
 	prefillSent bool     // whether a prefill was already sent
 }
 
@@ -171,6 +172,7 @@
 	report.BadDecode = result.serverError || !result.completed && result.serverFault && ctx.Err() == nil
 	if !result.completed {
 		report.Refused = result.notRun && !result.notSent && !result.serverFault
+		m.checkEngine(ctx, placement.Decode, result)
 		m.exclude, m.lastFailed = append(slices.Clone(m.exclude), placement.Decode.Server), placement.Decode.Server
 	}
 	return result
@@ -241,6 +243,7 @@
 func (m *modelRequest) decode(
 	ctx context.Context, placement *cell.Placement, handle platform.Handle, report *cell.Report,
 ) attemptResult {
+	m.events = 0
 	resp, err := m.send(ctx, platform.ForwardOptions{
 		Server: placement.Decode.Server, Address: placement.Decode.At,
 		KVSource: platform.KVSource(placement.Prefill.At, handle), LastEventID: m.lastEventID,
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -41,8 +41,9 @@
 			return attemptResult{completed: true}
 		}
 		if err != nil {
-			return attemptResult{serverFault: true, reason: "the stream broke off: " + err.Error()}
+			return attemptResult{serverFault: true, reason: fmt.Sprintf("the stream broke off after %d events: %v", m.events, err)}
 		}
+		m.events++
 		first := report.Imported.IsZero()
 		if first {
 			report.Imported = m.handler.Now()
--- a/forward/testenv_test.go
+++ b/forward/testenv_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,7 +156,7 @@
 	env.handler = h
 }
 
-var errConnRefused = errors.New("forward: connection refused")
+var errConnRefused = fmt.Errorf("forward: %w", syscall.ECONNREFUSED)
 
 // dial connects to an emulated server through a pipe.
 func (env *testEnv) dial(_ context.Context, at string) (net.Conn, error) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -117,6 +119,17 @@
 	return c, nil
 }
 
+// RefusesConnections reports whether nothing listens at a server's address: the host is reachable and the process has
+// ended. A connection that is accepted is kept for the next request.
+func (p *Pool) RefusesConnections(ctx context.Context, address string) bool {
+	raw, err := p.Dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.release(address, newConn(raw), nil)
+	return false
+}
+
 // popIdle removes the most recently used idle connection to a server and returns it, or nil if there is none.
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
