--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -32,6 +32,8 @@
 	IdleTimeout            time.Duration                // idle timeout for the http.Server that runs it; not applied here
 	AdvertisedIdleTimeout  time.Duration                // stated in the Keep-Alive header; 0 sends no header
 	FindServer             func(address string) *Server // finds the prefill engine at an address, or nil
+	DeadlyParts            []string                     // parts of prompts on which an engine crashes when it begins to write
+	RestartTime            time.Duration                // time from a crash until the server is back
 
 	mu             sync.Mutex
 	currentStage   string
@@ -50,6 +52,8 @@
 	received       []ReceivedRequest
 	runningByID    map[string]int // number of running requests by id
 	slotReleased   chan struct{}  // closed and replaced when a slot is released
+	crashes        []time.Time    // when the server crashed
+	crashed        chan struct{}  // closed and replaced when the server crashes
 }
 
 // Faults are the faults to inject. Of the faults of requests, a prefill meets only Reject, LoseResponse, WrongServer,
@@ -100,6 +104,7 @@
 	headerStage          = "Serving-Stage"
 	headerKVSource       = "Kv-Source"
 	headerTokens         = "Token-Count"
+	headerPrefix         = "Prompt-Prefix"
 	headerLastEventID    = "Last-Event-Id"
 	headerInstanceID     = "Instance-Id"
 	headerKeepAlive      = "Keep-Alive"
@@ -117,6 +122,7 @@
 	s.handleTokens = make(map[string]int)
 	s.runningByID = make(map[string]int)
 	s.slotReleased = make(chan struct{})
+	s.crashed = make(chan struct{})
 	s.currentStage = s.Stage
 	return s
 }
@@ -171,6 +177,9 @@
 
 // ServeHTTP serves requests, and control calls under /-/.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Down() {
+		panic(http.ErrAbortHandler) // the connection was open when the server crashed
+	}
 	s.markLeaving(w)
 	if strings.HasPrefix(r.URL.Path, "/-/") {
 		s.serveControl(w, r)
--- /dev/null
+++ b/standin/backend/crash.go
@@ -0,0 +1,58 @@
+package backend
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// isDeadly reports whether one of the parts of a prompt crashes the engine. The last part belongs to the request itself
+// and never does.
+func (s *Server) isDeadly(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get(headerPrefix), ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		return slices.Contains(s.DeadlyParts, id)
+	})
+}
+
+// crash ends all running streams. The server refuses connections until it is back.
+func (s *Server) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, time.Now())
+	close(s.crashed)
+	s.crashed = make(chan struct{})
+}
+
+// Crashes returns when the server crashed.
+func (s *Server) Crashes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.crashes)
+}
+
+// Down reports whether the server has crashed and is not back.
+func (s *Server) Down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.crashes) > 0 && time.Since(s.crashes[len(s.crashes)-1]) < s.RestartTime
+}
+
+// sleepOrCrash waits for d. It returns false if the caller closes the connection before, or the server crashes.
+func (s *Server) sleepOrCrash(r *http.Request, d time.Duration) bool {
+	s.mu.Lock()
+	crashed := s.crashed
+	s.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-crashed:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -53,7 +54,8 @@
 	Deadline        time.Duration // time left until the deadline of the caller; 0 sends none
 	PromptTokens    int           // 0 for a request to a plain backend server
 	MaxOutputTokens int
-	LengthHint      int // expected output, in tokens
+	LengthHint      int      // expected output, in tokens
+	SharedParts     []string // ids of the parts of the prompt that other requests have, too; empty for one part named a
 }
 
 // SetHeaders adds the headers of the request to h.
@@ -68,10 +70,25 @@
 		h.Set("Token-Count", fmt.Sprintf("%d,%d", r.PromptTokens, r.MaxOutputTokens))
 		h.Set("Length-Hint", strconv.Itoa(r.LengthHint))
 		// The parts of the prompt in order, each as PART-ID:TOKENS.
-		h.Set("Prompt-Prefix", fmt.Sprintf("a:200,b:%d", max(r.PromptTokens-200, 0)))
+		h.Set("Prompt-Prefix", r.promptPrefix())
 	}
 }
 
+// promptPrefix lists the parts of the prompt, of which the last belongs to the request itself.
+func (r Request) promptPrefix() string {
+	const sharedPartTokens = 200
+	shared := r.SharedParts
+	if len(shared) == 0 {
+		shared = []string{"a"}
+	}
+	var b strings.Builder
+	for _, part := range shared {
+		fmt.Fprintf(&b, "%s:%d,", part, sharedPartTokens)
+	}
+	fmt.Fprintf(&b, "b:%d", max(r.PromptTokens-len(shared)*sharedPartTokens, 0))
+	return b.String()
+}
+
 // SetForgedHeaders sets headers that only an instance may set, as a malicious caller would. It returns the names of
 // those that no backend server may receive at all; the others must be overwritten or removed.
 func SetForgedHeaders(h http.Header, value string) []string {
