Refuse requests with prompt parts under which engines have crashed

Callers saw streams cut in the middle and 502s: requests with one part of a prompt ended each engine that began their answers, and came at every instance, each of which knew nothing of the crashes before.

Cause: a broken stream counted against the engine only, so the request went on to the next one, and nothing related the crashes to what their requests had in common.

Now the package quarantine collects, for each engine that ended before it had begun an answer, the shared parts of the prompt. The fewest parts that account for the crashes are refused with 503 at once; a part of which an engine has since written an answer is no cause. One account's crashes refuse only that account's requests, those of three all requests. Evidence goes to all instances at once, and again with the probes of the fleet where digests differ.

--- a/event/request_events.go
+++ b/event/request_events.go
@@ -10,6 +10,11 @@
 	AttemptFailed    Code = 1204
 	RequestCancelled Code = 1205
 	EngineEnded      Code = 1206
+
+	PartsQuarantined     Code = 1207
+	PartsReleased        Code = 1208
+	QuarantineTrial      Code = 1209
+	QuarantineCallFailed Code = 1210
 )
 
 var requestEvents = map[Code]Definition{
@@ -18,5 +23,11 @@
 	RequestCompleted: {"request-done", logrus.InfoLevel, "request answered completely"},
 	AttemptFailed:    {"request-failed", logrus.WarnLevel, "an attempt failed at a backend server"},
 	EngineEnded:      {"engine-ended", logrus.WarnLevel, "an engine ended before it had written a request's answer; the detail names the shared parts of the prompt"},
+
+	PartsQuarantined:     {"parts-quarantined", logrus.WarnLevel, "requests with these parts of prompts are refused, since engines crashed under others; the detail has the evidence"},
+	PartsReleased:        {"parts-released", logrus.InfoLevel, "requests with these parts of prompts are no longer refused: an engine wrote an answer, another part accounts for the crashes, or they are too old"},
+	QuarantineTrial:      {"parts-tried", logrus.InfoLevel, "a request with refused parts is let through, to see whether engines still crash under it"},
+	QuarantineCallFailed: {"quarantine-call-failed", logrus.WarnLevel, "a call to exchange the evidence of crashes with a peer failed"},
+
 	RequestCancelled: {"request-cancelled", logrus.InfoLevel, "request cancelled: the caller disconnected or the response broke off"},
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,6 +38,8 @@
 	Seeds           []string                                           // peer addresses from the settings
 	Revision        func() uint64                                      // revision of the rules or the configuration here
 	OnNewerRevision func(from Member, revision uint64)                 // called for peers with a newer one; must not block
+	Digest          func() uint64                                      // digest of the evidence of crashes here
+	OnDigest        func(from Member, digest uint64)                   // called with those of peers; must not block
 	Instances       func(context.Context) ([]platform.Instance, error) // lists the instances in the platform store
 	Call            func(ctx context.Context, address, method string, args, reply any) error
 	Record          func(event.Event)
@@ -66,6 +68,8 @@
 		Self:            self,
 		Revision:        func() uint64 { return 0 },
 		OnNewerRevision: func(Member, uint64) {},
+		Digest:          func() uint64 { return 0 },
+		OnDigest:        func(Member, uint64) {},
 		Instances: func(context.Context) ([]platform.Instance, error) {
 			return nil, platform.ErrUnavailable
 		},
--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -21,6 +21,7 @@
 	About    Member   // callee as the caller knows it; the callee refutes it if it is wrong
 	Revision uint64   // revision of the rules or the configuration at the sender
 	Updates  []Member // queued updates of the sender
+	Digest   uint64   // digest of the evidence of crashes at the sender
 }
 
 // PingReply is the reply to a probe.
@@ -28,6 +29,7 @@
 	From     Member   // the sender
 	Revision uint64   // revision of the rules or the configuration at the sender
 	Updates  []Member // queued updates of the sender
+	Digest   uint64   // digest of the evidence of crashes at the sender
 }
 
 // RelayArgs asks a peer to probe another.
@@ -91,10 +93,10 @@
 
 // pingReply returns the reply to a probe, with the next queued updates.
 func (f *Fleet) pingReply() PingReply {
-	revision := f.Revision()
+	revision, digest := f.Revision(), f.Digest()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return PingReply{From: f.Self, Revision: revision, Updates: f.updates.next()}
+	return PingReply{From: f.Self, Revision: revision, Updates: f.updates.next(), Digest: digest}
 }
 
 // Serve joins the fleet and probes peers until the context ends.
@@ -256,7 +258,7 @@
 func (f *Fleet) ping(ctx context.Context, m Member) error {
 	own := f.pingReply()
 	var reply PingReply
-	args := PingArgs{From: own.From, About: m.stateOnly(), Revision: own.Revision, Updates: own.Updates}
+	args := PingArgs{From: own.From, About: m.stateOnly(), Revision: own.Revision, Updates: own.Updates, Digest: own.Digest}
 	err := f.Call(ctx, m.Peer, RPCName+".Ping", args, &reply)
 	if err != nil {
 		return err
@@ -265,6 +267,7 @@
 	if reply.Revision > own.Revision {
 		f.OnNewerRevision(reply.From, reply.Revision)
 	}
+	f.OnDigest(reply.From, reply.Digest)
 	return nil
 }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -15,6 +15,7 @@
 	"teaselgate/metric"
 	"teaselgate/outcome"
 	"teaselgate/platform"
+	"teaselgate/quarantine"
 	"teaselgate/registry"
 	"teaselgate/rule"
 	"teaselgate/upstream"
@@ -42,6 +43,7 @@
 	RetryBudget   func(service string) *outcome.RetryBudget
 	Servers       *upstream.Pool
 	Backoff       *upstream.Backoff                                 // servers that want no requests
+	Quarantine    *quarantine.List                                  // parts of prompts that crash engines
 	Observe       func(key upstream.ServerKey, resp *http.Response) // called with each response of a backend server
 	Engines       *platform.EngineClient
 	Record        func(event.Event)
@@ -85,6 +87,7 @@
 		ViewChanged:   func() <-chan struct{} { return nil },
 		SettledAt:     func() time.Time { return time.Time{} },
 		Backoff:       upstream.NewBackoff(),
+		Quarantine:    quarantine.NewList(),
 		Observe:       func(upstream.ServerKey, *http.Response) {},
 		Record:        func(event.Event) {},
 		ObserveResult: func(platform.RouteKind, RequestResult) {},
--- a/forward/model.go
+++ b/forward/model.go
@@ -33,8 +33,12 @@
 // together before anything is sent.
 func (q *request) serveModel(ctx context.Context) {
 	h := q.handler
-	h.RetryBudget(q.service.Name).Deposit()
 	m := &modelRequest{request: q}
+	if refusal := m.checkQuarantine(); refusal != nil {
+		m.refuseQuarantined(ctx, refusal)
+		return
+	}
+	h.RetryBudget(q.service.Name).Deposit()
 	if model, _ := q.view.Rules.Model(q.service.Name); q.refusedByBackoff(model.Prefill, model.Decode) {
 		return
 	}
@@ -51,6 +55,10 @@
 			return
 		}
 		q.record(event.AttemptFailed, m.lastFailed, result.reason)
+		if refusal := m.checkQuarantine(); refusal != nil {
+			m.refuseQuarantined(ctx, refusal)
+			return
+		}
 		if ctx.Err() != nil || !m.canRetry(result, n) {
 			m.failOrAbort(ctx, result.reason)
 			return
@@ -68,6 +76,7 @@
 	eventsSent  int      // number of events sent to the caller
 	events      int      // number of events received in this attempt
 	prefillSent bool     // whether a prefill was already sent
+	trial       bool     // whether the request tries parts that are in quarantine, and so is not refused for them
 }
 
 func (m *modelRequest) placementRequest() cell.Request {
@@ -167,6 +176,10 @@
 	}
 	report.Prefilled = m.handler.Now()
 	m.handler.ObserveStage(metric.StagePrefill, report.Prefilled.Sub(start))
+	if refusal := m.checkQuarantine(); refusal != nil {
+		m.releaseHandle(placement.Prefill, handle)
+		return attemptResult{notRun: true, notSent: true, promptComputed: true, reason: refusal.Reason()}
+	}
 	result = m.decode(ctx, placement, handle, &report)
 	result.promptComputed = true
 	report.BadDecode = result.serverError || !result.completed && result.serverFault && ctx.Err() == nil
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -44,6 +44,7 @@
 			return attemptResult{serverFault: true, reason: fmt.Sprintf("the stream broke off after %d events: %v", m.events, err)}
 		}
 		m.events++
+		m.reportBegun()
 		first := report.Imported.IsZero()
 		if first {
 			report.Imported = m.handler.Now()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -28,6 +28,7 @@
 	"teaselgate/outcome"
 	"teaselgate/peer"
 	"teaselgate/platform"
+	"teaselgate/quarantine"
 	"teaselgate/registry"
 	"teaselgate/rule"
 	"teaselgate/service"
@@ -77,6 +78,7 @@
 	leaving         atomic.Bool
 	storeRestored   chan struct{}                  // receives a value when the platform store was restored
 	backoff         *upstream.Backoff              // backend servers that want no requests
+	quarantine      *quarantine.List               // store only
 	reloaded        atomic.Pointer[option.Options] // settings of the last reload; nil before the first
 }
 
@@ -199,8 +201,8 @@
 func (i *Instance) buildSteps() []func(*suture.Supervisor) error {
 	if i.Options.Source == option.SourceStore {
 		return []func(*suture.Supervisor) error{
-			i.buildCertificates, i.buildRegistry, i.buildFleet, i.buildCell, i.buildForward, i.buildStageBalancers,
-			i.buildMetrics,
+			i.buildCertificates, i.buildRegistry, i.buildFleet, i.buildQuarantine, i.buildCell, i.buildForward,
+			i.buildStageBalancers, i.buildMetrics,
 		}
 	}
 	return []func(*suture.Supervisor) error{
--- /dev/null
+++ b/quarantine/gossip.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"teaselgate/delay"
+	"teaselgate/event"
+)
+
+// RPCName is the name under which the methods are registered for other instances.
+const RPCName = "Quarantine"
+
+// CrashReport is a Crash as sent to other instances, whose clocks may differ.
+type CrashReport struct {
+	Request string
+	Server  string
+	Account string
+	Parts   []string
+	Age     time.Duration // time since the crash
+}
+
+// SuccessReport is a success as sent to other instances.
+type SuccessReport struct {
+	Part string
+	Age  time.Duration // time since the success
+}
+
+// Evidence is what an instance tells another.
+type Evidence struct {
+	Crashes   []CrashReport
+	Successes []SuccessReport
+}
+
+// TellReply is the empty reply to Evidence.
+type TellReply struct{}
+
+// Timing and fan-out of the exchange.
+const (
+	tellDelay     = 20 * time.Millisecond // collects evidence, since several requests see the same crash
+	tellTimeout   = 500 * time.Millisecond
+	smallFleet    = 16              // number of other instances up to which all are told
+	largeFanout   = 8               // number of peers told in a larger fleet; they pass on what is new to them
+	exchangePause = 5 * time.Second // time before the next exchange with a peer whose digest has not changed
+	startDelay    = 100 * time.Millisecond
+	maxStartWait  = 5 * time.Second // time in which an instance that starts looks for a peer to learn from
+	expirePeriod  = time.Minute
+)
+
+// exchange is an exchange with a peer whose evidence had a digest.
+type exchange struct {
+	digest uint64
+	next   time.Time // time from which evidence with the same digest may be exchanged again
+}
+
+func (c Crash) report(now time.Time) CrashReport {
+	return CrashReport{c.Request, c.Server, c.Account, c.Parts, now.Sub(c.At)}
+}
+
+func (s success) report(now time.Time) SuccessReport { return SuccessReport{s.part, now.Sub(s.at)} }
+
+// mergeReports adds the evidence of a peer.
+func (l *List) mergeReports(e Evidence) {
+	now := l.Now()
+	crashes, successes := make([]Crash, 0, len(e.Crashes)), make([]success, 0, len(e.Successes))
+	for _, c := range e.Crashes {
+		crashes = append(crashes, Crash{c.Request, c.Server, c.Account, c.Parts, now.Add(-max(c.Age, 0))})
+	}
+	for _, s := range e.Successes {
+		successes = append(successes, success{s.Part, now.Add(-max(s.Age, 0))})
+	}
+	l.merge(crashes, successes, len(l.Peers()) > smallFleet)
+}
+
+// evidence returns all evidence.
+func (l *List) evidence() Evidence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	l.ledger.prune(now)
+	var e Evidence
+	for _, c := range l.ledger.crashes {
+		e.Crashes = append(e.Crashes, c.report(now))
+	}
+	for part, at := range l.ledger.successes {
+		e.Successes = append(e.Successes, success{part, at}.report(now))
+	}
+	return e
+}
+
+// queue has Serve tell peers what is new. The caller holds the lock.
+func (l *List) queue(now time.Time, e Evidence) {
+	if len(l.unsent.Crashes)+len(l.unsent.Successes) == 0 {
+		l.unsentAt = now
+	}
+	l.unsent.Crashes = append(l.unsent.Crashes, e.Crashes...)
+	l.unsent.Successes = append(l.unsent.Successes, e.Successes...)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// takeUnsent returns the evidence that peers have yet to be told.
+func (l *List) takeUnsent() Evidence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, waited := l.unsent, l.Now().Sub(l.unsentAt)
+	l.unsent = Evidence{}
+	for n := range e.Crashes {
+		e.Crashes[n].Age += waited
+	}
+	for n := range e.Successes {
+		e.Successes[n].Age += waited
+	}
+	return e
+}
+
+// Serve learns the evidence of a peer, and tells peers what is new until the context ends.
+func (l *List) Serve(ctx context.Context) error {
+	defer l.background.Wait()
+	l.background.Go(func() { l.learn(ctx) })
+	ticker := time.NewTicker(expirePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			l.expire()
+		case <-l.wake:
+			if err := delay.For(ctx, tellDelay); err != nil {
+				return err
+			}
+			l.tell(ctx, l.takeUnsent())
+		}
+	}
+}
+
+// learn exchanges all evidence with the first peers that this instance knows after its start.
+func (l *List) learn(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, maxStartWait)
+	defer stop()
+	for delay.For(ctx, startDelay) == nil {
+		for _, address := range l.pickPeers(2) {
+			if l.exchange(ctx, address) == nil {
+				return
+			}
+		}
+	}
+}
+
+// pickPeers returns up to n random peers.
+func (l *List) pickPeers(n int) []string {
+	peers := l.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
+
+// tell sends evidence to peers.
+func (l *List) tell(ctx context.Context, e Evidence) {
+	if len(e.Crashes)+len(e.Successes) == 0 {
+		return
+	}
+	fanout := smallFleet
+	if len(l.Peers()) > smallFleet {
+		fanout = largeFanout
+	}
+	for _, address := range l.pickPeers(fanout) {
+		l.background.Go(func() {
+			call, stop := context.WithTimeout(ctx, tellTimeout)
+			defer stop()
+			l.recordFailure(ctx, address, l.Call(call, address, RPCName+".Tell", e, &TellReply{}))
+		})
+	}
+}
+
+// recordFailure records that a call to a peer failed.
+func (l *List) recordFailure(ctx context.Context, address string, err error) {
+	if err != nil && ctx.Err() == nil {
+		l.Record(event.Event{Code: event.QuarantineCallFailed, Detail: address + ": " + err.Error()})
+	}
+}
+
+// Digest returns a digest of the evidence; 0 without evidence.
+func (l *List) Digest() uint64 {
+	if len(l.current.Load().suspects) == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ledger.digest()
+}
+
+// ExchangeIfDifferent exchanges all evidence, in the background, with a peer whose digest differs: messages to it or from
+// it may have been lost, as while one of the two was paused.
+func (l *List) ExchangeIfDifferent(address string, digest uint64) {
+	if digest == l.Digest() {
+		return
+	}
+	l.mu.Lock()
+	now := l.Now()
+	if last, ok := l.exchanged[address]; ok && last.digest == digest && now.Before(last.next) {
+		l.mu.Unlock()
+		return
+	}
+	for known, last := range l.exchanged {
+		if now.After(last.next) {
+			delete(l.exchanged, known)
+		}
+	}
+	l.exchanged[address] = exchange{digest, now.Add(exchangePause)}
+	l.mu.Unlock()
+	l.background.Go(func() {
+		ctx, stop := context.WithTimeout(context.Background(), tellTimeout)
+		defer stop()
+		if err := l.exchange(ctx, address); err != nil {
+			l.recordFailure(context.Background(), address, err)
+			l.mu.Lock()
+			delete(l.exchanged, address)
+			l.mu.Unlock()
+		}
+	})
+}
+
+// exchange sends all evidence to a peer and merges that of the peer.
+func (l *List) exchange(ctx context.Context, address string) error {
+	var reply Evidence
+	if err := l.Call(ctx, address, RPCName+".Exchange", l.evidence(), &reply); err != nil {
+		return err
+	}
+	l.mergeReports(reply)
+	return nil
+}
+
+// Receiver serves the RPC methods of a List.
+type Receiver struct{ list *List }
+
+// Receiver returns the net/rpc receiver to register under RPCName.
+func (l *List) Receiver() *Receiver { return &Receiver{l} }
+
+// Tell merges what is new at a peer.
+func (r *Receiver) Tell(args Evidence, _ *TellReply) error {
+	r.list.mergeReports(args)
+	return nil
+}
+
+// Exchange merges all evidence of a peer and replies with that of this instance.
+func (r *Receiver) Exchange(args Evidence, reply *Evidence) error {
+	r.list.mergeReports(args)
+	*reply = r.list.evidence()
+	return nil
+}
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,222 @@
+// Package quarantine keeps prompts away from engines that would crash on them. When engines end under requests that share
+// a part of their prompts, further requests with that part are refused, at all instances. The evidence is exchanged
+// between the instances, so that all of them reach the same verdicts.
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"teaselgate/event"
+)
+
+// trialTimeout is how long the verdict on a request that is let through as a trial is awaited.
+const trialTimeout = 10 * time.Second
+
+// trialSpacing is the time between the trials of two instances. A trial shows its result earlier, so that few requests
+// reach engines if the part still crashes them.
+const trialSpacing = 500 * time.Millisecond
+
+// List is an instance's evidence of crashes and the verdicts that follow from it. Its exported fields are set before use.
+type List struct {
+	Self   string          // name of this instance
+	Live   func() []string // names of the live instances, this one included
+	Peers  func() []string // addresses of the other reachable instances
+	Call   func(ctx context.Context, address, method string, args, reply any) error
+	Record func(event.Event)
+	Now    func() time.Time
+
+	current    atomic.Pointer[snapshot]
+	began      recentParts
+	mu         sync.Mutex
+	ledger     ledger
+	unsent     Evidence             // evidence that peers have yet to be told; its ages count from unsentAt
+	unsentAt   time.Time            // time of the first unsent evidence
+	trials     map[string]time.Time // end of the running trial, by key of the verdict
+	exchanged  map[string]exchange  // last exchange, by address of the peer
+	wake       chan struct{}        // makes Serve tell peers
+	background sync.WaitGroup
+}
+
+// snapshot is what follows from the evidence. It is immutable.
+type snapshot struct {
+	verdicts []verdict
+	suspects map[string]bool // parts of the prompts under which engines crashed
+}
+
+// Refusal says why and until when requests are refused.
+type Refusal struct {
+	Parts   []string
+	Crashes int // crashes of engines for which the parts account
+	RetryAt time.Time
+}
+
+// Reason describes the refusal for the log.
+func (r *Refusal) Reason() string {
+	return fmt.Sprintf("engines crashed %d times under prompts with the parts %v", r.Crashes, r.Parts)
+}
+
+// NewList returns a list without evidence or peers.
+func NewList() *List {
+	l := &List{
+		Peers:     func() []string { return nil },
+		Live:      func() []string { return nil },
+		Record:    func(event.Event) {},
+		Now:       time.Now,
+		ledger:    newLedger(),
+		trials:    make(map[string]time.Time),
+		exchanged: make(map[string]exchange),
+		wake:      make(chan struct{}, 1),
+	}
+	l.current.Store(&snapshot{})
+	return l
+}
+
+// Check decides whether a request of an account with the given parts may be sent to engines. It returns why not, or nil.
+// When a verdict has lapsed, one request at a time is let through as a trial; it is not to be checked again.
+func (l *List) Check(account string, parts []string) (refusal *Refusal, trial bool) {
+	for _, v := range l.current.Load().verdicts {
+		if !v.covers(account, parts) {
+			continue
+		}
+		if !l.mayTry(v) {
+			return &Refusal{Parts: v.parts, Crashes: v.crashes, RetryAt: v.until}, false
+		}
+		trial = true
+	}
+	return nil, trial
+}
+
+// mayTry reports whether a verdict has lapsed and this instance may let a request through as a trial.
+func (l *List) mayTry(v verdict) bool {
+	now, key := l.Now(), v.key()
+	if now.Before(v.until) || now.Before(v.until.Add(time.Duration(l.rank(key))*trialSpacing)) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.trials[key]) {
+		return false
+	}
+	l.trials[key] = now.Add(trialTimeout)
+	l.Record(event.Event{Code: event.QuarantineTrial, Detail: fmt.Sprintf("parts %v", v.parts)})
+	return true
+}
+
+// rank returns the position of this instance in the order in which the instances try the parts of a verdict again.
+func (l *List) rank(key string) int {
+	own, before := hash(key, l.Self), 0
+	for _, name := range l.Live() {
+		if hash(key, name) < own {
+			before++
+		}
+	}
+	return before
+}
+
+// ReportCrash records that an engine has crashed under a request before it had begun to write the answer.
+func (l *List) ReportCrash(c Crash) {
+	c.At = l.Now()
+	l.merge([]Crash{c}, nil, true)
+}
+
+// ReportBegun records that an engine has begun to write an answer on a prompt with the given parts, and goes on: none of
+// them crashes engines.
+func (l *List) ReportBegun(parts []string) {
+	now := l.Now()
+	l.began.add(now, parts)
+	suspects := l.current.Load().suspects
+	if len(suspects) == 0 {
+		return
+	}
+	var successes []success
+	for _, part := range parts {
+		if suspects[part] {
+			successes = append(successes, success{part, now})
+		}
+	}
+	l.merge(nil, successes, true)
+}
+
+// merge adds evidence, and answers crashes with what this instance has seen of their parts. It has peers told what is
+// new; with passOn unset, only what this instance adds.
+func (l *List) merge(crashes []Crash, successes []success, passOn bool) {
+	if len(crashes)+len(successes) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	l.ledger.prune(now)
+	changed := false
+	for _, c := range crashes {
+		if !l.ledger.addCrash(now, c) {
+			continue
+		}
+		changed = true
+		if passOn {
+			l.queue(now, Evidence{Crashes: []CrashReport{c.report(now)}})
+		}
+		for _, s := range l.began.successes(now, c.Parts) {
+			if l.ledger.addSuccess(s) {
+				l.queue(now, Evidence{Successes: []SuccessReport{s.report(now)}})
+			}
+		}
+	}
+	for _, s := range successes {
+		if !l.ledger.addSuccess(s) {
+			continue
+		}
+		changed = true
+		if passOn {
+			l.queue(now, Evidence{Successes: []SuccessReport{s.report(now)}})
+		}
+	}
+	if changed {
+		l.judge()
+	}
+}
+
+// judge derives the verdicts from the evidence and logs those that have changed. The caller holds the lock.
+func (l *List) judge() {
+	before := l.current.Load().verdicts
+	next := &snapshot{verdicts: judge(l.ledger.crashes, l.ledger.successes), suspects: make(map[string]bool)}
+	for _, c := range l.ledger.crashes {
+		for _, part := range c.Parts {
+			next.suspects[part] = true
+		}
+	}
+	l.current.Store(next)
+	known := make(map[string]verdict, len(before))
+	for _, v := range before {
+		known[v.key()] = v
+	}
+	for _, v := range next.verdicts {
+		if old, ok := known[v.key()]; !ok || old.crashes != v.crashes || !maps.Equal(old.accounts, v.accounts) {
+			l.Record(event.Event{Code: event.PartsQuarantined, Detail: v.describe(l.Now())})
+			delete(l.trials, v.key())
+		}
+		delete(known, v.key())
+	}
+	for _, key := range slices.Sorted(maps.Keys(known)) {
+		l.Record(event.Event{Code: event.PartsReleased, Detail: fmt.Sprintf("parts %v", known[key].parts)})
+		delete(l.trials, key)
+	}
+}
+
+// expire drops old evidence, and the verdicts that follow from it.
+func (l *List) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ledger.prune(l.Now()) {
+		l.judge()
+	}
+}
+
+// Count returns the number of verdicts on the parts of prompts.
+func (l *List) Count() int { return len(l.current.Load().verdicts) }
