Give up servers that send endless bytes instead of a response

A head without end, or the endless body of a late response, was read into memory or thrown away until the caller's deadline; the memory of an instance is 112 MB. The head of a response may now have 64 KB, a response that is skipped 256 KB; then the connection is closed and the attempt has failed.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -16,6 +16,8 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
+	readLimit   int       // bytes that may still be read, unless unlimited
+	unlimited   bool      // whether readLimit does not apply
 	idleExpires time.Time // time from which the idle connection may no longer be used
 	reused      bool      // whether the connection has carried other requests
 	requestIDs  []string  // IDs of the newest requests on the connection, at most maxKnownIDs
@@ -36,7 +38,30 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	c := &conn{Conn: raw, unlimited: true}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// errTooLong means that a server has sent too many bytes where the response should be.
+var errTooLong = errors.New("upstream: the server sends too many bytes that are not the response")
+
+// limitReads bounds the bytes that may be read until unlimitReads.
+func (c *conn) limitReads(n int) { c.readLimit, c.unlimited = n, false }
+
+func (c *conn) unlimitReads() { c.unlimited = true }
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.unlimited {
+		return c.Conn.Read(p)
+	}
+	if c.readLimit <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.readLimit)])
+	c.readLimit -= n
+	return n, err
 }
 
 // isReusable reports whether an idle connection is open and has received no data. Data that arrives on an idle
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -64,7 +64,9 @@
 // receive returns the response that belongs to the request. It skips interim (1xx) responses and, on a reused
 // connection, late responses to earlier requests.
 func (e *exchange) receive(req *http.Request) (*http.Response, error) {
+	defer e.conn.unlimitReads()
 	for range maxResponsesRead {
+		e.conn.limitReads(maxHeadBytes)
 		resp, err := http.ReadResponse(e.conn.reader, req)
 		if err != nil {
 			return nil, err
@@ -78,6 +80,7 @@
 		if !e.conn.reused || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errOtherRequest
 		}
+		e.conn.limitReads(maxSkippedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
