Take a stream that ends inside an event for broken off

Callers got a cut stream that looked complete: an event without its empty line at the end of a stream was taken for the last one, also where the stream has neither a length nor chunks. TestStreamThatEndsInsideAnEventIsBrokenOff failed before, with and without framing; unframed streams that end between events stay complete.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -82,8 +82,8 @@
 	return err1 == nil && err2 == nil && sequence <= last
 }
 
-// readEvent returns the next event with the empty line that ends it. The last event of a stream may lack that line. At
-// the end of the stream, readEvent returns io.EOF.
+// readEvent returns the next event with the empty line that ends it. At the end of the stream it returns io.EOF, and
+// io.ErrUnexpectedEOF if that is inside an event.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
@@ -92,7 +92,7 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(event) > 0:
-			return event, nil
+			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
 		case len(bytes.TrimRight(line, "\r\n")) == 0 && endsWithBlankLine(event):
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -59,17 +59,20 @@
 // Faults are the faults to inject. Of the faults of requests, a prefill meets only Reject, LoseResponse, WrongServer,
 // Silent and ResponseDelay; Truncate and Duplicate apply only to plain services.
 type Faults struct {
-	Fail             bool // runs the request and responds with 500
-	Reject           bool // rejects the request without running it
-	LoseResponse     bool // runs the request and never responds
-	Truncate         bool // closes the connection in the middle of the response
-	OmitSeal         bool // responds without a seal
-	WrongID          bool // responds with the id of another request
-	WrongServer      bool // responds as if another server had its address
-	Silent           bool // neither runs requests nor responds to them
-	AbortAfterEvents int  // streams are aborted after this many events; 0 means never
-	NoReport         bool // gives no reports, but serves requests
-	Duplicate        bool // sends each response of a plain service twice
+	Fail             bool   // runs the request and responds with 500
+	Reject           bool   // rejects the request without running it
+	LoseResponse     bool   // runs the request and never responds
+	Truncate         bool   // closes the connection in the middle of the response
+	OmitSeal         bool   // responds without a seal
+	WrongID          bool   // responds with the id of another request
+	WrongServer      bool   // responds as if another server had its address
+	Silent           bool   // neither runs requests nor responds to them
+	Endless          string // a stream consists of this text, sent again and again until the connection is closed
+	AbortAfterEvents int    // streams are aborted after this many events; 0 means never
+	EndAfterEvents   int    // streams end after this many events, in the middle of an event, with no error in their framing
+	Unframed         bool   // streams have neither a length nor chunks and end with the connection
+	NoReport         bool   // gives no reports, but serves requests
+	Duplicate        bool   // sends each response of a plain service twice
 
 	Leaving    bool     // says in all responses that the server is leaving, but serves
 	RetryAfter []string // values of Retry-After in the responses to rejected requests
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -1,14 +1,19 @@
 package backend
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 )
 
+// maxEndlessBytes is the amount of a stream without end that is sent, so that a test that fails ends.
+const maxEndlessBytes = 16 << 20
+
 // blockTokens is the size of a KV cache block, in tokens.
 const blockTokens = 16
 
@@ -125,10 +130,25 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	if faults.Unframed {
+		s.writeUnframed(w, lastID, faults)
+		return
+	}
+	if faults.Endless != "" {
+		for sent := 0; sent < maxEndlessBytes && controller.Flush() == nil; sent += len(faults.Endless) {
+			_, _ = io.WriteString(w, faults.Endless) // the next flush fails, too
+		}
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	for n := lastID + 1; n <= s.StreamEvents; n++ {
 		if !s.sleepOrCrash(r, s.currentEventInterval()) {
 			panic(http.ErrAbortHandler)
 		}
+		if faults.EndAfterEvents > 0 && n-lastID > faults.EndAfterEvents {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", n)
+			return
+		}
 		if faults.AbortAfterEvents > 0 && n-lastID > faults.AbortAfterEvents {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: to", n) // aborts in the middle of an event
 			_ = controller.Flush()
@@ -140,3 +160,25 @@
 		}
 	}
 }
+
+// writeUnframed streams events without a length or chunks, and ends the stream by closing the connection.
+func (s *Server) writeUnframed(w http.ResponseWriter, lastID int, faults Faults) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(&head) // never fails
+	head.WriteString("\r\n")
+	_, _ = conn.Write(head.Bytes()) // the caller may be gone
+	for n := lastID + 1; n <= s.StreamEvents; n++ {
+		time.Sleep(s.currentEventInterval())
+		if faults.EndAfterEvents > 0 && n-lastID > faults.EndAfterEvents {
+			_, _ = fmt.Fprintf(conn, "id: %d\ndata: to", n)
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "id: %d\ndata: token %d\n\n", n, n)
+	}
+}
