End streams whose engines send bytes that are no events of the answer

A body without end of empty events, comments, events without a number or repeated ones was forwarded, or read on, until the caller's deadline (16 MB in the test). An event that says nothing is no longer forwarded; one without a number breaks the stream off, as does a stream with more events than the request may have tokens, and 16.

--- a/forward/model.go
+++ b/forward/model.go
@@ -72,7 +72,7 @@
 	exclude     []string // ids of servers that failed or rejected the request
 	lastFailed  string   // id of the server of the last failed attempt
 	headerSent  bool     // whether the response header was sent to the caller
-	lastEventID string   // id of the last event sent to the caller
+	nextEvent   int64    // least id of the next event to send to the caller
 	eventsSent  int      // number of events sent to the caller
 	events      int      // number of events received in this attempt
 	prefillSent bool     // whether a prefill was already sent
@@ -210,7 +210,7 @@
 	ctx, stop := context.WithTimeout(ctx, time.Duration(prefillTimeoutFactor*float64(expected))+prefillTimeoutMargin)
 	defer stop()
 	resp, err := m.send(ctx, platform.ForwardOptions{
-		Server: server.Server, Address: server.At, Prefill: true, LastEventID: m.lastEventID,
+		Server: server.Server, Address: server.At, Prefill: true, LastEventID: m.lastEventID(),
 	})
 	if errors.Is(err, errBackoff) {
 		return platform.Handle{}, m.resultFromSendError(err)
@@ -259,7 +259,7 @@
 	m.events = 0
 	resp, err := m.send(ctx, platform.ForwardOptions{
 		Server: placement.Decode.Server, Address: placement.Decode.At,
-		KVSource: platform.KVSource(placement.Prefill.At, handle), LastEventID: m.lastEventID,
+		KVSource: platform.KVSource(placement.Prefill.At, handle), LastEventID: m.lastEventID(),
 	})
 	if err != nil {
 		m.releaseHandle(placement.Prefill, handle)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -18,6 +18,7 @@
 const (
 	streamBufferBytes = 4 << 10
 	maxEventBytes     = 256 << 10
+	spareEvents       = 16 // events beyond the tokens that an answer may have: empty ones, and one at the end
 )
 
 var errEventTooLong = errors.New("forward: an event of the stream is too long")
@@ -44,6 +45,16 @@
 			return attemptResult{serverFault: true, reason: fmt.Sprintf("the stream broke off after %d events: %v", m.events, err)}
 		}
 		m.events++
+		if m.events > m.maxEvents() {
+			return attemptResult{serverFault: true, reason: "the stream goes on beyond the largest answer"}
+		}
+		if isEmptyEvent(event) {
+			continue
+		}
+		id, ok := eventID(event)
+		if !ok {
+			return attemptResult{serverFault: true, reason: "the stream has an event without a number"}
+		}
 		m.reportBegun()
 		first := report.Imported.IsZero()
 		if first {
@@ -51,9 +62,8 @@
 			m.handler.ObserveStage(metric.StageTransfer, report.Imported.Sub(report.Prefilled))
 			placement.ReportProgress(*report)
 		}
-		id := eventID(event)
-		if m.alreadySent(id) {
-			continue
+		if id < m.nextEvent {
+			continue // a resumed stream may repeat events
 		}
 		if _, err := m.writer.Write(event); err != nil {
 			m.abort("unable to write the stream: " + err.Error())
@@ -61,10 +71,7 @@
 		if err := controller.Flush(); err != nil {
 			m.abort("unable to write the stream: " + err.Error())
 		}
-		if id == "" {
-			continue
-		}
-		m.lastEventID = id
+		m.nextEvent = id + 1
 		m.eventsSent++
 		if !first { // the first event sets Imported, and Generated counts only the tokens after it
 			report.Generated += m.service.Engine.TokensPerEvent
@@ -72,16 +79,17 @@
 	}
 }
 
-// alreadySent reports whether an event was sent to the caller before; a resumed stream may repeat events.
-func (m *modelRequest) alreadySent(id string) bool {
-	if id == "" || m.lastEventID == "" {
-		return false
+// lastEventID returns the id of the last event sent to the caller, or an empty string if there is none.
+func (m *modelRequest) lastEventID() string {
+	if m.nextEvent == 0 {
+		return ""
 	}
-	sequence, err1 := strconv.ParseInt(id, 10, 64)
-	last, err2 := strconv.ParseInt(m.lastEventID, 10, 64)
-	return err1 == nil && err2 == nil && sequence <= last
+	return strconv.FormatInt(m.nextEvent-1, 10)
 }
 
+// maxEvents returns the number of events that an attempt may have: each has a token at least.
+func (m *modelRequest) maxEvents() int { return max(m.MaxOutputTokens, 1) + spareEvents }
+
 // readEvent returns the next event with the empty line that ends it. At the end of the stream it returns io.EOF, and
 // io.ErrUnexpectedEOF if that is inside an event.
 func readEvent(r *bufio.Reader) ([]byte, error) {
@@ -111,12 +119,23 @@
 		len(bytes.TrimRight(event, "\r\n")) == 0
 }
 
-// eventID returns the id of an event, or the empty string if it has none.
-func eventID(event []byte) string {
+// isEmptyEvent reports whether an event has only empty lines and comments, which say nothing.
+func isEmptyEvent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// eventID returns the id of an event, a number. It returns false if the event has none.
+func eventID(event []byte) (int64, bool) {
 	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
+		if text, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
+			return id, err == nil && id >= 0
 		}
 	}
-	return ""
+	return 0, false
 }
