Break off plain responses without a length that do not end

An engine's failure with a body over 256 KB was forwarded cut, as if whole; it is a fault of the engine now.

--- a/forward/model.go
+++ b/forward/model.go
@@ -285,8 +285,8 @@
 
 // forwardError forwards the engine's error response, unless a stream has started or the request can be retried.
 func (m *modelRequest) forwardError(resp *upstream.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil || m.headerSent {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err != nil || m.headerSent || len(body) > maxBufferedBytes {
 		return attemptResult{serverFault: true, reason: fmt.Sprintf("decode failed with status %d", resp.StatusCode)}
 	}
 	if m.route.Resumable && resp.StatusCode >= http.StatusInternalServerError && m.runs < m.route.MaxAttempts {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -24,6 +24,7 @@
 	attemptTimeoutShare = 0.45 // of the remaining time, for an attempt that can be retried on another server
 	latencyTargetShare  = 0.6  // of the route's latency target, so that a second attempt can still meet it
 	copyBufferBytes     = 16 << 10
+	maxUnframedBytes    = 64 << 20 // of a response that states no length; more are taken for bytes without end
 )
 
 // servePlain forwards a request to a plain service, and retries it where the route allows that.
@@ -246,12 +247,32 @@
 	}
 	q.writer.WriteHeader(resp.StatusCode)
 	source := io.MultiReader(bytes.NewReader(head), resp.Body)
+	if resp.ContentLength < 0 {
+		source = &limitedReader{source, maxUnframedBytes}
+	}
 	if _, err := io.CopyBuffer(q.writer, source, make([]byte, copyBufferBytes)); err != nil {
 		q.abort("the response broke off: " + err.Error())
 	}
 	q.finish("", q.responseDetail(resp.StatusCode))
 }
 
+// limitedReader fails, unlike io.LimitedReader, if its source has more bytes than the limit.
+type limitedReader struct {
+	source io.Reader
+	left   int
+}
+
+var errTooLong = errors.New("forward: the response has no length and does not end")
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	n, err := l.source.Read(p)
+	if l.left -= n; l.left < 0 {
+		return 0, errTooLong
+	}
+	return n, err
+}
+
 // copyHeader copies the header of a server's response to the caller's response.
 func (q *request) copyHeader(resp *http.Response) {
 	platform.CopyResponseHeaders(q.writer.Header(), resp.Header)
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -67,7 +67,8 @@
 	WrongID          bool   // responds with the id of another request
 	WrongServer      bool   // responds as if another server had its address
 	Silent           bool   // neither runs requests nor responds to them
-	Endless          string // a stream consists of this text, sent again and again until the connection is closed
+	Endless          string // a response consists of this text, sent again and again until the connection is closed
+	LongBody         int    // bytes of a plain response or of an engine's failure; 0 means a short one
 	AbortAfterEvents int    // streams are aborted after this many events; 0 means never
 	EndAfterEvents   int    // streams end after this many events, in the middle of an event, with no error in their framing
 	Unframed         bool   // streams have neither a length nor chunks and end with the connection
@@ -330,7 +331,16 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		body = "failed"
 	}
-	_, _ = io.WriteString(w, body)
+	if faults.LongBody > 0 {
+		body = strings.Repeat("x", faults.LongBody)
+	}
+	if !faults.Unframed {
+		writeBody(w, body, faults)
+		return
+	}
+	conn := startUnframed(w)
+	defer conn.Close()
+	writeBody(conn, body, faults)
 }
 
 // sendTwice sends a response twice on one connection, as a faulty server may.
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -1,19 +1,14 @@
 package backend
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 )
 
-// maxEndlessBytes is the amount of a stream without end that is sent, so that a test that fails ends.
-const maxEndlessBytes = 16 << 20
-
 // blockTokens is the size of a KV cache block, in tokens.
 const blockTokens = 16
 
@@ -97,6 +92,7 @@
 	if faults.Fail {
 		s.setResponseHeaders(w, received, faults)
 		w.WriteHeader(http.StatusInternalServerError)
+		writeBody(w, strings.Repeat("x", faults.LongBody), faults)
 		return
 	}
 	s.writeEvents(w, r, received, faults)
@@ -135,10 +131,7 @@
 		return
 	}
 	if faults.Endless != "" {
-		for sent := 0; sent < maxEndlessBytes && controller.Flush() == nil; sent += len(faults.Endless) {
-			_, _ = io.WriteString(w, faults.Endless) // the next flush fails, too
-		}
-		<-r.Context().Done()
+		writeBody(w, "", faults)
 		panic(http.ErrAbortHandler)
 	}
 	for n := lastID + 1; n <= s.StreamEvents; n++ {
@@ -163,16 +156,8 @@
 
 // writeUnframed streams events without a length or chunks, and ends the stream by closing the connection.
 func (s *Server) writeUnframed(w http.ResponseWriter, lastID int, faults Faults) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	conn := startUnframed(w)
 	defer conn.Close()
-	var head bytes.Buffer
-	head.WriteString("HTTP/1.1 200 OK\r\n")
-	_ = w.Header().Write(&head) // never fails
-	head.WriteString("\r\n")
-	_, _ = conn.Write(head.Bytes()) // the caller may be gone
 	for n := lastID + 1; n <= s.StreamEvents; n++ {
 		time.Sleep(s.currentEventInterval())
 		if faults.EndAfterEvents > 0 && n-lastID > faults.EndAfterEvents {
