Bound the heads of responses to all calls to backend servers and to the store

Reports, orders, and the calls of the product's own dialect took heads of up to 10 MB, the default of net/http, for each call; now 64 KB as the requests do.

--- a/engine/client.go
+++ b/engine/client.go
@@ -50,6 +50,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 		Protocols:           &protocols,
+
+		MaxResponseHeaderBytes: socket.MaxHeadBytes,
 	}
 }
 
--- a/service/client.go
+++ b/service/client.go
@@ -53,7 +53,9 @@
 func newTransport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return &http.Transport{DialContext: dial, DisableCompression: true, Protocols: &protocols}
+	return &http.Transport{
+		DialContext: dial, DisableCompression: true, Protocols: &protocols, MaxResponseHeaderBytes: socket.MaxHeadBytes,
+	}
 }
 
 // Close closes the idle connections.
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -58,3 +58,6 @@
 	}
 	return nil
 }
+
+// MaxHeadBytes is how much of the head of a response is read. The heads of servers that are sound have less than 2 KB.
+const MaxHeadBytes = 64 << 10
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"teaselgate/socket"
 )
 
 // Response is the response of a backend server. Its body must be closed.
@@ -66,7 +68,7 @@
 func (e *exchange) receive(req *http.Request) (*http.Response, error) {
 	defer e.conn.unlimitReads()
 	for range maxResponsesRead {
-		e.conn.limitReads(maxHeadBytes)
+		e.conn.limitReads(socket.MaxHeadBytes)
 		resp, err := http.ReadResponse(e.conn.reader, req)
 		if err != nil {
 			return nil, err
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -25,7 +25,6 @@
 	maxIdlePerServer   = 16
 	maxResponsesRead   = 3 // responses read for one request, including interim ones and those of other requests
 	readBufferBytes    = 4 << 10
-	maxHeadBytes       = 64 << 10              // bytes read for the head of one response; servers' heads are below 2 KB
 	maxSkippedBytes    = 256 << 10             // bytes read of the body of a response to another request
 	maxInlineBytes     = 16 << 10              // a body up to this length fits into the socket's send buffer
 	writeTimeout       = 10 * time.Millisecond // for sending the rest of a longer body after the response was read
