Keep the evidence of crashes in the platform store

The instance that adds evidence to a verdict writes the object quarantine/evidence, after reading it, unless the store has it; each instance reads it once after its start. TestEvidenceOutlastsAllInstances failed before (nothing was stored): also with the store down until later, or with an object that can't be decoded.

--- a/event/request_events.go
+++ b/event/request_events.go
@@ -15,6 +15,7 @@
 	PartsReleased        Code = 1208
 	QuarantineTrial      Code = 1209
 	QuarantineCallFailed Code = 1210
+	QuarantineUnreadable Code = 1211
 )
 
 var requestEvents = map[Code]Definition{
@@ -28,6 +29,7 @@
 	PartsReleased:        {"parts-released", logrus.InfoLevel, "requests with these parts of prompts are no longer refused: an engine wrote an answer, another part accounts for the crashes, or they are too old"},
 	QuarantineTrial:      {"parts-tried", logrus.InfoLevel, "a request with refused parts is let through, to see whether engines still crash under it"},
 	QuarantineCallFailed: {"quarantine-call-failed", logrus.WarnLevel, "a call to exchange the evidence of crashes with a peer failed"},
+	QuarantineUnreadable: {"quarantine-unreadable", logrus.WarnLevel, "the evidence of crashes in the platform store can't be decoded; the next write replaces it"},
 
 	RequestCancelled: {"request-cancelled", logrus.InfoLevel, "request cancelled: the caller disconnected or the response broke off"},
 }
--- a/instance/build_fleet.go
+++ b/instance/build_fleet.go
@@ -66,8 +66,11 @@
 	}
 }
 
-// recordStoreRestored makes keepEntryStored write the entry again.
+// recordStoreRestored has this instance's entry and the evidence of crashes written again, which the store may have lost.
 func (i *Instance) recordStoreRestored(uint64) {
+	if i.quarantine != nil {
+		i.quarantine.SaveAgain()
+	}
 	select {
 	case i.storeRestored <- struct{}{}:
 	default: // a write is due already
--- a/instance/build_quarantine.go
+++ b/instance/build_quarantine.go
@@ -14,6 +14,7 @@
 	i.quarantine.Live = func() []string { return memberNames(i.fleet.Live()) }
 	i.quarantine.Peers = func() []string { return peerAddresses(i.reachableMembers()) }
 	i.quarantine.Call = i.peers.Call
+	i.quarantine.Get, i.quarantine.Update = i.platform.Get, i.platform.Update
 	i.quarantine.Record = i.events.Record
 	i.fleet.Digest = i.quarantine.Digest
 	i.fleet.OnDigest = func(from fleet.Member, digest uint64) { i.quarantine.ExchangeIfDifferent(from.Peer, digest) }
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -60,9 +60,8 @@
 
 func (s success) report(now time.Time) SuccessReport { return SuccessReport{s.part, now.Sub(s.at)} }
 
-// mergeReports adds the evidence of a peer.
-func (l *List) mergeReports(e Evidence) {
-	now := l.Now()
+// local converts evidence to times of this instance's clock.
+func (e Evidence) local(now time.Time) ([]Crash, []success) {
 	crashes, successes := make([]Crash, 0, len(e.Crashes)), make([]success, 0, len(e.Successes))
 	for _, c := range e.Crashes {
 		crashes = append(crashes, Crash{c.Request, c.Server, c.Account, c.Parts, now.Add(-max(c.Age, 0))})
@@ -70,6 +69,12 @@
 	for _, s := range e.Successes {
 		successes = append(successes, success{s.Part, now.Add(-max(s.Age, 0))})
 	}
+	return crashes, successes
+}
+
+// mergeReports adds the evidence of a peer.
+func (l *List) mergeReports(e Evidence) {
+	crashes, successes := e.local(l.Now())
 	l.merge(crashes, successes, len(l.Peers()) > smallFleet)
 }
 
@@ -121,6 +126,7 @@
 func (l *List) Serve(ctx context.Context) error {
 	defer l.background.Wait()
 	l.background.Go(func() { l.learn(ctx) })
+	l.background.Go(func() { l.keepStored(ctx) })
 	ticker := time.NewTicker(expirePeriod)
 	defer ticker.Stop()
 	for {
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -12,6 +14,7 @@
 	"time"
 
 	"teaselgate/event"
+	"teaselgate/platform"
 )
 
 // contactTime is the time within which the users expect an instance to know what another has learnt.
@@ -23,6 +26,7 @@
 	lists map[string]*List
 	mu    sync.Mutex
 	away  map[string]bool // instances that neither call nor answer
+	store *fakeStore      // nil without a store
 	serve sync.WaitGroup
 }
 
@@ -55,6 +59,9 @@
 	l.Call = func(_ context.Context, address, method string, args, reply any) error {
 		return f.call(name, address, method, args, reply)
 	}
+	if f.store != nil {
+		l.Get, l.Update = f.store.get, f.store.update
+	}
 	f.mu.Lock()
 	f.lists[name] = l
 	f.mu.Unlock()
@@ -66,12 +73,7 @@
 func (f *fakeFleet) names() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
-	for name := range f.lists {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(f.lists))
 }
 
 func (f *fakeFleet) list(name string) *List {
@@ -347,3 +349,92 @@
 		}
 	})
 }
+
+// fakeStore is the platform store of a fakeFleet.
+type fakeStore struct {
+	mu      sync.Mutex
+	object  platform.Object
+	down    bool
+	updates int
+}
+
+func (s *fakeStore) get(context.Context, string, string) (platform.Object, error) {
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return platform.Object{}, platform.ErrUnavailable
+	case s.object.Version == 0:
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return s.object, nil
+}
+
+func (s *fakeStore) update(
+	_ context.Context, _, _ string, version platform.Version, data any,
+) (platform.Object, error) {
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return platform.Object{}, platform.ErrUnavailable
+	case version != s.object.Version:
+		return platform.Object{}, platform.ErrConflict
+	}
+	text, err := json.Marshal(data)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	s.updates++
+	s.object = platform.Object{Version: version + 1, Data: text}
+	return s.object, nil
+}
+
+// All instances end at the same moment, and their successors start with what the platform store has.
+func TestEvidenceOutlastsAllInstances(t *testing.T) {
+	for _, lost := range []string{"", "down", "unreadable"} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &fakeStore{down: lost == "down"}
+			if lost == "unreadable" {
+				store.object = platform.Object{Version: 7, Data: []byte("[1,")}
+			}
+			run := func(test func(f *fakeFleet)) {
+				ctx, stop := context.WithCancel(t.Context())
+				f := &fakeFleet{ctx: ctx, lists: make(map[string]*List), away: make(map[string]bool), store: store}
+				for n := range 5 {
+					f.start(fmt.Sprint("i", n))
+				}
+				test(f)
+				stop()
+				f.serve.Wait()
+			}
+			run(func(f *fakeFleet) {
+				time.Sleep(time.Second)
+				f.list("i3").ReportBegun([]string{"a"})
+				crash(f.list("i0"), "x", 1, "a", "dead")
+				crash(f.list("i1"), "x", 1, "a", "dead")
+				time.Sleep(time.Second)
+				if lost == "down" {
+					store.mu.Lock()
+					store.down = false
+					store.mu.Unlock()
+					time.Sleep(2 * maxRetry)
+				}
+			})
+			if store.updates > 3 {
+				t.Errorf("%s: %d writes to the store", lost, store.updates)
+			}
+			run(func(f *fakeFleet) {
+				time.Sleep(time.Second)
+				if got := f.refusing("x", "a", "dead"); len(got) != 5 {
+					t.Errorf("%s: after the restart %v refuse", lost, got)
+				}
+				if got := f.refusing("x", "a"); len(got) != 0 {
+					t.Errorf("%s: after the restart %v refuse a sound part", lost, got)
+				}
+			})
+		})
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"teaselgate/event"
+	"teaselgate/platform"
 )
 
 // trialTimeout is how long the verdict on a request that is let through as a trial is awaited.
@@ -24,10 +25,13 @@
 
 // List is an instance's evidence of crashes and the verdicts that follow from it. Its exported fields are set before use.
 type List struct {
-	Self   string          // name of this instance
-	Live   func() []string // names of the live instances, this one included
-	Peers  func() []string // addresses of the other reachable instances
-	Call   func(ctx context.Context, address, method string, args, reply any) error
+	Self  string          // name of this instance
+	Live  func() []string // names of the live instances, this one included
+	Peers func() []string // addresses of the other reachable instances
+	Call  func(ctx context.Context, address, method string, args, reply any) error
+	// Get and Update read and write an object of the platform store, which keeps the evidence; nil without a store.
+	Get    func(ctx context.Context, kind, name string) (platform.Object, error)
+	Update func(ctx context.Context, kind, name string, version platform.Version, data any) (platform.Object, error)
 	Record func(event.Event)
 	Now    func() time.Time
 
@@ -40,6 +44,7 @@
 	trials     map[string]time.Time // end of the running trial, by key of the verdict
 	exchanged  map[string]exchange  // last exchange, by address of the peer
 	wake       chan struct{}        // makes Serve tell peers
+	unsaved    chan struct{}        // makes Serve write to the platform store
 	background sync.WaitGroup
 }
 
@@ -72,6 +77,7 @@
 		trials:    make(map[string]time.Time),
 		exchanged: make(map[string]exchange),
 		wake:      make(chan struct{}, 1),
+		unsaved:   make(chan struct{}, 1),
 	}
 	l.current.Store(&snapshot{})
 	return l
@@ -123,6 +129,7 @@
 func (l *List) ReportCrash(c Crash) {
 	c.At = l.Now()
 	l.merge([]Crash{c}, nil, true)
+	l.SaveAgain()
 }
 
 // ReportBegun records that an engine has begun to write an answer on a prompt with the given parts, and goes on: none of
@@ -140,14 +147,16 @@
 			successes = append(successes, success{part, now})
 		}
 	}
-	l.merge(nil, successes, true)
+	if l.merge(nil, successes, true) {
+		l.requestSave()
+	}
 }
 
 // merge adds evidence, and answers crashes with what this instance has seen of their parts. It has peers told what is
-// new; with passOn unset, only what this instance adds.
-func (l *List) merge(crashes []Crash, successes []success, passOn bool) {
+// new; with passOn unset, only what this instance adds. It reports whether the verdicts have changed.
+func (l *List) merge(crashes []Crash, successes []success, passOn bool) bool {
 	if len(crashes)+len(successes) == 0 {
-		return
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -177,13 +186,12 @@
 			l.queue(now, Evidence{Successes: []SuccessReport{s.report(now)}})
 		}
 	}
-	if changed {
-		l.judge()
-	}
+	return changed && l.judge()
 }
 
-// judge derives the verdicts from the evidence and logs those that have changed. The caller holds the lock.
-func (l *List) judge() {
+// judge derives the verdicts from the evidence, logs those that have changed, and reports whether any has. The caller
+// holds the lock.
+func (l *List) judge() bool {
 	before := l.current.Load().verdicts
 	next := &snapshot{verdicts: judge(l.ledger.crashes, l.ledger.successes), suspects: make(map[string]bool)}
 	for _, c := range l.ledger.crashes {
@@ -196,10 +204,12 @@
 	for _, v := range before {
 		known[v.key()] = v
 	}
+	changed := false
 	for _, v := range next.verdicts {
 		if old, ok := known[v.key()]; !ok || old.crashes != v.crashes || !maps.Equal(old.accounts, v.accounts) {
 			l.Record(event.Event{Code: event.PartsQuarantined, Detail: v.describe(l.Now())})
 			delete(l.trials, v.key())
+			changed = true
 		}
 		delete(known, v.key())
 	}
@@ -207,6 +217,7 @@
 		l.Record(event.Event{Code: event.PartsReleased, Detail: fmt.Sprintf("parts %v", known[key].parts)})
 		delete(l.trials, key)
 	}
+	return changed || len(known) > 0
 }
 
 // expire drops old evidence, and the verdicts that follow from it.
--- a/quarantine/verdict_test.go
+++ b/quarantine/verdict_test.go
@@ -29,12 +29,14 @@
 		{"one crash convicts nothing", []Crash{crashAt(0, "d1", "x", "a")}, nil, nil},
 		{
 			"requests with one part crash two engines",
-			[]Crash{crashAt(0, "d1", "x", "a1 dead"), crashAt(300, "d2", "x", "a2 dead")}, nil,
+			[]Crash{crashAt(0, "d1", "x", "a1 dead"), crashAt(300, "d2", "x", "a2 dead")},
+			nil,
 			[]string{"dead"},
 		},
 		{
 			"crashes that don't tell two parts apart convict only both together",
-			[]Crash{crashAt(0, "d1", "x", "a dead"), crashAt(300, "d2", "x", "a dead")}, nil,
+			[]Crash{crashAt(0, "d1", "x", "a dead"), crashAt(300, "d2", "x", "a dead")},
+			nil,
 			[]string{"a dead"},
 		},
 		{
@@ -57,7 +59,8 @@
 			[]Crash{
 				crashAt(0, "d1", "x", "a dead"), crashAt(1, "d1", "y", "b"), crashAt(300, "d2", "x", "a dead"),
 				crashAt(301, "d2", "y", "c"), crashAt(302, "d2", "x", "a"),
-			}, nil,
+			},
+			nil,
 			[]string{"dead"},
 		},
 		{
@@ -65,12 +68,14 @@
 			[]Crash{
 				crashAt(0, "d1", "x", "a"), crashAt(5, "d2", "y", "a"), crashAt(20, "d3", "x", "a"), crashAt(40, "d4", "z", "a"),
 				crashAt(90, "d5", "x", "a"),
-			}, nil, nil,
+			},
+			nil, nil,
 		},
 		{
 			"engines go down one after the other while others serve the same part",
 			[]Crash{crashAt(0, "d1", "x", "a"), crashAt(2000, "d2", "x", "a"), crashAt(4000, "d3", "x", "a")},
-			map[string]int{"a": 3900}, nil,
+			map[string]int{"a": 3900},
+			nil,
 		},
 		{
 			"a part that was sound turns deadly",
@@ -115,7 +120,7 @@
 		}
 	}
 	check(true, true, false, false)
-	crashes = append(crashes, crashAt(600, "d3", "z", "dead"))
+	crashes = slices.Concat(crashes, []Crash{crashAt(600, "d3", "z", "dead")})
 	check(true, true, true, true)
 }
 
@@ -143,8 +148,9 @@
 func TestNoAccountHasRequestsOfOthersRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		names := []string{"a", "b", "c", "d", "e"}
-		var crashes []Crash
-		for n := range rapid.IntRange(0, 40).Draw(t, "crashes") {
+		count := rapid.IntRange(0, 40).Draw(t, "crashes")
+		crashes := make([]Crash, 0, count)
+		for n := range count {
 			account := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "account")
 			parts := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 4, rapid.ID[string]).Draw(t, "parts")
 			at := time.UnixMilli(int64(n * rapid.IntRange(1, 400).Draw(t, "pause")))
