Let one request try lapsed parts, also when it crashes an engine

The request that tried lapsed parts was sent to a second engine after it had crashed the first, and an engine that had ended under requests with two deadly parts counted for the term of one of them only, 30 s instead of 60. A third was found by TestOneRequestTriesLapsedParts, which failed twice in 40 runs: a check that had read the verdict just before the trial's result let a second request through. The two new tests failed before; the third passes 200 runs.

--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -53,6 +53,7 @@
 	}
 	m.record(event.EngineEnded, server.Server, fmt.Sprintf("%d events had come, %d prompt tokens, shared parts %s",
 		m.events, m.PromptTokens, strings.Join(m.SharedParts, " ")))
+	m.trial = false
 	m.handler.Quarantine.ReportCrash(quarantine.Crash{
 		Request: m.ID, Server: server.Server, Account: m.account.Name, Parts: m.SharedParts,
 	})
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -81,3 +81,20 @@
 		}
 	})
 }
+
+// A request that tries lapsed parts and crashes an engine is not sent to another one.
+func TestTrialThatCrashesAnEngineIsNotRepeated(t *testing.T) {
+	runInTestEnv(t, func(env *testEnv) {
+		for _, s := range env.decode {
+			s.DeadlyParts, s.RestartTime = []string{"deadly"}, 300*time.Millisecond
+		}
+		env.send(deadlyRequest("first"))
+		sleep(time.Minute)
+		before := len(crashesOf(env.decode))
+		env.send(deadlyRequest("trial"))
+		env.send(deadlyRequest("next"))
+		if got := len(crashesOf(env.decode)) - before; before != 2 || got != 1 {
+			t.Errorf("%d crashes at first, %d by the trial", before, got)
+		}
+	})
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -106,7 +106,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Before(l.trials[key]) {
+	if now.Before(l.trials[key]) || !l.isCurrent(v) {
 		return false
 	}
 	l.trials[key] = now.Add(trialTimeout)
@@ -114,6 +114,13 @@
 	return true
 }
 
+// isCurrent reports whether a verdict still holds as it is: a trial may just have changed it. The caller holds the lock.
+func (l *List) isCurrent(v verdict) bool {
+	return slices.ContainsFunc(l.current.Load().verdicts, func(other verdict) bool {
+		return other.key() == v.key() && other.until.Equal(v.until)
+	})
+}
+
 // rank returns the position of this instance in the order in which the instances try the parts of a verdict again.
 func (l *List) rank(key string) int {
 	own, before := hash(key, l.Self), 0
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -62,12 +62,15 @@
 // crashes before its newest success.
 func judge(crashes []Crash, successes map[string]time.Time) []verdict {
 	groups := groupByEngine(crashes)
+	all := collectCharges(groups, successes)
 	var out []verdict
 	for {
-		v, ok := strongest(groups, successes)
-		if !ok {
+		best, v := strongest(collectCharges(groups, successes))
+		if best == nil {
 			return out
 		}
+		// A crash under requests with two deadly parts counts for the terms of both.
+		v.until = v.until.Add(all[best.part].term())
 		out = append(out, v)
 		groups = slices.DeleteFunc(groups, func(group []Crash) bool {
 			return slices.ContainsFunc(group, func(c Crash) bool { return hasAnyPart(c, v.parts, successes) })
@@ -120,10 +123,9 @@
 	return c.causes >= minCrashes
 }
 
-// strongest returns the verdict on the part with the most crashes, together with those that have crashed the same
-// requests.
-func strongest(groups [][]Crash, successes map[string]time.Time) (verdict, bool) {
-	charges := collectCharges(groups, successes)
+// strongest returns the evidence against the part with the most crashes, or nil, and the verdict on it and on those that
+// have crashed the same requests. The verdict lasts until the last crash as yet.
+func strongest(charges map[string]*charge) (*charge, verdict) {
 	var best *charge
 	for _, part := range slices.Sorted(maps.Keys(charges)) {
 		c := charges[part]
@@ -132,7 +134,7 @@
 		}
 	}
 	if best == nil {
-		return verdict{}, false
+		return nil, verdict{}
 	}
 	v := verdict{accounts: make(map[string]bool), crashes: best.ends}
 	for part, c := range charges {
@@ -146,8 +148,7 @@
 		v.requests = append(v.requests, c.Request+" at "+c.Server)
 		v.until = c.At
 	}
-	v.until = v.until.Add(best.term())
-	return v, true
+	return best, v
 }
 
 // isStronger reports whether the evidence a weighs more than b. Of parts that account for the same crashes, the one that
--- a/quarantine/verdict_test.go
+++ b/quarantine/verdict_test.go
@@ -144,6 +144,24 @@
 	}
 }
 
+// An engine that ended under requests with two deadly parts counts for both.
+func TestOneCrashCountsForTheTermsOfTwoParts(t *testing.T) {
+	crashes := []Crash{
+		crashAt(0, "d1", "x", "dead1"), crashAt(300, "d2", "x", "dead1"), crashAt(301, "d2", "x", "dead2"),
+		crashAt(600, "d3", "x", "dead1"), crashAt(900, "d4", "x", "dead2"), crashAt(1200, "d5", "x", "dead2"),
+	}
+	verdicts := judge(crashes, nil)
+	if len(verdicts) != 2 {
+		t.Fatalf("%d verdicts instead of 2", len(verdicts))
+	}
+	for _, v := range verdicts {
+		last := map[string]int64{"dead1": 600, "dead2": 1200}[v.key()]
+		if term := v.until.Sub(time.UnixMilli(last)); term != 2*firstTerm {
+			t.Errorf("%s: refused for %v", v.key(), term)
+		}
+	}
+}
+
 // Whatever crashes the requests of two accounts cause, and whatever parts they name, the requests of others pass.
 func TestNoAccountHasRequestsOfOthersRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
