Keep prompts that crash engines away from them in the product's own dialect, too

The parts of a prompt are its beginnings of 512 bytes, 1 KB and so on, and all of it; the evidence and verdicts are those of the users' platform. Two ends of engines under one request, sent to one after the other, have two causes also if they are less than 100 ms apart.

--- a/engine/client.go
+++ b/engine/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"teaselgate/socket"
@@ -55,6 +57,16 @@
 	}
 }
 
+// RefusesConnections reports whether nothing listens at an engine's address: its host is reachable and it has ended.
+func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
+	conn, err := c.Dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
--- a/engine/prefix.go
+++ b/engine/prefix.go
@@ -26,5 +26,12 @@
 	return out
 }
 
+// PromptHash returns a hash of a whole prompt. It differs in form from those of PrefixHashes.
+func PromptHash(prompt string) string {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, prompt) // never fails
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
 // PrefixTokens returns the estimated number of tokens in the nth prefix of a prompt, counted from 0.
 func PrefixTokens(n int) int { return firstPrefixBytes << n / bytesPerToken }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -16,6 +16,7 @@
 	placement     *cell.Placement
 	model         rule.Model
 	completion    completionRequest
+	parts         []string // parts of the prompt
 	writer        *completionWriter
 	report        cell.Report
 	engineReached bool // whether a byte may have reached an engine
@@ -123,6 +124,9 @@
 			return nil
 		}
 		a.report.Generated++
+		if a.report.Generated == beganTokens {
+			a.handler.Quarantine.ReportBegun(a.parts)
+		}
 		if err := a.handler.checkKey(a.writer.request); err != nil {
 			return err
 		}
--- a/entry/charge_test.go
+++ b/entry/charge_test.go
@@ -18,6 +18,7 @@
 	"teaselgate/config"
 	"teaselgate/event"
 	"teaselgate/outcome"
+	"teaselgate/quarantine"
 	"teaselgate/rule"
 	"teaselgate/service"
 )
@@ -54,6 +55,7 @@
 		ReportServerResult: func(string, time.Duration, cell.Result) {},
 		Services:           services,
 		RetryBudget:        outcome.NewDefaultRetryBudget(),
+		Quarantine:         quarantine.NewList(),
 		Record:             func(event.Event) {},
 		Now:                time.Now,
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -17,6 +17,7 @@
 	"teaselgate/engine"
 	"teaselgate/event"
 	"teaselgate/outcome"
+	"teaselgate/quarantine"
 	"teaselgate/rule"
 	"teaselgate/service"
 )
@@ -44,6 +45,7 @@
 	Services           *service.Client
 	Claims             *outcome.ClaimStore
 	RetryBudget        *outcome.RetryBudget
+	Quarantine         *quarantine.List                         // beginnings of prompts that crash engines
 	CancelAttempt      func(at, attempt string, uncertain bool) // uncertain: a request of the attempt may still arrive
 	Record             func(event.Event)
 	Now                func() time.Time
--- a/entry/model.go
+++ b/entry/model.go
@@ -42,7 +42,10 @@
 	ctx, stop := context.WithTimeout(r.Context(), modelTimeout)
 	defer stop()
 	writer := h.newCompletionWriter(w, q, completion)
-	model := &modelRequest{handler: h, request: q, completion: completion, writer: writer, runOutcome: outcome.NotRun}
+	model := &modelRequest{
+		handler: h, request: q, completion: completion, parts: promptParts(completion.prompt), writer: writer,
+		runOutcome: outcome.NotRun,
+	}
 	err = model.serve(ctx)
 	charge.Settle(chargedTokens(err, completion.promptTokens()+writer.generatedTokens))
 	h.finishModel(r.Context(), q, writer, err)
@@ -77,6 +80,8 @@
 	handler    *Handler
 	request    *request
 	completion completionRequest
+	parts      []string // parts of the prompt, by which it is kept from engines that would crash on it
+	trial      bool     // whether the request tries parts that are in quarantine, and so is not refused for them
 	writer     *completionWriter
 	exclude    []string        // servers that failed
 	runOutcome outcome.Outcome // NotRun until a byte may have reached an engine
@@ -106,6 +111,7 @@
 		h.Record(event.Event{
 			Code: event.AttemptFailed, Request: m.request.id, Server: a.failedServer(), Detail: err.Error(),
 		})
+		m.checkEngine(ctx, a)
 		if !m.canRetry(a, n) {
 			return outcome.NewRefusal(http.StatusBadGateway, "engine-failed",
 				"the backend servers failed").WithOutcome(m.runOutcome)
@@ -120,6 +126,9 @@
 	if err := h.recheckAuthorization(m.request); err != nil {
 		return nil, outcome.RefusalFromError(err).WithOutcome(m.runOutcome)
 	}
+	if refusal := m.checkQuarantine(); refusal != nil {
+		return nil, refusal
+	}
 	model, _ := m.request.rules.Model(m.request.route.Model)
 	placement, err := h.Place(ctx, m.placementRequest(model))
 	if err != nil {
@@ -131,7 +140,7 @@
 	}
 	return &attempt{
 		handler: h, id: fmt.Sprintf("%s-%d", m.request.id, n), placement: placement, model: model,
-		completion: m.completion, writer: m.writer,
+		completion: m.completion, parts: m.parts, writer: m.writer,
 	}, nil
 }
 
--- a/instance/build_outcome.go
+++ b/instance/build_outcome.go
@@ -54,6 +54,7 @@
 		Services:           i.services,
 		Claims:             i.claims,
 		RetryBudget:        outcome.NewDefaultRetryBudget(),
+		Quarantine:         i.quarantine,
 		CancelAttempt:      i.canceller.Cancel,
 		Record:             i.events.Record,
 		Now:                time.Now,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -78,7 +78,7 @@
 	leaving         atomic.Bool
 	storeRestored   chan struct{}                  // receives a value when the platform store was restored
 	backoff         *upstream.Backoff              // backend servers that want no requests
-	quarantine      *quarantine.List               // store only
+	quarantine      *quarantine.List               // parts of prompts that crash engines
 	reloaded        atomic.Pointer[option.Options] // settings of the last reload; nil before the first
 }
 
@@ -206,8 +206,8 @@
 		}
 	}
 	return []func(*suture.Supervisor) error{
-		i.buildCertificates, i.buildConfig, i.buildFleet, i.buildOrder, i.buildAllowance, i.buildCell, i.buildOutcome,
-		i.buildMetrics,
+		i.buildCertificates, i.buildConfig, i.buildFleet, i.buildQuarantine, i.buildOrder, i.buildAllowance, i.buildCell,
+		i.buildOutcome, i.buildMetrics,
 	}
 }
 
--- a/outcome/testbed_test.go
+++ b/outcome/testbed_test.go
@@ -21,6 +21,7 @@
 	"teaselgate/event"
 	"teaselgate/outcome"
 	"teaselgate/platform"
+	"teaselgate/quarantine"
 	"teaselgate/rule"
 	"teaselgate/service"
 	"teaselgate/socket"
@@ -226,7 +227,8 @@
 	})
 	inst.canceller.Wait = fastWait
 	inst.handler = &entry.Handler{
-		Owner: inst.owner, Zone: "ala-a", Rules: b.currentRevision,
+		Quarantine: quarantine.NewList(),
+		Owner:      inst.owner, Zone: "ala-a", Rules: b.currentRevision,
 		Admit: func(context.Context, rule.Account, int64) (*allowance.Charge, time.Time, error) {
 			return &allowance.Charge{}, time.Time{}, nil
 		},
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -14,8 +14,8 @@
 const (
 	// sameCrash is the time within which reports of one engine's end are about the same crash. Restarts take longer.
 	sameCrash = time.Second
-	// sameCause is the time within which the ends of several engines count once: they may have one cause, such as a lost
-	// rack. A request that is sent to another engine takes longer to crash it.
+	// sameCause is the time within which the ends of several engines count once, unless one request was sent to one engine
+	// after the other: they may have one cause, such as a lost rack.
 	sameCause     = 100 * time.Millisecond
 	minCrashes    = 2 // crashes that convict a part of which no success is known
 	minRecent     = 4 // crashes that convict a part that has recently succeeded
@@ -115,6 +115,11 @@
 	recent  bool    // whether the part succeeded shortly before the first crash
 }
 
+// hasRequest reports whether a request is among those that crashed engines.
+func (c *charge) hasRequest(request string) bool {
+	return slices.ContainsFunc(c.crashes, func(other Crash) bool { return other.Request == request })
+}
+
 // convicts reports whether the evidence is enough.
 func (c *charge) convicts() bool {
 	if c.recent {
@@ -176,13 +181,14 @@
 					continue
 				}
 				charge := chargeOf(charges, part, c, successes)
+				sentAgain := charge.hasRequest(c.Request)
 				charge.crashes = append(charge.crashes, c)
 				if counted[part] {
 					continue
 				}
 				counted[part] = true
 				charge.ends++
-				if last, ok := lastCause[part]; !ok || c.At.Sub(last) >= sameCause {
+				if last, ok := lastCause[part]; !ok || sentAgain || c.At.Sub(last) >= sameCause {
 					charge.causes++
 					lastCause[part] = c.At
 				}
--- a/quarantine/verdict_test.go
+++ b/quarantine/verdict_test.go
@@ -71,6 +71,11 @@
 			},
 			nil, nil,
 		},
+		{
+			"one request is sent to one engine after the other, shortly",
+			[]Crash{{"r", "d1", "x", []string{"a"}, time.UnixMilli(0)}, {"r", "d2", "x", []string{"a"}, time.UnixMilli(20)}}, nil,
+			[]string{"a"},
+		},
 		{
 			"engines go down one after the other while others serve the same part",
 			[]Crash{crashAt(0, "d1", "x", "a"), crashAt(2000, "d2", "x", "a"), crashAt(4000, "d3", "x", "a")},
