Send prompts that crash engines in the soak, and count the parts that are refused

The soak's decode engines crash on one part of a prompt and refuse connections for 1.5 s; 5 % of the streams have it. After all faults at most three such requests may reach engines, and nine of ten others must be served. The gauge quarantined counts the verdicts.

--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -89,6 +89,7 @@
 		c.lastDropped = dropped
 	}
 	i.collectServers()
+	i.metrics.SetQuarantined(i.quarantine.Count())
 	if i.registry != nil {
 		i.collectStoreState()
 	}
--- a/quarantine/verdict_test.go
+++ b/quarantine/verdict_test.go
@@ -73,7 +73,8 @@
 		},
 		{
 			"one request is sent to one engine after the other, shortly",
-			[]Crash{{"r", "d1", "x", []string{"a"}, time.UnixMilli(0)}, {"r", "d2", "x", []string{"a"}, time.UnixMilli(20)}}, nil,
+			[]Crash{{"r", "d1", "x", []string{"a"}, time.UnixMilli(0)}, {"r", "d2", "x", []string{"a"}, time.UnixMilli(20)}},
+			nil,
 			[]string{"a"},
 		},
 		{
--- a/soak/client.go
+++ b/soak/client.go
@@ -23,6 +23,8 @@
 	promptTokens     = 2000
 	streamTokens     = 8 * streamEvents      // output tokens of a stream, 8 for each event
 	requestDeadline  = 9 * time.Second       // deadline stated in each request
+	deadlyShare      = 0.05                  // share of the streams whose prompts crash decode engines
+	maxFinalDeadly   = 3                     // requests with deadly prompts that may reach engines after all faults
 	cancelAfter      = 60 * time.Millisecond // time after which a client cancels
 )
 
@@ -32,6 +34,7 @@
 	path      string
 	status    int // 0 without a complete response
 	body      string
+	deadly    bool // the prompt crashes decode engines
 	cancelled bool // the client cancels after cancelAfter, unless the response is complete by then
 }
 
@@ -111,6 +114,9 @@
 	headers := caller.Request{ID: id, Key: accountKey, Deadline: requestDeadline}
 	if path != "/order/1" && path != "/status/1" {
 		headers.PromptTokens, headers.MaxOutputTokens, headers.LengthHint = promptTokens, 2*streamTokens, streamTokens
+		if random.Float64() < deadlyShare {
+			res.deadly, headers.SharedParts = true, []string{"a", deadlyPart}
+		}
 	}
 	headers.SetHeaders(req.Header)
 	resp, err := c.http.Do(req)
@@ -155,16 +161,31 @@
 	for _, res := range results {
 		c.checkResult(res, runs[res.id])
 	}
-	served := 0
+	c.checkFinal(runs)
+	return c.violations
+}
+
+// checkFinal checks the requests that were sent after all faults had ended, longer ago than instances need to tell each
+// other of crashes.
+func (c *clients) checkFinal(runs map[string]int) {
+	sound, served, deadly := 0, 0, 0
 	for _, res := range c.finalResults {
-		if res.status == http.StatusOK {
-			served++
+		switch {
+		case res.deadly && runs[res.id] > 0:
+			deadly++
+		case !res.deadly:
+			sound++
+			if res.status == http.StatusOK {
+				served++
+			}
 		}
 	}
-	if float64(served) < minServedShare*float64(len(c.finalResults)) {
-		c.addViolation("only %d of %d requests were served after all faults had ended", served, len(c.finalResults))
+	if float64(served) < minServedShare*float64(sound) {
+		c.addViolation("only %d of %d requests were served after all faults had ended", served, sound)
+	}
+	if deadly > maxFinalDeadly {
+		c.addViolation("%d requests that crash engines reached them after all faults had ended", deadly)
 	}
-	return c.violations
 }
 
 // checkResult checks the result of a request that ran the given number of times.
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -31,8 +31,10 @@
 	loopbackAddress      = "127.0.0.1:0"   // a free loopback port
 	plainTimeout         = 2 * time.Second // timeout of routes to plain services
 	engineSlots          = 8
-	engineKVTokens       = 32_000     // KV cache capacity of a decode engine, in tokens
-	accountRate          = 10_000_000 // tokens per second; high enough that no request exceeds it
+	deadlyPart           = "deadly"                // part of prompts on which decode engines crash
+	engineRestartTime    = 1500 * time.Millisecond // time from a crash of an engine until it is back
+	engineKVTokens       = 32_000                  // KV cache capacity of a decode engine, in tokens
+	accountRate          = 10_000_000              // tokens per second; high enough that no request exceeds it
 )
 
 // backendServer is a backend server, its HTTP server and the proxy through which instances reach it.
@@ -120,6 +122,7 @@
 			return fmt.Errorf("soak: unable to listen: %w", err)
 		}
 		b := &backendServer{backend: s.Init(), proxy: p, service: service, httpServer: &http.Server{Handler: s}}
+		s.OnCrash = func() { p.crash(ctx, s.RestartTime) }
 		go func() { _ = b.httpServer.Serve(listener) }()
 		e.servers = append(e.servers, b)
 		return nil
@@ -144,6 +147,7 @@
 		s := &backend.Server{
 			ID: fmt.Sprintf("d%d", n), Stage: "decode", Slots: engineSlots, KVTokens: engineKVTokens,
 			StreamEvents: 12, EventInterval: 20 * time.Millisecond,
+			DeadlyParts: []string{deadlyPart}, RestartTime: engineRestartTime,
 		}
 		s.FindServer = e.findServer
 		if err := add(s, caller.ModelService); err != nil {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -36,6 +36,7 @@
 
 	mu    sync.Mutex
 	mode  mode
+	down  bool
 	conns map[net.Conn]bool // open connections to clients and to the target
 }
 
@@ -46,11 +47,15 @@
 		return nil, err
 	}
 	p := &proxy{target: target, listener: listener, conns: make(map[net.Conn]bool)}
-	go p.accept(ctx)
+	go p.accept(ctx, listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
 
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
@@ -78,14 +83,35 @@
 
 // close closes the listener and resets all open connections.
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.down = true
 	p.listener.Close()
+	p.mu.Unlock()
 	p.resetAll()
 }
 
+// crash resets all open connections and refuses new ones for a while, as if the target had ended.
+func (p *proxy) crash(ctx context.Context, d time.Duration) {
+	address := p.address()
+	p.listener.Close()
+	p.resetAll()
+	time.AfterFunc(d, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.down {
+			return
+		}
+		if listener, err := socket.Listen(ctx, address); err == nil {
+			p.listener = listener
+			go p.accept(ctx, listener)
+		}
+	})
+}
+
 // accept serves new connections until the listener is closed.
-func (p *proxy) accept(ctx context.Context) {
+func (p *proxy) accept(ctx context.Context, listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -34,6 +34,7 @@
 	FindServer             func(address string) *Server // finds the prefill engine at an address, or nil
 	DeadlyParts            []string                     // parts of prompts on which an engine crashes when it begins to write
 	RestartTime            time.Duration                // time from a crash until the server is back
+	OnCrash                func()                       // called when the server crashes; may be nil
 
 	mu             sync.Mutex
 	currentStage   string
--- a/standin/backend/crash.go
+++ b/standin/backend/crash.go
@@ -20,10 +20,13 @@
 // crash ends all running streams. The server refuses connections until it is back.
 func (s *Server) crash() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.crashes = append(s.crashes, time.Now())
 	close(s.crashed)
 	s.crashed = make(chan struct{})
+	s.mu.Unlock()
+	if s.OnCrash != nil {
+		s.OnCrash()
+	}
 }
 
 // Crashes returns when the server crashed.
