Bound the ids in the evidence of crashes, and acquit parts by short answers

Found when reading the change: an answer of one event acquitted nothing (TestShortAnswersAcquitTheirParts failed before), ids that callers choose could fill the stored object beyond a megabyte, and a dial to a host that does not answer held a retry for 250 ms; it has 100 ms now.

--- a/engine/client.go
+++ b/engine/client.go
@@ -59,6 +59,8 @@
 
 // RefusesConnections reports whether nothing listens at an engine's address: its host is reachable and it has ended.
 func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
+	ctx, stop := context.WithTimeout(ctx, socket.RefusalTimeout)
+	defer stop()
 	conn, err := c.Dial(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -119,6 +119,9 @@
 	decode := engine.DecodeRequest{Attempt: a.id, MaxTokens: a.completion.maxTokens, From: a.writer.generatedTokens}
 	return a.handler.Engines.Decode(ctx, a.placement.Decode.At, decode, func(chunk engine.Chunk) error {
 		if chunk.Done {
+			if a.report.Generated < beganTokens {
+				a.handler.Quarantine.ReportBegun(a.parts)
+			}
 			a.decodeState = stateReleased
 			a.writer.finishReason = chunk.Reason
 			return nil
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// reportEnded reports that an engine has written an answer that is too short for reportBegun.
+func (m *modelRequest) reportEnded() {
+	if m.events > 0 && m.events < beganEvents {
+		m.handler.Quarantine.ReportBegun(m.SharedParts)
+	}
+}
+
 // checkEngine finds out whether an engine has crashed before it had begun to write the answer: the attempt broke off, and
 // the engine's address refuses connections. A response that only breaks off does not show that.
 func (m *modelRequest) checkEngine(ctx context.Context, server rule.Server, result attemptResult) {
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -8,7 +8,9 @@
 	"testing"
 	"time"
 
+	"teaselgate/quarantine"
 	"teaselgate/standin/backend"
+	"teaselgate/standin/caller"
 )
 
 // Bounds of the users' rules on requests that crash engines.
@@ -98,3 +100,30 @@
 		}
 	})
 }
+
+// An answer of a single event acquits the parts of its prompt, too.
+func TestShortAnswersAcquitTheirParts(t *testing.T) {
+	runInTestEnv(t, func(env *testEnv) {
+		for _, s := range env.decode {
+			s.StreamEvents = 1
+		}
+		crash := quarantine.Crash{Account: caller.Account, Parts: []string{"sound"}}
+		for n := range 2 {
+			crash.Request, crash.Server = fmt.Sprint(n), fmt.Sprint("gone", n)
+			env.handler.Quarantine.ReportCrash(crash)
+			sleep(time.Second)
+		}
+		req := streamRequest("/digest/1", "sound")
+		req.parts = []string{"sound"}
+		if got := env.send(req); got.Code != http.StatusServiceUnavailable {
+			t.Errorf("status %d of a request with parts under which engines crashed", got.Code)
+		}
+		sleep(time.Minute)
+		for n := range 3 {
+			req.id = fmt.Sprint("sound", n)
+			if got := env.send(req); got.Code != http.StatusOK || got.broken {
+				t.Errorf("request %d after the term: status %d, broken %v", n, got.Code, got.broken)
+			}
+		}
+	})
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -38,6 +38,7 @@
 	for {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
+			m.reportEnded()
 			m.finish(placement.Decode.Server, fmt.Sprintf("%d events", m.eventsSent))
 			return attemptResult{completed: true}
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -10,8 +10,10 @@
 
 // Limits of the evidence.
 const (
-	maxCrashes   = 256       // the oldest are dropped
-	evidenceLife = time.Hour // longer than the longest time for which parts are refused
+	maxCrashes = 256 // the oldest are dropped
+	// maxRequestIDBytes is how much of a request's id is kept, since callers choose it.
+	maxRequestIDBytes = 64
+	evidenceLife      = time.Hour // longer than the longest time for which parts are refused
 	// successStep is the least time by which a success must be newer than the known one. Ages grow a little with each hop
 	// between instances, and must not make an old success look newer.
 	successStep = time.Second
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -274,11 +274,15 @@
 	runFleet(t, 3, func(f *fakeFleet) {
 		l := f.list("i0")
 		for n := range 3 * maxCrashes {
-			l.ReportCrash(Crash{Request: fmt.Sprint(n), Server: fmt.Sprint("d", n), Account: "x", Parts: []string{fmt.Sprint("p", n), "dead"}})
+			l.ReportCrash(Crash{Request: fmt.Sprint(n, strings.Repeat("x", 9000)), Server: fmt.Sprint("d", n), Account: "x", Parts: []string{fmt.Sprint("p", n), "dead"}})
 		}
 		time.Sleep(contactTime)
 		for _, name := range f.names() {
 			e := f.list(name).evidence()
+			text, err := json.Marshal(f.list(name).stored())
+			if err != nil || len(text) > 1<<19 {
+				t.Errorf("%s would store %d bytes, error %v", name, len(text), err)
+			}
 			if len(e.Crashes) > maxCrashes || len(e.Crashes) == 0 || len(e.Successes) > 0 {
 				t.Errorf("%s holds %d crashes and %d successes", name, len(e.Crashes), len(e.Successes))
 			}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -135,6 +135,7 @@
 // ReportCrash records that an engine has crashed under a request before it had begun to write the answer.
 func (l *List) ReportCrash(c Crash) {
 	c.At = l.Now()
+	c.Request = c.Request[:min(len(c.Request), maxRequestIDBytes)]
 	l.merge([]Crash{c}, nil, true)
 	l.SaveAgain()
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -59,5 +59,9 @@
 	return nil
 }
 
+// RefusalTimeout is the time within which a host that is reachable refuses a connection to a process that has ended: some
+// times the delay between availability zones.
+const RefusalTimeout = 100 * time.Millisecond
+
 // MaxHeadBytes is how much of the head of a response is read. The heads of servers that are sound have less than 2 KB.
 const MaxHeadBytes = 64 << 10
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -123,6 +123,8 @@
 // RefusesConnections reports whether nothing listens at a server's address: the host is reachable and the process has
 // ended. A connection that is accepted is kept for the next request.
 func (p *Pool) RefusesConnections(ctx context.Context, address string) bool {
+	ctx, stop := context.WithTimeout(ctx, socket.RefusalTimeout)
+	defer stop()
 	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
