--- a/standin/site/config.go
+++ b/standin/site/config.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"teaselgate/account"
+	"teaselgate/option"
 	"teaselgate/rule"
 	standengine "teaselgate/standin/engine"
 )
@@ -41,6 +42,7 @@
 	Accounts        []Account
 	ConfigureEngine func(*standengine.Engine) // changes the settings of each engine before it runs; may be nil
 	Log             *logrus.Logger
+	TLS             option.TLS // certificate of the listeners for callers; empty for connections without TLS
 
 	BalancerDelay time.Duration // time from the end of readiness of an instance to the closing of its listener
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -56,6 +56,7 @@
 	address string // address that serves callers
 	admin   string // address of the admin API
 	stop    context.CancelFunc
+	reload  func()
 	done    chan struct{} // closed when the instance has ended
 }
 
@@ -65,6 +66,9 @@
 // Admin returns the address of the admin API.
 func (i *Instance) Admin() string { return i.admin }
 
+// Reload makes the instance apply its settings again.
+func (i *Instance) Reload() { i.reload() }
+
 // Stop makes the instance leave and waits until it has ended.
 func (i *Instance) Stop() {
 	i.stop()
@@ -200,15 +204,16 @@
 	options.Name = fmt.Sprintf("i%d", n)
 	options.Zone = s.config.zone(n)
 	options.Listen, options.Admin, options.Peer = loopbackAddress, loopbackAddress, loopbackAddress
-	options.Platform = s.platformURL
+	options.Platform, options.TLS = s.platformURL, s.config.TLS
 	inst := &instance.Instance{
 		Options: options, Secrets: Secrets, Log: s.config.Log, BalancerDelay: s.config.BalancerDelay,
 	}
+	reload := func() { inst.Reload(options) }
 	if err := inst.Open(ctx); err != nil {
 		return err
 	}
 	ctx, stop := context.WithCancel(ctx)
-	started := &Instance{address: inst.Address(), admin: inst.AdminAddress(), stop: stop, done: make(chan struct{})}
+	started := &Instance{address: inst.Address(), admin: inst.AdminAddress(), stop: stop, reload: reload, done: make(chan struct{})}
 	s.instances = append(s.instances, started)
 	s.running.Go(func() {
 		defer close(started.done)
