Name the blocks of parts in plain terms, and clear parts by a success right after a crash

Found when reading the change as a newcomer: verdicts, charges and judges are blocks, suspects and findBlocks now, and long functions are split. Found by the way: a success within a second of an older one was ignored, also if a crash lay between (TestSuccessRightAfterACrashCounts failed before), and events without a number counted as those of an answer.

--- a/forward/model.go
+++ b/forward/model.go
@@ -74,7 +74,7 @@
 	headerSent  bool     // whether the response header was sent to the caller
 	nextEvent   int64    // least id of the next event to send to the caller
 	eventsSent  int      // number of events sent to the caller
-	events      int      // number of events received in this attempt
+	events      int      // number of numbered events received in this attempt
 	prefillSent bool     // whether a prefill was already sent
 	trial       bool     // whether the request tries parts that are in quarantine, and so is not refused for them
 }
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -101,8 +101,8 @@
 	})
 }
 
-// An answer of a single event acquits the parts of its prompt, too.
-func TestShortAnswersAcquitTheirParts(t *testing.T) {
+// An answer of a single event clears the parts of its prompt, too.
+func TestShortAnswersClearTheirParts(t *testing.T) {
 	runInTestEnv(t, func(env *testEnv) {
 		for _, s := range env.decode {
 			s.StreamEvents = 1
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -35,7 +35,7 @@
 	}
 	controller := http.NewResponseController(m.writer)
 	reader := bufio.NewReaderSize(resp.Body, streamBufferBytes)
-	for {
+	for received := 1; ; received++ {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
 			m.reportEnded()
@@ -45,8 +45,7 @@
 		if err != nil {
 			return attemptResult{serverFault: true, reason: fmt.Sprintf("the stream broke off after %d events: %v", m.events, err)}
 		}
-		m.events++
-		if m.events > m.maxEvents() {
+		if received > m.maxEvents() {
 			return attemptResult{serverFault: true, reason: "the stream goes on beyond the largest answer"}
 		}
 		if isEmptyEvent(event) {
@@ -56,6 +55,7 @@
 		if !ok {
 			return attemptResult{serverFault: true, reason: "the stream has an event without a number"}
 		}
+		m.events++
 		m.reportBegun()
 		first := report.Imported.IsZero()
 		if first {
--- /dev/null
+++ b/quarantine/block.go
@@ -0,0 +1,226 @@
+package quarantine
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Thresholds of blocks. They answer requests that crash each engine that begins their answers, in the midst of
+// crashes with other causes, which also end sound requests before their answers have begun.
+const (
+	// sameCrash is the time within which reports of one engine's end are about the same crash. Restarts take longer.
+	sameCrash = time.Second
+	// sameCause is the time within which the ends of several engines count once, unless one request was sent to one engine
+	// after the other: they may have one cause, such as a lost rack.
+	sameCause     = 100 * time.Millisecond
+	minCrashes    = 2 // ends of engines from which a part is blocked of which no success is known
+	minRecent     = 4 // the same for a part that has recently succeeded
+	recentSuccess = 30 * time.Second
+	// minAccounts is the number of client accounts whose own requests must have crashed engines before the parts are
+	// refused to all accounts. One account alone can't have requests of others refused.
+	minAccounts = 3
+	firstTerm   = 30 * time.Second // time for which parts are blocked after the last crash
+	recentTerm  = 5 * time.Second  // the same for parts that have recently succeeded
+	maxTerm     = 10 * time.Minute // the term doubles with each further crash up to this
+)
+
+// block refuses requests that have all of the given parts, since they crash engines. The parts are several if the crashes
+// don't tell them apart.
+type block struct {
+	parts    []string        // sorted
+	accounts map[string]bool // accounts whose requests crashed engines
+	crashes  int
+	requests []string // requests that crashed engines, with the engines
+	until    time.Time
+}
+
+// covers reports whether the block is about a request of an account.
+func (b block) covers(account string, parts []string) bool {
+	if !b.accounts[account] && len(b.accounts) < minAccounts {
+		return false
+	}
+	return !slices.ContainsFunc(b.parts, func(part string) bool { return !slices.Contains(parts, part) })
+}
+
+// key identifies the block by its parts.
+func (b block) key() string { return strings.Join(b.parts, " ") }
+
+// describe describes the block and its evidence for the log.
+func (b block) describe(now time.Time) string {
+	const maxListed = 6 // requests
+	return fmt.Sprintf("parts %v, refused to accounts %v for %v, %d crashes: %v",
+		b.parts, slices.Sorted(maps.Keys(b.accounts)), b.until.Sub(now).Round(time.Millisecond), b.crashes,
+		b.requests[max(len(b.requests)-maxListed, 0):])
+}
+
+// findBlocks finds the fewest parts that explain the crashes: the part with the most crashes is taken first, and the crashes
+// in which it occurs need no other cause, until no part has enough crashes left. A part is no cause of the crashes before
+// its newest success.
+func findBlocks(crashes []Crash, successes map[string]time.Time) []block {
+	groups := groupByEngine(crashes)
+	all := collectSuspects(groups, successes)
+	var out []block
+	for {
+		best, b := strongest(collectSuspects(groups, successes))
+		if best == nil {
+			return out
+		}
+		// A crash under requests with two deadly parts counts for the terms of both.
+		b.until = b.until.Add(all[best.part].term())
+		out = append(out, b)
+		groups = slices.DeleteFunc(groups, func(group []Crash) bool {
+			return slices.ContainsFunc(group, func(c Crash) bool { return hasAnyPart(c, b.parts, successes) })
+		})
+	}
+}
+
+// groupByEngine returns the crashes in groups, one for each end of an engine.
+func groupByEngine(crashes []Crash) [][]Crash {
+	var groups [][]Crash
+	for _, c := range crashes {
+		at := slices.IndexFunc(groups, func(group []Crash) bool {
+			return group[0].Server == c.Server && c.At.Sub(group[0].At) < sameCrash
+		})
+		if at < 0 {
+			groups = append(groups, nil)
+			at = len(groups) - 1
+		}
+		groups[at] = append(groups[at], c)
+	}
+	return groups
+}
+
+// mayCause reports whether a part has not succeeded since a crash.
+func mayCause(part string, c Crash, successes map[string]time.Time) bool {
+	at, ok := successes[part]
+	return !ok || at.Before(c.At)
+}
+
+func hasAnyPart(c Crash, parts []string, successes map[string]time.Time) bool {
+	return slices.ContainsFunc(c.Parts, func(part string) bool {
+		return slices.Contains(parts, part) && mayCause(part, c, successes)
+	})
+}
+
+// suspect is a part that may have crashed engines, with the evidence.
+type suspect struct {
+	part    string
+	crashes []Crash // of one request each
+	ends    int     // number of engines that ended
+	causes  int     // number of these ends that can't have had one cause
+	recent  bool    // whether the part succeeded shortly before the first crash
+
+	lastCause time.Time // the last end that was counted in causes
+}
+
+// hasRequest reports whether a request is among those that crashed engines.
+func (s *suspect) hasRequest(request string) bool {
+	return slices.ContainsFunc(s.crashes, func(other Crash) bool { return other.Request == request })
+}
+
+// isCause reports whether the evidence is enough to block the part.
+func (s *suspect) isCause() bool {
+	if s.recent {
+		return s.causes >= minRecent
+	}
+	return s.causes >= minCrashes
+}
+
+// strongest returns the part with the most crashes, or nil, and the block of it and of those with the same crashes. The end of
+// the block is that of the last crash; the caller adds the term.
+func strongest(suspects map[string]*suspect) (*suspect, block) {
+	var best *suspect
+	for _, part := range slices.Sorted(maps.Keys(suspects)) {
+		s := suspects[part]
+		if s.isCause() && (best == nil || isStronger(s, best)) {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil, block{}
+	}
+	b := block{accounts: make(map[string]bool), crashes: best.ends}
+	for part, s := range suspects {
+		if s.isCause() && s.recent == best.recent && sameRequests(s.crashes, best.crashes) {
+			b.parts = append(b.parts, part)
+		}
+	}
+	slices.Sort(b.parts)
+	for _, c := range best.crashes {
+		b.accounts[c.Account] = true
+		b.requests = append(b.requests, c.Request+" at "+c.Server)
+		b.until = c.At
+	}
+	return best, b
+}
+
+// isStronger reports whether a is the more likely cause than b. Of parts that account for the same crashes, the one that
+// fewer requests have is the more likely cause.
+func isStronger(a, b *suspect) bool {
+	if a.recent != b.recent {
+		return b.recent
+	}
+	return cmp.Or(cmp.Compare(a.ends, b.ends), cmp.Compare(len(b.crashes), len(a.crashes))) > 0
+}
+
+func sameRequests(a, b []Crash) bool {
+	return slices.EqualFunc(a, b, func(a, b Crash) bool { return a.Request == b.Request && a.Server == b.Server })
+}
+
+// collectSuspects returns the suspects by part.
+func collectSuspects(groups [][]Crash, successes map[string]time.Time) map[string]*suspect {
+	suspects := make(map[string]*suspect)
+	for _, group := range groups {
+		counted := make(map[string]bool)
+		for _, c := range group {
+			for _, part := range c.Parts {
+				if mayCause(part, c, successes) {
+					suspectOf(suspects, part, c, successes).add(c, !counted[part])
+					counted[part] = true
+				}
+			}
+		}
+	}
+	return suspects
+}
+
+// add adds a crash under the part. Of several with one end of an engine, only the first counts.
+func (s *suspect) add(c Crash, isFirst bool) {
+	sentAgain := s.hasRequest(c.Request)
+	s.crashes = append(s.crashes, c)
+	if !isFirst {
+		return
+	}
+	s.ends++
+	if s.causes == 0 || sentAgain || c.At.Sub(s.lastCause) >= sameCause {
+		s.causes++
+		s.lastCause = c.At
+	}
+}
+
+// suspectOf returns the suspect of a part, and adds it with its first crash.
+func suspectOf(suspects map[string]*suspect, part string, first Crash, successes map[string]time.Time) *suspect {
+	s, ok := suspects[part]
+	if !ok {
+		at, succeeded := successes[part]
+		s = &suspect{part: part, recent: succeeded && first.At.Sub(at) < recentSuccess}
+		suspects[part] = s
+	}
+	return s
+}
+
+// term returns for how long the parts are refused after the last crash.
+func (s *suspect) term() time.Duration {
+	term, least := firstTerm, minCrashes
+	if s.recent {
+		term, least = recentTerm, minRecent
+	}
+	for range s.causes - least {
+		term = min(2*term, maxTerm)
+	}
+	return term
+}
--- a/quarantine/verdict_test.go
+++ b/quarantine/block_test.go
@@ -19,14 +19,14 @@
 }
 
 // Each case is a load under which engines crash, and the parts that may be refused after it.
-func TestVerdicts(t *testing.T) {
+func TestBlocks(t *testing.T) {
 	cases := []struct {
 		name      string
 		crashes   []Crash
 		successes map[string]int // newest success in milliseconds, by part
-		want      []string       // keys of the verdicts
+		want      []string       // keys of the blocks
 	}{
-		{"one crash convicts nothing", []Crash{crashAt(0, "d1", "x", "a")}, nil, nil},
+		{"one crash blocks nothing", []Crash{crashAt(0, "d1", "x", "a")}, nil, nil},
 		{
 			"requests with one part crash two engines",
 			[]Crash{crashAt(0, "d1", "x", "a1 dead"), crashAt(300, "d2", "x", "a2 dead")},
@@ -34,7 +34,7 @@
 			[]string{"dead"},
 		},
 		{
-			"crashes that don't tell two parts apart convict only both together",
+			"crashes that don't tell two parts apart block only both together",
 			[]Crash{crashAt(0, "d1", "x", "a dead"), crashAt(300, "d2", "x", "a dead")},
 			nil,
 			[]string{"a dead"},
@@ -104,23 +104,23 @@
 			successes[part] = time.UnixMilli(int64(ms))
 		}
 		var got []string
-		for _, v := range judge(c.crashes, successes) {
-			got = append(got, v.key())
+		for _, b := range findBlocks(c.crashes, successes) {
+			got = append(got, b.key())
 		}
 		slices.Sort(got)
 		if !slices.Equal(got, c.want) {
-			t.Errorf("%s: verdicts on %q instead of %q", c.name, got, c.want)
+			t.Errorf("%s: blocks on %q instead of %q", c.name, got, c.want)
 		}
 	}
 }
 
-func TestVerdictCoversTheAccountsWhoseRequestsCrashedEngines(t *testing.T) {
+func TestBlockCoversTheAccountsWhoseRequestsCrashedEngines(t *testing.T) {
 	crashes := []Crash{crashAt(0, "d1", "x", "dead"), crashAt(300, "d2", "y", "dead")}
 	check := func(want ...bool) {
 		t.Helper()
-		v := judge(crashes, nil)[0]
+		b := findBlocks(crashes, nil)[0]
 		for n, account := range []string{"x", "y", "z", "other"} {
-			if got := v.covers(account, []string{"dead", "own"}); got != want[n] {
+			if got := b.covers(account, []string{"dead", "own"}); got != want[n] {
 				t.Errorf("%d crashes, account %s: refused %v instead of %v", len(crashes), account, got, want[n])
 			}
 		}
@@ -135,11 +135,11 @@
 	last := time.Duration(0)
 	for n := range 9 {
 		crashes = append(crashes, crashAt(300*n, fmt.Sprint("d", n), "x", "dead"))
-		verdicts := judge(crashes, nil)
-		if len(verdicts) == 0 {
+		blocks := findBlocks(crashes, nil)
+		if len(blocks) == 0 {
 			continue
 		}
-		term := verdicts[0].until.Sub(crashes[n].At)
+		term := blocks[0].until.Sub(crashes[n].At)
 		if n == 1 && term != firstTerm || n > 1 && term != min(2*last, maxTerm) {
 			t.Errorf("%d crashes: refused for %v after %v", n+1, term, last)
 		}
@@ -156,14 +156,14 @@
 		crashAt(0, "d1", "x", "dead1"), crashAt(300, "d2", "x", "dead1"), crashAt(301, "d2", "x", "dead2"),
 		crashAt(600, "d3", "x", "dead1"), crashAt(900, "d4", "x", "dead2"), crashAt(1200, "d5", "x", "dead2"),
 	}
-	verdicts := judge(crashes, nil)
-	if len(verdicts) != 2 {
-		t.Fatalf("%d verdicts instead of 2", len(verdicts))
+	blocks := findBlocks(crashes, nil)
+	if len(blocks) != 2 {
+		t.Fatalf("%d blocks instead of 2", len(blocks))
 	}
-	for _, v := range verdicts {
-		last := map[string]int64{"dead1": 600, "dead2": 1200}[v.key()]
-		if term := v.until.Sub(time.UnixMilli(last)); term != 2*firstTerm {
-			t.Errorf("%s: refused for %v", v.key(), term)
+	for _, b := range blocks {
+		last := map[string]int64{"dead1": 600, "dead2": 1200}[b.key()]
+		if term := b.until.Sub(time.UnixMilli(last)); term != 2*firstTerm {
+			t.Errorf("%s: refused for %v", b.key(), term)
 		}
 	}
 }
@@ -180,9 +180,9 @@
 			at := time.UnixMilli(int64(n * rapid.IntRange(1, 400).Draw(t, "pause")))
 			crashes = append(crashes, Crash{Request: fmt.Sprint(n), Server: fmt.Sprint("d", n%5), Account: account, Parts: parts, At: at})
 		}
-		for _, v := range judge(crashes, nil) {
-			if v.covers("victim", names) {
-				t.Fatalf("the requests of an account that crashed nothing are refused: %+v", v)
+		for _, b := range findBlocks(crashes, nil) {
+			if b.covers("victim", names) {
+				t.Fatalf("the requests of an account that crashed nothing are refused: %+v", b)
 			}
 		}
 	})
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -70,11 +70,23 @@
 	slices.SortStableFunc(l.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 }
 
-// addSuccess adds a success, and reports whether it is notably newer than the known one of that part.
+// lastCrash returns the time of the last crash under a part, or false if there is none.
+func (l *ledger) lastCrash(part string) (time.Time, bool) {
+	for _, c := range slices.Backward(l.crashes) {
+		if slices.Contains(c.Parts, part) {
+			return c.At, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// addSuccess adds a success, and reports whether it is notably newer than the known one of that part, or the first since the
+// last crash.
 func (l *ledger) addSuccess(s success) bool {
-	suspect := slices.ContainsFunc(l.crashes, func(c Crash) bool { return slices.Contains(c.Parts, s.part) })
+	crash, isSuspect := l.lastCrash(s.part)
 	known, ok := l.successes[s.part]
-	if !suspect || ok && s.at.Sub(known) < successStep {
+	isFirstSince := known.Before(crash) && s.at.After(crash)
+	if !isSuspect || ok && s.at.Sub(known) < successStep && !isFirstSince {
 		return false
 	}
 	l.successes[s.part] = s.at
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -217,7 +217,7 @@
 	})
 }
 
-// After the term of a verdict one request is let through in the whole fleet. If it crashes an engine, too, the parts are
+// After the term of a block one request is let through in the whole fleet. If it crashes an engine, too, the parts are
 // refused for longer; if its answer begins, they are released.
 func TestOneRequestTriesLapsedParts(t *testing.T) {
 	for _, deadly := range []bool{true, false} {
@@ -296,7 +296,7 @@
 		time.Sleep(evidenceLife + 2*expirePeriod)
 		for _, name := range f.names() {
 			if l := f.list(name); len(l.evidence().Crashes) > 0 || l.Digest() != 0 || l.Count() != 0 {
-				t.Errorf("%s still holds evidence: digest %d, %d verdicts", name, l.Digest(), l.Count())
+				t.Errorf("%s still holds evidence: digest %d, %d blocks", name, l.Digest(), l.Count())
 			}
 		}
 	})
@@ -331,8 +331,8 @@
 	})
 }
 
-// Verdicts are logged once at each instance, with their evidence.
-func TestVerdictsAreLoggedWithTheirEvidence(t *testing.T) {
+// Blocks are logged once at each instance, with their evidence.
+func TestBlocksAreLoggedWithTheirEvidence(t *testing.T) {
 	runFleet(t, 2, func(f *fakeFleet) {
 		var mu sync.Mutex
 		var logged []string
@@ -442,3 +442,23 @@
 		})
 	}
 }
+
+// A part that was sound shortly before a crash, and is so again shortly after it.
+func TestSuccessRightAfterACrashCounts(t *testing.T) {
+	runFleet(t, 2, func(f *fakeFleet) {
+		l := f.list("i0")
+		l.ReportBegun([]string{"a"})
+		time.Sleep(100 * time.Millisecond)
+		for range 4 {
+			crash(l, "x", 1, "a")
+		}
+		if got := f.refusing("x", "a"); len(got) == 0 {
+			t.Error("nobody refuses a part with four crashes")
+		}
+		l.ReportBegun([]string{"a"})
+		time.Sleep(contactTime)
+		if got := f.refusing("x", "a"); len(got) != 0 {
+			t.Errorf("%v refuse although an answer was begun 0.8 s after the first", got)
+		}
+	})
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,6 +1,6 @@
 // Package quarantine keeps prompts away from engines that would crash on them. When engines end under requests that share
 // a part of their prompts, further requests with that part are refused, at all instances. The evidence is exchanged
-// between the instances, so that all of them reach the same verdicts.
+// between the instances, so that all of them block the same parts.
 package quarantine
 
 import (
@@ -16,14 +16,14 @@
 	"teaselgate/platform"
 )
 
-// trialTimeout is how long the verdict on a request that is let through as a trial is awaited.
+// trialTimeout is how long the result of a request that is let through as a trial is awaited.
 const trialTimeout = 10 * time.Second
 
 // trialSpacing is the time between the trials of two instances. A trial shows its result earlier, so that few requests
 // reach engines if the part still crashes them.
 const trialSpacing = 500 * time.Millisecond
 
-// List is an instance's evidence of crashes and the verdicts that follow from it. Its exported fields are set before use.
+// List is an instance's evidence of crashes, and the blocks of parts that follow from it. Its exported fields are set before use.
 type List struct {
 	Self  string          // name of this instance
 	Live  func() []string // names of the live instances, this one included
@@ -41,7 +41,7 @@
 	ledger     ledger
 	unsent     Evidence             // evidence that peers have yet to be told; its ages count from unsentAt
 	unsentAt   time.Time            // time of the first unsent evidence
-	trials     map[string]time.Time // end of the running trial, by key of the verdict
+	trials     map[string]time.Time // end of the running trial, by key of the block
 	exchanged  map[string]exchange  // last exchange, by address of the peer
 	wake       chan struct{}        // makes Serve tell peers
 	unsaved    chan struct{}        // makes Serve write to the platform store
@@ -50,7 +50,7 @@
 
 // snapshot is what follows from the evidence. It is immutable.
 type snapshot struct {
-	verdicts []verdict
+	blocks   []block
 	suspects map[string]bool // parts of the prompts under which engines crashed
 }
 
@@ -84,44 +84,44 @@
 }
 
 // Check decides whether a request of an account with the given parts may be sent to engines. It returns why not, or nil.
-// When a verdict has lapsed, one request at a time is let through as a trial; it is not to be checked again.
+// When a block has lapsed, one request at a time is let through as a trial; it is not to be checked again.
 func (l *List) Check(account string, parts []string) (refusal *Refusal, trial bool) {
-	for _, v := range l.current.Load().verdicts {
-		if !v.covers(account, parts) {
+	for _, b := range l.current.Load().blocks {
+		if !b.covers(account, parts) {
 			continue
 		}
-		if !l.mayTry(v) {
-			return &Refusal{Parts: v.parts, Crashes: v.crashes, RetryAt: v.until}, false
+		if !l.mayTry(b) {
+			return &Refusal{Parts: b.parts, Crashes: b.crashes, RetryAt: b.until}, false
 		}
 		trial = true
 	}
 	return nil, trial
 }
 
-// mayTry reports whether a verdict has lapsed and this instance may let a request through as a trial.
-func (l *List) mayTry(v verdict) bool {
-	now, key := l.Now(), v.key()
-	if now.Before(v.until) || now.Before(v.until.Add(time.Duration(l.rank(key))*trialSpacing)) {
+// mayTry reports whether a block has lapsed and this instance may let a request through as a trial.
+func (l *List) mayTry(b block) bool {
+	now, key := l.Now(), b.key()
+	if now.Before(b.until) || now.Before(b.until.Add(time.Duration(l.rank(key))*trialSpacing)) {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Before(l.trials[key]) || !l.isCurrent(v) {
+	if now.Before(l.trials[key]) || !l.isCurrent(b) {
 		return false
 	}
 	l.trials[key] = now.Add(trialTimeout)
-	l.Record(event.Event{Code: event.QuarantineTrial, Detail: fmt.Sprintf("parts %v", v.parts)})
+	l.Record(event.Event{Code: event.QuarantineTrial, Detail: fmt.Sprintf("parts %v", b.parts)})
 	return true
 }
 
-// isCurrent reports whether a verdict still holds as it is: a trial may just have changed it. The caller holds the lock.
-func (l *List) isCurrent(v verdict) bool {
-	return slices.ContainsFunc(l.current.Load().verdicts, func(other verdict) bool {
-		return other.key() == v.key() && other.until.Equal(v.until)
+// isCurrent reports whether a block still holds as it is: a trial may just have changed it. The caller holds the lock.
+func (l *List) isCurrent(b block) bool {
+	return slices.ContainsFunc(l.current.Load().blocks, func(other block) bool {
+		return other.key() == b.key() && other.until.Equal(b.until)
 	})
 }
 
-// rank returns the position of this instance in the order in which the instances try the parts of a verdict again.
+// rank returns the position of this instance in the order in which the instances try the parts of a block again.
 func (l *List) rank(key string) int {
 	own, before := hash(key, l.Self), 0
 	for _, name := range l.Live() {
@@ -161,7 +161,7 @@
 }
 
 // merge adds evidence, and answers crashes with what this instance has seen of their parts. It has peers told what is
-// new; with passOn unset, only what this instance adds. It reports whether the verdicts have changed.
+// new; with passOn unset, only what this instance adds. It reports whether the blocks have changed.
 func (l *List) merge(crashes []Crash, successes []success, passOn bool) bool {
 	if len(crashes)+len(successes) == 0 {
 		return false
@@ -194,32 +194,32 @@
 			l.queue(now, Evidence{Successes: []SuccessReport{s.report(now)}})
 		}
 	}
-	return changed && l.judge()
+	return changed && l.update()
 }
 
-// judge derives the verdicts from the evidence, logs those that have changed, and reports whether any has. The caller
+// update derives the blocks from the evidence, logs those that have changed, and reports whether any has. The caller
 // holds the lock.
-func (l *List) judge() bool {
-	before := l.current.Load().verdicts
-	next := &snapshot{verdicts: judge(l.ledger.crashes, l.ledger.successes), suspects: make(map[string]bool)}
+func (l *List) update() bool {
+	before := l.current.Load().blocks
+	next := &snapshot{blocks: findBlocks(l.ledger.crashes, l.ledger.successes), suspects: make(map[string]bool)}
 	for _, c := range l.ledger.crashes {
 		for _, part := range c.Parts {
 			next.suspects[part] = true
 		}
 	}
 	l.current.Store(next)
-	known := make(map[string]verdict, len(before))
-	for _, v := range before {
-		known[v.key()] = v
+	known := make(map[string]block, len(before))
+	for _, b := range before {
+		known[b.key()] = b
 	}
 	changed := false
-	for _, v := range next.verdicts {
-		if old, ok := known[v.key()]; !ok || old.crashes != v.crashes || !maps.Equal(old.accounts, v.accounts) {
-			l.Record(event.Event{Code: event.PartsQuarantined, Detail: v.describe(l.Now())})
-			delete(l.trials, v.key())
+	for _, b := range next.blocks {
+		if old, ok := known[b.key()]; !ok || old.crashes != b.crashes || !maps.Equal(old.accounts, b.accounts) {
+			l.Record(event.Event{Code: event.PartsQuarantined, Detail: b.describe(l.Now())})
+			delete(l.trials, b.key())
 			changed = true
 		}
-		delete(known, v.key())
+		delete(known, b.key())
 	}
 	for _, key := range slices.Sorted(maps.Keys(known)) {
 		l.Record(event.Event{Code: event.PartsReleased, Detail: fmt.Sprintf("parts %v", known[key].parts)})
@@ -228,14 +228,14 @@
 	return changed || len(known) > 0
 }
 
-// expire drops old evidence, and the verdicts that follow from it.
+// expire drops old evidence, and the blocks that follow from it.
 func (l *List) expire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ledger.prune(l.Now()) {
-		l.judge()
+		l.update()
 	}
 }
 
-// Count returns the number of verdicts on the parts of prompts.
-func (l *List) Count() int { return len(l.current.Load().verdicts) }
+// Count returns the number of blocks of parts of prompts.
+func (l *List) Count() int { return len(l.current.Load().blocks) }
