Block parts of prompts by caller, not by client account

A block covered all callers of an account after the crashes of one, so that one with a deadly part could have parts refused that it shares with others of its account, until the term ended. It covers the callers (account and key) whose own requests crashed engines now, the account once three of them have, and all once three accounts have. With the old rule planted, TestBlockCoversAnAccountAfterThreeOfItsCallers and TestNoCallerHasRequestsOfOthersRefused fail: the requests of other keys of the account are refused.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -25,7 +25,7 @@
 	if m.trial {
 		return nil
 	}
-	refusal, trial := m.handler.Quarantine.Check(m.request.account.Account, m.parts)
+	refusal, trial := m.handler.Quarantine.Check(m.caller(), m.parts)
 	m.trial = trial
 	if refusal == nil {
 		return nil
@@ -34,6 +34,11 @@
 		WithOutcome(m.runOutcome).WithRetryAt(refusal.RetryAt)
 }
 
+// caller returns who sent the request; nobody on open routes.
+func (m *modelRequest) caller() quarantine.Caller {
+	return quarantine.Caller{Account: m.request.account.Account, Key: m.request.keyHash}
+}
+
 // checkEngine reports a decode engine that has crashed before it had begun to write the answer.
 func (m *modelRequest) checkEngine(ctx context.Context, a *attempt) {
 	if !a.report.BadDecode || a.report.Generated >= beganTokens || ctx.Err() != nil ||
@@ -45,6 +50,6 @@
 		Code: event.EngineEnded, Request: m.request.id, Account: m.request.account.Account, Server: a.placement.Decode.Server,
 	})
 	m.handler.Quarantine.ReportCrash(quarantine.Crash{
-		Request: m.request.id, Server: a.placement.Decode.Server, Account: m.request.account.Account, Parts: m.parts,
+		Request: m.request.id, Server: a.placement.Decode.Server, Caller: m.caller(), Parts: m.parts,
 	})
 }
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"teaselgate/account"
 	"teaselgate/event"
 	"teaselgate/quarantine"
 	"teaselgate/rule"
@@ -21,10 +22,18 @@
 		return nil
 	}
 	var refusal *quarantine.Refusal
-	refusal, m.trial = m.handler.Quarantine.Check(m.account.Name, m.SharedParts)
+	refusal, m.trial = m.handler.Quarantine.Check(m.caller(), m.SharedParts)
 	return refusal
 }
 
+// caller returns who sent the request; nobody on public routes.
+func (m *modelRequest) caller() quarantine.Caller {
+	if m.account.Name == "" {
+		return quarantine.Caller{}
+	}
+	return quarantine.Caller{Account: m.account.Name, Key: account.Hash(m.Secret)}
+}
+
 // refuseQuarantined ends a request that engines would crash on. It has not run unless it has crashed one already.
 func (m *modelRequest) refuseQuarantined(ctx context.Context, refusal *quarantine.Refusal) {
 	if ctx.Err() != nil || m.headerSent || m.runs > 0 {
@@ -62,6 +71,6 @@
 		m.events, m.PromptTokens, strings.Join(m.SharedParts, " ")))
 	m.trial = false
 	m.handler.Quarantine.ReportCrash(quarantine.Crash{
-		Request: m.ID, Server: server.Server, Account: m.account.Name, Parts: m.SharedParts,
+		Request: m.ID, Server: server.Server, Caller: m.caller(), Parts: m.SharedParts,
 	})
 }
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"teaselgate/account"
 	"teaselgate/quarantine"
 	"teaselgate/standin/backend"
 	"teaselgate/standin/caller"
@@ -107,7 +108,7 @@
 		for _, s := range env.decode {
 			s.StreamEvents = 1
 		}
-		crash := quarantine.Crash{Account: caller.Account, Parts: []string{"sound"}}
+		crash := quarantine.Crash{Caller: quarantine.Caller{Account: caller.Account, Key: account.Hash(testKey)}, Parts: []string{"sound"}}
 		for n := range 2 {
 			crash.Request, crash.Server = fmt.Sprint(n), fmt.Sprint("gone", n)
 			env.handler.Quarantine.ReportCrash(crash)
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -20,27 +20,29 @@
 	minCrashes    = 2 // ends of engines from which a part is blocked of which no success is known
 	minRecent     = 4 // the same for a part that has recently succeeded
 	recentSuccess = 30 * time.Second
-	// minAccounts is the number of client accounts whose own requests must have crashed engines before the parts are
-	// refused to all accounts. One account alone can't have requests of others refused.
-	minAccounts = 3
-	firstTerm   = 30 * time.Second // time for which parts are blocked after the last crash
-	recentTerm  = 5 * time.Second  // the same for parts that have recently succeeded
-	maxTerm     = 10 * time.Minute // the term doubles with each further crash up to this
+	// minCallers is the number of callers of a client account whose own requests must have crashed engines before the parts
+	// are refused to the whole account, and the number of such accounts before they are refused to all. One caller alone
+	// can't have requests of others refused.
+	minCallers = 3
+	firstTerm  = 30 * time.Second // time for which parts are blocked after the last crash
+	recentTerm = 5 * time.Second  // the same for parts that have recently succeeded
+	maxTerm    = 10 * time.Minute // the term doubles with each further crash up to this
 )
 
 // block refuses requests that have all of the given parts, since they crash engines. The parts are several if the crashes
 // don't tell them apart.
 type block struct {
 	parts    []string        // sorted
-	accounts map[string]bool // accounts whose requests crashed engines
+	callers  map[Caller]bool // whose requests crashed engines
+	accounts map[string]int  // number of these callers by account
 	crashes  int
 	requests []string // requests that crashed engines, with the engines
 	until    time.Time
 }
 
-// covers reports whether the block is about a request of an account.
-func (b block) covers(account string, parts []string) bool {
-	if !b.accounts[account] && len(b.accounts) < minAccounts {
+// covers reports whether the block is about a request of a caller.
+func (b block) covers(caller Caller, parts []string) bool {
+	if !b.callers[caller] && b.accounts[caller.Account] < minCallers && len(b.accounts) < minCallers {
 		return false
 	}
 	return !slices.ContainsFunc(b.parts, func(part string) bool { return !slices.Contains(parts, part) })
@@ -52,8 +54,8 @@
 // describe describes the block and its evidence for the log.
 func (b block) describe(now time.Time) string {
 	const maxListed = 6 // requests
-	return fmt.Sprintf("parts %v, refused to accounts %v for %v, %d crashes: %v",
-		b.parts, slices.Sorted(maps.Keys(b.accounts)), b.until.Sub(now).Round(time.Millisecond), b.crashes,
+	return fmt.Sprintf("parts %v, refused to %d callers of the accounts %v for %v, %d crashes: %v",
+		b.parts, len(b.callers), slices.Sorted(maps.Keys(b.accounts)), b.until.Sub(now).Round(time.Millisecond), b.crashes,
 		b.requests[max(len(b.requests)-maxListed, 0):])
 }
 
@@ -143,7 +145,7 @@
 	if best == nil {
 		return nil, block{}
 	}
-	b := block{accounts: make(map[string]bool), crashes: best.ends}
+	b := block{callers: make(map[Caller]bool), accounts: make(map[string]int), crashes: best.ends}
 	for part, s := range suspects {
 		if s.isCause() && s.recent == best.recent && sameRequests(s.crashes, best.crashes) {
 			b.parts = append(b.parts, part)
@@ -151,7 +153,10 @@
 	}
 	slices.Sort(b.parts)
 	for _, c := range best.crashes {
-		b.accounts[c.Account] = true
+		if !b.callers[c.Caller] {
+			b.callers[c.Caller] = true
+			b.accounts[c.Caller.Account]++
+		}
 		b.requests = append(b.requests, c.Request+" at "+c.Server)
 		b.until = c.At
 	}
--- a/quarantine/block_test.go
+++ b/quarantine/block_test.go
@@ -10,10 +10,16 @@
 	"pgregory.net/rapid"
 )
 
+// callerOf returns the caller with a key, named as ACCOUNT or ACCOUNT/KEY.
+func callerOf(name string) Caller {
+	account, key, _ := strings.Cut(name, "/")
+	return Caller{account, key}
+}
+
 // crashAt returns a crash of a request, at a time in milliseconds, with parts separated by spaces.
 func crashAt(ms int, server, account, parts string) Crash {
 	return Crash{
-		Request: fmt.Sprint("r", ms, parts), Server: server, Account: account, Parts: strings.Fields(parts),
+		Request: fmt.Sprint("r", ms, parts), Server: server, Caller: callerOf(account), Parts: strings.Fields(parts),
 		At: time.UnixMilli(int64(ms)),
 	}
 }
@@ -73,7 +79,7 @@
 		},
 		{
 			"one request is sent to one engine after the other, shortly",
-			[]Crash{{"r", "d1", "x", []string{"a"}, time.UnixMilli(0)}, {"r", "d2", "x", []string{"a"}, time.UnixMilli(20)}},
+			[]Crash{{"r", "d1", callerOf("x"), []string{"a"}, time.UnixMilli(0)}, {"r", "d2", callerOf("x"), []string{"a"}, time.UnixMilli(20)}},
 			nil,
 			[]string{"a"},
 		},
@@ -114,13 +120,13 @@
 	}
 }
 
-func TestBlockCoversTheAccountsWhoseRequestsCrashedEngines(t *testing.T) {
+func TestBlockCoversTheCallersWhoseRequestsCrashedEngines(t *testing.T) {
 	crashes := []Crash{crashAt(0, "d1", "x", "dead"), crashAt(300, "d2", "y", "dead")}
 	check := func(want ...bool) {
 		t.Helper()
 		b := findBlocks(crashes, nil)[0]
 		for n, account := range []string{"x", "y", "z", "other"} {
-			if got := b.covers(account, []string{"dead", "own"}); got != want[n] {
+			if got := b.covers(callerOf(account), []string{"dead", "own"}); got != want[n] {
 				t.Errorf("%d crashes, account %s: refused %v instead of %v", len(crashes), account, got, want[n])
 			}
 		}
@@ -168,21 +174,39 @@
 	}
 }
 
-// Whatever crashes the requests of two accounts cause, and whatever parts they name, the requests of others pass.
-func TestNoAccountHasRequestsOfOthersRefused(t *testing.T) {
+// Callers of one account with different keys.
+func TestBlockCoversAnAccountAfterThreeOfItsCallers(t *testing.T) {
+	crashes := []Crash{crashAt(0, "d1", "x/1", "dead"), crashAt(300, "d2", "x/2", "dead")}
+	for n, want := range []bool{false, true} {
+		b := findBlocks(crashes, nil)[0]
+		if !b.covers(callerOf("x/2"), []string{"dead"}) || b.covers(callerOf("y/1"), []string{"dead"}) {
+			t.Errorf("%d crashes: the block covers other callers than those of the crashes", len(crashes))
+		}
+		if got := b.covers(callerOf("x/9"), []string{"dead"}); got != want {
+			t.Errorf("%d crashes: another caller of the account is refused: %v", len(crashes), got)
+		}
+		crashes = slices.Concat(crashes, []Crash{crashAt(600+n, "d3", "x/3", "dead")})
+	}
+}
+
+// Whatever crashes the requests of two callers cause, and whatever parts they name, the requests of others pass, also those
+// of the same account.
+func TestNoCallerHasRequestsOfOthersRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		names := []string{"a", "b", "c", "d", "e"}
 		count := rapid.IntRange(0, 40).Draw(t, "crashes")
 		crashes := make([]Crash, 0, count)
 		for n := range count {
-			account := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "account")
+			account := rapid.SampledFrom([]string{"x/1", "x/2"}).Draw(t, "caller")
 			parts := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 4, rapid.ID[string]).Draw(t, "parts")
 			at := time.UnixMilli(int64(n * rapid.IntRange(1, 400).Draw(t, "pause")))
-			crashes = append(crashes, Crash{Request: fmt.Sprint(n), Server: fmt.Sprint("d", n%5), Account: account, Parts: parts, At: at})
+			crashes = append(crashes, Crash{Request: fmt.Sprint(n), Server: fmt.Sprint("d", n%5), Caller: callerOf(account), Parts: parts, At: at})
 		}
 		for _, b := range findBlocks(crashes, nil) {
-			if b.covers("victim", names) {
-				t.Fatalf("the requests of an account that crashed nothing are refused: %+v", b)
+			for _, other := range []string{"x/3", "victim/1", ""} {
+				if b.covers(callerOf(other), names) {
+					t.Fatalf("the requests of caller %q, which crashed nothing, are refused: %+v", other, b)
+				}
 			}
 		}
 	})
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -25,11 +25,17 @@
 type Crash struct {
 	Request string
 	Server  string
-	Account string // client account; empty on public routes
+	Caller  Caller
 	Parts   []string
 	At      time.Time
 }
 
+// Caller is who sent a request, as far as the instances can tell. It is empty on public routes.
+type Caller struct {
+	Account string // client account
+	Key     string // hash of the API key
+}
+
 // success is the evidence that an engine began to write an answer on a prompt with a part, and went on.
 type success struct {
 	part string
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -16,7 +16,7 @@
 type CrashReport struct {
 	Request string
 	Server  string
-	Account string
+	Caller  Caller
 	Parts   []string
 	Age     time.Duration // time since the crash
 }
@@ -55,7 +55,7 @@
 }
 
 func (c Crash) report(now time.Time) CrashReport {
-	return CrashReport{c.Request, c.Server, c.Account, c.Parts, now.Sub(c.At)}
+	return CrashReport{c.Request, c.Server, c.Caller, c.Parts, now.Sub(c.At)}
 }
 
 func (s success) report(now time.Time) SuccessReport { return SuccessReport{s.part, now.Sub(s.at)} }
@@ -64,7 +64,7 @@
 func (e Evidence) local(now time.Time) ([]Crash, []success) {
 	crashes, successes := make([]Crash, 0, len(e.Crashes)), make([]success, 0, len(e.Successes))
 	for _, c := range e.Crashes {
-		crashes = append(crashes, Crash{c.Request, c.Server, c.Account, c.Parts, now.Add(-max(c.Age, 0))})
+		crashes = append(crashes, Crash{c.Request, c.Server, c.Caller, c.Parts, now.Add(-max(c.Age, 0))})
 	}
 	for _, s := range e.Successes {
 		successes = append(successes, success{s.Part, now.Add(-max(s.Age, 0))})
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -131,7 +131,7 @@
 func crash(l *List, account string, n int, parts ...string) {
 	for range n {
 		id := l.Now().UnixNano()
-		l.ReportCrash(Crash{Request: fmt.Sprint(l.Self, id), Server: fmt.Sprint("d", id), Account: account, Parts: parts})
+		l.ReportCrash(Crash{Request: fmt.Sprint(l.Self, id), Server: fmt.Sprint("d", id), Caller: callerOf(account), Parts: parts})
 		time.Sleep(2 * sameCause)
 	}
 }
@@ -140,7 +140,7 @@
 func (f *fakeFleet) refusing(account string, parts ...string) []string {
 	var out []string
 	for _, name := range f.names() {
-		if refusal, _ := f.list(name).Check(account, parts); refusal != nil {
+		if refusal, _ := f.list(name).Check(callerOf(account), parts); refusal != nil {
 			out = append(out, name)
 		}
 	}
@@ -227,7 +227,7 @@
 			tries := 0
 			for range 400 { // 40 s
 				for _, name := range f.names() {
-					refusal, trial := f.list(name).Check("x", []string{"dead"})
+					refusal, trial := f.list(name).Check(callerOf("x"), []string{"dead"})
 					if refusal != nil || !trial {
 						continue
 					}
@@ -259,10 +259,10 @@
 		crash(l, "x", 2, "dead")
 		time.Sleep(firstTerm)
 		for n := range 2 {
-			if _, trial := l.Check("x", []string{"dead"}); !trial {
+			if _, trial := l.Check(callerOf("x"), []string{"dead"}); !trial {
 				t.Errorf("trial %d was not let through", n)
 			}
-			if refusal, _ := l.Check("x", []string{"dead"}); refusal == nil {
+			if refusal, _ := l.Check(callerOf("x"), []string{"dead"}); refusal == nil {
 				t.Error("a second request was let through during the trial")
 			}
 			time.Sleep(trialTimeout)
@@ -274,7 +274,7 @@
 	runFleet(t, 3, func(f *fakeFleet) {
 		l := f.list("i0")
 		for n := range 3 * maxCrashes {
-			l.ReportCrash(Crash{Request: fmt.Sprint(n, strings.Repeat("x", 9000)), Server: fmt.Sprint("d", n), Account: "x", Parts: []string{fmt.Sprint("p", n), "dead"}})
+			l.ReportCrash(Crash{Request: fmt.Sprint(n, strings.Repeat("x", 9000)), Server: fmt.Sprint("d", n), Caller: callerOf("x"), Parts: []string{fmt.Sprint("p", n), "dead"}})
 		}
 		time.Sleep(contactTime)
 		for _, name := range f.names() {
@@ -347,7 +347,7 @@
 		time.Sleep(10 * time.Second)
 		mu.Lock()
 		defer mu.Unlock()
-		if len(logged) != 1 || !strings.Contains(logged[0], "[dead]") || !strings.Contains(logged[0], "accounts [x]") ||
+		if len(logged) != 1 || !strings.Contains(logged[0], "[dead]") || !strings.Contains(logged[0], "1 callers of the accounts [x]") ||
 			!strings.Contains(logged[0], "i0") {
 			t.Errorf("logged %q", logged)
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -83,11 +83,11 @@
 	return l
 }
 
-// Check decides whether a request of an account with the given parts may be sent to engines. It returns why not, or nil.
+// Check decides whether a request of a caller with the given parts may be sent to engines. It returns why not, or nil.
 // When a block has lapsed, one request at a time is let through as a trial; it is not to be checked again.
-func (l *List) Check(account string, parts []string) (refusal *Refusal, trial bool) {
+func (l *List) Check(caller Caller, parts []string) (refusal *Refusal, trial bool) {
 	for _, b := range l.current.Load().blocks {
-		if !b.covers(account, parts) {
+		if !b.covers(caller, parts) {
 			continue
 		}
 		if !l.mayTry(b) {
@@ -214,7 +214,7 @@
 	}
 	changed := false
 	for _, b := range next.blocks {
-		if old, ok := known[b.key()]; !ok || old.crashes != b.crashes || !maps.Equal(old.accounts, b.accounts) {
+		if old, ok := known[b.key()]; !ok || old.crashes != b.crashes || !maps.Equal(old.callers, b.callers) {
 			l.Record(event.Event{Code: event.PartsQuarantined, Detail: b.describe(l.Now())})
 			delete(l.trials, b.key())
 			changed = true
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -39,6 +39,7 @@
 	Request string   `json:"request"`
 	Server  string   `json:"server"`
 	Account string   `json:"account"`
+	Key     string   `json:"key"` // hash of the API key
 	Parts   []string `json:"parts"`
 	At      int64    `json:"at"`
 }
@@ -50,7 +51,7 @@
 	e := l.evidence()
 	for _, c := range e.Crashes {
 		at := now.Add(-c.Age).UnixMilli()
-		out.Crashes = append(out.Crashes, StoredCrash{c.Request, c.Server, c.Account, c.Parts, at})
+		out.Crashes = append(out.Crashes, StoredCrash{c.Request, c.Server, c.Caller.Account, c.Caller.Key, c.Parts, at})
 	}
 	for _, s := range e.Successes {
 		out.Successes[s.Part] = now.Add(-s.Age).UnixMilli()
@@ -63,7 +64,7 @@
 	age := func(at int64) time.Duration { return max(time.Duration(now.UnixMilli()-at)*time.Millisecond, 0) }
 	var e Evidence
 	for _, c := range s.Crashes {
-		e.Crashes = append(e.Crashes, CrashReport{c.Request, c.Server, c.Account, c.Parts, age(c.At)})
+		e.Crashes = append(e.Crashes, CrashReport{c.Request, c.Server, Caller{c.Account, c.Key}, c.Parts, age(c.At)})
 	}
 	for part, at := range s.Successes {
 		e.Successes = append(e.Successes, SuccessReport{part, age(at)})
