Log the limits of requests that backend servers name

The logs could not tell an unread limit from one that each instance keeps by itself. Events 1115 and 1116 say when an instance hears of a limit, of another one, or of its end, and the gauge servers_limited counts them. An answer ends a limit only if its request was sent after the limit was heard and if answers of its kind have named it, since answers on several connections overtake each other. Nothing is decided by it yet.

--- a/event/config_events.go
+++ b/event/config_events.go
@@ -19,6 +19,8 @@
 	RulesOutdated      Code = 1112
 	ServerSaysLeaving  Code = 1113
 	ServerBusy         Code = 1114
+	ServerLimited      Code = 1115
+	ServerUnlimited    Code = 1116
 )
 
 var configEvents = map[Code]Definition{
@@ -34,6 +36,8 @@
 	ServerEntryInvalid: {"server-unreadable", logrus.WarnLevel, "the entry of a backend server is invalid"},
 	ServerSaysLeaving:  {"server-says-leaving", logrus.InfoLevel, "a backend server's response says that it is leaving; it gets no new work from this instance"},
 	ServerBusy:         {"server-busy", logrus.InfoLevel, "a backend server wants no requests from this instance for a time"},
+	ServerLimited:      {"server-limited", logrus.InfoLevel, "a backend server has named the requests a second that it takes from all instances together, or another number"},
+	ServerUnlimited:    {"server-unlimited", logrus.InfoLevel, "a backend server no longer names a limit of requests a second"},
 	StoreRestored:      {"store-restored", logrus.WarnLevel, "the platform store was restored from an older copy"},
 	RulesOutdated:      {"rules-outdated", logrus.WarnLevel, "the restored platform store has older rules than those in force, which stay in force"},
 	RelayFailed:        {"relay-failed", logrus.WarnLevel, "a call to exchange the state of the platform store with a peer failed"},
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -39,12 +39,13 @@
 	PickServer         func(pool string, exclude []string) (rule.Server, error)
 	ReportServerResult func(server string, took time.Duration, result cell.Result) // called once for each PickServer
 	// Charge takes tokens from the rate of a client account. With an error it returns the time from which to retry.
-	Charge        func(a platform.Account, tokens int64) (time.Time, error)
-	RetryBudget   func(service string) *outcome.RetryBudget
-	Servers       *upstream.Pool
-	Backoff       *upstream.Backoff                                 // servers that want no requests
-	Quarantine    *quarantine.List                                  // parts of prompts that crash engines
-	Observe       func(key upstream.ServerKey, resp *http.Response) // called with each response of a backend server
+	Charge      func(a platform.Account, tokens int64) (time.Time, error)
+	RetryBudget func(service string) *outcome.RetryBudget
+	Servers     *upstream.Pool
+	Backoff     *upstream.Backoff // servers that want no requests
+	Quarantine  *quarantine.List  // parts of prompts that crash engines
+	// Observe is called with each response of a backend server and the time when its request was sent.
+	Observe       func(key upstream.ServerKey, sent time.Time, resp *http.Response)
 	Engines       *platform.EngineClient
 	Record        func(event.Event)
 	ObserveResult func(platform.RouteKind, RequestResult)  // called once for each request
@@ -88,7 +89,7 @@
 		SettledAt:     func() time.Time { return time.Time{} },
 		Backoff:       upstream.NewBackoff(),
 		Quarantine:    quarantine.NewList(),
-		Observe:       func(upstream.ServerKey, *http.Response) {},
+		Observe:       func(upstream.ServerKey, time.Time, *http.Response) {},
 		Record:        func(event.Event) {},
 		ObserveResult: func(platform.RouteKind, RequestResult) {},
 		ObserveStage:  func(metric.Stage, time.Duration) {},
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -21,7 +21,7 @@
 
 // heedBackoff makes the handler heed the servers that want no requests, as an instance does.
 func (env *testEnv) heedBackoff() {
-	env.handler.Observe = func(key upstream.ServerKey, resp *http.Response) {
+	env.handler.Observe = func(key upstream.ServerKey, _ time.Time, resp *http.Response) {
 		if d := platform.Backoff(resp); d > 0 {
 			env.handler.Backoff.Start(key, d)
 		}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -198,10 +198,11 @@
 		return nil, errBackoff
 	}
 	f.Account = q.account.Name
-	f.TimeLeft = q.deadline.Sub(q.handler.Now())
+	sent := q.handler.Now()
+	f.TimeLeft = q.deadline.Sub(sent)
 	resp, err := q.handler.Servers.Do(ctx, f.Address, q.ID, platform.NewForwardRequest(q.incoming, q.body, q.Secret, f))
 	if err == nil {
-		q.handler.Observe(key, resp.Response)
+		q.handler.Observe(key, sent, resp.Response)
 	}
 	return resp, err
 }
--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -129,6 +129,7 @@
 		}
 	}
 	i.metrics.SetServersBusy(len(i.backoff.Servers()))
+	i.metrics.SetServersLimited(len(i.throttle.Limits()))
 	for service, remaining := range i.retryBudgets.remaining() {
 		i.metrics.SetRetriesLeft(service, remaining)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -33,6 +33,7 @@
 	"teaselgate/rule"
 	"teaselgate/service"
 	"teaselgate/socket"
+	"teaselgate/throttle"
 	"teaselgate/upstream"
 )
 
@@ -78,6 +79,7 @@
 	leaving         atomic.Bool
 	storeRestored   chan struct{}                  // receives a value when the platform store was restored
 	backoff         *upstream.Backoff              // backend servers that want no requests
+	throttle        *throttle.List                 // limits of requests per second that backend servers name
 	quarantine      *quarantine.List               // parts of prompts that crash engines
 	reloaded        atomic.Pointer[option.Options] // settings of the last reload; nil before the first
 }
@@ -175,6 +177,8 @@
 	i.platform = platform.NewClient(i.Options.Platform, i.Secrets.Platform)
 	i.storeRestored = make(chan struct{}, 1)
 	i.backoff = upstream.NewBackoff()
+	i.throttle = throttle.NewList()
+	i.throttle.Record = i.events.Record
 	i.platform.OnRestored = i.recordStoreRestored
 	i.leaseClock = clock.New()
 	i.peers = peer.NewPool(i.Secrets.Peer)
--- a/instance/server_notices.go
+++ b/instance/server_notices.go
@@ -10,18 +10,33 @@
 	"teaselgate/cell"
 	"teaselgate/event"
 	"teaselgate/platform"
+	"teaselgate/throttle"
 	"teaselgate/upstream"
 )
 
 // errServerBusy means that a backend server wants no requests from this instance at present.
 var errServerBusy = errors.New("instance: the backend server wants no requests at present")
 
-// observeResponse takes what a backend server says about itself in a response: that it is leaving, or that it wants no
-// requests for a time. A response of another server than the expected one says nothing about the latter.
-func (i *Instance) observeResponse(key upstream.ServerKey, resp *http.Response) {
+// observeResponse takes what a backend server says about itself in a response to a caller's request: that it is leaving,
+// that it wants no requests for a time, or how many it takes a second. A response of another server than the expected one
+// says nothing about the latter.
+func (i *Instance) observeResponse(key upstream.ServerKey, sent time.Time, resp *http.Response) {
+	kind := throttle.Other
+	switch {
+	case platform.IsNotRun(resp):
+		kind = throttle.Reject
+	case platform.IsSealed(resp.Header):
+		kind = throttle.Run
+	}
+	i.observeNotices(key, kind, sent, resp)
+}
+
+func (i *Instance) observeNotices(key upstream.ServerKey, kind throttle.Kind, sent time.Time, resp *http.Response) {
 	if platform.IsMisdirected(resp) {
 		return
 	}
+	rate, limited := platform.RequestLimit(resp.Header)
+	i.throttle.Observe(key, throttle.Answer{Kind: kind, Limited: limited, Rate: rate, SentAt: sent})
 	if platform.IsLeaving(resp.Header) {
 		if server, wasInUse := i.registry.MarkLeaving(key.Server); wasInUse {
 			i.tellDispatcher(server)
@@ -59,12 +74,9 @@
 		}
 		return nil
 	}
-	c.Observe = func(address string, resp *http.Response) {
-		if !platform.IsLeaving(resp.Header) && resp.StatusCode != http.StatusServiceUnavailable {
-			return
-		}
+	c.Observe = func(address string, sent time.Time, resp *http.Response) {
 		if key, ok := i.serverAt(address); ok {
-			i.observeResponse(key, resp)
+			i.observeNotices(key, throttle.Control, sent, resp)
 		}
 	}
 	return c
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -113,6 +113,10 @@
 		"servers_busy", Gauge, nil,
 		"Backend servers that want no requests from this instance at present, by the Retry-After of a 503.",
 	}
+	ServersLimited = Definition{
+		"servers_limited", Gauge, nil,
+		"Backend servers that have named the requests a second that they take from all instances together.",
+	}
 	Quarantined = Definition{
 		"quarantined", Gauge, nil,
 		"Parts of prompts, or groups of parts, under which engines crashed, and which are refused.",
@@ -141,5 +145,5 @@
 var Catalogue = []Definition{
 	Requests, RequestTime, FirstChunk, ChunkGap, InFlight, Connections, Events, Members, Revision,
 	CellWaiting, CellUsed, CellSlots,
-	RequestResults, StageTime, StoreCalls, StoreTime, Servers, ServersBusy, Quarantined, StoreDataAge, RetriesLeft, RateShare, LinesDropped,
+	RequestResults, StageTime, StoreCalls, StoreTime, Servers, ServersBusy, ServersLimited, Quarantined, StoreDataAge, RetriesLeft, RateShare, LinesDropped,
 }
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -75,6 +75,7 @@
 	m.ObserveStoreCall(http.MethodGet, "ok", time.Millisecond, false)
 	m.SetServers("plain", "live", 3)
 	m.SetServersBusy(1)
+	m.SetServersLimited(1)
 	m.SetQuarantined(1)
 	m.SetStoreDataAge("store", time.Second)
 	m.SetRetriesLeft("shop", 4)
--- a/metric/request_path.go
+++ b/metric/request_path.go
@@ -53,6 +53,9 @@
 // SetServersBusy sets the number of backend servers that want no requests.
 func (m *Metrics) SetServersBusy(n int) { m.scope.Gauge(ServersBusy.Name).Update(float64(n)) }
 
+// SetServersLimited sets the number of backend servers that have named a limit of requests per second.
+func (m *Metrics) SetServersLimited(n int) { m.scope.Gauge(ServersLimited.Name).Update(float64(n)) }
+
 // SetQuarantined sets the number of parts of prompts, or groups of them, that are refused.
 func (m *Metrics) SetQuarantined(n int) { m.scope.Gauge(Quarantined.Name).Update(float64(n)) }
 
