Test that servers get no more requests than the limits that they name

The stand-in of backend servers names a limit and checks the users' rule on it: in 4 s at most one and a half times what the limit allows and 5 requests more, reports and orders included.

--- a/instance/store_test.go
+++ b/instance/store_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 	instance *instance.Instance
 	options  *option.Options
 	store    *standplatform.Server
+	url      string // base URL of the store
 	client   *platform.Client
 	initial  standplatform.Backup // copy of the store from before the start of the instance
 	servers  map[string]*backend.Server
@@ -39,6 +41,15 @@
 
 // startStoreSite starts the store, the servers and the instance on loopback, and stops them when the test ends.
 func startStoreSite(t *testing.T) *storeTestSite {
+	t.Helper()
+	s := newStoreSite(t)
+	s.instance, _ = s.startInstance(t, "i1")
+	s.options = s.instance.Options
+	return s
+}
+
+// newStoreSite starts the store and the servers on loopback, and stops them when the test ends.
+func newStoreSite(t *testing.T) *storeTestSite {
 	t.Helper()
 	storeHandler := standplatform.NewServer("")
 	storeServer := httptest.NewServer(storeHandler.Handler())
@@ -53,9 +64,14 @@
 		t.Fatal(err)
 	}
 	servers := addServers(t, client)
-	initial := storeHandler.Backup()
+	return &storeTestSite{store: storeHandler, url: storeServer.URL, client: client, initial: storeHandler.Backup(), servers: servers}
+}
+
+// startInstance starts an instance and returns it and a function that stops it. It is stopped when the test ends, too.
+func (s *storeTestSite) startInstance(t *testing.T, name string) (started *instance.Instance, stopIt func()) {
+	t.Helper()
 	o := option.Default()
-	o.Name, o.Zone, o.Platform, o.Source = "i1", "a", storeServer.URL, option.SourceStore
+	o.Name, o.Zone, o.Platform, o.Source = name, "a", s.url, option.SourceStore
 	o.Listen, o.Admin, o.Peer, o.Metrics = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	i := &instance.Instance{Options: o}
 	if err := i.Open(t.Context()); err != nil {
@@ -64,13 +80,14 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- i.Run(ctx) }()
-	t.Cleanup(func() {
+	stopAndWait := sync.OnceFunc(func() {
 		stop()
 		if err := <-done; err != nil {
 			t.Errorf("unexpected error %v", err)
 		}
 	})
-	return &storeTestSite{i, o, storeHandler, client, initial, servers}
+	t.Cleanup(stopAndWait)
+	return i, stopAndWait
 }
 
 // addServers starts one server of each duty, writes its entry to the platform store and returns the servers by id.
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -55,6 +55,8 @@
 	slotReleased   chan struct{}  // closed and replaced when a slot is released
 	crashes        []time.Time    // when the server crashed
 	crashed        chan struct{}  // closed and replaced when the server crashes
+	limits         []namedLimit   // limits that the server has named, the newest last
+	arrivals       []arrival      // requests and calls, in the order in which they came in
 }
 
 // Faults are the faults to inject. Of the faults of requests, a prefill meets only Reject, LoseResponse, WrongServer,
@@ -115,6 +117,7 @@
 	headerKeepAlive      = "Keep-Alive"
 	headerLeaving        = "Server-Leaving"
 	headerRetryAfter     = "Retry-After"
+	headerLimit          = "Server-Limit"
 	stagePrefill         = "prefill"
 	eventTokens          = 8 // output tokens counted per event of a stream
 	partialBody          = "half"
@@ -185,7 +188,9 @@
 	if s.Down() {
 		panic(http.ErrAbortHandler) // the connection was open when the server crashed
 	}
+	s.recordArrival(r)
 	s.markLeaving(w)
+	s.nameLimit(w)
 	if strings.HasPrefix(r.URL.Path, "/-/") {
 		s.serveControl(w, r)
 		return
