Move the choice of peers to tell and to exchange with into package gossip

The evidence of crashes is spread to all peers, or to some that pass it on, and exchanged where digests differ. Limits of servers need the same. No change of behaviour; the tests of quarantine pass with -race.

--- a/instance/limit_test.go
+++ b/instance/limit_test.go
@@ -127,4 +127,3 @@
 	resp.Body.Close()
 	return resp.StatusCode
 }
-
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"teaselgate/delay"
@@ -36,24 +35,12 @@
 // TellReply is the empty reply to Evidence.
 type TellReply struct{}
 
-// Timing and fan-out of the exchange.
+// Timing of the exchange.
 const (
-	tellDelay     = 20 * time.Millisecond // collects evidence, since several requests see the same crash
-	tellTimeout   = 500 * time.Millisecond
-	smallFleet    = 16              // number of other instances up to which all are told
-	largeFanout   = 8               // number of peers told in a larger fleet; they pass on what is new to them
-	exchangePause = 5 * time.Second // time before the next exchange with a peer whose digest has not changed
-	startDelay    = 100 * time.Millisecond
-	maxStartWait  = 5 * time.Second // time in which an instance that starts looks for a peer to learn from
-	expirePeriod  = time.Minute
+	tellDelay    = 20 * time.Millisecond // collects evidence, since several requests see the same crash
+	expirePeriod = time.Minute
 )
 
-// exchange is an exchange with a peer whose evidence had a digest.
-type exchange struct {
-	digest uint64
-	next   time.Time // time from which evidence with the same digest may be exchanged again
-}
-
 func (c Crash) report(now time.Time) CrashReport {
 	return CrashReport{c.Request, c.Server, c.Caller, c.Parts, now.Sub(c.At)}
 }
@@ -75,7 +62,7 @@
 // mergeReports adds the evidence of a peer.
 func (l *List) mergeReports(e Evidence) {
 	crashes, successes := e.local(l.Now())
-	l.merge(crashes, successes, len(l.Peers()) > smallFleet)
+	l.merge(crashes, successes, l.spreader.PassesOn())
 }
 
 // evidence returns all evidence.
@@ -124,8 +111,9 @@
 
 // Serve learns the evidence of a peer, and tells peers what is new until the context ends.
 func (l *List) Serve(ctx context.Context) error {
+	defer l.spreader.Wait()
 	defer l.background.Wait()
-	l.background.Go(func() { l.learn(ctx) })
+	l.spreader.Learn(ctx, l.exchange)
 	l.background.Go(func() { l.keepStored(ctx) })
 	ticker := time.NewTicker(expirePeriod)
 	defer ticker.Stop()
@@ -144,49 +132,16 @@
 	}
 }
 
-// learn exchanges all evidence with the first peers that this instance knows after its start.
-func (l *List) learn(ctx context.Context) {
-	ctx, stop := context.WithTimeout(ctx, maxStartWait)
-	defer stop()
-	for delay.For(ctx, startDelay) == nil {
-		for _, address := range l.pickPeers(2) {
-			if l.exchange(ctx, address) == nil {
-				return
-			}
-		}
-	}
-}
-
-// pickPeers returns up to n random peers.
-func (l *List) pickPeers(n int) []string {
-	peers := l.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(n, len(peers))]
-}
-
 // tell sends evidence to peers.
 func (l *List) tell(ctx context.Context, e Evidence) {
-	if len(e.Crashes)+len(e.Successes) == 0 {
-		return
-	}
-	fanout := smallFleet
-	if len(l.Peers()) > smallFleet {
-		fanout = largeFanout
-	}
-	for _, address := range l.pickPeers(fanout) {
-		l.background.Go(func() {
-			call, stop := context.WithTimeout(ctx, tellTimeout)
-			defer stop()
-			l.recordFailure(ctx, address, l.Call(call, address, RPCName+".Tell", e, &TellReply{}))
-		})
+	if len(e.Crashes)+len(e.Successes) > 0 {
+		l.spreader.Tell(ctx, RPCName+".Tell", e, func() any { return &TellReply{} })
 	}
 }
 
 // recordFailure records that a call to a peer failed.
-func (l *List) recordFailure(ctx context.Context, address string, err error) {
-	if err != nil && ctx.Err() == nil {
-		l.Record(event.Event{Code: event.QuarantineCallFailed, Detail: address + ": " + err.Error()})
-	}
+func (l *List) recordFailure(address string, err error) {
+	l.Record(event.Event{Code: event.QuarantineCallFailed, Detail: address + ": " + err.Error()})
 }
 
 // Digest returns a digest of the evidence; 0 without evidence.
@@ -199,35 +154,9 @@
 	return l.ledger.digest()
 }
 
-// ExchangeIfDifferent exchanges all evidence, in the background, with a peer whose digest differs: messages to it or from
-// it may have been lost, as while one of the two was paused.
+// ExchangeIfDifferent exchanges all evidence, in the background, with a peer whose digest differs.
 func (l *List) ExchangeIfDifferent(address string, digest uint64) {
-	if digest == l.Digest() {
-		return
-	}
-	l.mu.Lock()
-	now := l.Now()
-	if last, ok := l.exchanged[address]; ok && last.digest == digest && now.Before(last.next) {
-		l.mu.Unlock()
-		return
-	}
-	for known, last := range l.exchanged {
-		if now.After(last.next) {
-			delete(l.exchanged, known)
-		}
-	}
-	l.exchanged[address] = exchange{digest, now.Add(exchangePause)}
-	l.mu.Unlock()
-	l.background.Go(func() {
-		ctx, stop := context.WithTimeout(context.Background(), tellTimeout)
-		defer stop()
-		if err := l.exchange(ctx, address); err != nil {
-			l.recordFailure(context.Background(), address, err)
-			l.mu.Lock()
-			delete(l.exchanged, address)
-			l.mu.Unlock()
-		}
-	})
+	l.spreader.ExchangeIfDifferent(address, l.Digest(), digest, l.exchange)
 }
 
 // exchange sends all evidence to a peer and merges that of the peer.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"teaselgate/event"
+	"teaselgate/gossip"
 	"teaselgate/platform"
 )
 
@@ -42,9 +43,9 @@
 	unsent     Evidence             // evidence that peers have yet to be told; its ages count from unsentAt
 	unsentAt   time.Time            // time of the first unsent evidence
 	trials     map[string]time.Time // end of the running trial, by key of the block
-	exchanged  map[string]exchange  // last exchange, by address of the peer
-	wake       chan struct{}        // makes Serve tell peers
-	unsaved    chan struct{}        // makes Serve write to the platform store
+	spreader   *gossip.Spreader
+	wake       chan struct{} // makes Serve tell peers
+	unsaved    chan struct{} // makes Serve write to the platform store
 	background sync.WaitGroup
 }
 
@@ -69,15 +70,20 @@
 // NewList returns a list without evidence or peers.
 func NewList() *List {
 	l := &List{
-		Peers:     func() []string { return nil },
-		Live:      func() []string { return nil },
-		Record:    func(event.Event) {},
-		Now:       time.Now,
-		ledger:    newLedger(),
-		trials:    make(map[string]time.Time),
-		exchanged: make(map[string]exchange),
-		wake:      make(chan struct{}, 1),
-		unsaved:   make(chan struct{}, 1),
+		Peers:    func() []string { return nil },
+		Live:     func() []string { return nil },
+		Record:   func(event.Event) {},
+		Now:      time.Now,
+		ledger:   newLedger(),
+		trials:   make(map[string]time.Time),
+		spreader: gossip.NewSpreader(),
+		wake:     make(chan struct{}, 1),
+		unsaved:  make(chan struct{}, 1),
+	}
+	l.spreader.Peers, l.spreader.Failed = func() []string { return l.Peers() }, l.recordFailure
+	l.spreader.Now = func() time.Time { return l.Now() }
+	l.spreader.Call = func(ctx context.Context, address, method string, args, reply any) error {
+		return l.Call(ctx, address, method, args, reply)
 	}
 	l.current.Store(&snapshot{})
 	return l
