--- a/throttle/bucket.go
+++ b/throttle/bucket.go
@@ -6,7 +6,8 @@
 
 // Constants of the permits for one server.
 const (
-	burstTime  = 500 * time.Millisecond // a server may get the requests of this time at once
+	minBurst   = 2                      // requests that a server may get at once, however few it takes a second
+	burstTime  = 250 * time.Millisecond // the requests of this time come on top
 	minRate    = 0.05                   // a server that takes fewer requests a second is still tried: only its answers end its limit
 	maxDebt    = 2.0                    // requests sent without a permit that count against later ones
 	denialTime = time.Second            // time constant of the count of denials
@@ -23,7 +24,7 @@
 // refill adds the permits of the time since the last call.
 func (b *bucket) refill(now time.Time, rate float64) {
 	if elapsed := now.Sub(b.at).Seconds(); elapsed > 0 {
-		b.level = min(b.level+rate*elapsed, max(1, rate*burstTime.Seconds()))
+		b.level = min(b.level+rate*elapsed, minBurst+rate*burstTime.Seconds())
 		b.denials *= max(0, 1-elapsed/denialTime.Seconds())
 		b.at = now
 	}
