Let servers name limits in the soak

Up to three servers at a time name limits of 0.4 to 12 requests a second for 5 to 11 s, beside the other faults, and the users' rule on limits is checked; instances that were restarted or paused within the last 3 s are excused, as the rule says.

--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -64,7 +64,7 @@
 				if leaked > 0 {
 					t.Errorf("%d callers got the limit", leaked)
 				}
-				for _, violation := range limited.LimitViolations(contactTime) {
+				for _, violation := range limited.LimitViolations(contactTime, nil) {
 					t.Error(violation)
 				}
 				if got, share := limited.ArrivalsSince(from), c.rate*length.Seconds(); float64(got) < minShare*share {
--- a/instance/limit_test.go
+++ b/instance/limit_test.go
@@ -51,7 +51,7 @@
 	sending.Wait()
 	share = s.servers["s0"].ArrivalsSince(start) - share
 	for _, server := range s.servers {
-		for _, violation := range server.LimitViolations(limitContact) {
+		for _, violation := range server.LimitViolations(limitContact, nil) {
 			t.Error(violation)
 		}
 	}
--- a/soak/client.go
+++ b/soak/client.go
@@ -32,7 +32,8 @@
 type result struct {
 	id        string
 	path      string
-	status    int // 0 without a complete response
+	address   string // instance that got the request
+	status    int    // 0 without a complete response
 	body      string
 	deadly    bool // the prompt crashes decode engines
 	cancelled bool // the client cancels after cancelAfter, unless the response is complete by then
@@ -94,7 +95,7 @@
 func (c *clients) send(random *rand.Rand, id string, cancels bool) result {
 	path := []string{"/order/", "/status/", "/draft/", "/digest/"}[random.IntN(4)] + "1"
 	address := c.env.addresses[random.IntN(len(c.env.addresses))]
-	res := result{id: id, path: path, cancelled: cancels}
+	res := result{id: id, path: path, address: address, cancelled: cancels}
 	timeout := requestTimeout
 	if cancels {
 		timeout = cancelAfter
@@ -162,6 +163,7 @@
 		c.checkResult(res, runs[res.id])
 	}
 	c.checkFinal(runs)
+	c.checkLimits(results)
 	return c.violations
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 	cmd         *exec.Cmd     // running process, or nil
 	done        chan struct{} // closed when cmd has ended
 	autoRestart bool          // the process is restarted when it ends
+	disturbed   []time.Time   // starts and signals to end, pause or resume
 }
 
 // restartDelay is the time from the end of a process to its restart, as by a process supervisor.
@@ -70,6 +72,7 @@
 	}
 	done := make(chan struct{})
 	p.cmd, p.done = cmd, done
+	p.disturbed = append(p.disturbed, time.Now())
 	go func() {
 		_ = cmd.Wait() // a process that was killed ends with an error
 		p.mu.Lock()
@@ -103,6 +106,16 @@
 	if p.cmd != nil {
 		_ = p.cmd.Process.Signal(s) // the process may have ended just before
 	}
+	if s != syscall.SIGHUP {
+		p.disturbed = append(p.disturbed, time.Now())
+	}
+}
+
+// disturbedWithin reports whether the process was started, or told to end, pause or resume, in a span of time.
+func (p *process) disturbedWithin(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disturbed, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
 // shutDown resumes the process if it is paused, terminates it, and kills it if it has not ended within the grace
--- a/soak/run.go
+++ b/soak/run.go
@@ -60,6 +60,9 @@
 	for n := range clientCount {
 		background.Go(func() { clients.run(trafficCtx, n) })
 	}
+	for n := range limitedServers {
+		background.Go(func() { s.nameLimits(trafficCtx, env, n) })
+	}
 	s.injectFaults(trafficCtx, env)
 	s.endFaults(env)
 	wait(ctx, recoveryTime)
--- a/standin/backend/limit.go
+++ b/standin/backend/limit.go
@@ -52,13 +52,14 @@
 func (s *Server) recordArrival(r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, arrival{time.Now(), r.Method + " " + r.URL.Path})
+	s.arrivals = append(s.arrivals, arrival{time.Now(), r.Method + " " + r.URL.Path, r.Header.Get(headerID)})
 }
 
 // arrival is a request or a call that came in.
 type arrival struct {
 	at   time.Time
 	path string // method and path
+	id   string // id of the request; empty for calls
 }
 
 // ArrivalsSince returns the number of requests and calls that came in from a time on.
@@ -75,8 +76,8 @@
 }
 
 // LimitViolations describes each limit beyond which the server got requests, reports and orders included, later than a
-// time after it first named the limit.
-func (s *Server) LimitViolations(contact time.Duration) []string {
+// time after it first named the limit. Requests that excused reports do not count; it may be nil.
+func (s *Server) LimitViolations(contact time.Duration, excused func(id string, at time.Time) bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []string
@@ -88,7 +89,9 @@
 		if to.IsZero() {
 			to = time.Now()
 		}
-		inForce := slices.DeleteFunc(slices.Clone(s.arrivals), func(a arrival) bool { return a.at.Before(from) || a.at.After(to) })
+		inForce := slices.DeleteFunc(slices.Clone(s.arrivals), func(a arrival) bool {
+			return a.at.Before(from) || a.at.After(to) || a.id != "" && excused != nil && excused(a.id, a.at)
+		})
 		allowed := limitFactor*limit.rate*limitWindow.Seconds() + limitSlack
 		if worst := fullestWindow(inForce); float64(len(worst)) > allowed {
 			out = append(out, fmt.Sprintf("%s named a limit of %g/s and got %d requests in %v, allowed %.0f, from %v on: %s",
--- a/throttle/fleet_test.go
+++ b/throttle/fleet_test.go
@@ -47,7 +47,7 @@
 type simServer struct {
 	key     upstream.ServerKey
 	rate    float64
-	demand  float64 // requests per second that callers want to send to it
+	demand  float64     // requests per second that callers want to send to it
 	offered []time.Time // when callers' requests came to instances that are not paused
 	namedAt time.Time
 	endAt   time.Time // from then on it names no limit
