Grant limits of engines by the dispatcher's count of its followers

A request that reaches two dispatchers' grants could have an engine's limit twice: a second dispatcher, which one instance asks while it takes the first for unresponsive, granted the whole limit. It now grants the part that it also grants of the accounts' rates, from the instances that follow no other. Limits are looked up before the instances are counted: CountReachable walks all members, for each server at each decision.

--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -31,8 +31,10 @@
 	mu      sync.Mutex
 	core    *Core
 	limits  *throttle.List
-	rules   *rule.Set // rules from which the core's servers come
-	cells   int       // number of cells that share the pools
+	// limitShare is the part of the servers' limits that this dispatcher may grant.
+	limitShare float64
+	rules      *rule.Set // rules from which the core's servers come
+	cells      int       // number of cells that share the pools
 	// followers is the number of instances, this one included, that replied when all were last asked for their holdings and
 	// follow no other dispatcher; 0 before the first time. It shows a partition of the fleet at once, unlike probes of a few
 	// peers per second.
@@ -51,16 +53,17 @@
 
 func newDispatcher(id ID, now time.Time, limits *throttle.List) *dispatcher {
 	d := &dispatcher{
-		id:       id,
-		started:  now,
-		core:     NewCore(clockStart),
-		limits:   limits,
-		waiters:  make(map[string]*waiter),
-		nextPoll: make(map[string]time.Time),
-		lastUsed: now,
+		id:         id,
+		started:    now,
+		core:       NewCore(clockStart),
+		limits:     limits,
+		limitShare: 1,
+		waiters:    make(map[string]*waiter),
+		nextPoll:   make(map[string]time.Time),
+		lastUsed:   now,
 	}
-	d.core.canRequest = func(s rule.Server) bool { return limits.CanTake(serverKey(s)) }
-	d.core.countRequest = func(s rule.Server) { limits.Take(serverKey(s)) }
+	d.core.canRequest = func(s rule.Server) bool { return limits.CanTake(serverKey(s), d.limitShare) }
+	d.core.countRequest = func(s rule.Server) { limits.Take(serverKey(s), d.limitShare) }
 	return d
 }
 
@@ -143,13 +146,14 @@
 	return PlaceReply{Status: Waiting, Waiting: waiting}
 }
 
-// updateShare sets the part of the accounts' rates that this dispatcher may grant. The caller holds d.mu.
+// updateShare sets the parts of the accounts' rates and of the servers' limits that this dispatcher may grant. The caller holds d.mu.
 func (d *dispatcher) updateShare(reachable func() (reached, known int)) {
 	reached, known := reachable()
 	if d.followers > 0 {
 		reached = min(reached, d.followers)
 	}
 	d.core.limiter.setShare(reached, known, d.cells)
+	d.limitShare = throttle.Share(reached, known)
 }
 
 // level returns the level of an account's bucket.
--- a/throttle/permit.go
+++ b/throttle/permit.go
@@ -178,7 +178,14 @@
 
 // take takes a permit as the keeper of a server.
 func (l *List) take(server upstream.ServerKey, use Use) TakeReply {
-	share := l.share()
+	if _, limited := l.Rate(server); !limited {
+		return TakeReply{Granted: true}
+	}
+	return l.takeShare(server, l.share(), use)
+}
+
+// takeShare takes a permit as the keeper of a server, which grants a part of the limit.
+func (l *List) takeShare(server upstream.ServerKey, share float64, use Use) TakeReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.statements[server]
@@ -197,17 +204,18 @@
 }
 
 // share returns the part of each limit that this instance may grant as a keeper.
-func (l *List) share() float64 {
-	reachable, known := l.Reachable()
+func (l *List) share() float64 { return Share(l.Reachable()) }
+
+// Share returns the part of a limit that a keeper may grant which reaches some of the known instances, itself included.
+func Share(reachable, known int) float64 {
 	return min(1, reachableSlack*float64(reachable)/float64(max(known, 1)))
 }
 
-// CanTake reports whether there is a permit for a request, at the keeper of a server.
-func (l *List) CanTake(server upstream.ServerKey) bool {
+// CanTake reports whether there is a permit for a request, at the keeper of a server that grants a part of its limit.
+func (l *List) CanTake(server upstream.ServerKey, share float64) bool {
 	if l.inForce.Load() == 0 {
 		return true
 	}
-	share := l.share()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.statements[server]
@@ -220,9 +228,9 @@
 }
 
 // Take takes a permit that CanTake has reported.
-func (l *List) Take(server upstream.ServerKey) {
+func (l *List) Take(server upstream.ServerKey, share float64) {
 	if l.inForce.Load() > 0 {
-		l.take(server, ForRequest)
+		l.takeShare(server, share, ForRequest)
 	}
 }
 
