Answer requests that are read only after a stop has begun

Callers whose connections had been accepted when a planned stop began were closed without an answer, about once in 100 runs of TestStopServesTheAcceptQueue. Cause, found with the error that the test's callers saw (a plain end of the connection) and in net/http: once Shutdown has begun, a connection whose request was read is closed before its handler runs. CloseIdle looked after idle connections only, not after new ones, nor those between the end of the head and the handler.

The listener now counts connections from accept, or from the head, to the begin of the handler; StopAccepting and CloseIdle wait for those on which data has come. New connections without data are closed half a second after the stop.

--- a/limit/handler.go
+++ b/limit/handler.go
@@ -34,7 +34,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if isOverLimit(r.Context()) {
+	if beginRequest(r.Context()) {
 		w.Header().Set("Connection", "close")
 		h.refuse(w, outcome.NewRefusal(http.StatusServiceUnavailable, "too-many-connections",
 			"the instance has too many connections").WithRetryAt(h.Now().Add(retryDelay)))
@@ -195,10 +195,15 @@
 	_ = w.control.SetWriteDeadline(w.waitBudget.deadline(w.handler.Now()))
 }
 
-type overLimitKey struct{}
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
 
-// isOverLimit reports whether a request came over a connection above the limit.
-func isOverLimit(ctx context.Context) bool {
-	overLimit, _ := ctx.Value(overLimitKey{}).(bool)
-	return overLimit
+// beginRequest records that the handler of a request begins, and reports whether its connection is above the limit.
+func beginRequest(ctx context.Context) (overLimit bool) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return false
+	}
+	c.served()
+	return c.overLimit
 }
--- a/limit/listener.go
+++ b/limit/listener.go
@@ -5,12 +5,15 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"teaselgate/delay"
 	"teaselgate/event"
 	"teaselgate/socket"
 )
@@ -36,13 +39,14 @@
 	open         int
 	idle         list.List // idle connections (net.Conn), longest idle first
 	idleElements map[net.Conn]*list.Element
+	unserved     map[*conn]struct{} // connections that are new, or of whose newest request the handler has not begun
 }
 
 // NewListener returns a listener that accepts from inner and limits the number of open connections.
 func NewListener(inner net.Listener, maxConnections int, record func(event.Event)) *Listener {
 	return &Listener{
 		Listener: inner, MaxConnections: maxConnections, Record: record, idleElements: make(map[net.Conn]*list.Element),
-		drained: make(chan struct{}), closed: make(chan struct{}),
+		unserved: make(map[*conn]struct{}), drained: make(chan struct{}), closed: make(chan struct{}),
 	}
 }
 
@@ -52,6 +56,7 @@
 	overLimit   bool // whether the requests on the connection are refused
 	releaseOnce sync.Once
 	release     func() // takes the connection out of the count
+	served      func() // called when the handler of a request begins
 
 	mu        sync.Mutex
 	received  uint64 // bytes that Read has returned
@@ -94,6 +99,13 @@
 	return ended
 }
 
+// hasReceived reports whether any data has arrived on the connection.
+func (c *conn) hasReceived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received > 0 || socket.HasReceivedMore(c.Conn, 0)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.releaseOnce.Do(c.release)
@@ -133,6 +145,7 @@
 	}
 	l.open++
 	c := &conn{Conn: inner, overLimit: l.open > l.MaxConnections, release: l.release}
+	c.served = func() { l.setServed(c) }
 	var victim net.Conn
 	if c.overLimit {
 		victim = l.popLongestIdle()
@@ -178,20 +191,44 @@
 	}
 }
 
-// ConnState keeps track of the idle connections. It is meant for http.Server.ConnState.
+// ConnState keeps track of the idle connections, and of those that wait for the handler of a request. It is meant for
+// http.Server.ConnState.
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.removeIdle(c)
-	if state == http.StateIdle {
+	counted, ok := countedConn(c)
+	switch {
+	case state == http.StateIdle:
 		l.idleElements[c] = l.idle.PushBack(c)
+		delete(l.unserved, counted)
+	case ok && (state == http.StateNew || state == http.StateActive):
+		l.unserved[counted] = struct{}{}
+	default:
+		delete(l.unserved, counted)
 	}
 }
 
+// setServed records that the handler of a connection's newest request has begun.
+func (l *Listener) setServed(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.unserved, c)
+}
+
+// unservedConns returns the connections that wait for the handler of a request.
+func (l *Listener) unservedConns() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.unserved))
+}
+
 // Time for which StopAccepting accepts further connections.
 const (
 	acceptDrainTime    = 5 * time.Millisecond
 	maxAcceptDrainTime = 500 * time.Millisecond // while more connections wait, as on a busy machine
+
+	servedCheckInterval = time.Millisecond
 )
 
 // listenerWithDeadline is a listener whose Accept can be bounded, as that of a TCP listener.
@@ -214,6 +251,20 @@
 	case <-l.drained:
 	case <-ctx.Done():
 	}
+	for l.countUnserved() > 0 && delay.For(ctx, servedCheckInterval) == nil {
+	}
+}
+
+// countUnserved returns the number of connections on which a part of a request has arrived and whose handler has not begun.
+// http.Server closes them without a response once its shutdown has begun.
+func (l *Listener) countUnserved() int {
+	n := 0
+	for _, c := range l.unservedConns() {
+		if c.hasReceived() {
+			n++
+		}
+	}
+	return n
 }
 
 // extendDrain lets Accept go on for another acceptDrainTime if connections still wait, and reports whether it does.
@@ -236,8 +287,9 @@
 	return err
 }
 
-// CloseIdle closes the idle connections, except those on which a part of the next request has arrived, and returns the
-// number of these. The shutdown of http.Server closes them too, and the caller would get no response.
+// CloseIdle closes the idle connections, and new ones on which nothing has come for a while, except those on which a part of
+// the next request has arrived. It returns the number of these. The shutdown of http.Server closes them too, and the caller
+// would get no response.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	var idle []*conn
@@ -253,6 +305,12 @@
 			left++
 		}
 	}
+	mayClose := time.Now().After(l.drainDeadline)
+	for _, c := range l.unservedConns() {
+		if c.hasReceived() || !mayClose || !c.endIdle() {
+			left++
+		}
+	}
 	return left
 }
 
@@ -265,10 +323,10 @@
 	return counted, ok
 }
 
-// ConnContext marks the requests on a connection above the limit. It is meant for http.Server.ConnContext.
+// ConnContext adds the connection to the context of its requests. It is meant for http.Server.ConnContext.
 func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if counted, ok := countedConn(c); ok && counted.overLimit {
-		return context.WithValue(ctx, overLimitKey{}, true)
+	if counted, ok := countedConn(c); ok {
+		return context.WithValue(ctx, connKey{}, counted)
 	}
 	return ctx
 }
