--- a/outcome/faults_page_test.go
+++ b/outcome/faults_page_test.go
@@ -74,6 +74,7 @@
 | | calls between instances | peer, tests of the pool | can't happen: net/rpc matches by number, each call has a reply of its own |
 | a planned stop cuts requests just accepted | a kept connection on which a part of the next request has arrived | limit TestStopAnswersRequestsThatHaveArrivedInPart | mended |
 | | the accept queue | limit TestStopServesTheAcceptQueue | mended |
+| | requests that arrive before the stop and are read after it | limit TestStopAnswersRequestsThatAreReadLate | mended |
 | | 200 stops in a row: queued, part of a head, part of a body, on the wire | limit TestRequestsSentBeforeAStopAreAnswered | 0 cut |
 | | callers in their TLS handshake, in a body of 4 MB or that wait, by HTTP/1.1 and HTTP/2, with reloads and a change of rules | instance TestStopAnswersRequestsWithTLS | 0 cut in six stops |
 | slow sound streams cut | engines' streams, a token just before each limit | engine TestSlowStreamsGoOnAndStalledOnesEnd | can't happen |
@@ -94,6 +95,10 @@
 | | the evidence, when all instances end at once | quarantine TestEvidenceOutlastsAllInstances | mended |
 | | one caller has another's requests refused | quarantine TestNoCallerHasRequestsOfOthersRefused | can't happen |
 | | plain services | - | open: orders are sent once, idempotent requests to maxAttempts servers; what they have in common is not known |
+| a server gets more requests than the limit that it has named | requests to plain services, prefills, streams, reports, retries, at one instance | forward TestServerGetsNoMoreRequestsThanItsLimit, TestRequestsBeyondAllLimitsAreRefusedAtOnce, TestModelRequestsBeyondAllLimitsAreRefused | mended |
+| | over all instances, while one ends and another starts | instance TestServersGetNoMoreRequestsThanTheyTakeFromAllInstances | mended |
+| | while the keeper or others are paused, cut off or new, in fleets up to 120 | throttle TestServersGetNoMoreThanTheyTakeWhileInstancesFail | can't happen by the users' rule; tested with 300 seeds |
+| | an answer that is older than the naming ends the limit | throttle TestLimitEndsWhenTheServerNoLongerNamesIt | can't happen |
 | a server sends bytes without end | heads, responses to other requests | upstream TestEndlessBytesAreGivenUp, platform TestEndlessReportsAreGivenUp | mended |
 | | bodies of plain services, streams, failures of engines | forward TestEndlessPlainResponsesAreBrokenOff, TestEndlessStreamsAreBrokenOff, TestLongFailuresOfEnginesAreNotCut | mended |
 | a stream that is cut inside an event looks complete | engines' streams, with framing or without | forward TestStreamThatEndsInsideAnEventIsBrokenOff | mended |
