Do not take a keeper for silent when a caller leaves

Read in review: a caller that left while the keeper was asked made the instance use its own part of the limit for a second, so the server got less than its share. And a fallback kept permits of up to two requests while it was not used, at each instance.

--- a/throttle/bucket.go
+++ b/throttle/bucket.go
@@ -6,16 +6,17 @@
 
 // Constants of the permits for one server.
 const (
-	minBurst   = 2                      // requests that a server may get at once, however few it takes a second
-	burstTime  = 250 * time.Millisecond // the requests of this time come on top
-	minRate    = 0.05                   // a server that takes fewer requests a second is still tried: only its answers end its limit
-	maxDebt    = 2.0                    // requests sent without a permit that count against later ones
-	denialTime = time.Second            // time constant of the count of denials
-	maxWait    = 2 * time.Second        // longest time after which a caller is told to return
+	keeperBurst = 2                      // requests that a server may get at once, however few it takes a second
+	burstTime   = 250 * time.Millisecond // the requests of this time come on top
+	minRate     = 0.05                   // a server that takes fewer requests a second is still tried: only its answers end its limit
+	maxDebt     = 2.0                    // requests sent without a permit that count against later ones
+	denialTime  = time.Second            // time constant of the count of denials
+	maxWait     = 2 * time.Second        // longest time after which a caller is told to return
 )
 
 // bucket grants the requests of one server at an even rate.
 type bucket struct {
+	burst   float64 // requests that may be sent at once, apart from those of burstTime
 	level   float64 // requests that may be sent now; below 0 after control calls and requests sent without a permit
 	at      time.Time
 	denials float64 // requests denied lately
@@ -24,7 +25,7 @@
 // refill adds the permits of the time since the last call.
 func (b *bucket) refill(now time.Time, rate float64) {
 	if elapsed := now.Sub(b.at).Seconds(); elapsed > 0 {
-		b.level = min(b.level+rate*elapsed, minBurst+rate*burstTime.Seconds())
+		b.level = min(b.level+rate*elapsed, b.burst+rate*burstTime.Seconds())
 		b.denials *= max(0, 1-elapsed/denialTime.Seconds())
 		b.at = now
 	}
--- a/throttle/list.go
+++ b/throttle/list.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -125,7 +126,7 @@
 	}
 	if !old.limited {
 		l.inForce.Add(1)
-		l.permits[server] = &bucket{at: l.Now()}
+		l.permits[server] = &bucket{burst: keeperBurst, at: l.Now()}
 	}
 	l.Record(event.Event{
 		Code: event.ServerLimited, Server: server.Server,
@@ -201,6 +202,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
+	maps.DeleteFunc(l.silent, func(_ string, until time.Time) bool { return now.After(until) })
 	for server, s := range l.statements {
 		gone := now.Sub(s.at) > goneTTL && !l.Listed(server)
 		if !gone && !s.isExpired(now) {
--- a/throttle/permit.go
+++ b/throttle/permit.go
@@ -85,10 +85,11 @@
 	defer stop()
 	var reply TakeReply
 	if err := l.Call(call, keeper, RPCName+".Take", *args, &reply); err != nil {
-		l.recordSilence(server, keeper, args.Sent)
+		l.addSent(server, args.Sent)
 		if ctx.Err() != nil {
-			return &Denial{RetryAt: l.Now()}
+			return &Denial{RetryAt: l.Now()} // the caller has gone, which says nothing about the keeper
 		}
+		l.recordSilence(keeper)
 		l.Record(event.Event{Code: event.KeeperUnreachable, Server: server.Server, Detail: keeper + ": " + err.Error()})
 		return l.denial(server, l.takeFallback(server, use))
 	}
@@ -130,12 +131,20 @@
 	return &Denial{RetryAt: d.retryAt}
 }
 
-// recordSilence records that a keeper does not answer, and the requests that it has yet to count.
-func (l *List) recordSilence(server upstream.ServerKey, keeper string, sent float64) {
+// recordSilence records that a keeper does not answer.
+func (l *List) recordSilence(keeper string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silent[keeper] = l.Now().Add(keeperPause)
-	l.fallback(server).sent += sent
+}
+
+// addSent records requests that were sent without a permit and that the keeper has yet to count.
+func (l *List) addSent(server upstream.ServerKey, n float64) {
+	if n > 0 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.fallback(server).sent += n
+	}
 }
 
 // fallback returns this instance's own part of a limit. The caller holds the lock.
@@ -143,7 +152,7 @@
 	f, ok := l.fallbacks[server]
 	if !ok {
 		// The instances begin at random levels, so that they do not all send a request at once.
-		f = &fallback{bucket: bucket{level: l.Random(), at: l.Now()}}
+		f = &fallback{bucket: bucket{burst: 1, level: l.Random(), at: l.Now()}}
 		l.fallbacks[server] = f
 	}
 	return f
