Order stage changes ever more rarely while they have no effect

The time before the next order now doubles with each change that had no effect, up to 2 min, and is short again after one that had. The bound is that of the users' rule on requests that crash engines.

--- a/order/stage_balancer.go
+++ b/order/stage_balancer.go
@@ -17,6 +17,7 @@
 	newHolderDelay      = 3 * time.Second         // time for which a new holder observes the load before a change
 	newLoadDelay        = 1500 * time.Millisecond // time for which load must last before a change after an idle time
 	changeCooldown      = 2 * time.Second         // shortest time between two orders of one holder
+	maxFailureCooldown  = 2 * time.Minute         // longest such time after changes without effect
 	reversalCooldown    = 12 * time.Second        // shortest time before a reversal: twice the duration of a stage change
 	placementSettleTime = 250 * time.Millisecond  // time within which requests placed before the pause reach the engine
 	stageChangeTimeout  = 15 * time.Second        // time after which a change without effect is given up
@@ -70,6 +71,7 @@
 	heldSince        time.Time                // start of the current hold of the lease
 	lastIdle         time.Time                // last time without load
 	cooldownUntil    time.Time                // time before which no order is sent
+	failedChanges    int                      // changes without effect since the last one with effect
 	lastChange       StageChange              // direction of the last order
 	lastChangeAt     time.Time                // time of the last order
 	pendingChanges   map[string]pendingChange // by server
@@ -169,8 +171,10 @@
 		switch {
 		case inStage:
 			b.recordEvent(event.RoleChanged, server, stageName(c.decode))
+			b.failedChanges = 0
 		case !exists || now.After(c.deadline):
 			b.recordEvent(event.RoleChangeCancelled, server, stageName(c.decode))
+			b.delayAfterFailure(now)
 		default:
 			continue
 		}
@@ -179,6 +183,15 @@
 	}
 }
 
+// delayAfterFailure delays the next order, longer with each change without effect: orders may end the engines that get them.
+func (b *StageBalancer) delayAfterFailure(now time.Time) {
+	b.failedChanges++
+	cooldown := min(changeCooldown<<min(b.failedChanges, 8), maxFailureCooldown)
+	if until := now.Add(cooldown); until.After(b.cooldownUntil) {
+		b.cooldownUntil = until
+	}
+}
+
 // changeStage pauses placement on one engine, waits until requests placed before have reached it, and orders it to
 // change its stage. The lease is checked just before the order, since the process may have been paused.
 func (b *StageBalancer) changeStage(ctx context.Context, decode bool, load StageLoad) {
--- a/order/stage_balancer_test.go
+++ b/order/stage_balancer_test.go
@@ -233,3 +233,34 @@
 		})
 	}
 }
+
+// The users' rule on requests that crash engines, applied to orders: three more at most after the fifth crash.
+const maxEnginesEnded = 5 + 3
+
+// Each order ends the engine that gets it, which is back in its old stage some seconds later. The orders must not end one
+// engine after the other for as long as the load calls for a change.
+func TestOrdersThatEndEnginesBecomeRare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newFakeStageEngines(6, 12)
+		e.err = errors.New("the connection broke off")
+		ctx, stop := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer stop()
+		balancer := e.newBalancer(newFakeStore(), "i1", 1.75, 6.1)
+		const restart = 3 * time.Second
+		ended := make(map[string]time.Time)
+		send := balancer.Order
+		balancer.Order = func(ctx context.Context, o StageOrder) error {
+			ended[o.Server] = time.Now()
+			return send(ctx, o)
+		}
+		balancer.InStage = func(server string, decode bool) (bool, bool) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.decode[server] == decode, time.Since(ended[server]) > restart
+		}
+		balancer.Run(ctx)
+		if n := len(e.orders); n == 0 || n > maxEnginesEnded {
+			t.Errorf("%d engines were ended in 5 min", n)
+		}
+	})
+}
