--- a/throttle/fleet_test.go
+++ b/throttle/fleet_test.go
@@ -39,6 +39,7 @@
 	list   *List
 	paused bool            // answers no calls and sends no requests
 	cut    bool            // reaches no other instance, but servers
+	side   int             // part of a divided fleet; instances of other sides are not reached
 	excuse []time.Time     // begins and ends of its pauses and cuts
 	gone   map[string]bool // other instances that it takes for gone
 }
@@ -145,7 +146,7 @@
 		return nil, false
 	}
 	other := f.instances[n]
-	return other, !i.cut && !i.paused && !other.cut && !other.paused
+	return other, i.side == other.side && !i.cut && !i.paused && !other.cut && !other.paused
 }
 
 // call calls a method of another instance. Without a connection it waits for the end of the context.
@@ -228,9 +229,10 @@
 	if limited && s.namedAt.IsZero() {
 		s.namedAt = now
 	}
+	rate := s.rate
 	f.mu.Unlock()
 	if wait(ctx, networkDelay) {
-		i.list.Observe(s.key, Answer{Kind: Run, Limited: limited, Rate: s.rate, SentAt: sent})
+		i.list.Observe(s.key, Answer{Kind: Run, Limited: limited, Rate: rate, SentAt: sent})
 	}
 }
 
@@ -266,6 +268,45 @@
 	}
 }
 
+// divide parts the fleet in two for some time, of which the instances take notice after a while. No instance is excused.
+func (f *simFleet) divide(ctx context.Context, length time.Duration) {
+	setSides := func(side int) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, i := range f.instances[len(f.instances)/2:] {
+			i.side = side
+		}
+	}
+	setGone := func(gone bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for n, i := range f.instances {
+			for m, other := range f.instances {
+				if half := len(f.instances) / 2; (n < half) != (m < half) {
+					i.gone[other.name] = gone
+				}
+			}
+		}
+	}
+	setSides(1)
+	wait(ctx, 2*time.Second)
+	setGone(true)
+	wait(ctx, length-2*time.Second)
+	setSides(0)
+	wait(ctx, time.Second)
+	setGone(false)
+}
+
+// lowerLimits has all servers name half of their limits.
+func (f *simFleet) lowerLimits() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		s.rate /= 2
+		s.namedAt = time.Time{}
+	}
+}
+
 // excused reports whether an instance was disturbed at a time or shortly before.
 func (i *simInstance) excused(at time.Time) bool {
 	for n := 0; n < len(i.excuse); n += 2 {
@@ -376,6 +417,12 @@
 				f.change(i, func() { i.paused = false })
 			}
 		}},
+		{"fleet is divided", 9, usualShare, func(ctx context.Context, f *simFleet, _ *sync.WaitGroup) {
+			f.divide(ctx, 8*time.Second)
+		}},
+		{"limits are lowered", 9, usualShare, func(_ context.Context, f *simFleet, _ *sync.WaitGroup) {
+			f.lowerLimits()
+		}},
 		{"instances start", 3, usualShare, func(ctx context.Context, f *simFleet, running *sync.WaitGroup) {
 			for n := range 3 {
 				f.add(ctx, fmt.Sprintf("new%d", n), running)
