--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -250,8 +250,8 @@
 	return now.Sub(d.lastUsed) > cellIdleTimeout && d.core.QueueLength() == 0
 }
 
-// ErrNotPolled means that a server was not polled, since it takes no calls at present.
-var ErrNotPolled = errors.New("cell: the server takes no calls at present")
+// ErrNotPolled means that a server was not polled, since it has reached its limit of requests.
+var ErrNotPolled = errors.New("cell: the server has reached its limit of requests")
 
 // poll is one poll of a server's state.
 type poll struct {
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -148,10 +148,10 @@
 	}
 }
 
-// pollError returns the error of a report. One that was not asked for, since its engine takes no calls at present, is not a
-// failure of the engine.
+// pollError returns the error of a report. One that was not asked for, since its engine has reached its limit, is not a failure
+// of the engine.
 func pollError(err error) error {
-	if errors.Is(err, errServerBusy) || errors.Is(err, throttle.ErrLimit) {
+	if errors.Is(err, throttle.ErrLimit) {
 		return fmt.Errorf("%w: %w", cell.ErrNotPolled, err)
 	}
 	return err
