Log which request a server ended under, also after the attempt was cut

The logs could not tell the hypotheses apart: they named neither the ends of plain servers nor which requests are repeats of each other, and nothing looked at a server once its attempt was cut. Event 1206 now covers all ways to a server: an attempt without a complete answer has its server checked, at once if the server broke it off, and for two seconds if this instance or the caller had cut it; if nothing listens there any more, the event names a hash of the request's caller, target and body. An open idle connection counts as a sign of life, so that a check rarely opens one.

No decision uses it yet.

--- a/engine/client.go
+++ b/engine/client.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/url"
-	"syscall"
 	"time"
 
 	"teaselgate/socket"
@@ -57,18 +55,6 @@
 	}
 }
 
-// RefusesConnections reports whether nothing listens at an engine's address: its host is reachable and it has ended.
-func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
-	ctx, stop := context.WithTimeout(ctx, socket.RefusalTimeout)
-	defer stop()
-	conn, err := c.Dial(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	conn.Close()
-	return false
-}
-
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -86,6 +86,7 @@
 }
 
 func (a *attempt) runPrefill(ctx context.Context) (engine.PrefillResponse, error) {
+	a.writer.request.markSent(a.placement.Prefill, a.handler.Now())
 	prefilled, err := a.handler.Engines.Prefill(ctx, a.placement.Prefill.At, engine.PrefillRequest{
 		Attempt:  a.id,
 		Owner:    a.handler.Owner,
@@ -99,6 +100,7 @@
 }
 
 func (a *attempt) runImport(ctx context.Context, prefilled engine.PrefillResponse) error {
+	a.writer.request.markSent(a.placement.Decode, a.handler.Now())
 	_, err := a.handler.Engines.Import(ctx, a.placement.Decode.At, engine.ImportRequest{
 		Attempt:   a.id,
 		Owner:     a.handler.Owner,
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -77,6 +78,7 @@
 		_ = controller.SetWriteDeadline(time.Now().Add(h.chunkWriteTimeout()))
 		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 			h.Record(event.Event{Code: event.RequestCancelled, Request: q.id, Account: q.account.Account})
+			h.reportNoAnswer(context.Background(), q, true, nil)
 			panic(http.ErrAbortHandler)
 		}
 		if errors.Is(err, io.EOF) {
@@ -84,6 +86,7 @@
 		}
 		if err != nil {
 			h.Record(event.Event{Code: event.ResponseInterrupted, Request: q.id, Detail: err.Error()})
+			h.reportNoAnswer(context.Background(), q, false, nil)
 			panic(http.ErrAbortHandler)
 		}
 		_ = controller.Flush()
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -68,6 +68,8 @@
 	rules   *rule.Set
 	account rule.Account // empty on open routes
 	keyHash string       // hash of the request's key; empty if it has no valid key
+	part    string       // stands for the whole request in the quarantine
+	sent    *sentAttempt // nil if no attempt awaits its answer
 }
 
 // ServeHTTP implements http.Handler.
--- a/entry/model.go
+++ b/entry/model.go
@@ -42,8 +42,10 @@
 	ctx, stop := context.WithTimeout(r.Context(), modelTimeout)
 	defer stop()
 	writer := h.newCompletionWriter(w, q, completion)
+	parts := promptParts(completion.prompt)
+	q.setPart(r, []byte(completion.prompt))
 	model := &modelRequest{
-		handler: h, request: q, completion: completion, parts: promptParts(completion.prompt), writer: writer,
+		handler: h, request: q, completion: completion, parts: parts, writer: writer,
 		runOutcome: outcome.NotRun,
 	}
 	err = model.serve(ctx)
@@ -98,6 +100,9 @@
 			return err
 		}
 		err = a.run(ctx)
+		if err != nil {
+			m.reportEngine(ctx, a, err)
+		}
 		if err == nil || ctx.Err() != nil || errors.Is(err, errCallerWrite) {
 			return err
 		}
@@ -111,7 +116,6 @@
 		h.Record(event.Event{
 			Code: event.AttemptFailed, Request: m.request.id, Server: a.failedServer(), Detail: err.Error(),
 		})
-		m.checkEngine(ctx, a)
 		if !m.canRetry(a, n) {
 			return outcome.NewRefusal(http.StatusBadGateway, "engine-failed",
 				"the backend servers failed").WithOutcome(m.runOutcome)
--- a/entry/once.go
+++ b/entry/once.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return err
 	}
+	q.setPart(r, body.head)
 	ctx, stop := context.WithTimeout(context.WithoutCancel(r.Context()), onceTimeout)
 	defer stop()
 	o := &onceRequest{request: q, incoming: r, body: body}
@@ -130,11 +131,13 @@
 			return nil, err
 		}
 	}
+	o.request.markSent(conn.server, h.Now())
 	resp, err := conn.Send(ctx, newServiceRequest(o.incoming, conn.server, o.body.reader()))
 	h.ReportServerResult(conn.server.Server, h.Now().Sub(conn.openedAt), cell.ResultFromResponse(resp, err))
 	if err != nil {
 		conn.Close()
 		h.Record(event.Event{Code: event.AtMostOnceOutcomeUnknown, Request: o.id, Server: conn.server.Server, Detail: err.Error()})
+		h.reportNoAnswer(ctx, o.request, false, nil)
 		o.markLost(ctx)
 		return nil, errNoAnswer
 	}
@@ -217,6 +220,7 @@
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxStoredResponseBytes))
 	if err != nil {
 		h.Record(event.Event{Code: event.ResponseInterrupted, Request: o.id, Detail: err.Error()})
+		h.reportNoAnswer(ctx, o.request, false, nil)
 		o.markLost(ctx)
 		return errNoAnswer
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -62,6 +62,7 @@
 	if err != nil {
 		return err
 	}
+	q.setPart(r, body.head)
 	resp, err := h.sendIdempotent(r, q, body)
 	if err != nil {
 		return err
@@ -86,6 +87,7 @@
 		}
 		tried = append(tried, server.Server)
 		start := h.Now()
+		q.markSent(server, start)
 		resp, err := h.Services.Do(r.Context(), newServiceRequest(r, server, body.reader()))
 		h.ReportServerResult(server.Server, h.Now().Sub(start), serverResult(r.Context(), resp, err))
 		if err == nil {
@@ -93,6 +95,7 @@
 		}
 		h.Record(event.Event{Code: event.AttemptFailed, Request: q.id, Server: server.Server, Detail: err.Error()})
 		if !errors.Is(err, service.ErrUnreachable) {
+			h.reportNoAnswer(r.Context(), q, false, nil)
 			runOutcome = outcome.Unknown
 		}
 		if !h.canRetry(r.Context(), q, err, body, len(tried)) {
--- a/event/request_events.go
+++ b/event/request_events.go
@@ -9,7 +9,7 @@
 	RequestCompleted Code = 1203
 	AttemptFailed    Code = 1204
 	RequestCancelled Code = 1205
-	EngineEnded      Code = 1206
+	ServerEnded      Code = 1206
 
 	PartsQuarantined     Code = 1207
 	PartsReleased        Code = 1208
@@ -23,7 +23,7 @@
 	RequestPlaced:    {"request-placed", logrus.InfoLevel, "request placed on backend servers"},
 	RequestCompleted: {"request-done", logrus.InfoLevel, "request answered completely"},
 	AttemptFailed:    {"request-failed", logrus.WarnLevel, "an attempt failed at a backend server"},
-	EngineEnded:      {"engine-ended", logrus.WarnLevel, "an engine ended before it had written a request's answer; the detail names the shared parts of the prompt"},
+	ServerEnded:      {"server-ended", logrus.WarnLevel, "a server ended while it ran a request, or soon after the attempt was cut; the detail names the request by a hash of its caller, target and body, and the shared parts of its prompt"},
 
 	PartsQuarantined:     {"parts-quarantined", logrus.WarnLevel, "requests with these parts of prompts are refused, since engines crashed under others; the detail has the evidence"},
 	PartsReleased:        {"parts-released", logrus.InfoLevel, "requests with these parts of prompts are no longer refused: an engine wrote an answer, another part accounts for the crashes, or they are too old"},
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -115,6 +115,7 @@
 	received time.Time
 	deadline time.Time
 	runs     int // number of backend servers that may have run the request
+	sent     *sentAttempt
 }
 
 // ServeHTTP implements http.Handler.
--- a/forward/model.go
+++ b/forward/model.go
@@ -170,6 +170,7 @@
 	start := m.handler.Now()
 	handle, result := m.prefill(ctx, placement.Prefill, placement.Inputs.Prefill)
 	if !result.completed {
+		m.reportNoAnswer(ctx, result, nil, "prefill")
 		report.BadPrefill = result.serverFault && ctx.Err() == nil
 		m.exclude, m.lastFailed = append(slices.Clone(m.exclude), placement.Prefill.Server), placement.Prefill.Server
 		return result
@@ -185,7 +186,7 @@
 	report.BadDecode = result.serverError || !result.completed && result.serverFault && ctx.Err() == nil
 	if !result.completed {
 		report.Refused = result.notRun && !result.notSent && !result.serverFault
-		m.checkEngine(ctx, placement.Decode, result)
+		m.reportEngine(ctx, result)
 		m.exclude, m.lastFailed = append(slices.Clone(m.exclude), placement.Decode.Server), placement.Decode.Server
 	}
 	return result
@@ -213,11 +214,12 @@
 		Server: server.Server, Address: server.At, Prefill: true, LastEventID: m.lastEventID(),
 	})
 	if errors.Is(err, errBackoff) {
-		return platform.Handle{}, m.resultFromSendError(err)
+		return platform.Handle{}, m.resultFromSendError(ctx, err)
 	}
 	if err != nil {
+		notSent := errors.Is(err, upstream.ErrNotSent)
 		return platform.Handle{}, attemptResult{
-			notRun: true, notSent: errors.Is(err, upstream.ErrNotSent), serverFault: true, reason: err.Error(),
+			notRun: true, notSent: notSent, serverFault: true, noAnswer: !notSent, cut: ctx.Err() != nil, reason: err.Error(),
 		}
 	}
 	defer resp.Body.Close()
@@ -229,7 +231,9 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPrefillResponseBytes))
 	if err != nil {
-		return platform.Handle{}, attemptResult{notRun: true, serverFault: true, reason: "prefill: " + err.Error()}
+		return platform.Handle{}, attemptResult{
+			notRun: true, serverFault: true, noAnswer: true, cut: ctx.Err() != nil, reason: "prefill: " + err.Error(),
+		}
 	}
 	handle, err := platform.ReadHandle(body)
 	if err != nil {
@@ -263,7 +267,7 @@
 	})
 	if err != nil {
 		m.releaseHandle(placement.Prefill, handle)
-		return m.resultFromSendError(err)
+		return m.resultFromSendError(ctx, err)
 	}
 	defer resp.Body.Close()
 	if platform.IsNotRun(resp.Response) {
@@ -280,7 +284,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return m.forwardError(resp)
 	}
-	return m.forwardStream(resp, placement, report)
+	return m.forwardStream(ctx, resp, placement, report)
 }
 
 // forwardError forwards the engine's error response, unless a stream has started or the request can be retried.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -59,6 +59,7 @@
 			return
 		}
 		q.record(event.AttemptFailed, server.Server, result.reason)
+		q.reportNoAnswer(ctx, result, nil, "")
 		if ctx.Err() != nil || !q.canRetry(result, len(tried)) {
 			q.handleAttemptFailure(ctx, result)
 			return
@@ -77,6 +78,8 @@
 	notSent        bool              // no byte of the request was sent
 	serverFault    bool              // the failure counts against the server
 	serverError    bool              // the server responded with an error status
+	noAnswer       bool              // the request was sent, and no complete answer came
+	cut            bool              // no answer came because the instance or the caller ended the attempt
 	promptComputed bool              // a prefill succeeded, which a retry runs again
 	savedResponse  *bufferedResponse // error response of the server, which a plain request returns if it is not retried
 	reason         string            // reason of the failure, for the log
@@ -156,7 +159,7 @@
 	defer stop()
 	resp, err := q.send(ctx, platform.ForwardOptions{Server: id, Address: address})
 	if err != nil {
-		return q.resultFromSendError(err)
+		return q.resultFromSendError(ctx, err)
 	}
 	defer resp.Body.Close()
 	if platform.IsNotRun(resp.Response) {
@@ -171,10 +174,10 @@
 	}
 	content, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
-		return attemptResult{serverFault: true, reason: "the response broke off: " + err.Error()}
+		return brokenOff(ctx, "the response broke off: "+err.Error())
 	}
 	if len(content) > maxBufferedBytes {
-		q.streamResponse(resp, content)
+		q.streamResponse(ctx, resp, content)
 		return attemptResult{completed: true}
 	}
 	response := &bufferedResponse{resp.Response, content}
@@ -210,6 +213,7 @@
 	f.Account = q.account.Name
 	sent := q.handler.Now()
 	f.TimeLeft = q.deadline.Sub(sent)
+	q.sent = &sentAttempt{f.Server, f.Address, sent}
 	resp, err := q.handler.Servers.Do(ctx, f.Address, q.ID, platform.NewForwardRequest(q.incoming, q.body, q.Secret, f))
 	if err == nil {
 		q.handler.Observe(key, sent, resp.Response)
@@ -221,7 +225,7 @@
 var errBackoff = errors.New("forward: the server wants no requests at present")
 
 // resultFromSendError returns the result of an attempt that got no response. It counts a run unless nothing was sent.
-func (q *request) resultFromSendError(err error) attemptResult {
+func (q *request) resultFromSendError(ctx context.Context, err error) attemptResult {
 	if errors.Is(err, errBackoff) {
 		return attemptResult{notRun: true, notSent: true, reason: err.Error()}
 	}
@@ -229,7 +233,7 @@
 		return attemptResult{notRun: true, notSent: true, serverFault: true, reason: err.Error()}
 	}
 	q.runs++
-	return attemptResult{serverFault: true, reason: err.Error()}
+	return brokenOff(ctx, err.Error())
 }
 
 // writeResponse sends a buffered response to the caller.
@@ -251,7 +255,7 @@
 
 // streamResponse forwards a long response, of which a part was read, as it arrives. If it breaks off, the caller's
 // connection is closed, so that the response does not look complete.
-func (q *request) streamResponse(resp *upstream.Response, head []byte) {
+func (q *request) streamResponse(ctx context.Context, resp *upstream.Response, head []byte) {
 	q.copyHeader(resp.Response)
 	if resp.ContentLength >= 0 {
 		q.writer.Header()["Content-Length"] = []string{fmt.Sprint(resp.ContentLength)}
@@ -262,6 +266,7 @@
 		source = &limitedReader{source, maxUnframedBytes}
 	}
 	if _, err := io.CopyBuffer(q.writer, source, make([]byte, copyBufferBytes)); err != nil {
+		q.reportNoAnswer(ctx, brokenOff(ctx, ""), nil, "")
 		q.abort("the response broke off: " + err.Error())
 	}
 	q.finish("", q.responseDetail(resp.StatusCode))
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
+	"time"
 
 	"teaselgate/account"
-	"teaselgate/event"
 	"teaselgate/quarantine"
-	"teaselgate/rule"
 )
 
 // beganEvents is the number of events after which an engine counts as having begun to write an answer. A single event
@@ -27,11 +25,11 @@
 }
 
 // caller returns who sent the request; nobody on public routes.
-func (m *modelRequest) caller() quarantine.Caller {
-	if m.account.Name == "" {
+func (q *request) caller() quarantine.Caller {
+	if q.account.Name == "" {
 		return quarantine.Caller{}
 	}
-	return quarantine.Caller{Account: m.account.Name, Key: account.Hash(m.Secret)}
+	return quarantine.Caller{Account: q.account.Name, Key: account.Hash(q.Secret)}
 }
 
 // refuseQuarantined ends a request that engines would crash on. It has not run unless it has crashed one already.
@@ -58,19 +56,46 @@
 	}
 }
 
-// checkEngine finds out whether an engine has crashed before it had begun to write the answer: the attempt broke off, and
-// the engine's address refuses connections. A response that only breaks off does not show that.
-func (m *modelRequest) checkEngine(ctx context.Context, server rule.Server, result attemptResult) {
-	if result.notRun || !result.serverFault || m.events >= beganEvents || ctx.Err() != nil {
+// sentAttempt is an attempt that was sent to a server and has not been answered completely.
+type sentAttempt struct {
+	server, address string
+	at              time.Time
+}
+
+// reportNoAnswer finds out whether the server of the newest attempt has ended under it, or does so soon after. The parts are
+// those of the prompt that may have crashed it.
+func (q *request) reportNoAnswer(ctx context.Context, result attemptResult, parts []string, detail string) {
+	if q.sent == nil || !result.noAnswer {
 		return
 	}
-	if !m.handler.Servers.RefusesConnections(ctx, server.At) {
-		return
+	a := quarantine.Attempt{
+		Crash:   quarantine.Crash{Request: q.ID, Server: q.sent.server, Caller: q.caller(), Parts: parts},
+		Part:    quarantine.RequestPart(q.caller(), q.target(), q.body),
+		Address: q.sent.address, Sent: q.sent.at, Cut: result.cut || ctx.Err() != nil, Detail: detail,
+		Refuses: q.handler.Servers.RefusesConnections,
+	}
+	q.sent = nil
+	q.handler.Quarantine.ReportNoAnswer(ctx, a)
+}
+
+// target returns what the request is for: its method, host, path and query.
+func (q *request) target() string {
+	return q.incoming.Method + " " + q.incoming.Host + q.incoming.URL.RequestURI()
+}
+
+// reportEngine is reportNoAnswer for an attempt at a decode engine. Only one that has not yet begun to write the answer may
+// have crashed on parts of the prompt.
+func (m *modelRequest) reportEngine(ctx context.Context, result attemptResult) {
+	parts := m.SharedParts
+	if m.events >= beganEvents {
+		parts = nil
 	}
-	m.record(event.EngineEnded, server.Server, fmt.Sprintf("%d events had come, %d prompt tokens, shared parts %s",
-		m.events, m.PromptTokens, strings.Join(m.SharedParts, " ")))
-	m.trial = false
-	m.handler.Quarantine.ReportCrash(quarantine.Crash{
-		Request: m.ID, Server: server.Server, Caller: m.caller(), Parts: m.SharedParts,
-	})
+	m.reportNoAnswer(ctx, result, parts, fmt.Sprintf("%d events had come, %d prompt tokens", m.events, m.PromptTokens))
+	m.trial = m.trial && !result.noAnswer // a trial is not sent to another server
+}
+
+// brokenOff returns the result of an attempt whose answer did not come, or not completely. The context is that of the
+// attempt: if it has ended, this instance or the caller has cut the attempt.
+func brokenOff(ctx context.Context, reason string) attemptResult {
+	return attemptResult{serverFault: true, noAnswer: true, cut: ctx.Err() != nil, reason: reason}
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -26,7 +27,7 @@
 // forwardStream forwards complete events as they arrive. A partial event before a connection failure is dropped, so
 // that the stream can be resumed on another engine.
 func (m *modelRequest) forwardStream(
-	resp *upstream.Response, placement *cell.Placement, report *cell.Report,
+	ctx context.Context, resp *upstream.Response, placement *cell.Placement, report *cell.Report,
 ) attemptResult {
 	if !m.headerSent {
 		m.copyHeader(resp.Response)
@@ -43,7 +44,7 @@
 			return attemptResult{completed: true}
 		}
 		if err != nil {
-			return attemptResult{serverFault: true, reason: fmt.Sprintf("the stream broke off after %d events: %v", m.events, err)}
+			return brokenOff(ctx, fmt.Sprintf("the stream broke off after %d events: %v", m.events, err))
 		}
 		if received > m.maxEvents() {
 			return attemptResult{serverFault: true, reason: "the stream goes on beyond the largest answer"}
@@ -67,9 +68,11 @@
 			continue // a resumed stream may repeat events
 		}
 		if _, err := m.writer.Write(event); err != nil {
+			m.reportEngine(ctx, attemptResult{noAnswer: true, cut: true})
 			m.abort("unable to write the stream: " + err.Error())
 		}
 		if err := controller.Flush(); err != nil {
+			m.reportEngine(ctx, attemptResult{noAnswer: true, cut: true})
 			m.abort("unable to write the stream: " + err.Error())
 		}
 		m.nextEvent = id + 1
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -115,6 +115,7 @@
 	defer l.background.Wait()
 	l.spreader.Learn(ctx, l.exchange)
 	l.background.Go(func() { l.keepStored(ctx) })
+	l.background.Go(func() { l.watch.serve(ctx) })
 	ticker := time.NewTicker(expirePeriod)
 	defer ticker.Stop()
 	for {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -44,6 +44,7 @@
 	unsentAt   time.Time            // time of the first unsent evidence
 	trials     map[string]time.Time // end of the running trial, by key of the block
 	spreader   *gossip.Spreader
+	watch      *watch
 	wake       chan struct{} // makes Serve tell peers
 	unsaved    chan struct{} // makes Serve write to the platform store
 	background sync.WaitGroup
@@ -85,6 +86,8 @@
 	l.spreader.Call = func(ctx context.Context, address, method string, args, reply any) error {
 		return l.Call(ctx, address, method, args, reply)
 	}
+	l.watch = newWatch()
+	l.watch.now, l.watch.report = func() time.Time { return l.Now() }, l.recordEnds
 	l.current.Store(&snapshot{})
 	return l
 }
--- /dev/null
+++ b/quarantine/request.go
@@ -0,0 +1,27 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// requestPrefix begins the parts that stand for whole requests.
+const requestPrefix = "request:"
+
+// requestHashBytes is the length of the hash in such a part.
+const requestHashBytes = 12
+
+// RequestPart returns the part that stands for all requests of a caller with the same target (method, host, path and query)
+// and body. Such requests are repeats of each other, and a server that one of them crashes would crash under all.
+func RequestPart(caller Caller, target string, body []byte) string {
+	h := sha256.New()
+	for _, text := range []string{caller.Account, caller.Key, target} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
+		h.Write(size[:])
+		h.Write([]byte(text))
+	}
+	h.Write(body)
+	return requestPrefix + hex.EncodeToString(h.Sum(nil)[:requestHashBytes])
+}
--- a/service/client.go
+++ b/service/client.go
@@ -58,6 +58,11 @@
 	}
 }
 
+// RefusesConnections reports whether nothing listens at a server's address: its host is reachable and it has ended.
+func (c *Client) RefusesConnections(ctx context.Context, address string) bool {
+	return socket.RefusesConnections(ctx, c.Dial, address)
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -65,3 +66,17 @@
 
 // MaxHeadBytes is how much of the head of a response is read. The heads of servers that are sound have less than 2 KB.
 const MaxHeadBytes = 64 << 10
+
+// RefusesConnections reports whether nothing listens at an address: the host is reachable and the process has ended.
+func RefusesConnections(
+	ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string,
+) bool {
+	ctx, stop := context.WithTimeout(ctx, RefusalTimeout)
+	defer stop()
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -121,8 +121,11 @@
 }
 
 // RefusesConnections reports whether nothing listens at a server's address: the host is reachable and the process has
-// ended. A connection that is accepted is kept for the next request.
+// ended. An idle connection that is open shows that it has not. A connection that is accepted is kept for the next request.
 func (p *Pool) RefusesConnections(ctx context.Context, address string) bool {
+	if p.hasOpenConn(address) {
+		return false
+	}
 	ctx, stop := context.WithTimeout(ctx, socket.RefusalTimeout)
 	defer stop()
 	raw, err := p.Dial(ctx, "tcp", address)
@@ -133,6 +136,20 @@
 	return false
 }
 
+// hasOpenConn reports whether an idle connection to a server is open. It closes those that are not.
+func (p *Pool) hasOpenConn(address string) bool {
+	for c := p.popIdle(address); c != nil; c = p.popIdle(address) {
+		if c.isReusable() {
+			p.mu.Lock()
+			p.idle[address] = append(p.idle[address], c)
+			p.mu.Unlock()
+			return true
+		}
+		c.Close()
+	}
+	return false
+}
+
 // popIdle removes the most recently used idle connection to a server and returns it, or nil if there is none.
 func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
