Show by tests that repeats of a request which crashes servers are sent on

Emulated servers crash on requests by path or body, some time after they began to run them, also when the caller has gone.

--- a/forward/testenv_test.go
+++ b/forward/testenv_test.go
@@ -56,6 +56,7 @@
 	decode  []*backend.Server
 	servers map[string]*backend.Server      // by address
 	down    map[string]bool                 // addresses that refuse connections
+	conns   map[string][]net.Conn           // servers' ends of all connections, by address
 	budgets map[string]*outcome.RetryBudget // by service
 	sent    int                             // requests sent by sendAll
 	mu      sync.Mutex
@@ -68,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		env := &testEnv{
-			servers: make(map[string]*backend.Server), down: make(map[string]bool),
+			servers: make(map[string]*backend.Server), down: make(map[string]bool), conns: make(map[string][]net.Conn),
 			budgets: make(map[string]*outcome.RetryBudget),
 		}
 		for _, service := range []string{caller.PlainService, caller.ModelService} {
@@ -77,6 +78,7 @@
 		var registered []platform.Server
 		add := func(at string, s *backend.Server, stage platform.Stage) *backend.Server {
 			env.servers[at] = s.Init()
+			s.OnCrash = func() { env.closeConns(at) }
 			service := caller.ModelService
 			if stage == platform.NoStage {
 				service = caller.PlainService
@@ -102,9 +104,9 @@
 		var serving sync.WaitGroup
 		env.build(ctx, t, registered, &serving)
 		test(env)
-		env.handler.Servers.Close()
 		stop()
 		serving.Wait()
+		env.handler.Servers.Close()
 	})
 }
 
@@ -144,6 +146,7 @@
 	serving.Go(func() { _ = placer.Hub.Serve(ctx) })
 	serving.Go(func() { _ = placer.Serve(ctx) })
 	h := NewHandler()
+	serving.Go(func() { _ = h.Quarantine.Serve(ctx) })
 	h.Zone, h.Record = "a", record
 	h.View = func() *registry.View { return view }
 	h.Place, h.PickServer, h.ReportServerResult = placer.Place, placer.Plain.Pick, placer.Plain.RecordResult
@@ -169,11 +172,25 @@
 		return nil, errConnRefused
 	}
 	clientConn, serverConn := net.Pipe()
+	env.mu.Lock()
+	env.conns[at] = append(env.conns[at], serverConn)
+	env.mu.Unlock()
 	server := &http.Server{Handler: s, IdleTimeout: s.IdleTimeout}
 	go func() { _ = server.Serve(&singleConnListener{conn: serverConn}) }()
 	return clientConn, nil
 }
 
+// closeConns closes all connections to a server, as its crash does.
+func (env *testEnv) closeConns(at string) {
+	env.mu.Lock()
+	conns := env.conns[at]
+	env.conns[at] = nil
+	env.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
 // setDown sets whether an address refuses connections.
 func (env *testEnv) setDown(at string, down bool) {
 	env.mu.Lock()
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -33,6 +33,7 @@
 	AdvertisedIdleTimeout  time.Duration                // stated in the Keep-Alive header; 0 sends no header
 	FindServer             func(address string) *Server // finds the prefill engine at an address, or nil
 	DeadlyParts            []string                     // parts of prompts on which an engine crashes when it begins to write
+	DeadlyRequests         []DeadlyRequest              // requests that crash the server
 	RestartTime            time.Duration                // time from a crash until the server is back
 	OnCrash                func()                       // called when the server crashes; may be nil
 
@@ -279,6 +280,7 @@
 	s.runningByID[received.ID]++
 	s.mu.Unlock()
 	s.record(received, true)
+	s.scheduleCrash(received)
 	return true
 }
 
@@ -312,7 +314,11 @@
 		return
 	}
 	defer s.releaseSlot(received, 0)
-	if !sleep(r, s.ServiceTime) {
+	serviceTime := s.ServiceTime
+	if deadly := s.findDeadly(received); deadly != nil {
+		serviceTime = deadly.After + time.Hour // it crashes first
+	}
+	if !s.sleepOrCrash(r, serviceTime) {
 		panic(http.ErrAbortHandler)
 	}
 	if faults.LoseResponse {
--- a/standin/backend/crash.go
+++ b/standin/backend/crash.go
@@ -17,7 +17,43 @@
 	})
 }
 
-// crash ends all running streams. The server refuses connections until it is back.
+// DeadlyRequest describes requests that crash a server that runs them. A plain service never answers them, and an engine
+// serves them until it crashes.
+type DeadlyRequest struct {
+	Text    string        // in the path or the body
+	After   time.Duration // time from the beginning of the run to the crash, also if the caller has gone meanwhile
+	Prefill bool          // whether prefills crash; otherwise plain requests and decodes do
+}
+
+// findDeadly returns the description of a request that crashes the server, or nil.
+func (s *Server) findDeadly(received ReceivedRequest) *DeadlyRequest {
+	for n, d := range s.DeadlyRequests {
+		if d.Prefill == received.Prefill && strings.Contains(received.Path+" "+received.Body, d.Text) {
+			return &s.DeadlyRequests[n]
+		}
+	}
+	return nil
+}
+
+// scheduleCrash has a deadly request crash the server later, unless the server has crashed by then.
+func (s *Server) scheduleCrash(received ReceivedRequest) {
+	d := s.findDeadly(received)
+	if d == nil {
+		return
+	}
+	s.mu.Lock()
+	crashed := s.crashed
+	s.mu.Unlock()
+	time.AfterFunc(d.After, func() {
+		select {
+		case <-crashed:
+		default:
+			s.crash()
+		}
+	})
+}
+
+// crash ends all running requests. The server refuses connections until it is back.
 func (s *Server) crash() {
 	s.mu.Lock()
 	s.crashes = append(s.crashes, time.Now())
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -31,7 +31,7 @@
 		return
 	}
 	defer s.releaseSlot(received, 0)
-	if !sleep(r, time.Duration(float64(tokens)/s.PrefillRate*float64(time.Second))) {
+	if !s.sleepOrCrash(r, time.Duration(float64(tokens)/s.PrefillRate*float64(time.Second))) {
 		panic(http.ErrAbortHandler)
 	}
 	if faults.LoseResponse {
