Refuse requests under which servers have crashed, on all ways to a server

Callers saw all servers of a plain service end, come back and end again under one lookup that came anew at any instance: 13 servers in 20 s in the incident, while all other requests to them were refused.

Cause: only model requests left evidence of crashes, and only by parts of their prompts. An attempt that broke off counted against the server, went on to the next one, and was forgotten; an attempt that the instance had cut for the sake of a retry was not even looked at, though its server ended 40 ms later. Class: knowledge of what a request has done to servers was kept for one kind of request, not for one way of failing.

Now a request leaves evidence as a whole (hash of caller, method, host, path, query and body), on every way to a server: plain once and idempotent, prefill, decode, and the same of the own dialect. Two servers that ended under it, with no answer since, have it refused at all instances; three if another request was at the same servers or its answer had begun; a request that some servers answer is refused when it ends one of four. An answer clears it. It is checked before anything is sent or charged, and again before each retry.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -121,8 +121,9 @@
 	decode := engine.DecodeRequest{Attempt: a.id, MaxTokens: a.completion.maxTokens, From: a.writer.generatedTokens}
 	return a.handler.Engines.Decode(ctx, a.placement.Decode.At, decode, func(chunk engine.Chunk) error {
 		if chunk.Done {
+			a.handler.reportAnswered(a.writer.request)
 			if a.report.Generated < beganTokens {
-				a.handler.Quarantine.ReportBegun(a.parts)
+				a.handler.Quarantine.ReportSuccess(a.parts)
 			}
 			a.decodeState = stateReleased
 			a.writer.finishReason = chunk.Reason
@@ -130,7 +131,7 @@
 		}
 		a.report.Generated++
 		if a.report.Generated == beganTokens {
-			a.handler.Quarantine.ReportBegun(a.parts)
+			a.handler.Quarantine.ReportSuccess(a.parts)
 		}
 		if err := a.handler.checkKey(a.writer.request); err != nil {
 			return err
--- a/entry/authorize_test.go
+++ b/entry/authorize_test.go
@@ -26,6 +26,7 @@
 	"teaselgate/config"
 	"teaselgate/event"
 	"teaselgate/outcome"
+	"teaselgate/quarantine"
 	"teaselgate/rule"
 	"teaselgate/service"
 )
@@ -116,6 +117,7 @@
 
 func newTestHandler(env *testEnv, at string, services *service.Client) *Handler {
 	return &Handler{
+		Quarantine: quarantine.NewList(),
 		Rules: func() *config.Revision {
 			env.mu.Lock()
 			defer env.mu.Unlock()
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -91,6 +91,7 @@
 		}
 		_ = controller.Flush()
 	}
+	h.reportAnswered(q)
 	for name, values := range resp.Trailer {
 		w.Header()[name] = values
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -69,6 +69,7 @@
 	account rule.Account // empty on open routes
 	keyHash string       // hash of the request's key; empty if it has no valid key
 	part    string       // stands for the whole request in the quarantine
+	trial   bool         // whether the request tries parts that are in quarantine, and so is not refused for them
 	sent    *sentAttempt // nil if no attempt awaits its answer
 }
 
--- a/entry/once.go
+++ b/entry/once.go
@@ -62,6 +62,10 @@
 		h.replay(w, q, stored)
 		return nil
 	}
+	if refusal := h.checkQuarantine(q, nil, outcome.NotRun); refusal != nil {
+		o.dropClaim(ctx)
+		return refusal
+	}
 	resp, err := h.sendOnce(ctx, o)
 	if err != nil {
 		return err
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -81,6 +81,9 @@
 		if err := h.recheckAuthorization(q); err != nil {
 			return nil, outcome.RefusalFromError(err).WithOutcome(runOutcome)
 		}
+		if refusal := h.checkQuarantine(q, nil, runOutcome); refusal != nil {
+			return nil, refusal
+		}
 		server, err := h.PickServer(q.route.Pool, tried)
 		if err != nil {
 			return nil, errNoServer.WithOutcome(runOutcome)
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -23,28 +23,31 @@
 	return append(engine.PrefixHashes(prompt), engine.PromptHash(prompt))
 }
 
-// checkQuarantine returns the refusal of a request that engines would crash on, or nil.
-func (m *modelRequest) checkQuarantine() error {
-	if m.trial {
+// checkQuarantine returns the refusal of a request that servers would crash on, or nil. The parts are those of its prompt.
+func (h *Handler) checkQuarantine(q *request, parts []string, runOutcome outcome.Outcome) error {
+	if q.trial {
 		return nil
 	}
-	refusal, trial := m.handler.Quarantine.Check(m.request.caller(), m.parts)
-	m.trial = trial
+	refusal, trial := h.Quarantine.Check(q.caller(), append([]string{q.part}, parts...))
+	q.trial = trial
 	if refusal == nil {
 		return nil
 	}
-	return outcome.NewRefusal(http.StatusServiceUnavailable, "quarantined", "engines crashed under prompts that begin like this one").
-		WithOutcome(m.runOutcome).WithRetryAt(refusal.RetryAt)
+	return outcome.NewRefusal(http.StatusServiceUnavailable, "quarantined", "servers crashed under requests like this one").
+		WithOutcome(runOutcome).WithRetryAt(refusal.RetryAt)
 }
 
 // sentAttempt is an attempt that was sent to a server and has not been answered completely.
 type sentAttempt struct {
 	server rule.Server
 	at     time.Time
+	begun  bool // whether the answer has begun
 }
 
 // markSent notes that a request is being sent to a server.
-func (q *request) markSent(server rule.Server, at time.Time) { q.sent = &sentAttempt{server, at} }
+func (q *request) markSent(server rule.Server, at time.Time) {
+	q.sent = &sentAttempt{server: server, at: at}
+}
 
 // reportNoAnswer finds out whether the server of the newest attempt has ended under it, or does so soon after. The parts are
 // those of the prompt that may have crashed it. An attempt was cut if this instance or the caller ended it.
@@ -52,15 +55,25 @@
 	if q.sent == nil {
 		return
 	}
+	crash := quarantine.Crash{
+		Request: q.id, Server: q.sent.server.Server, Caller: q.caller(), Parts: append([]string{q.part}, parts...), Begun: q.sent.begun,
+	}
 	a := quarantine.Attempt{
-		Crash:   quarantine.Crash{Request: q.id, Server: q.sent.server.Server, Caller: q.caller(), Parts: parts},
-		Part:    q.part,
-		Address: q.sent.server.At, Sent: q.sent.at, Cut: cut || ctx.Err() != nil, Refuses: h.Services.RefusesConnections,
+		Crash: crash, Address: q.sent.server.At, Sent: q.sent.at, Cut: cut || ctx.Err() != nil,
+		Refuses: h.Services.RefusesConnections,
 	}
-	q.sent = nil
+	q.sent, q.trial = nil, false // a trial is not sent to another server
 	h.Quarantine.ReportNoAnswer(ctx, a)
 }
 
+// reportAnswered reports that a server has answered the request completely.
+func (h *Handler) reportAnswered(q *request) {
+	if q.sent != nil {
+		q.sent = nil
+		h.Quarantine.ReportSuccess([]string{q.part})
+	}
+}
+
 // caller returns who sent the request; nobody on open routes.
 func (q *request) caller() quarantine.Caller {
 	return quarantine.Caller{Account: q.account.Account, Key: q.keyHash}
@@ -79,9 +92,12 @@
 		return
 	}
 	parts := m.parts
-	if a.report.Prefilled.IsZero() || a.report.Generated >= beganTokens {
+	begun := a.report.Generated >= beganTokens
+	if a.report.Prefilled.IsZero() || begun {
 		parts = nil
 	}
+	if m.request.sent != nil {
+		m.request.sent.begun = begun
+	}
 	m.handler.reportNoAnswer(ctx, m.request, errors.Is(err, errCallerWrite) || errors.Is(err, errWithdrawnKey), parts)
-	m.trial = false
 }
--- a/event/request_events.go
+++ b/event/request_events.go
@@ -25,9 +25,9 @@
 	AttemptFailed:    {"request-failed", logrus.WarnLevel, "an attempt failed at a backend server"},
 	ServerEnded:      {"server-ended", logrus.WarnLevel, "a server ended while it ran a request, or soon after the attempt was cut; the detail names the request by a hash of its caller, target and body, and the shared parts of its prompt"},
 
-	PartsQuarantined:     {"parts-quarantined", logrus.WarnLevel, "requests with these parts of prompts are refused, since engines crashed under others; the detail has the evidence"},
-	PartsReleased:        {"parts-released", logrus.InfoLevel, "requests with these parts of prompts are no longer refused: an engine wrote an answer, another part accounts for the crashes, or they are too old"},
-	QuarantineTrial:      {"parts-tried", logrus.InfoLevel, "a request with refused parts is let through, to see whether engines still crash under it"},
+	PartsQuarantined:     {"parts-quarantined", logrus.WarnLevel, "requests with these parts (request: stands for a whole request, the others for parts of prompts) are refused, since servers crashed under others; the detail has the evidence"},
+	PartsReleased:        {"parts-released", logrus.InfoLevel, "requests with these parts are no longer refused: a server answered one, another part accounts for the crashes, or they are too old"},
+	QuarantineTrial:      {"parts-tried", logrus.InfoLevel, "a request with refused parts is let through, to see whether servers still crash under it"},
 	QuarantineCallFailed: {"quarantine-call-failed", logrus.WarnLevel, "a call to exchange the evidence of crashes with a peer failed"},
 	QuarantineUnreadable: {"quarantine-unreadable", logrus.WarnLevel, "the evidence of crashes in the platform store can't be decoded; the next write replaces it"},
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -47,7 +47,7 @@
 	Servers     *upstream.Pool
 	Backoff     *upstream.Backoff // servers that want no requests
 	Limits      *throttle.List    // limits of requests that servers name
-	Quarantine  *quarantine.List  // parts of prompts that crash engines
+	Quarantine  *quarantine.List  // requests, and parts of prompts, that crash servers
 	// Observe is called with each response of a backend server and the time when its request was sent.
 	Observe       func(key upstream.ServerKey, sent time.Time, resp *http.Response)
 	Engines       *platform.EngineClient
@@ -114,8 +114,10 @@
 	writer   http.ResponseWriter
 	received time.Time
 	deadline time.Time
-	runs     int // number of backend servers that may have run the request
-	sent     *sentAttempt
+	runs     int          // number of backend servers that may have run the request
+	part     string       // stands for the whole request in the quarantine
+	trial    bool         // whether the request tries parts that are in quarantine, and so is not refused for them
+	sent     *sentAttempt // nil if no attempt awaits its answer
 }
 
 // ServeHTTP implements http.Handler.
@@ -125,6 +127,11 @@
 	if !q.admit() || !q.readBody() {
 		return
 	}
+	q.setPart()
+	if refusal := q.checkQuarantine(); refusal != nil {
+		q.refuseQuarantined(refusal)
+		return
+	}
 	ctx, stop := context.WithDeadline(r.Context(), q.deadline)
 	defer stop()
 	if q.service.Engine != nil && q.HasTokenCounts {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -60,6 +60,10 @@
 		}
 		q.record(event.AttemptFailed, server.Server, result.reason)
 		q.reportNoAnswer(ctx, result, nil, "")
+		if refusal := q.checkQuarantine(); refusal != nil {
+			q.fail(ctx, refusal.Reason())
+			return
+		}
 		if ctx.Err() != nil || !q.canRetry(result, len(tried)) {
 			q.handleAttemptFailure(ctx, result)
 			return
@@ -79,6 +83,7 @@
 	serverFault    bool              // the failure counts against the server
 	serverError    bool              // the server responded with an error status
 	noAnswer       bool              // the request was sent, and no complete answer came
+	begun          bool              // the answer had begun when it broke off
 	cut            bool              // no answer came because the instance or the caller ended the attempt
 	promptComputed bool              // a prefill succeeded, which a retry runs again
 	savedResponse  *bufferedResponse // error response of the server, which a plain request returns if it is not retried
@@ -180,6 +185,7 @@
 		q.streamResponse(ctx, resp, content)
 		return attemptResult{completed: true}
 	}
+	q.reportAnswered()
 	response := &bufferedResponse{resp.Response, content}
 	serverError := resp.StatusCode >= http.StatusInternalServerError
 	if serverError && q.route.Kind == platform.Idempotent {
@@ -266,9 +272,10 @@
 		source = &limitedReader{source, maxUnframedBytes}
 	}
 	if _, err := io.CopyBuffer(q.writer, source, make([]byte, copyBufferBytes)); err != nil {
-		q.reportNoAnswer(ctx, brokenOff(ctx, ""), nil, "")
+		q.reportNoAnswer(ctx, attemptResult{noAnswer: true, begun: true, cut: ctx.Err() != nil}, nil, "")
 		q.abort("the response broke off: " + err.Error())
 	}
+	q.reportAnswered()
 	q.finish("", q.responseDetail(resp.StatusCode))
 }
 
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -14,13 +14,22 @@
 // may still be on its way when the engine crashes.
 const beganEvents = 2
 
-// checkQuarantine returns why the request may not be sent to engines, or nil.
-func (m *modelRequest) checkQuarantine() *quarantine.Refusal {
-	if m.trial {
+// parts returns by what the quarantine knows the request: as a whole, and by the parts of its prompt.
+func (q *request) parts() []string { return append([]string{q.part}, q.SharedParts...) }
+
+// setPart sets the part that stands for the whole request.
+func (q *request) setPart() {
+	target := q.incoming.Method + " " + q.incoming.Host + q.incoming.URL.RequestURI()
+	q.part = quarantine.RequestPart(q.caller(), target, q.body)
+}
+
+// checkQuarantine returns why the request may not be sent to servers, or nil.
+func (q *request) checkQuarantine() *quarantine.Refusal {
+	if q.trial {
 		return nil
 	}
 	var refusal *quarantine.Refusal
-	refusal, m.trial = m.handler.Quarantine.Check(m.caller(), m.SharedParts)
+	refusal, q.trial = q.handler.Quarantine.Check(q.caller(), q.parts())
 	return refusal
 }
 
@@ -32,30 +41,34 @@
 	return quarantine.Caller{Account: q.account.Name, Key: account.Hash(q.Secret)}
 }
 
-// refuseQuarantined ends a request that engines would crash on. It has not run unless it has crashed one already.
-func (m *modelRequest) refuseQuarantined(ctx context.Context, refusal *quarantine.Refusal) {
-	if ctx.Err() != nil || m.headerSent || m.runs > 0 {
-		m.failOrAbort(ctx, refusal.Reason())
-		return
-	}
-	retryAfter := max(refusal.RetryAt.Sub(m.handler.Now()), noServerRetryAfter)
-	m.refuse(http.StatusServiceUnavailable, retryAfter, refusal.Reason())
+// refuseQuarantined ends a request that servers would crash on, before anything was sent.
+func (q *request) refuseQuarantined(refusal *quarantine.Refusal) {
+	retryAfter := max(refusal.RetryAt.Sub(q.handler.Now()), noServerRetryAfter)
+	q.refuse(http.StatusServiceUnavailable, retryAfter, refusal.Reason())
 }
 
-// reportBegun reports, once an attempt, that an engine has begun to write the answer.
+// reportBegun reports, once an attempt, that an engine has begun to write the answer. It may still crash on the request as
+// a whole.
 func (m *modelRequest) reportBegun() {
 	if m.events == beganEvents {
-		m.handler.Quarantine.ReportBegun(m.SharedParts)
+		m.handler.Quarantine.ReportSuccess(m.SharedParts)
 	}
 }
 
-// reportEnded reports that an engine has written an answer that is too short for reportBegun.
+// reportEnded reports that an engine has written an answer. Its parts are reported here if it is too short for reportBegun.
 func (m *modelRequest) reportEnded() {
+	m.reportAnswered()
 	if m.events > 0 && m.events < beganEvents {
-		m.handler.Quarantine.ReportBegun(m.SharedParts)
+		m.handler.Quarantine.ReportSuccess(m.SharedParts)
 	}
 }
 
+// reportAnswered reports that a server has answered the request completely.
+func (q *request) reportAnswered() {
+	q.sent = nil
+	q.handler.Quarantine.ReportSuccess([]string{q.part})
+}
+
 // sentAttempt is an attempt that was sent to a server and has not been answered completely.
 type sentAttempt struct {
 	server, address string
@@ -68,30 +81,25 @@
 	if q.sent == nil || !result.noAnswer {
 		return
 	}
+	crash := quarantine.Crash{
+		Request: q.ID, Server: q.sent.server, Caller: q.caller(), Parts: append([]string{q.part}, parts...), Begun: result.begun,
+	}
 	a := quarantine.Attempt{
-		Crash:   quarantine.Crash{Request: q.ID, Server: q.sent.server, Caller: q.caller(), Parts: parts},
-		Part:    quarantine.RequestPart(q.caller(), q.target(), q.body),
-		Address: q.sent.address, Sent: q.sent.at, Cut: result.cut || ctx.Err() != nil, Detail: detail,
+		Crash: crash, Address: q.sent.address, Sent: q.sent.at, Cut: result.cut || ctx.Err() != nil, Detail: detail,
 		Refuses: q.handler.Servers.RefusesConnections,
 	}
-	q.sent = nil
+	q.sent, q.trial = nil, false // a trial is not sent to another server
 	q.handler.Quarantine.ReportNoAnswer(ctx, a)
 }
 
-// target returns what the request is for: its method, host, path and query.
-func (q *request) target() string {
-	return q.incoming.Method + " " + q.incoming.Host + q.incoming.URL.RequestURI()
-}
-
 // reportEngine is reportNoAnswer for an attempt at a decode engine. Only one that has not yet begun to write the answer may
 // have crashed on parts of the prompt.
 func (m *modelRequest) reportEngine(ctx context.Context, result attemptResult) {
 	parts := m.SharedParts
-	if m.events >= beganEvents {
+	if result.begun = m.events >= beganEvents; result.begun {
 		parts = nil
 	}
 	m.reportNoAnswer(ctx, result, parts, fmt.Sprintf("%d events had come, %d prompt tokens", m.events, m.PromptTokens))
-	m.trial = m.trial && !result.noAnswer // a trial is not sent to another server
 }
 
 // brokenOff returns the result of an attempt whose answer did not come, or not completely. The context is that of the
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -9,27 +9,33 @@
 	"time"
 )
 
-// Thresholds of blocks. They answer requests that crash each engine that begins their answers, in the midst of
-// crashes with other causes, which also end sound requests before their answers have begun.
+// Thresholds of blocks. They answer requests that crash each server that runs them, in the midst of crashes with other
+// causes, which also end sound requests.
 const (
 	// sameCrash is the time within which reports of one engine's end are about the same crash. Restarts take longer.
 	sameCrash = time.Second
 	// sameCause is the time within which the ends of several engines count once, unless one request was sent to one engine
 	// after the other: they may have one cause, such as a lost rack.
-	sameCause     = 100 * time.Millisecond
-	minCrashes    = 2 // ends of engines from which a part is blocked of which no success is known
-	minRecent     = 4 // the same for a part that has recently succeeded
+	sameCause  = 100 * time.Millisecond
+	minCrashes = 2 // ends of servers from which a part is blocked of which no success is known
+	// minUncertain is the same for a request with a weaker case: another request was at each of these servers, too, or its
+	// answers had begun, which takes so long that servers may end for other reasons.
+	minUncertain = 3
+	minRecent    = 4 // the same for a part that has recently succeeded
+	// A request that was answered at times is blocked if, of its last runs, at least one of maxAnswers + 1 has ended its server.
+	maxAnswers    = 3
 	recentSuccess = 30 * time.Second
 	// minCallers is the number of callers of a client account whose own requests must have crashed engines before the parts
 	// are refused to the whole account, and the number of such accounts before they are refused to all. One caller alone
 	// can't have requests of others refused.
-	minCallers = 3
-	firstTerm  = 30 * time.Second // time for which parts are blocked after the last crash
-	recentTerm = 5 * time.Second  // the same for parts that have recently succeeded
-	maxTerm    = 10 * time.Minute // the term doubles with each further crash up to this
+	minCallers  = 3
+	firstTerm   = 30 * time.Second // time for which parts are blocked after the last crash
+	requestTerm = 2 * time.Minute  // the same for a whole request: a trial of one costs a server, and it concerns few callers
+	recentTerm  = 5 * time.Second  // the same for parts that have recently succeeded
+	maxTerm     = 10 * time.Minute // the term doubles with each further crash up to this
 )
 
-// block refuses requests that have all of the given parts, since they crash engines. The parts are several if the crashes
+// block refuses requests that have all of the given parts, since they crash servers. The parts are several if the crashes
 // don't tell them apart.
 type block struct {
 	parts    []string        // sorted
@@ -61,27 +67,52 @@
 
 // findBlocks finds the fewest parts that explain the crashes: the part with the most crashes is taken first, and the crashes
 // in which it occurs need no other cause, until no part has enough crashes left. A part is no cause of the crashes before
-// its newest success.
+// its newest success, unless it stands for a request that crashes some servers and is answered by others.
 func findBlocks(crashes []Crash, successes map[string]time.Time) []block {
-	groups := groupByEngine(crashes)
+	groups := groupByServer(crashes)
 	all := collectSuspects(groups, successes)
 	var out []block
 	for {
-		best, b := strongest(collectSuspects(groups, successes))
+		suspects := collectSuspects(groups, successes)
+		best, b := strongest(suspects)
 		if best == nil {
-			return out
+			return append(out, findPartialBlocks(groups, successes)...)
 		}
 		// A crash under requests with two deadly parts counts for the terms of both.
-		b.until = b.until.Add(all[best.part].term())
+		b.until = b.until.Add(all[best.part].term(b.parts))
 		out = append(out, b)
+		for _, other := range rivals(best, suspects) {
+			equal := newBlock(other, []string{other.part})
+			equal.until = equal.until.Add(other.term(equal.parts))
+			out = append(out, equal)
+		}
 		groups = slices.DeleteFunc(groups, func(group []Crash) bool {
 			return slices.ContainsFunc(group, func(c Crash) bool { return hasAnyPart(c, b.parts, successes) })
 		})
 	}
 }
 
-// groupByEngine returns the crashes in groups, one for each end of an engine.
-func groupByEngine(crashes []Crash) [][]Crash {
+// findPartialBlocks finds the requests that crash some servers and are answered by others, of crashes without another cause.
+// One answer after the term of a block ends it.
+func findPartialBlocks(groups [][]Crash, successes map[string]time.Time) []block {
+	var out []block
+	suspects := collectSuspects(groups, nil)
+	for _, part := range slices.Sorted(maps.Keys(suspects)) {
+		s := suspects[part]
+		if !isRequestPart(part) || s.causes < minUncertain || s.answers > maxAnswers*s.ends {
+			continue
+		}
+		b := newBlock(s, []string{part})
+		b.until = b.until.Add(s.term(b.parts))
+		if !successes[part].After(b.until) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// groupByServer returns the crashes in groups, one for each end of a server.
+func groupByServer(crashes []Crash) [][]Crash {
 	var groups [][]Crash
 	for _, c := range crashes {
 		at := slices.IndexFunc(groups, func(group []Crash) bool {
@@ -108,12 +139,15 @@
 	})
 }
 
-// suspect is a part that may have crashed engines, with the evidence.
+// suspect is a part that may have crashed servers, with the evidence.
 type suspect struct {
 	part    string
 	crashes []Crash // of one request each
-	ends    int     // number of engines that ended
+	servers []int   // the groups of crashes, one for each end of a server
+	ends    int     // number of servers that ended
 	causes  int     // number of these ends that can't have had one cause
+	early   int     // number of causes for which the answer had not begun
+	answers int     // answers to the request between the crashes
 	recent  bool    // whether the part succeeded shortly before the first crash
 
 	lastCause time.Time // the last end that was counted in causes
@@ -124,12 +158,12 @@
 	return slices.ContainsFunc(s.crashes, func(other Crash) bool { return other.Request == request })
 }
 
-// isCause reports whether the evidence is enough to block the part.
+// isCause reports whether the evidence is enough to block the part, apart from other suspects.
 func (s *suspect) isCause() bool {
 	if s.recent {
 		return s.causes >= minRecent
 	}
-	return s.causes >= minCrashes
+	return s.early >= minCrashes || s.causes >= minUncertain
 }
 
 // strongest returns the part with the most crashes, or nil, and the block of it and of those with the same crashes. The end of
@@ -138,21 +172,48 @@
 	var best *suspect
 	for _, part := range slices.Sorted(maps.Keys(suspects)) {
 		s := suspects[part]
-		if s.isCause() && (best == nil || isStronger(s, best)) {
+		if s.isCause() && (best == nil || isStronger(s, best)) && (s.causes >= minUncertain || len(rivals(s, suspects)) == 0) {
 			best = s
 		}
 	}
 	if best == nil {
 		return nil, block{}
 	}
-	b := block{callers: make(map[Caller]bool), accounts: make(map[string]int), crashes: best.ends}
+	var parts []string
 	for part, s := range suspects {
 		if s.isCause() && s.recent == best.recent && sameRequests(s.crashes, best.crashes) {
-			b.parts = append(b.parts, part)
+			parts = append(parts, part)
+		}
+	}
+	return best, newBlock(best, parts)
+}
+
+// rivals returns the suspects that stand for other requests which were at all servers that ended under the given one, so
+// that the crashes don't tell them apart.
+func rivals(s *suspect, suspects map[string]*suspect) []*suspect {
+	if !isRequestPart(s.part) {
+		return nil
+	}
+	var out []*suspect
+	for _, part := range slices.Sorted(maps.Keys(suspects)) {
+		other := suspects[part]
+		if !isRequestPart(part) || sameRequests(s.crashes, other.crashes) {
+			continue
+		}
+		if !slices.ContainsFunc(s.servers, func(n int) bool { return !slices.Contains(other.servers, n) }) {
+			out = append(out, other)
 		}
 	}
-	slices.Sort(b.parts)
-	for _, c := range best.crashes {
+	return out
+}
+
+// newBlock returns a block of parts for the crashes of a suspect, which ends at the last of them.
+func newBlock(s *suspect, parts []string) block {
+	b := block{
+		parts: slices.Sorted(slices.Values(parts)), crashes: s.ends,
+		callers: make(map[Caller]bool), accounts: make(map[string]int),
+	}
+	for _, c := range s.crashes {
 		if !b.callers[c.Caller] {
 			b.callers[c.Caller] = true
 			b.accounts[c.Caller.Account]++
@@ -160,7 +221,7 @@
 		b.requests = append(b.requests, c.Request+" at "+c.Server)
 		b.until = c.At
 	}
-	return best, b
+	return b
 }
 
 // isStronger reports whether a is the more likely cause than b. Of parts that account for the same crashes, the one that
@@ -179,13 +240,11 @@
 // collectSuspects returns the suspects by part.
 func collectSuspects(groups [][]Crash, successes map[string]time.Time) map[string]*suspect {
 	suspects := make(map[string]*suspect)
-	for _, group := range groups {
-		counted := make(map[string]bool)
+	for n, group := range groups {
 		for _, c := range group {
 			for _, part := range c.Parts {
 				if mayCause(part, c, successes) {
-					suspectOf(suspects, part, c, successes).add(c, !counted[part])
-					counted[part] = true
+					suspectOf(suspects, part, c, successes).add(c, n)
 				}
 			}
 		}
@@ -193,17 +252,23 @@
 	return suspects
 }
 
-// add adds a crash under the part. Of several with one end of an engine, only the first counts.
-func (s *suspect) add(c Crash, isFirst bool) {
+// add adds a crash under the part, at a server that ended. Of several with one end of a server, only the first counts.
+func (s *suspect) add(c Crash, server int) {
 	sentAgain := s.hasRequest(c.Request)
 	s.crashes = append(s.crashes, c)
-	if !isFirst {
+	s.answers += c.Answers
+	if slices.Contains(s.servers, server) {
 		return
 	}
+	s.servers = append(s.servers, server)
 	s.ends++
-	if s.causes == 0 || sentAgain || c.At.Sub(s.lastCause) >= sameCause {
-		s.causes++
-		s.lastCause = c.At
+	if s.causes > 0 && !sentAgain && c.At.Sub(s.lastCause) < sameCause {
+		return
+	}
+	s.causes++
+	s.lastCause = c.At
+	if !c.Begun {
+		s.early++
 	}
 }
 
@@ -218,9 +283,12 @@
 	return s
 }
 
-// term returns for how long the parts are refused after the last crash.
-func (s *suspect) term() time.Duration {
+// term returns for how long the given parts, with the evidence of the suspect, are refused after the last crash.
+func (s *suspect) term(parts []string) time.Duration {
 	term, least := firstTerm, minCrashes
+	if slices.ContainsFunc(parts, isRequestPart) {
+		term = requestTerm
+	}
 	if s.recent {
 		term, least = recentTerm, minRecent
 	}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -10,7 +10,7 @@
 
 // Limits of the evidence.
 const (
-	maxCrashes = 256 // the oldest are dropped
+	maxCrashes = 512 // beyond that, first those are dropped that are explained by no part any more, then the oldest
 	// maxRequestIDBytes is how much of a request's id is kept, since callers choose it.
 	maxRequestIDBytes = 64
 	evidenceLife      = time.Hour // longer than the longest time for which parts are refused
@@ -21,12 +21,14 @@
 	beganLife   = 30 * time.Second // time for which a generation of recentParts is filled
 )
 
-// Crash is the evidence of one request: an engine ended before it had begun to write the answer.
+// Crash is the evidence of one request: a server ended before it had answered.
 type Crash struct {
 	Request string
 	Server  string
 	Caller  Caller
-	Parts   []string
+	Parts   []string // the request itself (RequestPart) and, unless the answer had begun, the parts of its prompt
+	Begun   bool     // whether the answer had begun
+	Answers int      // answers to the same request that the reporting instance has seen since its last such report
 	At      time.Time
 }
 
@@ -36,7 +38,7 @@
 	Key     string // hash of the API key
 }
 
-// success is the evidence that an engine began to write an answer on a prompt with a part, and went on.
+// success is the evidence that a server answered a request with a part, or began to write the answer and went on.
 type success struct {
 	part string
 	at   time.Time
@@ -68,10 +70,18 @@
 	c.Parts = slices.Compact(slices.Sorted(slices.Values(c.Parts)))
 	l.crashes = append(l.crashes, c)
 	l.sort()
-	l.trim(len(l.crashes) - maxCrashes)
+	if len(l.crashes) > maxCrashes {
+		l.dropOne()
+	}
 	return true
 }
 
+// dropOne drops the oldest crash of which all parts have succeeded since or, without one, the oldest.
+func (l *ledger) dropOne() {
+	at := slices.IndexFunc(l.crashes, func(c Crash) bool { return !hasAnyPart(c, c.Parts, l.successes) })
+	l.drop(max(at, 0), max(at, 0)+1)
+}
+
 func (l *ledger) sort() {
 	slices.SortStableFunc(l.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 }
@@ -105,16 +115,16 @@
 	for old < len(l.crashes) && now.Sub(l.crashes[old].At) > evidenceLife {
 		old++
 	}
-	l.trim(old)
+	l.drop(0, old)
 	return old > 0
 }
 
-// trim drops the n oldest crashes, and the successes of parts that no other crash has.
-func (l *ledger) trim(n int) {
-	if n <= 0 {
+// drop drops the crashes from one index to before another, and the successes of parts that no other crash has.
+func (l *ledger) drop(from, to int) {
+	if from == to {
 		return
 	}
-	l.crashes = slices.Delete(l.crashes, 0, n)
+	l.crashes = slices.Delete(l.crashes, from, to)
 	kept := make(map[string]time.Time)
 	for _, c := range l.crashes {
 		for _, part := range c.Parts {
@@ -154,24 +164,30 @@
 	return h.Sum64()
 }
 
-// recentParts holds the parts of prompts on which engines have recently begun answers, in two generations, so that old
-// ones are dropped at once.
+// recentParts holds the parts of recent requests that servers have answered, in two generations, so that old ones are
+// dropped at once.
 type recentParts struct {
 	mu            sync.Mutex
-	parts, before map[string]time.Time
+	parts, before map[string]answered
 	since         time.Time // start of the newer generation
 }
 
-// add records that an engine has begun an answer on a prompt with the given parts.
+// answered is what is known of the answers to requests with a part.
+type answered struct {
+	last  time.Time
+	count int // in this generation, since the last crash under the part
+}
+
+// add records that a server has answered a request with the given parts, or has begun to.
 func (r *recentParts) add(now time.Time, parts []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.parts == nil || now.Sub(r.since) > beganLife {
-		r.parts, r.before, r.since = make(map[string]time.Time), r.parts, now
+		r.parts, r.before, r.since = make(map[string]answered), r.parts, now
 	}
 	for _, part := range parts {
-		if _, known := r.parts[part]; known || len(r.parts) < maxBegan {
-			r.parts[part] = now
+		if known, ok := r.parts[part]; ok || len(r.parts) < maxBegan {
+			r.parts[part] = answered{now, known.count + 1}
 		}
 	}
 }
@@ -182,13 +198,34 @@
 	defer r.mu.Unlock()
 	var out []success
 	for _, part := range parts {
-		at, ok := r.parts[part]
+		known, ok := r.parts[part]
 		if !ok {
-			at, ok = r.before[part]
+			known, ok = r.before[part]
 		}
-		if ok && now.Sub(at) < 2*beganLife {
-			out = append(out, success{part, at})
+		if ok && now.Sub(known.last) < 2*beganLife {
+			out = append(out, success{part, known.last})
 		}
 	}
 	return out
 }
+
+// takeAnswers returns the number of recent answers to a request since the last call for it.
+func (r *recentParts) takeAnswers(part string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, generation := range []map[string]answered{r.parts, r.before} {
+		if known, ok := generation[part]; ok {
+			n += known.count
+			generation[part] = answered{known.last, 0}
+		}
+	}
+	return n
+}
+
+// answeredSince reports whether one of the parts that stand for whole requests has been answered after a time.
+func (r *recentParts) answeredSince(parts []string, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part string) bool { return isRequestPart(part) && r.parts[part].last.After(at) })
+}
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -17,6 +17,8 @@
 	Server  string
 	Caller  Caller
 	Parts   []string
+	Begun   bool
+	Answers int
 	Age     time.Duration // time since the crash
 }
 
@@ -37,12 +39,12 @@
 
 // Timing of the exchange.
 const (
-	tellDelay    = 20 * time.Millisecond // collects evidence, since several requests see the same crash
+	tellDelay    = 5 * time.Millisecond // collects evidence, since several requests see the same crash
 	expirePeriod = time.Minute
 )
 
 func (c Crash) report(now time.Time) CrashReport {
-	return CrashReport{c.Request, c.Server, c.Caller, c.Parts, now.Sub(c.At)}
+	return CrashReport{c.Request, c.Server, c.Caller, c.Parts, c.Begun, c.Answers, now.Sub(c.At)}
 }
 
 func (s success) report(now time.Time) SuccessReport { return SuccessReport{s.part, now.Sub(s.at)} }
@@ -51,7 +53,7 @@
 func (e Evidence) local(now time.Time) ([]Crash, []success) {
 	crashes, successes := make([]Crash, 0, len(e.Crashes)), make([]success, 0, len(e.Successes))
 	for _, c := range e.Crashes {
-		crashes = append(crashes, Crash{c.Request, c.Server, c.Caller, c.Parts, now.Add(-max(c.Age, 0))})
+		crashes = append(crashes, Crash{c.Request, c.Server, c.Caller, c.Parts, c.Begun, c.Answers, now.Add(-max(c.Age, 0))})
 	}
 	for _, s := range e.Successes {
 		successes = append(successes, success{s.Part, now.Add(-max(s.Age, 0))})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,6 +1,6 @@
-// Package quarantine keeps prompts away from engines that would crash on them. When engines end under requests that share
-// a part of their prompts, further requests with that part are refused, at all instances. The evidence is exchanged
-// between the instances, so that all of them block the same parts.
+// Package quarantine keeps requests away from servers that would crash on them. When servers end under the same request
+// again and again, or under requests that share a part of their prompts, further such requests are refused, at all instances.
+// The evidence is exchanged between the instances, so that all of them block the same requests and parts.
 package quarantine
 
 import (
@@ -59,13 +59,13 @@
 // Refusal says why and until when requests are refused.
 type Refusal struct {
 	Parts   []string
-	Crashes int // crashes of engines for which the parts account
+	Crashes int // crashes of servers for which the parts account
 	RetryAt time.Time
 }
 
 // Reason describes the refusal for the log.
 func (r *Refusal) Reason() string {
-	return fmt.Sprintf("engines crashed %d times under prompts with the parts %v", r.Crashes, r.Parts)
+	return fmt.Sprintf("servers crashed %d times under requests with the parts %v", r.Crashes, r.Parts)
 }
 
 // NewList returns a list without evidence or peers.
@@ -87,12 +87,12 @@
 		return l.Call(ctx, address, method, args, reply)
 	}
 	l.watch = newWatch()
-	l.watch.now, l.watch.report = func() time.Time { return l.Now() }, l.recordEnds
+	l.watch.now, l.watch.report = func() time.Time { return l.Now() }, l.reportEnds
 	l.current.Store(&snapshot{})
 	return l
 }
 
-// Check decides whether a request of a caller with the given parts may be sent to engines. It returns why not, or nil.
+// Check decides whether a request of a caller with the given parts may be sent to servers. It returns why not, or nil.
 // When a block has lapsed, one request at a time is let through as a trial; it is not to be checked again.
 func (l *List) Check(caller Caller, parts []string) (refusal *Refusal, trial bool) {
 	for _, b := range l.current.Load().blocks {
@@ -141,17 +141,25 @@
 	return before
 }
 
-// ReportCrash records that an engine has crashed under a request before it had begun to write the answer.
-func (l *List) ReportCrash(c Crash) {
-	c.At = l.Now()
-	c.Request = c.Request[:min(len(c.Request), maxRequestIDBytes)]
-	l.merge([]Crash{c}, nil, true)
+// ReportCrash records that servers have crashed under requests before they had answered them.
+func (l *List) ReportCrash(crashes ...Crash) {
+	for n := range crashes {
+		c := &crashes[n]
+		c.At = l.Now()
+		c.Request = c.Request[:min(len(c.Request), maxRequestIDBytes)]
+		for _, part := range c.Parts {
+			if isRequestPart(part) {
+				c.Answers = l.began.takeAnswers(part)
+			}
+		}
+	}
+	l.merge(crashes, nil, true)
 	l.SaveAgain()
 }
 
-// ReportBegun records that an engine has begun to write an answer on a prompt with the given parts, and goes on: none of
-// them crashes engines.
-func (l *List) ReportBegun(parts []string) {
+// ReportSuccess records that a server has answered a request with the given parts, or has begun to write the answer and goes
+// on: none of them crashes servers.
+func (l *List) ReportSuccess(parts []string) {
 	now := l.Now()
 	l.began.add(now, parts)
 	suspects := l.current.Load().suspects
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
 // requestPrefix begins the parts that stand for whole requests.
@@ -25,3 +26,6 @@
 	h.Write(body)
 	return requestPrefix + hex.EncodeToString(h.Sum(nil)[:requestHashBytes])
 }
+
+// isRequestPart reports whether a part stands for a whole request, and not for a part of its prompt.
+func isRequestPart(part string) bool { return strings.HasPrefix(part, requestPrefix) }
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -41,6 +41,8 @@
 	Account string   `json:"account"`
 	Key     string   `json:"key"` // hash of the API key
 	Parts   []string `json:"parts"`
+	Begun   bool     `json:"begun"`   // whether the answer had begun
+	Answers int      `json:"answers"` // to the same request, before the crash
 	At      int64    `json:"at"`
 }
 
@@ -51,7 +53,9 @@
 	e := l.evidence()
 	for _, c := range e.Crashes {
 		at := now.Add(-c.Age).UnixMilli()
-		out.Crashes = append(out.Crashes, StoredCrash{c.Request, c.Server, c.Caller.Account, c.Caller.Key, c.Parts, at})
+		out.Crashes = append(out.Crashes, StoredCrash{
+			c.Request, c.Server, c.Caller.Account, c.Caller.Key, c.Parts, c.Begun, c.Answers, at,
+		})
 	}
 	for _, s := range e.Successes {
 		out.Successes[s.Part] = now.Add(-s.Age).UnixMilli()
@@ -64,7 +68,9 @@
 	age := func(at int64) time.Duration { return max(time.Duration(now.UnixMilli()-at)*time.Millisecond, 0) }
 	var e Evidence
 	for _, c := range s.Crashes {
-		e.Crashes = append(e.Crashes, CrashReport{c.Request, c.Server, Caller{c.Account, c.Key}, c.Parts, age(c.At)})
+		e.Crashes = append(e.Crashes, CrashReport{
+			c.Request, c.Server, Caller{c.Account, c.Key}, c.Parts, c.Begun, c.Answers, age(c.At),
+		})
 	}
 	for part, at := range s.Successes {
 		e.Successes = append(e.Successes, SuccessReport{part, age(at)})
