Count ends of servers as separate causes if a request was sent after the first

A request that came again within 100 ms of its last crash counted once however often that happened: in the own dialect, six orders one after the other ended six servers, since ends within that time may have one cause, such as a lost rack. A request that was sent only after the first server had ended can't share its cause. Evidence says now when the request was sent.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -57,9 +57,10 @@
 	}
 	crash := quarantine.Crash{
 		Request: q.id, Server: q.sent.server.Server, Caller: q.caller(), Parts: append([]string{q.part}, parts...), Begun: q.sent.begun,
+		Sent: q.sent.at,
 	}
 	a := quarantine.Attempt{
-		Crash: crash, Address: q.sent.server.At, Sent: q.sent.at, Cut: cut || ctx.Err() != nil,
+		Crash: crash, Address: q.sent.server.At, Cut: cut || ctx.Err() != nil,
 		Refuses: h.Services.RefusesConnections,
 	}
 	q.sent, q.trial = nil, false // a trial is not sent to another server
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -83,9 +83,10 @@
 	}
 	crash := quarantine.Crash{
 		Request: q.ID, Server: q.sent.server, Caller: q.caller(), Parts: append([]string{q.part}, parts...), Begun: result.begun,
+		Sent: q.sent.at,
 	}
 	a := quarantine.Attempt{
-		Crash: crash, Address: q.sent.address, Sent: q.sent.at, Cut: result.cut || ctx.Err() != nil, Detail: detail,
+		Crash: crash, Address: q.sent.address, Cut: result.cut || ctx.Err() != nil, Detail: detail,
 		Refuses: q.handler.Servers.RefusesConnections,
 	}
 	q.sent, q.trial = nil, false // a trial is not sent to another server
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -13,7 +13,6 @@
 type Attempt struct {
 	Crash   // what to report if the server has ended
 	Address string
-	Sent    time.Time
 	Cut     bool // whether this instance or the caller ended the attempt, and not the server
 	Detail  string
 	Refuses func(ctx context.Context, address string) bool // reports whether nothing listens at an address
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -14,8 +14,8 @@
 const (
 	// sameCrash is the time within which reports of one engine's end are about the same crash. Restarts take longer.
 	sameCrash = time.Second
-	// sameCause is the time within which the ends of several engines count once, unless one request was sent to one engine
-	// after the other: they may have one cause, such as a lost rack.
+	// sameCause is the time within which the ends of several servers count once, unless a request was sent to one server after
+	// the other had ended: they may have one cause, such as a lost rack.
 	sameCause  = 100 * time.Millisecond
 	minCrashes = 2 // ends of servers from which a part is blocked of which no success is known
 	// minUncertain is the same for a request with a weaker case: another request was at each of these servers, too, or its
@@ -254,7 +254,7 @@
 
 // add adds a crash under the part, at a server that ended. Of several with one end of a server, only the first counts.
 func (s *suspect) add(c Crash, server int) {
-	sentAgain := s.hasRequest(c.Request)
+	sentAgain := s.hasRequest(c.Request) || isRequestPart(s.part) && c.Sent.After(s.lastCause)
 	s.crashes = append(s.crashes, c)
 	s.answers += c.Answers
 	if slices.Contains(s.servers, server) {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -29,6 +29,7 @@
 	Parts   []string // the request itself (RequestPart) and, unless the answer had begun, the parts of its prompt
 	Begun   bool     // whether the answer had begun
 	Answers int      // answers to the same request that the reporting instance has seen since its last such report
+	Sent    time.Time
 	At      time.Time
 }
 
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -19,6 +19,7 @@
 	Parts   []string
 	Begun   bool
 	Answers int
+	Ran     time.Duration // time from the sending of the request to the crash
 	Age     time.Duration // time since the crash
 }
 
@@ -44,7 +45,10 @@
 )
 
 func (c Crash) report(now time.Time) CrashReport {
-	return CrashReport{c.Request, c.Server, c.Caller, c.Parts, c.Begun, c.Answers, now.Sub(c.At)}
+	return CrashReport{
+		Request: c.Request, Server: c.Server, Caller: c.Caller, Parts: c.Parts, Begun: c.Begun, Answers: c.Answers,
+		Ran: c.At.Sub(c.Sent), Age: now.Sub(c.At),
+	}
 }
 
 func (s success) report(now time.Time) SuccessReport { return SuccessReport{s.part, now.Sub(s.at)} }
@@ -53,7 +57,11 @@
 func (e Evidence) local(now time.Time) ([]Crash, []success) {
 	crashes, successes := make([]Crash, 0, len(e.Crashes)), make([]success, 0, len(e.Successes))
 	for _, c := range e.Crashes {
-		crashes = append(crashes, Crash{c.Request, c.Server, c.Caller, c.Parts, c.Begun, c.Answers, now.Add(-max(c.Age, 0))})
+		at := now.Add(-max(c.Age, 0))
+		crashes = append(crashes, Crash{
+			Request: c.Request, Server: c.Server, Caller: c.Caller, Parts: c.Parts, Begun: c.Begun, Answers: c.Answers,
+			Sent: at.Add(-max(c.Ran, 0)), At: at,
+		})
 	}
 	for _, s := range e.Successes {
 		successes = append(successes, success{s.Part, now.Add(-max(s.Age, 0))})
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -43,6 +43,7 @@
 	Parts   []string `json:"parts"`
 	Begun   bool     `json:"begun"`   // whether the answer had begun
 	Answers int      `json:"answers"` // to the same request, before the crash
+	Ran     int64    `json:"ran"`     // milliseconds from the sending of the request to the crash
 	At      int64    `json:"at"`
 }
 
@@ -52,9 +53,9 @@
 	out := Stored{Crashes: []StoredCrash{}, Successes: make(map[string]int64)}
 	e := l.evidence()
 	for _, c := range e.Crashes {
-		at := now.Add(-c.Age).UnixMilli()
 		out.Crashes = append(out.Crashes, StoredCrash{
-			c.Request, c.Server, c.Caller.Account, c.Caller.Key, c.Parts, c.Begun, c.Answers, at,
+			Request: c.Request, Server: c.Server, Account: c.Caller.Account, Key: c.Caller.Key, Parts: c.Parts, Begun: c.Begun,
+			Answers: c.Answers, Ran: c.Ran.Milliseconds(), At: now.Add(-c.Age).UnixMilli(),
 		})
 	}
 	for _, s := range e.Successes {
@@ -69,7 +70,8 @@
 	var e Evidence
 	for _, c := range s.Crashes {
 		e.Crashes = append(e.Crashes, CrashReport{
-			c.Request, c.Server, Caller{c.Account, c.Key}, c.Parts, c.Begun, c.Answers, age(c.At),
+			Request: c.Request, Server: c.Server, Caller: Caller{c.Account, c.Key}, Parts: c.Parts, Begun: c.Begun,
+			Answers: c.Answers, Ran: time.Duration(c.Ran) * time.Millisecond, Age: age(c.At),
 		})
 	}
 	for part, at := range s.Successes {
