Have the soak send requests that crash servers

They come again at any instance, beside all other faults, and the soak checks the rule from what servers saw.

--- a/soak/client.go
+++ b/soak/client.go
@@ -28,6 +28,9 @@
 	cancelAfter      = 60 * time.Millisecond // time after which a client cancels
 )
 
+// requestPaths are the paths of sound requests, one for each route.
+var requestPaths = []string{"/order/1", "/status/1", "/draft/1", "/digest/1"}
+
 // result is a request and the response that the client received.
 type result struct {
 	id        string
@@ -36,6 +39,7 @@
 	status    int    // 0 without a complete response
 	body      string
 	deadly    bool // the prompt crashes decode engines
+	crashes   bool // the request crashes servers, whatever its prompt
 	cancelled bool // the client cancels after cancelAfter, unless the response is complete by then
 }
 
@@ -55,6 +59,8 @@
 	http *http.Client
 	seed uint64
 
+	deadly []string // paths of the requests that crash servers
+
 	mu           sync.Mutex
 	results      []result
 	violations   []string
@@ -62,7 +68,7 @@
 }
 
 func newClients(env *environment, seed uint64) *clients {
-	return &clients{env: env, seed: seed, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}}
+	return &clients{env: env, seed: seed, deadly: chooseDeadlyPaths(seed), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}}
 }
 
 // run sends requests until the context ends. Requests in flight are finished. The seed of the run and the client number
@@ -93,9 +99,13 @@
 // send sends a random request and waits up to requestTimeout for its response, or up to cancelAfter if the client is to
 // cancel it.
 func (c *clients) send(random *rand.Rand, id string, cancels bool) result {
-	path := []string{"/order/", "/status/", "/draft/", "/digest/"}[random.IntN(4)] + "1"
+	path := requestPaths[random.IntN(len(requestPaths))]
+	crashes := random.Float64() < deadlyRequestShare
+	if crashes {
+		path = c.deadly[random.IntN(len(c.deadly))]
+	}
 	address := c.env.addresses[random.IntN(len(c.env.addresses))]
-	res := result{id: id, path: path, address: address, cancelled: cancels}
+	res := result{id: id, path: path, address: address, cancelled: cancels, crashes: crashes}
 	timeout := requestTimeout
 	if cancels {
 		timeout = cancelAfter
@@ -103,7 +113,8 @@
 	ctx, stop := context.WithTimeout(context.Background(), timeout)
 	defer stop()
 	method, body := http.MethodPost, io.Reader(strings.NewReader("two lambs"))
-	if path == "/status/1" {
+	isLookup, isOrder := strings.HasPrefix(path, "/status/"), strings.HasPrefix(path, "/order/")
+	if isLookup {
 		method, body = http.MethodGet, nil
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
@@ -113,7 +124,7 @@
 	req.GetBody = nil // net/http must not send the body again
 	req.Host = caller.Host
 	headers := caller.Request{ID: id, Key: accountKey, Deadline: requestDeadline}
-	if path != "/order/1" && path != "/status/1" {
+	if !isOrder && !isLookup {
 		headers.PromptTokens, headers.MaxOutputTokens, headers.LengthHint = promptTokens, 2*streamTokens, streamTokens
 		if random.Float64() < deadlyShare {
 			res.deadly, headers.SharedParts = true, []string{"a", deadlyPart}
@@ -164,6 +175,7 @@
 	}
 	c.checkFinal(runs)
 	c.checkLimits(results)
+	c.checkDeadlyRequests(results)
 	return c.violations
 }
 
@@ -175,7 +187,7 @@
 		switch {
 		case res.deadly && runs[res.id] > 0:
 			deadly++
-		case !res.deadly:
+		case !res.deadly && !res.crashes:
 			sound++
 			if res.status == http.StatusOK {
 				served++
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -32,7 +32,7 @@
 	plainTimeout         = 2 * time.Second // timeout of routes to plain services
 	engineSlots          = 8
 	deadlyPart           = "deadly"                // part of prompts on which decode engines crash
-	engineRestartTime    = 1500 * time.Millisecond // time from a crash of an engine until it is back
+	serverRestartTime    = 1500 * time.Millisecond // time from a crash of a server until it is back
 	engineKVTokens       = 32_000                  // KV cache capacity of a decode engine, in tokens
 	accountRate          = 10_000_000              // tokens per second; high enough that no request exceeds it
 )
@@ -130,6 +130,7 @@
 	for n := range plainServers {
 		if err := add(&backend.Server{
 			ID: fmt.Sprintf("s%d", n), Slots: 6, QueueLimit: 24, ServiceTime: 10 * time.Millisecond,
+			DeadlyRequests: deadlyRequests(n, false), RestartTime: serverRestartTime,
 		}, caller.PlainService); err != nil {
 			return err
 		}
@@ -138,6 +139,7 @@
 		s := &backend.Server{
 			ID: fmt.Sprintf("p%d", n), Stage: "prefill", Slots: 1, QueueLimit: 16,
 			PrefillRate: 100_000, HandleLifetime: time.Second / 2,
+			DeadlyRequests: deadlyRequests(n, true), RestartTime: serverRestartTime,
 		}
 		if err := add(s, caller.ModelService); err != nil {
 			return err
@@ -147,7 +149,7 @@
 		s := &backend.Server{
 			ID: fmt.Sprintf("d%d", n), Stage: "decode", Slots: engineSlots, KVTokens: engineKVTokens,
 			StreamEvents: 12, EventInterval: 20 * time.Millisecond,
-			DeadlyParts: []string{deadlyPart}, RestartTime: engineRestartTime,
+			DeadlyParts: []string{deadlyPart}, DeadlyRequests: deadlyRequests(n, false), RestartTime: serverRestartTime,
 		}
 		s.FindServer = e.findServer
 		if err := add(s, caller.ModelService); err != nil {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -55,6 +55,7 @@
 	runningByID    map[string]int // number of running requests by id
 	slotReleased   chan struct{}  // closed and replaced when a slot is released
 	crashes        []time.Time    // when the server crashed
+	crashPaths     []string       // path of the request that crashed it, by crash
 	crashed        chan struct{}  // closed and replaced when the server crashes
 	limits         []namedLimit   // limits that the server has named, the newest last
 	arrivals       []arrival      // requests and calls, in the order in which they came in
--- a/standin/backend/crash.go
+++ b/standin/backend/crash.go
@@ -48,15 +48,16 @@
 		select {
 		case <-crashed:
 		default:
-			s.crash()
+			s.crash(received.Path)
 		}
 	})
 }
 
-// crash ends all running requests. The server refuses connections until it is back.
-func (s *Server) crash() {
+// crash ends all running requests, as one with the given path crashes the server. It refuses connections until it is back.
+func (s *Server) crash(path string) {
 	s.mu.Lock()
 	s.crashes = append(s.crashes, time.Now())
+	s.crashPaths = append(s.crashPaths, path)
 	close(s.crashed)
 	s.crashed = make(chan struct{})
 	s.mu.Unlock()
@@ -72,6 +73,19 @@
 	return slices.Clone(s.crashes)
 }
 
+// CrashesUnder returns when requests with a path crashed the server.
+func (s *Server) CrashesUnder(path string) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []time.Time
+	for n, at := range s.crashes {
+		if s.crashPaths[n] == path {
+			out = append(out, at)
+		}
+	}
+	return out
+}
+
 // Down reports whether the server has crashed and is not back.
 func (s *Server) Down() bool {
 	s.mu.Lock()
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -122,7 +122,7 @@
 	}
 	if s.isDeadly(r) {
 		if controller.Flush() == nil && s.sleepOrCrash(r, s.EventInterval) {
-			s.crash()
+			s.crash(received.Path)
 		}
 		panic(http.ErrAbortHandler)
 	}
