--- a/soak/deadly_request.go
+++ b/soak/deadly_request.go
@@ -44,7 +44,7 @@
 // chooseDeadlyPaths returns the paths of the deadly requests of a run.
 func chooseDeadlyPaths(seed uint64) []string {
 	random := rand.New(rand.NewPCG(seed, 2))
-	var out []string
+	out := make([]string, 0, deadlyPaths)
 	for range deadlyPaths {
 		out = append(out, deadlyPath(requestPaths[random.IntN(len(requestPaths))], random.IntN(deadlyKinds)))
 	}
@@ -76,14 +76,10 @@
 		if !isDeadly {
 			continue
 		}
-		var crashes []time.Time
-		for _, b := range c.env.servers {
-			crashes = append(crashes, b.backend.CrashesUnder(path)...)
-		}
+		crashes := c.crashesUnder(path)
 		if len(crashes) < crashesToKnow {
 			continue
 		}
-		slices.SortFunc(crashes, time.Time.Compare)
 		known, late := crashes[crashesToKnow-1].Add(contactTime), 0
 		for _, b := range c.env.servers {
 			for _, r := range b.backend.Received() {
@@ -97,3 +93,13 @@
 		}
 	}
 }
+
+// crashesUnder returns when requests with a path crashed servers, oldest first.
+func (c *clients) crashesUnder(path string) []time.Time {
+	var out []time.Time
+	for _, b := range c.env.servers {
+		out = append(out, b.backend.CrashesUnder(path)...)
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
