--- a/soak/deadly_request.go
+++ b/soak/deadly_request.go
@@ -96,7 +96,7 @@
 
 // crashesUnder returns when requests with a path crashed servers, oldest first.
 func (c *clients) crashesUnder(path string) []time.Time {
-	var out []time.Time
+	out := make([]time.Time, 0, len(c.env.servers))
 	for _, b := range c.env.servers {
 		out = append(out, b.backend.CrashesUnder(path)...)
 	}
