Count answers to suspects beside any number of other requests

Of the answered requests an instance remembers 8,192 at a time. A popular lookup that came when the memory was full was never counted, so that in a storm of crashes it looked like a request that servers never answer: TestRequestBlocks names the case, and TestAnswersToASuspectAreCountedBesideManyOthers failed before (0 of 5).

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -179,15 +179,16 @@
 	count int // in this generation, since the last crash under the part
 }
 
-// add records that a server has answered a request with the given parts, or has begun to.
-func (r *recentParts) add(now time.Time, parts []string) {
+// add records that a server has answered a request with the given parts, or has begun to. Suspects are recorded whatever
+// the number of parts.
+func (r *recentParts) add(now time.Time, parts []string, suspects map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.parts == nil || now.Sub(r.since) > beganLife {
 		r.parts, r.before, r.since = make(map[string]answered), r.parts, now
 	}
 	for _, part := range parts {
-		if known, ok := r.parts[part]; ok || len(r.parts) < maxBegan {
+		if known, ok := r.parts[part]; ok || len(r.parts) < maxBegan || suspects[part] {
 			r.parts[part] = answered{now, known.count + 1}
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -161,8 +161,8 @@
 // on: none of them crashes servers.
 func (l *List) ReportSuccess(parts []string) {
 	now := l.Now()
-	l.began.add(now, parts)
 	suspects := l.current.Load().suspects
+	l.began.add(now, parts, suspects)
 	if len(suspects) == 0 {
 		return
 	}
