Know requests by their client account, whatever the key

A server gets the account's name and never the key, so a request that comes with another key of its account crashes servers just the same, and had to crash as many again. TestRequestBlockCoversTheKeysOfItsAccount failed before (the third key was let through).

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -83,7 +83,7 @@
 // setPart sets the part that stands for the whole request. Of a body that is streamed, it covers the head and the length.
 func (q *request) setPart(r *http.Request, head []byte) {
 	target := fmt.Sprintf("%s %s%s %d", r.Method, r.Host, r.URL.RequestURI(), r.ContentLength)
-	q.part = quarantine.RequestPart(q.caller(), target, head)
+	q.part = quarantine.RequestPart(q.account.Account, target, head)
 }
 
 // reportEngine is reportNoAnswer for an attempt at engines. Only a decode engine that has not yet begun to write the answer
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -20,7 +20,7 @@
 // setPart sets the part that stands for the whole request.
 func (q *request) setPart() {
 	target := q.incoming.Method + " " + q.incoming.Host + q.incoming.URL.RequestURI()
-	q.part = quarantine.RequestPart(q.caller(), target, q.body)
+	q.part = quarantine.RequestPart(q.account.Name, target, q.body)
 }
 
 // checkQuarantine returns why the request may not be sent to servers, or nil.
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -50,7 +50,8 @@
 
 // covers reports whether the block is about a request of a caller.
 func (b block) covers(caller Caller, parts []string) bool {
-	if !b.callers[caller] && b.accounts[caller.Account] < minCallers && len(b.accounts) < minCallers {
+	isRequest := slices.ContainsFunc(b.parts, isRequestPart) // which only its client account sends
+	if !isRequest && !b.callers[caller] && b.accounts[caller.Account] < minCallers && len(b.accounts) < minCallers {
 		return false
 	}
 	return !slices.ContainsFunc(b.parts, func(part string) bool { return !slices.Contains(parts, part) })
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -13,11 +13,11 @@
 // requestHashBytes is the length of the hash in such a part.
 const requestHashBytes = 12
 
-// RequestPart returns the part that stands for all requests of a caller with the same target (method, host, path and query)
-// and body. Such requests are repeats of each other, and a server that one of them crashes would crash under all.
-func RequestPart(caller Caller, target string, body []byte) string {
+// RequestPart returns the part that stands for all requests of a client account with the same target (method, host, path and
+// query) and body. Servers can't tell such requests apart, whatever the keys of their callers: if one crashes a server, all do.
+func RequestPart(account, target string, body []byte) string {
 	h := sha256.New()
-	for _, text := range []string{caller.Account, caller.Key, target} {
+	for _, text := range []string{account, target} {
 		var size [8]byte
 		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
 		h.Write(size[:])
