--- a/event/request_events.go
+++ b/event/request_events.go
@@ -23,7 +23,7 @@
 	RequestPlaced:    {"request-placed", logrus.InfoLevel, "request placed on backend servers"},
 	RequestCompleted: {"request-done", logrus.InfoLevel, "request answered completely"},
 	AttemptFailed:    {"request-failed", logrus.WarnLevel, "an attempt failed at a backend server"},
-	ServerEnded:      {"server-ended", logrus.WarnLevel, "a server ended while it ran a request, or soon after the attempt was cut; the detail names the request by a hash of its caller, target and body, and the shared parts of its prompt"},
+	ServerEnded:      {"server-ended", logrus.WarnLevel, "a server ended while it ran a request, or soon after the attempt was cut; the detail names the request by a hash of its client account, target and body, and the shared parts of its prompt"},
 
 	PartsQuarantined:     {"parts-quarantined", logrus.WarnLevel, "requests with these parts (request: stands for a whole request, the others for parts of prompts) are refused, since servers crashed under others; the detail has the evidence"},
 	PartsReleased:        {"parts-released", logrus.InfoLevel, "requests with these parts are no longer refused: a server answered one, another part accounts for the crashes, or they are too old"},
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -119,7 +119,7 @@
 	}
 	Quarantined = Definition{
 		"quarantined", Gauge, nil,
-		"Parts of prompts, or groups of parts, under which engines crashed, and which are refused.",
+		"Requests, and parts of prompts or groups of them, under which servers crashed, and which are refused.",
 	}
 	StoreDataAge = Definition{
 		"belief_age_seconds", Gauge,
--- a/outcome/faults_page_test.go
+++ b/outcome/faults_page_test.go
@@ -95,7 +95,9 @@
 | | the evidence, when all instances end at once | quarantine TestEvidenceOutlastsAllInstances | mended |
 | | one caller has another's requests refused | quarantine TestNoCallerHasRequestsOfOthersRefused | can't happen |
 | | engines, by orders to change their stage | order TestOrdersThatEndEnginesBecomeRare | mended |
-| | plain services | plays with such requests | open: nothing in these requests tells them from sound ones; each goes to maxAttempts servers at most, an order to one |
+| | all servers, by repeats of one request | forward TestRepeatsOfARequestThatCrashesServersAreStopped, entry TestPlainRequestsThatCrashServersAreStopped, instance TestDeadlyRequestsAreKnownToAllInstances | mended |
+| | sound requests beside them are refused | forward TestDeadlyRequestsDoNotTakeSoundOnesWithThem, quarantine TestRequestBlocks and, by hand with -aims, TestDeadlyRequestsInAFleet | mended; rare for some seconds |
+| | plain services, by requests that all differ | plays with such requests | open: nothing in these requests tells them from sound ones; each goes to maxAttempts servers at most, an order to one |
 | a server gets more requests than the limit that it has named | requests to plain services, prefills, streams, reports, retries, at one instance | forward TestServerGetsNoMoreRequestsThanItsLimit, TestRequestsBeyondAllLimitsAreRefusedAtOnce, TestModelRequestsBeyondAllLimitsAreRefused | mended |
 | | over all instances, while one ends and another starts | instance TestServersGetNoMoreRequestsThanTheyTakeFromAllInstances | mended |
 | | while the keeper or others are paused, cut off or new, in fleets up to 120 | throttle TestServersGetNoMoreThanTheyTakeWhileInstancesFail | can't happen by the users' rule; tested with 300 seeds |
