--- a/cli/standin.go
+++ b/cli/standin.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -49,7 +50,7 @@
 			}
 			server := standplatform.NewServer(token)
 			server.ReadLimit, server.WriteLimit = newRateLimiter(reads), newRateLimiter(writes)
-			return serveStandin(cmd, address, server.Handler())
+			return serveStandin(cmd, address, server.Handler(), deadlyRequests{})
 		},
 	}
 	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:0", "address to listen on")
@@ -70,6 +71,7 @@
 func newStandinEngineCommand() *cobra.Command {
 	var address, name, duty string
 	var fenced bool
+	var deadly deadlyRequests
 	cmd := &cobra.Command{
 		Use:   "engine",
 		Short: "Run a stand-in of a model engine",
@@ -85,7 +87,7 @@
 			load.EngineConfigurer(1)(e)
 			e.Fenced = fenced
 			go func() { _ = e.Run(cmd.Context()) }()
-			if err := serveStandin(cmd, address, e.Handler()); err != nil {
+			if err := serveStandin(cmd, address, e.Handler(), deadly); err != nil {
 				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%d pieces held, credential headers seen: %v\n", e.UsedPieces(), e.LeakedHeaders())
@@ -99,11 +101,13 @@
 	cmd.Flags().StringVar(&name, "name", "engine", "name of the engine")
 	cmd.Flags().StringVar(&duty, "duty", string(rule.Decode), "prefill or decode")
 	cmd.Flags().BoolVar(&fenced, "fenced", false, "reject orders with an old fencing number")
+	deadly.addFlags(cmd)
 	return cmd
 }
 
 func newStandinServiceCommand() *cobra.Command {
 	var address string
+	var deadly deadlyRequests
 	cmd := &cobra.Command{
 		Use:   "service",
 		Short: "Run a stand-in of a plain service",
@@ -113,13 +117,14 @@
 		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			service := standservice.NewService()
-			if err := serveStandin(cmd, address, service.Handler()); err != nil {
+			if err := serveStandin(cmd, address, service.Handler(), deadly); err != nil {
 				return err
 			}
 			return reportService(cmd, service)
 		},
 	}
 	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:0", "address to listen on")
+	deadly.addFlags(cmd)
 	return cmd
 }
 
@@ -142,19 +147,27 @@
 	return err
 }
 
-// serveStandin prints the bound address and serves until the command's context ends.
-func serveStandin(cmd *cobra.Command, address string, handler http.Handler) error {
+// serveStandin prints the bound address and serves until the command's context ends or a request crashes the stand-in.
+func serveStandin(cmd *cobra.Command, address string, handler http.Handler, deadly deadlyRequests) error {
 	var listenConfig net.ListenConfig
 	listener, err := listenConfig.Listen(cmd.Context(), "tcp", address)
 	if err != nil {
 		return fmt.Errorf("cli: unable to listen: %w", err)
 	}
 	fmt.Fprintln(cmd.OutOrStdout(), "listening on", listener.Addr())
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinHeaderTimeout}
+	server := &http.Server{ReadHeaderTimeout: standinHeaderTimeout}
+	var crashed atomic.Bool
+	server.Handler = deadly.handler(handler, func() {
+		crashed.Store(true)
+		server.Close()
+	})
 	stop := context.AfterFunc(cmd.Context(), func() { server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("cli: stand-in failed: %w", err)
 	}
+	if crashed.Load() {
+		return errStandinCrashed
+	}
 	return nil
 }
