Do not take popular requests for rivals of deadly ones

A lookup that is answered all the time was beside a deadly one at each server that ended: the deadly one was blocked only after a third server, and then the lookup with it. Only requests that are likely causes by themselves are rivals now. Two cases of TestRequestBlocks failed before.

--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -12,7 +12,7 @@
 // Thresholds of blocks. They answer requests that crash each server that runs them, in the midst of crashes with other
 // causes, which also end sound requests.
 const (
-	// sameCrash is the time within which reports of one engine's end are about the same crash. Restarts take longer.
+	// sameCrash is the time within which reports of one server's end are about the same crash. Restarts take longer.
 	sameCrash = time.Second
 	// sameCause is the time within which the ends of several servers count once, since they may have one cause, such as a lost
 	// rack. That does not hold if a request was sent to one server after the other had ended, nor for a request that was never
@@ -41,10 +41,10 @@
 // don't tell them apart.
 type block struct {
 	parts    []string        // sorted
-	callers  map[Caller]bool // whose requests crashed engines
+	callers  map[Caller]bool // whose requests crashed servers
 	accounts map[string]int  // number of these callers by account
 	crashes  int
-	requests []string // requests that crashed engines, with the engines
+	requests []string // requests that crashed servers, with the servers
 	until    time.Time
 }
 
@@ -197,7 +197,7 @@
 	lastCause time.Time // the last end that was counted in causes
 }
 
-// hasRequest reports whether a request is among those that crashed engines.
+// hasRequest reports whether a request is among those that crashed servers.
 func (s *suspect) hasRequest(request string) bool {
 	return slices.ContainsFunc(s.crashes, func(other Crash) bool { return other.Request == request })
 }
@@ -232,8 +232,8 @@
 	return best, newBlock(best, parts)
 }
 
-// rivals returns the suspects that stand for other requests which were at all servers that ended under the given one, so
-// that the crashes don't tell them apart.
+// rivals returns the likely causes that stand for other requests which were at all servers that ended under the given one,
+// so that the crashes don't tell them apart.
 func rivals(s *suspect, suspects map[string]*suspect) []*suspect {
 	if !isRequestPart(s.part) {
 		return nil
@@ -241,7 +241,7 @@
 	var out []*suspect
 	for _, part := range slices.Sorted(maps.Keys(suspects)) {
 		other := suspects[part]
-		if !isRequestPart(part) || sameRequests(s.crashes, other.crashes) {
+		if !isRequestPart(part) || !other.isCause() || sameRequests(s.crashes, other.crashes) {
 			continue
 		}
 		if !slices.ContainsFunc(s.servers, func(n int) bool { return !slices.Contains(other.servers, n) }) {
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -82,6 +82,21 @@
 			nil,
 			[]string{"a", "b"},
 		},
+		{
+			"a popular lookup beside it at all servers",
+			[]Crash{
+				requestCrash(0, "s1", "a"), requestCrash(1, "s1", "b"), requestCrash(30, "s2", "a"), requestCrash(31, "s2", "b"),
+			},
+			map[string]int{"b": -100}, []string{"a"},
+		},
+		{
+			"a popular lookup beside two others at three servers",
+			[]Crash{
+				requestCrash(0, "s1", "a"), requestCrash(1, "s1", "b"), requestCrash(300, "s2", "a"), requestCrash(301, "s2", "b"),
+				requestCrash(900, "s3", "a"), requestCrash(901, "s3", "b"),
+			},
+			map[string]int{"b": -100}, []string{"a"},
+		},
 		{
 			"two that began beside each other, each alone later",
 			[]Crash{
