Count crashes of a request that is also answered for a minute only

A request of which some servers crash is told from a popular sound one by the share of its runs that end a server. Its answers were counted for a minute and its crashes for an hour, so that thirty crashes in half an hour, each beside many answers, had a sound lookup refused: TestOldCrashesOfAPopularRequestDoNotAddUp failed before (1 block).

--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -24,7 +24,9 @@
 	minUncertain = 3
 	minRecent    = 4 // the same for a part that has recently succeeded
 	// A request that was answered at times is blocked if, of its last runs, at least one of maxAnswers + 1 has ended its server.
-	maxAnswers    = 5
+	maxAnswers = 5
+	// partialWindow is the time whose crashes count for that. Answers are counted as long.
+	partialWindow = 2 * beganLife
 	recentSuccess = 30 * time.Second
 	// minCallers is the number of callers of a client account whose own requests must have crashed engines before the parts
 	// are refused to the whole account, and the number of such accounts before they are refused to all. One caller alone
@@ -140,7 +142,7 @@
 	var out []block
 	suspects := collectSuspects(groups, nil)
 	for _, part := range slices.Sorted(maps.Keys(suspects)) {
-		s := suspects[part]
+		s := suspects[part].since(partialWindow)
 		if !isRequestPart(part) || s.causes < minUncertain || s.answers/len(s.crashes) > maxAnswers*s.ends {
 			continue
 		}
@@ -185,7 +187,8 @@
 type suspect struct {
 	part    string
 	crashes []Crash // of one request each
-	servers []int   // the groups of crashes, one for each end of a server
+	at      []int   // number of the end of a server at which each crash was
+	servers []int   // the same without repeats
 	ends    int     // number of servers that ended
 	causes  int     // number of these ends that can't have had one cause
 	early   int     // number of causes for which the answer had not begun
@@ -299,7 +302,7 @@
 // add adds a crash under the part, at a server that ended. Of several with one end of a server, only the first counts.
 func (s *suspect) add(c Crash, server int) {
 	isOtherCause := s.hasRequest(c.Request) || isRequestPart(s.part) && (!s.answered || c.Sent.After(s.lastCause))
-	s.crashes = append(s.crashes, c)
+	s.crashes, s.at = append(s.crashes, c), append(s.at, server)
 	s.answers += c.Answers
 	if slices.Contains(s.servers, server) {
 		return
@@ -316,6 +319,18 @@
 	}
 }
 
+// since returns the suspect with its crashes of the given time up to the last one only.
+func (s *suspect) since(window time.Duration) *suspect {
+	last := s.crashes[len(s.crashes)-1].At
+	out := &suspect{part: s.part, answered: s.answered, recent: s.recent}
+	for n, c := range s.crashes {
+		if last.Sub(c.At) < window {
+			out.add(c, s.at[n])
+		}
+	}
+	return out
+}
+
 // suspectOf returns the suspect of a part, and adds it with its first crash.
 func suspectOf(suspects map[string]*suspect, part string, first Crash, successes map[string]time.Time) *suspect {
 	s, ok := suspects[part]
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -87,7 +88,8 @@
 			[]Crash{
 				requestCrash(0, "s1", "a"), requestCrash(1, "s1", "b"), requestCrash(30, "s2", "a"), requestCrash(31, "s2", "b"),
 			},
-			map[string]int{"b": -100}, []string{"a"},
+			map[string]int{"b": -100},
+			[]string{"a"},
 		},
 		{
 			"a popular lookup beside two others at three servers",
@@ -95,7 +97,8 @@
 				requestCrash(0, "s1", "a"), requestCrash(1, "s1", "b"), requestCrash(300, "s2", "a"), requestCrash(301, "s2", "b"),
 				requestCrash(900, "s3", "a"), requestCrash(901, "s3", "b"),
 			},
-			map[string]int{"b": -100}, []string{"a"},
+			map[string]int{"b": -100},
+			[]string{"a"},
 		},
 		{
 			"two that began beside each other, each alone later",
@@ -242,3 +245,15 @@
 		t.Error("the block covers other requests than the one that crashed servers")
 	}
 }
+
+// Crashes long ago do not count beside the answers of the last minute.
+func TestOldCrashesOfAPopularRequestDoNotAddUp(t *testing.T) {
+	crashes := make([]Crash, 30)
+	for n := range crashes {
+		crashes[n] = afterAnswers(requestCrash(60_000*n, fmt.Sprint("s", n), "a"), 20)
+	}
+	successes := map[string]time.Time{crashes[0].Parts[0]: crashes[29].At.Add(time.Second)}
+	if n := len(findBlocks(crashes, successes)); n != 0 {
+		t.Errorf("%d blocks", n)
+	}
+}
