Tell a request that is blocked between attempts when to come back

A request that had crashed prefill engines, or was turned away by servers, and was then found out got 503 with Retry-After 100 ms although it was refused for two minutes.

--- a/forward/deadly_request_test.go
+++ b/forward/deadly_request_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -130,3 +131,17 @@
 		}
 	})
 }
+
+// A request that crashed prefill engines, which do not run it, is told when to come back.
+func TestRequestBlockedAfterPrefillsGetsTheEndOfTheBlock(t *testing.T) {
+	runInTestEnv(t, func(env *testEnv) {
+		for _, s := range env.prefill {
+			s.DeadlyRequests, s.RestartTime = []backend.DeadlyRequest{{Text: "/digest/1", Prefill: true}}, 3*time.Second
+		}
+		got := env.send(streamRequest("/digest/1", "prefill"))
+		seconds, err := strconv.ParseFloat(got.Header().Get("Retry-After"), 64)
+		if got.Code != http.StatusServiceUnavailable || err != nil || seconds < time.Minute.Seconds() {
+			t.Errorf("status %d, Retry-After %q", got.Code, got.Header().Get("Retry-After"))
+		}
+	})
+}
--- a/forward/model.go
+++ b/forward/model.go
@@ -52,7 +52,10 @@
 		}
 		q.record(event.AttemptFailed, m.lastFailed, result.reason)
 		if refusal := m.checkQuarantine(); refusal != nil {
-			m.failOrAbort(ctx, refusal.Reason())
+			if m.headerSent {
+				m.abort(refusal.Reason())
+			}
+			m.endQuarantined(ctx, refusal)
 			return
 		}
 		if ctx.Err() != nil || !m.canRetry(result, n) {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -61,7 +61,7 @@
 		q.record(event.AttemptFailed, server.Server, result.reason)
 		q.reportNoAnswer(ctx, result, nil, "")
 		if refusal := q.checkQuarantine(); refusal != nil {
-			q.fail(ctx, refusal.Reason())
+			q.endQuarantined(ctx, refusal)
 			return
 		}
 		if ctx.Err() != nil || !q.canRetry(result, len(tried)) {
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -41,12 +41,21 @@
 	return quarantine.Caller{Account: q.account.Name, Key: account.Hash(q.Secret)}
 }
 
-// refuseQuarantined ends a request that servers would crash on, before anything was sent.
+// refuseQuarantined ends a request that servers would crash on and that has not run.
 func (q *request) refuseQuarantined(refusal *quarantine.Refusal) {
 	retryAfter := max(refusal.RetryAt.Sub(q.handler.Now()), noServerRetryAfter)
 	q.refuse(http.StatusServiceUnavailable, retryAfter, refusal.Reason())
 }
 
+// endQuarantined ends a request that was found to crash servers after it had been sent to some.
+func (q *request) endQuarantined(ctx context.Context, refusal *quarantine.Refusal) {
+	if ctx.Err() != nil || q.runs > 0 {
+		q.fail(ctx, refusal.Reason())
+		return
+	}
+	q.refuseQuarantined(refusal)
+}
+
 // reportBegun reports, once an attempt, that an engine has begun to write the answer. It may still crash on the request as
 // a whole.
 func (m *modelRequest) reportBegun() {
