Tell servers that have answered a request from those that crash under it

A sound lookup and a sound order, both answered all the time, were refused for four minutes: three servers whose proxies refused connections counted as a request that some servers answer and others crash under, since few answers had come in the three seconds before.

Such a block counts only ends of servers that have never answered the request now. Each instance remembers which servers did, and tells the others when one of these ends.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -123,7 +123,7 @@
 		if chunk.Done {
 			a.handler.reportAnswered(a.writer.request)
 			if a.report.Generated < beganTokens {
-				a.handler.Quarantine.ReportSuccess(a.parts)
+				a.handler.Quarantine.ReportSuccess(a.placement.Decode.Server, a.parts)
 			}
 			a.decodeState = stateReleased
 			a.writer.finishReason = chunk.Reason
@@ -131,7 +131,7 @@
 		}
 		a.report.Generated++
 		if a.report.Generated == beganTokens {
-			a.handler.Quarantine.ReportSuccess(a.parts)
+			a.handler.Quarantine.ReportSuccess(a.placement.Decode.Server, a.parts)
 		}
 		if err := a.handler.checkKey(a.writer.request); err != nil {
 			return err
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -70,8 +70,8 @@
 // reportAnswered reports that a server has answered the request completely.
 func (h *Handler) reportAnswered(q *request) {
 	if q.sent != nil {
+		h.Quarantine.ReportSuccess(q.sent.server.Server, []string{q.part})
 		q.sent = nil
-		h.Quarantine.ReportSuccess([]string{q.part})
 	}
 }
 
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -60,7 +60,7 @@
 // a whole.
 func (m *modelRequest) reportBegun() {
 	if m.events == beganEvents {
-		m.handler.Quarantine.ReportSuccess(m.SharedParts)
+		m.handler.Quarantine.ReportSuccess("", m.SharedParts)
 	}
 }
 
@@ -68,14 +68,14 @@
 func (m *modelRequest) reportEnded() {
 	m.reportAnswered()
 	if m.events > 0 && m.events < beganEvents {
-		m.handler.Quarantine.ReportSuccess(m.SharedParts)
+		m.handler.Quarantine.ReportSuccess("", m.SharedParts)
 	}
 }
 
 // reportAnswered reports that a server has answered the request completely.
 func (q *request) reportAnswered() {
+	q.handler.Quarantine.ReportSuccess(q.sent.server, []string{q.part})
 	q.sent = nil
-	q.handler.Quarantine.ReportSuccess([]string{q.part})
 }
 
 // sentAttempt is an attempt that was sent to a server and has not been answered completely.
--- a/quarantine/block.go
+++ b/quarantine/block.go
@@ -23,7 +23,8 @@
 	// answers had begun, which takes so long that servers may end for other reasons.
 	minUncertain = 3
 	minRecent    = 4 // the same for a part that has recently succeeded
-	// A request that was answered at times is blocked if, of its last runs, at least one of maxAnswers + 1 has ended its server.
+	// A request that was answered at times is blocked if, of its last runs, at least one of maxAnswers + 1 has ended its server,
+	// and these servers had never answered it.
 	maxAnswers = 5
 	// partialWindow is the time whose crashes count for that. Answers are counted as long.
 	partialWindow = 2 * beganLife
@@ -142,7 +143,7 @@
 	var out []block
 	suspects := collectSuspects(groups, nil)
 	for _, part := range slices.Sorted(maps.Keys(suspects)) {
-		s := suspects[part].since(partialWindow)
+		s := suspects[part].unserved(partialWindow)
 		if !isRequestPart(part) || s.causes < minUncertain || s.answers/len(s.crashes) > maxAnswers*s.ends {
 			continue
 		}
@@ -319,12 +320,14 @@
 	}
 }
 
-// since returns the suspect with its crashes of the given time up to the last one only.
-func (s *suspect) since(window time.Duration) *suspect {
+// unserved returns the suspect with its crashes at servers that had never answered the request, of the given time up to the
+// last crash.
+func (s *suspect) unserved(window time.Duration) *suspect {
 	last := s.crashes[len(s.crashes)-1].At
 	out := &suspect{part: s.part, answered: s.answered, recent: s.recent}
 	for n, c := range s.crashes {
-		if last.Sub(c.At) < window {
+		isServed := slices.ContainsFunc(s.crashes, func(other Crash) bool { return other.Server == c.Server && other.Served })
+		if !isServed && last.Sub(c.At) < window {
 			out.add(c, s.at[n])
 		}
 	}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -29,6 +29,7 @@
 	Parts   []string // the request itself (RequestPart) and, unless the answer had begun, the parts of its prompt
 	Begun   bool     // whether the answer had begun
 	Answers int      // answers to the same request, at all instances, as the reporting one estimates from its own since its last report
+	Served  bool     // whether an instance has seen the server answer the same request before
 	Sent    time.Time
 	At      time.Time
 }
@@ -53,7 +54,7 @@
 
 func newLedger() ledger { return ledger{successes: make(map[string]time.Time)} }
 
-// addCrash adds a crash, and reports whether it was not known. Of two reports of the same request at the same server the
+// addCrash adds a crash, and reports whether it was not known, or not that the server had answered the request before. Of two reports of the same request at the same server the
 // earlier time is kept, since reports are delayed on their way.
 func (l *ledger) addCrash(now time.Time, c Crash) bool {
 	if len(c.Parts) == 0 || now.Sub(c.At) > evidenceLife {
@@ -61,11 +62,13 @@
 	}
 	for n, known := range l.crashes {
 		if known.Request == c.Request && known.Server == c.Server {
+			served := c.Served && !known.Served
+			l.crashes[n].Served = known.Served || c.Served
 			if c.At.Before(known.At) {
 				l.crashes[n].At = c.At
 				l.sort()
 			}
-			return false
+			return served
 		}
 	}
 	c.Parts = slices.Compact(slices.Sorted(slices.Values(c.Parts)))
@@ -175,13 +178,17 @@
 
 // answered is what is known of the answers to requests with a part.
 type answered struct {
-	last  time.Time
-	count int // in this generation, since the last crash under the part
+	last    time.Time
+	count   int      // in this generation, since the last crash under the part
+	servers []string // the last servers that answered, at most maxServers
 }
 
+// maxServers is the number of servers that are remembered to have answered a request.
+const maxServers = 16
+
 // add records that a server has answered a request with the given parts, or has begun to. Suspects are recorded whatever
 // the number of parts.
-func (r *recentParts) add(now time.Time, parts []string, suspects map[string]bool) {
+func (r *recentParts) add(now time.Time, parts []string, server string, suspects map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.parts == nil || now.Sub(r.since) > beganLife {
@@ -189,11 +196,29 @@
 	}
 	for _, part := range parts {
 		if known, ok := r.parts[part]; ok || len(r.parts) < maxBegan || suspects[part] {
-			r.parts[part] = answered{now, known.count + 1}
+			r.parts[part] = answered{now, known.count + 1, addServer(known.servers, server)}
 		}
 	}
 }
 
+// addServer adds a server to those that have answered a request, and drops the oldest beyond maxServers.
+func addServer(servers []string, server string) []string {
+	if server == "" || slices.Contains(servers, server) {
+		return servers
+	}
+	return append(slices.Clone(servers[max(len(servers)+1-maxServers, 0):]), server)
+}
+
+// hasServed reports whether a server has recently answered one of the requests that the parts stand for.
+func (r *recentParts) hasServed(parts []string, server string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part string) bool {
+		return isRequestPart(part) &&
+			(slices.Contains(r.parts[part].servers, server) || slices.Contains(r.before[part].servers, server))
+	})
+}
+
 // successes returns what is known of the given parts.
 func (r *recentParts) successes(now time.Time, parts []string) []success {
 	r.mu.Lock()
@@ -219,7 +244,7 @@
 	for _, generation := range []map[string]answered{r.parts, r.before} {
 		if known, ok := generation[part]; ok {
 			n += known.count
-			generation[part] = answered{known.last, 0}
+			generation[part] = answered{known.last, 0, known.servers}
 		}
 	}
 	return n
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -18,6 +18,7 @@
 	Caller  Caller
 	Parts   []string
 	Begun   bool
+	Served  bool
 	Answers int
 	Ran     time.Duration // time from the sending of the request to the crash
 	Age     time.Duration // time since the crash
@@ -46,7 +47,7 @@
 
 func (c Crash) report(now time.Time) CrashReport {
 	return CrashReport{
-		Request: c.Request, Server: c.Server, Caller: c.Caller, Parts: c.Parts, Begun: c.Begun, Answers: c.Answers,
+		Request: c.Request, Server: c.Server, Caller: c.Caller, Parts: c.Parts, Begun: c.Begun, Served: c.Served, Answers: c.Answers,
 		Ran: c.At.Sub(c.Sent), Age: now.Sub(c.At),
 	}
 }
@@ -59,7 +60,7 @@
 	for _, c := range e.Crashes {
 		at := now.Add(-max(c.Age, 0))
 		crashes = append(crashes, Crash{
-			Request: c.Request, Server: c.Server, Caller: c.Caller, Parts: c.Parts, Begun: c.Begun, Answers: c.Answers,
+			Request: c.Request, Server: c.Server, Caller: c.Caller, Parts: c.Parts, Begun: c.Begun, Served: c.Served, Answers: c.Answers,
 			Sent: at.Add(-max(c.Ran, 0)), At: at,
 		})
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -159,10 +159,10 @@
 
 // ReportSuccess records that a server has answered a request with the given parts, or has begun to write the answer and goes
 // on: none of them crashes servers.
-func (l *List) ReportSuccess(parts []string) {
+func (l *List) ReportSuccess(server string, parts []string) {
 	now := l.Now()
 	suspects := l.current.Load().suspects
-	l.began.add(now, parts, suspects)
+	l.began.add(now, parts, server, suspects)
 	if len(suspects) == 0 {
 		return
 	}
@@ -189,11 +189,13 @@
 	l.ledger.prune(now)
 	changed := false
 	for _, c := range crashes {
+		served := !c.Served && l.began.hasServed(c.Parts, c.Server)
+		c.Served = c.Served || served
 		if !l.ledger.addCrash(now, c) {
 			continue
 		}
 		changed = true
-		if passOn {
+		if passOn || served {
 			l.queue(now, Evidence{Crashes: []CrashReport{c.report(now)}})
 		}
 		for _, s := range l.began.successes(now, c.Parts) {
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -42,6 +42,7 @@
 	Key     string   `json:"key"` // hash of the API key
 	Parts   []string `json:"parts"`
 	Begun   bool     `json:"begun"`   // whether the answer had begun
+	Served  bool     `json:"served"`  // whether the server had answered the same request before
 	Answers int      `json:"answers"` // to the same request, before the crash
 	Ran     int64    `json:"ran"`     // milliseconds from the sending of the request to the crash
 	At      int64    `json:"at"`
@@ -54,7 +55,7 @@
 	e := l.evidence()
 	for _, c := range e.Crashes {
 		out.Crashes = append(out.Crashes, StoredCrash{
-			Request: c.Request, Server: c.Server, Account: c.Caller.Account, Key: c.Caller.Key, Parts: c.Parts, Begun: c.Begun,
+			Request: c.Request, Server: c.Server, Account: c.Caller.Account, Key: c.Caller.Key, Parts: c.Parts, Begun: c.Begun, Served: c.Served,
 			Answers: c.Answers, Ran: c.Ran.Milliseconds(), At: now.Add(-c.Age).UnixMilli(),
 		})
 	}
@@ -70,7 +71,7 @@
 	var e Evidence
 	for _, c := range s.Crashes {
 		e.Crashes = append(e.Crashes, CrashReport{
-			Request: c.Request, Server: c.Server, Caller: Caller{c.Account, c.Key}, Parts: c.Parts, Begun: c.Begun,
+			Request: c.Request, Server: c.Server, Caller: Caller{c.Account, c.Key}, Parts: c.Parts, Begun: c.Begun, Served: c.Served,
 			Answers: c.Answers, Ran: time.Duration(c.Ran) * time.Millisecond, Age: age(c.At),
 		})
 	}
