--- a/soak/client.go
+++ b/soak/client.go
@@ -112,35 +112,36 @@
 	}
 	ctx, stop := context.WithTimeout(context.Background(), timeout)
 	defer stop()
-	method, body := http.MethodPost, io.Reader(strings.NewReader("two lambs"))
+	headers := caller.Request{ID: id, Key: accountKey, Deadline: requestDeadline}
+	method, text := http.MethodPost, "two lambs"
 	isLookup, isOrder := strings.HasPrefix(path, "/status/"), strings.HasPrefix(path, "/order/")
 	if isLookup {
-		method, body = http.MethodGet, nil
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
-	if err != nil {
-		return res
+		method, text = http.MethodGet, ""
 	}
-	req.GetBody = nil // net/http must not send the body again
-	req.Host = caller.Host
-	headers := caller.Request{ID: id, Key: accountKey, Deadline: requestDeadline}
 	if !isOrder && !isLookup {
 		headers.PromptTokens, headers.MaxOutputTokens, headers.LengthHint = promptTokens, 2*streamTokens, streamTokens
 		if random.Float64() < deadlyShare {
 			res.deadly, headers.SharedParts = true, []string{"a", deadlyPart}
+			text += " for " + id // no two requests with a deadly part are alike
 		}
 	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(text))
+	if err != nil {
+		return res
+	}
+	req.GetBody = nil // net/http must not send the body again
+	req.Host = caller.Host
 	headers.SetHeaders(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return res
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	content, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return res
 	}
-	res.status, res.body = resp.StatusCode, string(text)
+	res.status, res.body = resp.StatusCode, string(content)
 	return res
 }
 
