Do not count on servers that new deadly requests have just ended in the soak

Trace: after the faults two deadly requests of which one had never come and one had ended a single engine ended all four decode engines, two each, as the rule allows (three each); the sound streams of the next 1.5 s found no engine, and were refused at once as not run. Sound requests that were sent within the restart time after a crash, or beside one, no longer count in that check; all others do, at the same bound.

--- a/soak/client.go
+++ b/soak/client.go
@@ -40,7 +40,9 @@
 	body      string
 	deadly    bool // the prompt crashes decode engines
 	crashes   bool // the request crashes servers, whatever its prompt
-	cancelled bool // the client cancels after cancelAfter, unless the response is complete by then
+	sent      time.Time
+	ended     time.Time // when the client had the response or gave up
+	cancelled bool      // the client cancels after cancelAfter, unless the response is complete by then
 }
 
 // atMostOnce reports whether the request may run at most once.
@@ -92,7 +94,10 @@
 		if ctx.Err() != nil {
 			return
 		}
-		c.finalResults = append(c.finalResults, c.send(random, fmt.Sprintf("last-%d", i), false))
+		sent := time.Now()
+		res := c.send(random, fmt.Sprintf("last-%d", i), false)
+		res.sent, res.ended = sent, time.Now()
+		c.finalResults = append(c.finalResults, res)
 	}
 }
 
@@ -188,7 +193,7 @@
 		switch {
 		case res.deadly && runs[res.id] > 0:
 			deadly++
-		case !res.deadly && !res.crashes:
+		case !res.deadly && !res.crashes && !c.crashedDuring(res.sent.Add(-serverRestartTime), res.ended):
 			sound++
 			if res.status == http.StatusOK {
 				served++
--- a/soak/deadly_request.go
+++ b/soak/deadly_request.go
@@ -103,3 +103,11 @@
 	slices.SortFunc(out, time.Time.Compare)
 	return out
 }
+
+// crashedDuring reports whether a server crashed in a time. New deadly requests may end all servers of a duty, so that no
+// request is served until they are back.
+func (c *clients) crashedDuring(from, to time.Time) bool {
+	return slices.ContainsFunc(c.env.servers, func(b *backendServer) bool {
+		return slices.ContainsFunc(b.backend.Crashes(), func(at time.Time) bool { return !at.Before(from) && at.Before(to) })
+	})
+}
