--- a/gossip/spreader.go
+++ b/gossip/spreader.go
@@ -31,6 +31,7 @@
 
 	mu         sync.Mutex
 	exchanged  map[string]exchange // last exchange, by address of the peer
+	ended      bool                // whether Wait was called since Learn
 	background sync.WaitGroup
 }
 
@@ -58,7 +59,7 @@
 		fanout = largeFanout
 	}
 	for _, address := range s.pick(fanout) {
-		s.background.Go(func() {
+		s.start(func() {
 			call, stop := context.WithTimeout(ctx, callTimeout)
 			defer stop()
 			if err := s.Call(call, address, method, args, newReply()); err != nil && ctx.Err() == nil {
@@ -77,7 +78,10 @@
 
 // Learn exchanges all knowledge with the first peers that this instance knows after its start. It does not wait for that.
 func (s *Spreader) Learn(ctx context.Context, exchange func(ctx context.Context, address string) error) {
-	s.background.Go(func() {
+	s.mu.Lock()
+	s.ended = false
+	s.mu.Unlock()
+	s.start(func() {
 		ctx, stop := context.WithTimeout(ctx, maxStartWait)
 		defer stop()
 		for delay.For(ctx, startDelay) == nil {
@@ -98,7 +102,7 @@
 	if digest == own || !s.claimExchange(address, digest) {
 		return
 	}
-	s.background.Go(func() {
+	s.start(func() {
 		ctx, stop := context.WithTimeout(context.Background(), callTimeout)
 		defer stop()
 		if err := exchange(ctx, address); err != nil {
@@ -127,5 +131,19 @@
 	return true
 }
 
-// Wait waits until the calls in the background have ended.
-func (s *Spreader) Wait() { s.background.Wait() }
+// start runs f in the background, unless Wait was called.
+func (s *Spreader) start(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ended {
+		s.background.Go(f)
+	}
+}
+
+// Wait waits until the calls in the background have ended. No others begin before the next Learn.
+func (s *Spreader) Wait() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.background.Wait()
+}
