--- a/cell/core.go
+++ b/cell/core.go
@@ -36,6 +36,7 @@
 	Ceiling      int // upper bound of the output tokens if MaxTokens is an estimate; 0 if it is not
 	Prefixes     []string
 	Zone         string        // availability zone of the calling instance
+	Zones        []string      // availability zones whose servers may be used; empty for all
 	Exclude      []string      // names of servers not to use, since they failed the request before
 	Avoid        []string      // names of servers that want no requests from the caller of the dispatcher
 	Waited       time.Duration // time that the request waited before this call
@@ -45,6 +46,11 @@
 	Burst        float64       // burst of the client account, tokens
 }
 
+// allows reports whether the request may use a server, by the server's availability zone.
+func (r *PlaceRequest) allows(s rule.Server) bool {
+	return len(r.Zones) == 0 || slices.Contains(r.Zones, s.Zone)
+}
+
 // Decision is the outcome of one PlaceRequest: the chosen servers, or an error with the time after which to retry.
 type Decision struct {
 	Key     string
@@ -152,24 +158,66 @@
 func (c *Core) SetServers(now instant, prefills, decodes []rule.Server, pool rule.Pool, targets Targets) {
 	c.targets, c.pool = targets, pool
 	prefill, link := c.meanRates()
+	before := c.countInUse()
 	c.prefills = mergeServers(c.prefills, prefills,
 		func(p *prefillServer) *rule.Server { return &p.server },
 		func() *prefillServer {
 			return &prefillServer{
 				rate: rateEstimate{perSecond: prefill}, linkRate: rateEstimate{perSecond: link}, hintAccuracy: 1,
 			}
-		})
+		},
+		func(p *prefillServer) { p.rate, p.lastSample = rateEstimate{perSecond: prefill}, 0 })
 	c.decodes = mergeServers(c.decodes, decodes,
 		func(d *decodeServer) *rule.Server { return &d.server },
-		func() *decodeServer { return &decodeServer{steps: newServerStepModel(&c.poolStep), advancedAt: now} })
+		func() *decodeServer { return &decodeServer{steps: newServerStepModel(&c.poolStep), advancedAt: now} },
+		func(d *decodeServer) { d.steps = newServerStepModel(&c.poolStep) })
 	for _, d := range c.decodes {
 		d.slots, d.pieces = pool.Slots, pool.Pieces
 		d.batchLimit = d.steps.limit(d.slots, c.targets.TokenInterval)
 	}
+	c.adaptToEvacuations(before)
+}
+
+// hasServersFor reports whether both stages may have a server for a request: not if all that it may use are evacuated, or if
+// there is none in its availability zones. Servers that are leaving or paused may soon be followed by others.
+func (c *Core) hasServersFor(request PlaceRequest) bool {
+	mayServe := func(s rule.Server) bool { return request.allows(s) && s.State != rule.ServerEvacuated }
+	return slices.ContainsFunc(c.prefills, func(p *prefillServer) bool { return mayServe(p.server) }) &&
+		slices.ContainsFunc(c.decodes, func(d *decodeServer) bool { return mayServe(d.server) })
+}
+
+// decodeCounts are the numbers of decode servers that are evacuated, and of the others.
+type decodeCounts struct{ evacuated, inUse int }
+
+func (c *Core) countInUse() decodeCounts {
+	var n decodeCounts
+	for _, d := range c.decodes {
+		if d.server.State == rule.ServerEvacuated {
+			n.evacuated++
+		} else {
+			n.inUse++
+		}
+	}
+	return n
+}
+
+// adaptToEvacuations scales the measured rates of placements when servers are evacuated or come back, so that waits are
+// predicted for the servers in use now. Otherwise a queue that the smaller fleet can't serve would build up first.
+func (c *Core) adaptToEvacuations(before decodeCounts) {
+	after := c.countInUse()
+	if after.evacuated == before.evacuated || before.inUse == 0 || after.inUse == 0 {
+		return
+	}
+	factor := float64(after.inUse) / float64(before.inUse)
+	c.costRate.scale(factor)
+	c.lateCostRate.scale(factor)
 }
 
-// mergeServers returns the states of servers. Servers whose address is unchanged keep theirs, others get a new one.
-func mergeServers[T any](old []*T, servers []rule.Server, field func(*T) *rule.Server, create func() *T) []*T {
+// mergeServers returns the states of servers. Servers whose address is unchanged keep theirs, others get a new one. What was
+// learned about the speed of a server that has become cold since is forgotten.
+func mergeServers[T any](
+	old []*T, servers []rule.Server, field func(*T) *rule.Server, create func() *T, forgetSpeed func(*T),
+) []*T {
 	known := make(map[string]*T, len(old))
 	for _, s := range old {
 		known[field(s).Server] = s
@@ -179,6 +227,8 @@
 		s, ok := known[server.Server]
 		if !ok || field(s).At != server.At {
 			s = create()
+		} else if field(s).ColdPeriod != server.ColdPeriod {
+			forgetSpeed(s)
 		}
 		*field(s) = server
 		out = append(out, s)
@@ -373,7 +423,7 @@
 // eligible reports whether a server may get a request, regardless of its load. The caller passes in whether the server
 // is usable.
 func (c *Core) eligible(now instant, request *PlaceRequest, s rule.Server, usable bool) bool {
-	return usable && s.State == rule.ServerLive && !c.placementPaused(now, s.Server) &&
+	return usable && s.State == rule.ServerLive && request.allows(s) && !c.placementPaused(now, s.Server) &&
 		!slices.Contains(request.Exclude, s.Server) && !slices.Contains(request.Avoid, s.Server) && c.canRequest(s)
 }
 
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -250,8 +250,8 @@
 	return now.Sub(d.lastUsed) > cellIdleTimeout && d.core.QueueLength() == 0
 }
 
-// ErrNotPolled means that a server was not polled, since it has reached its limit of requests.
-var ErrNotPolled = errors.New("cell: the server has reached its limit of requests")
+// ErrNotPolled means that a server was not polled, since it has reached its limit of requests or is evacuated.
+var ErrNotPolled = errors.New("cell: the server is not to be polled at present")
 
 // poll is one poll of a server's state.
 type poll struct {
@@ -287,7 +287,7 @@
 // schedulePoll reports whether a server is due for a poll, and if so sets the time of the next one. A server that names a
 // limit is polled less often, so that the polls take little of it.
 func (d *dispatcher) schedulePoll(now time.Time, server rule.Server, interval time.Duration) bool {
-	if now.Before(d.nextPoll[server.Server]) {
+	if now.Before(d.nextPoll[server.Server]) || server.State == rule.ServerEvacuated {
 		return false
 	}
 	if rate, limited := d.limits.Rate(serverKey(server)); limited {
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -87,6 +87,17 @@
 	return out
 }
 
+// count adds the number of holdings at each decode server to a map.
+func (p *holdingSet) count(to map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, holdings := range p.cells {
+		for _, h := range holdings {
+			to[h.Decode]++
+		}
+	}
+}
+
 // Holdings returns the holdings of this instance at a cell's pools.
 func (r *Receiver) Holdings(args HoldingsArgs, reply *HoldingsReply) error {
 	reply.Holdings = r.hub.holdings.list(args.Cell)
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -39,6 +39,7 @@
 	Ceiling      int      // upper bound of the output tokens if MaxTokens is an estimate; 0 if it is not
 	Prefixes     []string // hashes of the prompt's prefixes, as returned by engine.PrefixHashes
 	Zone         string   // availability zone of the instance
+	Zones        []string // availability zones whose servers may be used; nil for all
 	Exclude      []string // servers not to use, since they failed the request before
 	Avoid        []string // servers that want no requests from this instance
 
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -199,7 +199,7 @@
 	}
 	return PlaceRequest{
 		Key: r.ID, From: p.ownerName(), Left: left, Account: r.Account, Weight: r.Weight, Class: r.Class,
-		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone,
+		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone, Zones: r.Zones,
 		Exclude: r.Exclude, Avoid: r.Avoid, Waited: waited,
 		Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
 	}
@@ -257,6 +257,16 @@
 	return id
 }
 
+// Running returns the number of this instance's requests at each backend server, by name. A model request counts at its
+// decode server.
+func (p *Placer) Running() map[string]int {
+	out := p.Plain.pending()
+	if p.Hub != nil {
+		p.Hub.holdings.count(out)
+	}
+	return out
+}
+
 // Dispatcher returns the preferred dispatcher of a cell, if there is one.
 func (p *Placer) Dispatcher(id ID) (fleet.Member, bool) { return p.nextDispatcher(id, nil) }
 
--- a/cell/plain.go
+++ b/cell/plain.go
@@ -156,6 +156,19 @@
 	}
 }
 
+// pending returns the number of requests at each server.
+func (p *PlainPicker) pending() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]int, len(p.servers))
+	for name, s := range p.servers {
+		if s.latency.pending > 0 {
+			out[name] = s.latency.pending
+		}
+	}
+	return out
+}
+
 func (p *PlainPicker) server(name string) *plainServer {
 	s, ok := p.servers[name]
 	if !ok {
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -38,6 +38,9 @@
 
 func (m *costRateMeter) add(cost float64) { m.cost += cost }
 
+// scale changes the measured rate by a factor.
+func (m *costRateMeter) scale(factor float64) { m.cost *= factor }
+
 // perSecond returns the rate, or 0 before costRateWarmupSeconds with waiting requests.
 func (m *costRateMeter) perSecond() float64 {
 	if m.waitSeconds < costRateWarmupSeconds {
@@ -48,8 +51,8 @@
 
 // admit rejects a new request that could not be placed in time. With an error it returns the time after which to retry.
 func (c *Core) admit(now instant, w *waitingRequest) (time.Duration, error) {
-	if len(c.decodes) == 0 || len(c.prefills) == 0 {
-		return minRetry, noServer.New("cell: no server in the cell")
+	if !c.hasServersFor(w.request) {
+		return minRetry, noServer.New("cell: no server in the cell that the request may use")
 	}
 	if c.piecesNeeded(w.request) > c.decodes[0].pieces {
 		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
--- a/cli/change.go
+++ b/cli/change.go
@@ -110,6 +110,7 @@
 	var flags changeFlags
 	var approvals []string
 	var wait time.Duration
+	var last bool
 	cmd := &cobra.Command{
 		Use:   "apply FILE",
 		Short: "Store a rules file as the newest revision",
@@ -123,6 +124,15 @@
 			if err != nil {
 				return err
 			}
+			if len(request.Rules.Evacuated()) > 0 {
+				plan, err := config.NewPlan(cmd.Context(), client, request.Rules, flags.operator, flags.baseRevision())
+				if err != nil {
+					return err
+				}
+				if err := checkCapacity(plan, last); err != nil {
+					return err
+				}
+			}
 			result, err := config.NewWriter(client).Apply(cmd.Context(), request)
 			return flags.reportResult(cmd, client, result, err, wait)
 		},
@@ -131,6 +141,7 @@
 	cmd.Flags().StringVar(&flags.secretFile, "secret", "", "file with the secret of the operator who requests the change")
 	cmd.Flags().StringArrayVar(&approvals, "approved-by", nil, "approval as printed by approve; may be repeated")
 	cmd.Flags().DurationVar(&wait, "wait", 0, "how long to wait until every live instance has the revision in force")
+	cmd.Flags().BoolVar(&last, "last", false, "allow an evacuation to leave a pool without a server")
 	cmd.Flags().Lookup("wait").NoOptDefVal = defaultWait.String()
 	return cmd
 }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -80,6 +80,7 @@
 		newPlanCommand(),
 		newApproveCommand(),
 		newApplyCommand(),
+		newEvacuateCommand(),
 		newStatusCommand(),
 		newKeyCommand(),
 		newStandinCommand(),
--- a/cli/plan_print.go
+++ b/cli/plan_print.go
@@ -17,6 +17,14 @@
 	Guards    []config.Guard `json:"guards"`
 	Conflicts int            `json:"conflicts"` // lines that others have changed since the base revision
 	Problems  []string       `json:"problems,omitempty"`
+	Capacity  []poolCapacity `json:"capacity,omitempty"` // of pools that an evacuation alters
+}
+
+// poolCapacity is the number of servers of a pool that get new work.
+type poolCapacity struct {
+	Pool   string `json:"pool"`
+	Before int    `json:"before"`
+	After  int    `json:"after"`
 }
 
 // planLine is one rule that a plan adds, changes or removes.
@@ -40,6 +48,9 @@
 			output.Lines[i].New = d.New.String()
 		}
 	}
+	for _, c := range p.Capacity() {
+		output.Capacity = append(output.Capacity, poolCapacity(c))
+	}
 	for _, problem := range p.Problems() {
 		output.Problems = append(output.Problems, problem.Text)
 	}
@@ -73,6 +84,12 @@
 	if output.Conflicts > 0 {
 		fmt.Fprintf(out, "somebody else changed %d of these lines since revision %d\n", output.Conflicts, output.Base)
 	}
+	for _, c := range output.Capacity {
+		fmt.Fprintf(out, "pool %s: %d servers get new work, %d do now\n", c.Pool, c.After, c.Before)
+		if c.After == 0 {
+			fmt.Fprintf(out, "warning: no server of pool %s is left; its requests will be refused\n", c.Pool)
+		}
+	}
 	for _, problem := range output.Problems {
 		fmt.Fprintln(out, "can't be accepted:", problem)
 	}
--- a/cli/status.go
+++ b/cli/status.go
@@ -115,6 +115,7 @@
 	} else {
 		fmt.Fprintf(cmd.OutOrStdout(), "newest revision %d; the platform %s\n", output.Revision, output.Platform)
 		printInstanceReports(cmd.OutOrStdout(), output.Instances, output.Revision)
+		printEvacuations(cmd.OutOrStdout(), output.Instances)
 	}
 	if len(output.Lagging) > 0 {
 		return fmt.Errorf("cli: %d instances lag or do not answer", len(output.Lagging))
--- a/config/plan.go
+++ b/config/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"slices"
 
 	"teaselgate/platform"
 	"teaselgate/rule"
@@ -56,6 +57,19 @@
 	return SignedApproval{Approval{by, ed25519.Sign(privateKey, p.step.signedText())}, p.Base}
 }
 
+// Capacity returns the capacity of the pools that the planned change alters, or nil if it evacuates no availability zone or
+// takes no evacuation back.
+func (p *Plan) Capacity() []rule.PoolCapacity {
+	if !slices.ContainsFunc(p.Differences, func(d rule.Difference) bool { return d.Line().Kind == rule.KindEvacuate }) {
+		return nil
+	}
+	after, _, err := p.current.Rules.Apply(p.Differences)
+	if err != nil {
+		return nil
+	}
+	return rule.CompareCapacity(p.current.Rules, after)
+}
+
 // Problems returns the problems of the rules that the planned change leads to, or nil if it conflicts with the newest
 // revision.
 func (p *Plan) Problems() []rule.Problem {
--- a/config/status.go
+++ b/config/status.go
@@ -36,6 +36,9 @@
 	Change    string     `json:"change,omitempty"`   // ID of the change that made that revision
 	Rejected  *Rejection `json:"rejected,omitempty"` // last rejected revision, if newer than the one in force
 	Members   []Member   `json:"members"`            // instances known to this one
+
+	Evacuated []string       `json:"evacuated,omitempty"` // availability zones whose evacuation is in force at the instance
+	Running   map[string]int `json:"running,omitempty"`   // the instance's requests at backend servers, by availability zone
 }
 
 // Member is an instance as the platform or another instance knows it.
--- a/event/config_events.go
+++ b/event/config_events.go
@@ -24,6 +24,10 @@
 	KeeperUnreachable  Code = 1117
 	LimitCallFailed    Code = 1118
 	LimitReached       Code = 1119
+	ZoneEvacuated      Code = 1120
+	ZoneReturned       Code = 1121
+	EvacuationHeld     Code = 1122
+	ServerCold         Code = 1123
 )
 
 var configEvents = map[Code]Definition{
@@ -44,6 +48,10 @@
 	KeeperUnreachable:  {"limit-keeper-unreachable", logrus.WarnLevel, "the instance that grants the requests of a limited backend server did not answer; this one uses its own part of the limit"},
 	LimitCallFailed:    {"limit-call-failed", logrus.WarnLevel, "a call to a peer on the limits of backend servers failed"},
 	LimitReached:       {"limit-reached", logrus.InfoLevel, "a request was not sent to a backend server that takes no more at present"},
+	ZoneEvacuated:      {"zone-evacuated", logrus.InfoLevel, "an operator has an availability zone evacuated; its servers get no new work"},
+	ZoneReturned:       {"zone-returned", logrus.InfoLevel, "an operator has taken the evacuation of an availability zone back"},
+	EvacuationHeld:     {"evacuation-held", logrus.WarnLevel, "the restored platform store says otherwise about an evacuation; what was known before stays in force for a minute"},
+	ServerCold:         {"server-cold", logrus.InfoLevel, "a backend server is cold and takes only some requests a second from all instances together"},
 	StoreRestored:      {"store-restored", logrus.WarnLevel, "the platform store was restored from an older copy"},
 	RulesOutdated:      {"rules-outdated", logrus.WarnLevel, "the restored platform store has older rules than those in force, which stay in force"},
 	RelayFailed:        {"relay-failed", logrus.WarnLevel, "a call to exchange the state of the platform store with a peer failed"},
--- a/forward/backoff.go
+++ b/forward/backoff.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"teaselgate/rule"
 	"teaselgate/upstream"
 )
 
@@ -29,10 +28,7 @@
 // takes them now or there is none.
 func (q *request) poolBackoff(pool string) time.Time {
 	var first time.Time
-	for _, s := range q.view.Rules.Servers(pool) {
-		if s.State != rule.ServerLive {
-			continue
-		}
+	for _, s := range q.liveServers(pool) {
 		key := upstream.ServerKey{Server: s.Server, Address: s.At}
 		until := later(q.handler.Backoff.Until(key), q.handler.Limits.RetryAt(key))
 		if until.IsZero() {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -33,6 +33,7 @@
 // Handler serves callers' requests. Its exported fields are set before it serves.
 type Handler struct {
 	Zone        string
+	Regions     map[string]string      // region of each availability zone, as far as the settings name it
 	View        func() *registry.View  // returns nil until the instance has a configuration
 	ViewChanged func() <-chan struct{} // returns a channel that is closed when View returns another view
 	SettledAt   func() time.Time       // returns the time until which entries of live servers may be missing
@@ -108,6 +109,7 @@
 	view     *registry.View
 	route    platform.Route
 	account  platform.Account // empty on open routes
+	zones    []string         // availability zones whose servers may get the request; nil for all
 	service  platform.Service
 	body     []byte
 	incoming *http.Request
@@ -162,6 +164,9 @@
 			return false
 		}
 	}
+	if !q.setHomes() {
+		return false
+	}
 	q.deadline = q.Deadline
 	if limit := q.received.Add(q.route.Timeout); q.route.Timeout > 0 && (q.deadline.IsZero() || limit.Before(q.deadline)) {
 		q.deadline = limit
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -18,7 +18,7 @@
 // limits, it returns a throttle.Denial with the first time at which one takes a request.
 func (q *request) pickServer(ctx context.Context, tried []string) (rule.Server, error) {
 	h := q.handler
-	exclude := slices.Concat(h.Backoff.Servers(), h.Limits.Exhausted(), tried)
+	exclude := slices.Concat(h.Backoff.Servers(), h.Limits.Exhausted(), tried, q.serversElsewhere(q.service.Name))
 	var first *throttle.Denial
 	for range maxDenials {
 		server, err := h.PickServer(q.service.Name, exclude)
@@ -42,7 +42,7 @@
 
 // firstDenial returns the earliest denial of a server of the request's service, or err if there is none.
 func (q *request) firstDenial(first *throttle.Denial, err error) error {
-	for _, s := range q.view.Rules.Servers(q.service.Name) {
+	for _, s := range q.liveServers(q.service.Name) {
 		retryAt := q.handler.Limits.RetryAt(upstream.ServerKey{Server: s.Server, Address: s.At})
 		if !retryAt.IsZero() && (first == nil || retryAt.Before(first.RetryAt)) {
 			first = &throttle.Denial{RetryAt: retryAt}
--- a/forward/model.go
+++ b/forward/model.go
@@ -84,6 +84,7 @@
 		PromptTokens: m.PromptTokens + m.tokensSent(),
 		MaxTokens:    max(m.expectedOutputTokens()-m.tokensSent(), m.service.Engine.TokensPerEvent),
 		Deadline:     m.deadline, Ceiling: max(m.MaxOutputTokens-m.tokensSent(), 1), Zone: m.handler.Zone,
+		Zones:   m.zones,
 		Exclude: m.exclude, Avoid: m.handler.Backoff.Servers(), Charge: m.charge(), Rate: m.account.Rate, Burst: m.account.Burst,
 	}
 }
@@ -211,7 +212,7 @@
 	resp, err := m.send(ctx, platform.ForwardOptions{
 		Server: server.Server, Address: server.At, Prefill: true, LastEventID: m.lastEventID(),
 	})
-	if errors.Is(err, errBackoff) {
+	if isWithheld(err) {
 		return platform.Handle{}, m.resultFromSendError(ctx, err)
 	}
 	if err != nil {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -216,6 +216,9 @@
 	if !q.handler.Backoff.Until(key).IsZero() {
 		return nil, errBackoff
 	}
+	if view := q.handler.View(); view != nil && view.IsEvacuated(f.Server) {
+		return nil, errEvacuated
+	}
 	f.Account = q.account.Name
 	sent := q.handler.Now()
 	f.TimeLeft = q.deadline.Sub(sent)
@@ -227,12 +230,20 @@
 	return resp, err
 }
 
-// errBackoff means that a request was not sent because its server wants none at present.
-var errBackoff = errors.New("forward: the server wants no requests at present")
+var (
+	// errBackoff means that a request was not sent because its server wants none at present.
+	errBackoff = errors.New("forward: the server wants no requests at present")
+	// errEvacuated means that a request was not sent because the availability zone of its server was evacuated after the
+	// server had been chosen.
+	errEvacuated = errors.New("forward: the availability zone of the server is evacuated")
+)
+
+// isWithheld reports whether a request was not sent for a reason that says nothing about its server.
+func isWithheld(err error) bool { return errors.Is(err, errBackoff) || errors.Is(err, errEvacuated) }
 
 // resultFromSendError returns the result of an attempt that got no response. It counts a run unless nothing was sent.
 func (q *request) resultFromSendError(ctx context.Context, err error) attemptResult {
-	if errors.Is(err, errBackoff) {
+	if isWithheld(err) {
 		return attemptResult{notRun: true, notSent: true, reason: err.Error()}
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
--- a/forward/startup.go
+++ b/forward/startup.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"teaselgate/registry"
-	"teaselgate/rule"
 )
 
 // Limits on the wait of a request for what an instance learns shortly after its start. They answer the load after the loss
@@ -64,9 +63,7 @@
 
 // hasServers reports whether each of the pools has a live server.
 func (q *request) hasServers(pools []string) bool {
-	return !slices.ContainsFunc(pools, func(pool string) bool {
-		return !slices.ContainsFunc(q.view.Rules.Servers(pool), func(s rule.Server) bool { return s.State == rule.ServerLive })
-	})
+	return !slices.ContainsFunc(pools, func(pool string) bool { return len(q.liveServers(pool)) == 0 })
 }
 
 // serverExpectedIn returns the time after which a request may be retried that found no usable server.
--- a/forward/testenv_test.go
+++ b/forward/testenv_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -61,6 +62,10 @@
 	sent    int                             // requests sent by sendAll
 	mu      sync.Mutex
 	events  []event.Event
+
+	configuration *platform.Configuration
+	registered    []platform.Server
+	view          atomic.Pointer[registry.View]
 }
 
 // runInTestEnv runs a test with three plain servers, two prefill engines and two decode engines.
@@ -116,7 +121,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	view := registry.NewView(c, registered, registry.EngineSettings{Fenced: true})
+	env.configuration, env.registered = c, registered
+	env.updateView()
 	record := func(e event.Event) {
 		env.mu.Lock()
 		defer env.mu.Unlock()
@@ -127,7 +133,7 @@
 		DisableKeepAlives: true,
 	}}
 	engines := &platform.EngineClient{HTTP: unpooled, Orders: unpooled}
-	rules := func() *rule.Set { return view.Rules }
+	rules := func() *rule.Set { return env.view.Load().Rules }
 	calls := cell.EngineCalls{
 		Load: func(ctx context.Context, at string) (engine.LoadReport, error) {
 			r, err := engines.Report(ctx, at)
@@ -148,7 +154,7 @@
 	h := NewHandler()
 	serving.Go(func() { _ = h.Quarantine.Serve(ctx) })
 	h.Zone, h.Record = "a", record
-	h.View = func() *registry.View { return view }
+	h.View = env.view.Load
 	h.Place, h.PickServer, h.ReportServerResult = placer.Place, placer.Plain.Pick, placer.Plain.RecordResult
 	h.UnpickServer, h.Limits = placer.Plain.Unpick, placer.Hub.Limits
 	h.Charge = func(platform.Account, int64) (time.Time, error) { return time.Time{}, nil }
@@ -160,6 +166,20 @@
 	env.handler = h
 }
 
+// updateView puts the configuration and the registered servers in force.
+func (env *testEnv) updateView() {
+	env.view.Store(registry.NewView(env.configuration, env.registered, registry.EngineSettings{Fenced: true}))
+}
+
+// changeServers changes the registered servers and puts them in force.
+func (env *testEnv) changeServers(change func(s *platform.Server)) {
+	env.registered = slices.Clone(env.registered)
+	for n := range env.registered {
+		change(&env.registered[n])
+	}
+	env.updateView()
+}
+
 var errConnRefused = fmt.Errorf("forward: %w", syscall.ECONNREFUSED)
 
 // dial connects to an emulated server through a pipe.
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -37,7 +37,7 @@
 	i.debitReporter.Record = i.events.Record
 	i.retryBudgets = &retryBudgets{instance: i, byService: make(map[string]*outcome.RetryBudget)}
 	handler := forward.NewHandler()
-	handler.Zone = i.Options.Zone
+	handler.Zone, handler.Regions = i.Options.Zone, i.Options.RegionOf()
 	handler.View, handler.ViewChanged, handler.SettledAt = i.registry.Current, i.registry.Changed, i.registry.SettledAt
 	handler.Place = i.placer.Place
 	handler.PickServer, handler.UnpickServer = i.placer.Plain.Pick, i.placer.Plain.Unpick
@@ -148,10 +148,10 @@
 	}
 }
 
-// pollError returns the error of a report. One that was not asked for, since its engine has reached its limit, is not a failure
-// of the engine.
+// pollError returns the error of a report. One that was not asked for, since its engine has reached its limit or is
+// evacuated, is not a failure of the engine.
 func pollError(err error) error {
-	if errors.Is(err, throttle.ErrLimit) {
+	if errors.Is(err, throttle.ErrLimit) || errors.Is(err, errServerEvacuated) {
 		return fmt.Errorf("%w: %w", cell.ErrNotPolled, err)
 	}
 	return err
--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -111,7 +111,7 @@
 		counts[serverGroup{pool.Duty, s.State}]++
 	}
 	for _, duty := range []rule.Duty{rule.Plain, rule.Prefill, rule.Decode} {
-		for _, state := range []rule.ServerState{rule.ServerLive, rule.ServerLeaving} {
+		for _, state := range []rule.ServerState{rule.ServerLive, rule.ServerLeaving, rule.ServerEvacuated} {
 			i.metrics.SetServers(string(duty), string(state), counts[serverGroup{duty, state}])
 		}
 	}
--- a/instance/build_registry.go
+++ b/instance/build_registry.go
@@ -26,6 +26,7 @@
 	i.registry.Engines = registry.EngineSettings{
 		Fenced: i.Options.Engine.Fenced, Place: rule.PlacementPolicy(i.Options.Engine.Place),
 	}
+	i.registry.Evacuations = i.Options.Evacuations
 	supervisor.Add(i.registry)
 	supervisor.Add(&entryPruner{i})
 	return i.peerServer.Register(registry.RPCName, i.registry.Receiver())
--- a/instance/build_throttle.go
+++ b/instance/build_throttle.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"time"
+
 	"github.com/thejerf/suture/v4"
 
 	"teaselgate/fleet"
@@ -9,7 +11,7 @@
 	"teaselgate/upstream"
 )
 
-// buildThrottle has the limits of requests that backend servers name kept by all instances together.
+// buildThrottle has the limits of backend servers, named or because they are cold, kept by all instances together.
 func (i *Instance) buildThrottle(supervisor *suture.Supervisor) error {
 	i.throttle.Peers = func() []string { return peerAddresses(i.reachableMembers()) }
 	i.throttle.Call = i.peers.Call
@@ -19,6 +21,13 @@
 		_, ok := i.registeredServer(key)
 		return ok
 	}
+	i.throttle.Cold = func(key upstream.ServerKey) (float64, bool) {
+		view := i.registry.Current()
+		if view == nil {
+			return 0, false
+		}
+		return view.ColdRate(key.Server, key.Address, time.Now())
+	}
 	i.placer.Hub.Limits = i.throttle
 	i.fleet.LimitDigest = i.throttle.Digest
 	i.fleet.OnLimitDigest = func(from fleet.Member, digest uint64) { i.throttle.ExchangeIfDifferent(from.Peer, digest) }
--- a/instance/server.go
+++ b/instance/server.go
@@ -97,8 +97,8 @@
 	mux.HandleFunc("GET /health", i.requireAdminToken(i.serveHealth))
 	mux.HandleFunc("GET /metrics", i.requireAdminToken(i.metrics.ServeHTTP))
 	mux.HandleFunc("GET /events", i.requireAdminToken(i.serveEvents))
+	mux.HandleFunc("GET "+config.StatusPath, i.requireAdminToken(i.serveStatus))
 	if i.registry == nil {
-		mux.HandleFunc("GET "+config.StatusPath, i.requireAdminToken(i.serveStatus))
 		mux.HandleFunc("POST /evict", i.requireAdminToken(i.allowance.ServeEvict))
 	}
 	return i.newOperatorServer(http.MaxBytesHandler(mux, adminMaxBodyBytes))
--- a/instance/server_notices.go
+++ b/instance/server_notices.go
@@ -14,8 +14,12 @@
 	"teaselgate/upstream"
 )
 
-// errServerBusy means that a backend server wants no requests from this instance at present.
-var errServerBusy = errors.New("instance: the backend server wants no requests at present")
+var (
+	// errServerBusy means that a backend server wants no requests from this instance at present.
+	errServerBusy = errors.New("instance: the backend server wants no requests at present")
+	// errServerEvacuated means that a backend server is in an evacuated availability zone.
+	errServerEvacuated = errors.New("instance: the availability zone of the backend server is evacuated")
+)
 
 // observeResponse takes what a backend server says about itself in a response to a caller's request: that it is leaving,
 // that it wants no requests for a time, or how many it takes a second. A response of another server than the expected one
@@ -66,6 +70,9 @@
 func (i *Instance) newEngineClient() *platform.EngineClient {
 	c := platform.NewEngineClient(engineIdleTimeout)
 	c.Admit = func(ctx context.Context, address string) error {
+		if i.isEvacuated(address) {
+			return errServerEvacuated
+		}
 		if len(i.backoff.Servers()) == 0 && len(i.throttle.Limits()) == 0 {
 			return nil
 		}
@@ -86,6 +93,16 @@
 	return c
 }
 
+// isEvacuated reports whether the backend server at an address is in an evacuated availability zone.
+func (i *Instance) isEvacuated(address string) bool {
+	view := i.registry.Current()
+	if view == nil || !view.HasEvacuated() {
+		return false
+	}
+	server, ok := view.ServerAt(address)
+	return ok && server.Evacuated
+}
+
 // serverAt returns the key of the backend server at an address, if exactly one is registered there.
 func (i *Instance) serverAt(address string) (upstream.ServerKey, bool) {
 	view := i.registry.Current()
--- a/instance/status.go
+++ b/instance/status.go
@@ -2,24 +2,54 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 
 	"teaselgate/config"
 )
 
 // Status returns the instance's status for operators.
 func (i *Instance) Status() config.Status {
-	s := i.rules.Status()
+	var s config.Status
+	if i.registry == nil {
+		s = i.rules.Status()
+	}
 	s.Instance = i.Options.Name
 	s.Zone = i.Options.Zone
-	s.Ready = !i.leaving.Load() && i.rules.Current() != nil
+	s.Ready = i.ready()
 	s.Connected = i.fleet.Connected()
 	for _, m := range i.fleet.Members() {
 		s.Members = append(s.Members, config.Member{Name: m.Name, Zone: m.Zone, Admin: m.Admin, State: m.State.String()})
 	}
+	s.Evacuated, s.Running = i.evacuated(), i.runningByZone()
 	return s
 }
 
+// evacuated returns the availability zones whose evacuation is in force, by name.
+func (i *Instance) evacuated() []string {
+	if i.registry != nil {
+		return slices.Sorted(maps.Keys(i.registry.Evacuated()))
+	}
+	if rules := i.ruleSet(); rules != nil {
+		return rules.Evacuated()
+	}
+	return nil
+}
+
+// runningByZone returns the number of this instance's requests at backend servers, by availability zone.
+func (i *Instance) runningByZone() map[string]int {
+	rules := i.ruleSet()
+	if rules == nil {
+		return nil
+	}
+	running, out := i.placer.Running(), make(map[string]int)
+	for _, s := range rules.AllServers() {
+		out[s.Zone] += running[s.Server]
+	}
+	return out
+}
+
 func (i *Instance) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(i.Status())
--- a/instance/store_test.go
+++ b/instance/store_test.go
@@ -72,6 +72,7 @@
 	t.Helper()
 	o := option.Default()
 	o.Name, o.Zone, o.Platform, o.Source = name, "a", s.url, option.SourceStore
+	o.Evacuations = true
 	o.Listen, o.Admin, o.Peer, o.Metrics = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	i := &instance.Instance{Options: o}
 	if err := i.Open(t.Context()); err != nil {
--- a/option/check.go
+++ b/option/check.go
@@ -51,6 +51,16 @@
 	return ""
 }
 
+func checkRegions(value any) string {
+	for _, entry := range *value.(*[]string) {
+		zone, region, ok := strings.Cut(entry, regionSeparator)
+		if !ok || checkName(&zone) != "" || checkName(&region) != "" {
+			return `must be a list of zones and their regions, such as ["ala-a=almaty"]`
+		}
+	}
+	return ""
+}
+
 func checkURL(value any) string {
 	u, err := url.Parse(*value.(*string))
 	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
--- a/option/field.go
+++ b/option/field.go
@@ -71,6 +71,14 @@
 		Name: "source", check: checkOneOf(SourceRules, SourceStore), pointer: func(o *Options) any { return &o.Source },
 		Description: "Where routes, client accounts and servers come from: `rules`, a rules file that operators apply, or `store`, the operator's configuration and the servers' entries in the platform store. With `store` the token settings may be left out.",
 	},
+	{
+		Name: "evacuations", check: acceptAny, pointer: func(o *Options) any { return &o.Evacuations },
+		Description: "Whether operators request the evacuation of availability zones in the platform store. Used with `source: store`; with `source: rules` a rule of the kind `evacuate` requests it.",
+	},
+	{
+		Name: "regions", check: checkRegions, pointer: func(o *Options) any { return &o.Regions },
+		Description: "Regions of the availability zones, as a list of `zone=region`. Needed where routes or accounts name regions that their requests may not leave. Used with `source: store`.",
+	},
 	{
 		Name: "platform-token", Required: true, isPath: true, check: checkFilePath, pointer: func(o *Options) any { return &o.PlatformToken },
 		Description: "File with the token sent to the platform.",
--- a/option/option.go
+++ b/option/option.go
@@ -1,7 +1,10 @@
 // Package option reads and checks the settings file of an instance.
 package option
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Options are the settings of one instance; docs/SETTINGS.md lists them.
 type Options struct {
@@ -14,6 +17,8 @@
 	Peers         []string `yaml:"peers"`
 	Platform      string   `yaml:"platform"`
 	Source        Source   `yaml:"source"`
+	Evacuations   bool     `yaml:"evacuations"`
+	Regions       []string `yaml:"regions"`
 	PlatformToken string   `yaml:"platform-token"`
 	AdminToken    string   `yaml:"admin-token"`
 	PeerToken     string   `yaml:"peer-token"`
@@ -51,6 +56,19 @@
 	PlaceEWMA          = "ewma"
 )
 
+// RegionOf returns the region of each availability zone that Regions names.
+func (o *Options) RegionOf() map[string]string {
+	out := make(map[string]string, len(o.Regions))
+	for _, entry := range o.Regions {
+		zone, region, _ := strings.Cut(entry, regionSeparator)
+		out[zone] = region
+	}
+	return out
+}
+
+// regionSeparator stands between the zone and the region in an entry of Options.Regions.
+const regionSeparator = "="
+
 // Retry limits the attempts beyond the first of each request that all instances together send to a service.
 type Retry struct {
 	Share  float64       `yaml:"share"`  // retries as a share of the requests, from 0 to 1
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -61,7 +61,8 @@
 	Now             func() time.Time
 	Self            string // peer address of this instance
 
-	Engines EngineSettings // settings of model engines
+	Engines     EngineSettings // settings of model engines
+	Evacuations bool           // whether operators request evacuations of availability zones in this store
 
 	view           atomic.Pointer[View]
 	mu             sync.Mutex
@@ -84,6 +85,9 @@
 	storeContactAt time.Time               // when any instance was last known to reach the store
 	peersOutdated  chan struct{}           // signals that peers have yet to be notified of a change
 	background     sync.WaitGroup          // goroutines started by Serve, and calls to peers
+	evacuations    evacuationSet
+	returnedAt     map[string]time.Time  // when the newest evacuation of an availability zone ended
+	cold           map[string]coldPeriod // newest cold periods of servers, by id
 }
 
 // Entry is a stored object as known to this instance. A removed one is kept as a tombstone, so that an older version
@@ -112,6 +116,9 @@
 		lapseDeadlines:  make(map[string]time.Time),
 		revivals:        make(map[string]revival),
 		leaving:         make(map[string]int64),
+		evacuations:     newEvacuationSet(),
+		returnedAt:      make(map[string]time.Time),
+		cold:            make(map[string]coldPeriod),
 		failing:         make(map[string]bool),
 		changed:         make(chan struct{}),
 		peersOutdated:   make(chan struct{}, 1),
@@ -143,14 +150,24 @@
 // Serve follows the configuration and the servers until the context ends.
 func (f *Follower) Serve(ctx context.Context) error {
 	defer f.background.Wait()
-	f.background.Go(func() { f.watchKind(ctx, platform.ConfigurationKind) })
-	f.background.Go(func() { f.watchKind(ctx, platform.ServerKind) })
+	for _, kind := range f.kinds() {
+		f.background.Go(func() { f.watchKind(ctx, kind) })
+	}
 	f.background.Go(func() { f.pollStore(ctx) })
 	f.background.Go(func() { f.notifyPeers(ctx) })
 	f.removeLapsed(ctx)
 	return ctx.Err()
 }
 
+// kinds returns the kinds of objects that are followed.
+func (f *Follower) kinds() []string {
+	kinds := []string{platform.ConfigurationKind, platform.ServerKind}
+	if f.Evacuations {
+		kinds = append(kinds, platform.EvacuationKind)
+	}
+	return kinds
+}
+
 // watchKind reads all objects of a kind and then watches their changes while this instance is one of the watchers.
 // After a failure it continues from the last version seen. An instance that is no watcher reads only until it has a
 // view.
@@ -187,7 +204,7 @@
 	}
 }
 
-// pollStore reads both kinds at intervals and notifies all peers, if this instance is one of the pollers or no instance
+// pollStore reads all kinds at intervals and notifies all peers, if this instance is one of the pollers or no instance
 // has recently had contact with the store. This covers a store whose watches return nothing while it serves reads, and
 // one that responds to all instances except those that watch it.
 func (f *Follower) pollStore(ctx context.Context) {
@@ -226,11 +243,11 @@
 	f.storeContactAt = f.Now()
 }
 
-// readStore reads and merges both kinds, and reports whether the store responded.
+// readStore reads and merges all kinds, and reports whether the store responded.
 func (f *Follower) readStore(ctx context.Context) bool {
 	ctx, stop := context.WithTimeout(ctx, pollTimeout)
 	defer stop()
-	for _, kind := range []string{platform.ConfigurationKind, platform.ServerKind} {
+	for _, kind := range f.kinds() {
 		list, err := f.Watch(ctx, kind, 0)
 		if err != nil {
 			f.recordStoreFailure(ctx, kind, err)
@@ -271,13 +288,16 @@
 	defer f.mu.Unlock()
 	changed := false
 	f.recordEra(list.Version.Era())
-	if kind == platform.ConfigurationKind {
+	switch kind {
+	case platform.ConfigurationKind:
 		for _, o := range list.Objects {
 			if o.Name == platform.ConfigurationName && !o.Deleted {
 				changed = f.mergeConfig(Entry{Version: o.Version, Data: o.Data}) || changed
 			}
 		}
-	} else {
+	case platform.EvacuationKind:
+		changed = f.mergeEvacuations(list, complete)
+	default:
 		changed = f.mergeServers(list, complete)
 	}
 	if changed {
@@ -289,11 +309,7 @@
 func (f *Follower) mergeServers(list platform.List, complete bool) bool {
 	afterOutage := f.Now().Sub(f.storeBackAt) < lapseGrace
 	changed := complete && f.recordListed()
-	// last is the index of the last change of each entry, which may have been removed and added again.
-	last := make(map[string]int, len(list.Objects))
-	for n, o := range list.Objects {
-		last[o.Name] = n
-	}
+	last := lastChanges(list)
 	for n, o := range list.Objects {
 		if n < last[o.Name] {
 			continue
@@ -316,6 +332,15 @@
 	return changed
 }
 
+// lastChanges returns the index of the last change of each object, which may have been removed and added again.
+func lastChanges(list platform.List) map[string]int {
+	last := make(map[string]int, len(list.Objects))
+	for n, o := range list.Objects {
+		last[o.Name] = n
+	}
+	return last
+}
+
 // recordListed records that a complete list of the servers was merged, and reports whether it was the first. The caller
 // holds the lock.
 func (f *Follower) recordListed() bool {
@@ -400,7 +425,7 @@
 // rebuildView puts a new view of the known configuration and servers in force, and has the peers notified. The caller
 // holds the lock.
 func (f *Follower) rebuildView() {
-	if f.config.Version == 0 || !f.serversListed {
+	if f.config.Version == 0 || !f.serversListed || f.Evacuations && f.evacuations.listed == 0 {
 		return
 	}
 	f.replaceView()
@@ -425,8 +450,10 @@
 			continue
 		}
 		server.Leaving = server.Leaving || f.saysLeaving(server)
+		server.Evacuated = f.evacuations.inForce(server.Zone)
 		servers = append(servers, server)
 	}
+	f.markCold(servers)
 	old := f.view.Load()
 	view := NewView(f.decodedConfig, servers, f.Engines)
 	f.view.Store(view)
@@ -442,7 +469,7 @@
 		if old != nil {
 			before = old.servers[id]
 		}
-		if s == before {
+		if isSameEntry(s, before) {
 			continue
 		}
 		code := event.ServerReady
@@ -457,6 +484,12 @@
 	}
 }
 
+// isSameEntry reports whether two states of a server come from the same entry.
+func isSameEntry(a, b platform.Server) bool {
+	b.Evacuated, b.ColdSince, b.ColdUntil = a.Evacuated, a.ColdSince, a.ColdUntil
+	return a == b
+}
+
 // removeLapsed removes expired tombstones and, after an outage of the store, the servers whose entries have been
 // missing for lapseGrace. It runs until the context ends.
 func (f *Follower) removeLapsed(ctx context.Context) {
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -21,6 +21,8 @@
 	Config  platform.Version            // version of the configuration that the caller has
 	Number  int64                       // number of that configuration
 	Servers map[string]platform.Version // versions of the entries that the caller has, by id
+
+	Evacuations map[string]platform.Version // versions of the statements that the caller has, by availability zone
 }
 
 // FetchReply carries the configuration and the entries that are newer than the caller has.
@@ -28,6 +30,9 @@
 	Config  Entry
 	Servers map[string]Entry
 	Listed  bool // whether a complete list of the servers has been merged
+
+	Evacuations       map[string]Evacuation // by availability zone
+	EvacuationsListed platform.Version      // version of the newest complete list of them; 0 if none has been merged
 }
 
 // TellArgs tells a peer which version an instance has.
@@ -113,7 +118,10 @@
 	f := r.follower
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	*reply = FetchReply{Servers: make(map[string]Entry), Listed: f.serversListed}
+	*reply = FetchReply{
+		Servers: make(map[string]Entry), Listed: f.serversListed,
+		Evacuations: f.newerEvacuations(args.Evacuations), EvacuationsListed: f.evacuations.listed,
+	}
 	if f.decodedConfig != nil && isNewerConfig(f.config.Version, f.decodedConfig.Version, args.Config, args.Number) {
 		reply.Config = f.config
 	}
@@ -169,20 +177,30 @@
 	return f.version, f.digest
 }
 
-// computeDigest returns a digest of the versions of the configuration and of the servers that are not gone.
+// computeDigest returns a digest of the versions of the configuration, of the servers that are not gone and of the
+// evacuations in force.
 func (f *Follower) computeDigest() uint64 {
 	sum := uint64(f.config.Version)
 	for id, e := range f.servers {
 		if e.Gone {
 			continue
 		}
-		h := fnv.New64a()
-		_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(id), uint64(e.Version))) // never fails
-		sum ^= h.Sum64()
+		sum ^= hashVersion(id, e.Version)
+	}
+	for zone, e := range f.evacuations.zones {
+		if !e.Ended {
+			sum ^= hashVersion(platform.EvacuationKind+"/"+zone, e.Version)
+		}
 	}
 	return sum
 }
 
+func hashVersion(name string, version platform.Version) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(name), uint64(version))) // never fails
+	return h.Sum64()
+}
+
 // knownVersions returns the versions that this instance has, as arguments of Fetch.
 func (f *Follower) knownVersions() FetchArgs {
 	f.mu.Lock()
@@ -194,6 +212,12 @@
 	for id, e := range f.servers {
 		args.Servers[id] = e.Version
 	}
+	if len(f.evacuations.zones) > 0 {
+		args.Evacuations = make(map[string]platform.Version, len(f.evacuations.zones))
+		for zone, e := range f.evacuations.zones {
+			args.Evacuations[zone] = e.Version
+		}
+	}
 	return args
 }
 
@@ -209,6 +233,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := reply.Listed && f.recordListed()
+	changed = f.mergeFetchedEvacuations(reply.Evacuations, reply.EvacuationsListed) || changed
 	if reply.Config.Version > 0 {
 		changed = f.mergeConfig(reply.Config) || changed
 	}
--- a/registry/view.go
+++ b/registry/view.go
@@ -37,6 +37,9 @@
 	services map[string]platform.Service // by name
 	accounts map[string]platform.Account // by name
 	servers  map[string]platform.Server  // by id
+
+	coldUntil    time.Time // end of the last cold period of a server; zero if there is none
+	hasEvacuated bool      // whether a server is in an evacuated availability zone
 }
 
 // EngineSettings are the settings of model engines.
@@ -65,6 +68,8 @@
 	}
 	for _, s := range servers {
 		v.servers[s.ID] = s
+		v.coldUntil = later(v.coldUntil, s.ColdUntil)
+		v.hasEvacuated = v.hasEvacuated || s.Evacuated
 	}
 	v.Rules = v.buildRules(servers, engines)
 	return v
@@ -110,6 +115,12 @@
 	return s, ok
 }
 
+// HasEvacuated reports whether any registered backend server is in an evacuated availability zone.
+func (v *View) HasEvacuated() bool { return v.hasEvacuated }
+
+// IsEvacuated reports whether a registered backend server is in an evacuated availability zone.
+func (v *View) IsEvacuated(id string) bool { return v.servers[id].Evacuated }
+
 // ServerRule returns the rule of a registered backend server with an id and an address.
 func (v *View) ServerRule(id, address string) (rule.Server, bool) {
 	s, ok := v.servers[id]
@@ -199,8 +210,14 @@
 		out.Pool += decodeSuffix
 	case platform.NoStage:
 	}
-	if s.Leaving {
+	if !s.ColdSince.IsZero() {
+		out.ColdPeriod = s.ColdSince.UnixMilli()
+	}
+	switch {
+	case s.Leaving:
 		out.State = rule.ServerLeaving
+	case s.Evacuated:
+		out.State = rule.ServerEvacuated
 	}
 	return out
 }
--- a/rule/rule.go
+++ b/rule/rule.go
@@ -21,6 +21,7 @@
 	KindRoute    Kind = "route"
 	KindAccount  Kind = "account"
 	KindKey      Kind = "key"
+	KindEvacuate Kind = "evacuate"
 )
 
 // Fleet holds the settings common to all instances.
@@ -116,6 +117,8 @@
 const (
 	ServerLive    ServerState = "live"
 	ServerLeaving ServerState = "leaving"
+	// ServerEvacuated is the state of the servers of an evacuated availability zone. No server rule states it.
+	ServerEvacuated ServerState = "evacuated"
 )
 
 // Server is one backend server.
@@ -125,6 +128,15 @@
 	Zone   string      `yaml:"zone"`   // name of its availability zone
 	At     string      `yaml:"at"`     // IP address and port
 	State  ServerState `yaml:"state"`
+
+	// ColdPeriod tells one cold period of the server from the next: what was learned about its speed before does not hold
+	// in it. It is 0 if none is known.
+	ColdPeriod int64 `yaml:"-" json:"-"`
+}
+
+// Evacuation requests that the servers of an availability zone get no new work.
+type Evacuation struct {
+	Evacuate string `yaml:"evacuate"` // name of the availability zone
 }
 
 // CallSemantics says whether the requests of a route may be sent to servers more than once.
@@ -206,6 +218,7 @@
 	routes    []Route
 	accounts  map[string]Account
 	keys      map[string]Key
+	evacuated map[string]bool // by availability zone
 }
 
 // Contents are rules from another source than a rules file. NewSet does not check them.
--- a/rule/rule_check.go
+++ b/rule/rule_check.go
@@ -61,6 +61,7 @@
 		keys:      make(map[string]Key, counts[KindKey]),
 		servers:   make([]Server, 0, counts[KindServer]),
 		routes:    make([]Route, 0, counts[KindRoute]),
+		evacuated: make(map[string]bool, counts[KindEvacuate]),
 	}
 }
 
@@ -98,6 +99,8 @@
 			c.checkAccount(line, c.set.accounts[line.Name])
 		case *Key:
 			c.checkKey(line, v)
+		case *Evacuation:
+			c.checkEvacuation(line, v)
 		}
 	}
 }
--- a/rule/rule_check_kinds.go
+++ b/rule/rule_check_kinds.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/bits"
 	"net"
+	"slices"
 	"strings"
 	"time"
 )
@@ -199,6 +200,12 @@
 	}
 }
 
+func (c *checker) checkEvacuation(line Line, e *Evacuation) {
+	if !slices.ContainsFunc(c.set.servers, func(s Server) bool { return s.Zone == e.Evacuate }) {
+		c.addProblem(line, "evacuate", "evacuate: there is no server in availability zone %q", e.Evacuate)
+	}
+}
+
 func (c *checker) checkKey(line Line, k *Key) {
 	digits, ok := strings.CutPrefix(k.Key, keyPrefix)
 	if _, err := hex.DecodeString(digits); !ok || err != nil || len(digits) != keyHexDigits || digits != strings.ToLower(digits) {
--- a/rule/rule_line.go
+++ b/rule/rule_line.go
@@ -54,6 +54,8 @@
 		return new(Account)
 	case KindKey:
 		return new(Key)
+	case KindEvacuate:
+		return new(Evacuation)
 	}
 	return nil
 }
@@ -79,11 +81,14 @@
 		return v.Account
 	case *Key:
 		return v.Key
+	case *Evacuation:
+		return v.Evacuate
 	}
 	return ""
 }
 
-// addValue adds a rule's struct to the set, with the defaults of its kind for zero fields.
+// addValue adds a rule's struct to the set, with the defaults of its kind for zero fields. Evacuations must be added before
+// servers, as they are in the order of lines.
 func (s *Set) addValue(value any) {
 	switch v := value.(type) {
 	case *Fleet:
@@ -103,7 +108,11 @@
 		setDefault(&m.Wait, DefaultSummaryWait)
 		s.models[m.Model] = m
 	case *Server:
-		s.servers = append(s.servers, serverWithDefaults(*v))
+		server := serverWithDefaults(*v)
+		if s.evacuated[server.Zone] && server.State == ServerLive {
+			server.State = ServerEvacuated
+		}
+		s.servers = append(s.servers, server)
 	case *Route:
 		s.routes = append(s.routes, routeWithDefaults(*v))
 	case *Account:
@@ -112,6 +121,8 @@
 		s.accounts[a.Account] = a
 	case *Key:
 		s.keys[v.Key] = *v
+	case *Evacuation:
+		s.evacuated[v.Evacuate] = true
 	}
 }
 
--- a/rule/rule_position.go
+++ b/rule/rule_position.go
@@ -14,6 +14,7 @@
 // kindOrder lists all kinds in the order in which errors name them.
 var kindOrder = []Kind{
 	KindFleet, KindOperator, KindChange, KindPool, KindModel, KindServer, KindRoute, KindAccount, KindKey,
+	KindEvacuate,
 }
 
 // problemsFromDecodeError returns a problem for every unknown and every repeated field, or else for the YAML error.
--- a/throttle/gossip.go
+++ b/throttle/gossip.go
@@ -137,8 +137,8 @@
 	share := l.share()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s := l.statements[server]; s.limited {
-		l.permits[server].spend(l.Now(), max(s.rate, minRate)*share, n)
+	if rate, limited := l.rate(server); limited {
+		l.permit(server).spend(l.Now(), max(rate, minRate)*share, n)
 	}
 }
 
--- a/throttle/list.go
+++ b/throttle/list.go
@@ -1,6 +1,6 @@
-// Package throttle keeps the limits that backend servers name: the number of requests per second that a server takes from
-// all instances together. All instances learn of a limit, and for each server one of them, the keeper, grants the requests
-// of all.
+// Package throttle keeps the limits of backend servers: the number of requests per second that a server takes from all
+// instances together. A server names its limit in its answers, and has another one while it is cold. All instances learn
+// of a limit, and for each server one of them, the keeper, grants the requests of all.
 package throttle
 
 import (
@@ -29,9 +29,11 @@
 	// Reachable returns the number of instances that this one reaches, itself included, and that of all known ones.
 	Reachable func() (reachable, known int)
 	Listed    func(server upstream.ServerKey) bool // reports whether a server is registered
-	Record    func(event.Event)
-	Now       func() time.Time
-	Random    func() float64 // uniform in [0, 1)
+	// Cold returns the limit of a server that is cold. All instances know it from the server's registration.
+	Cold   func(server upstream.ServerKey) (rate float64, cold bool)
+	Record func(event.Event)
+	Now    func() time.Time
+	Random func() float64 // uniform in [0, 1)
 
 	inForce  atomic.Int64 // number of limits in force
 	spreader *gossip.Spreader
@@ -54,6 +56,7 @@
 		Keeper:     func(upstream.ServerKey) string { return "" },
 		Reachable:  func() (int, int) { return 1, 1 },
 		Listed:     func(upstream.ServerKey) bool { return true },
+		Cold:       func(upstream.ServerKey) (float64, bool) { return 0, false },
 		Record:     func(event.Event) {},
 		Now:        time.Now,
 		Random:     rand.Float64,
@@ -126,7 +129,7 @@
 	}
 	if !old.limited {
 		l.inForce.Add(1)
-		l.permits[server] = &bucket{burst: keeperBurst, at: l.Now()}
+		l.permit(server)
 	}
 	l.Record(event.Event{
 		Code: event.ServerLimited, Server: server.Server,
@@ -158,15 +161,45 @@
 	return out
 }
 
-// Rate returns the requests per second that a server takes, and false if it names no limit.
+// Rate returns the requests per second that a server takes, and false if it has no limit.
 func (l *List) Rate(server upstream.ServerKey) (float64, bool) {
 	if l.inForce.Load() == 0 {
-		return 0, false
+		return l.coldRate(server)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.rate(server)
+}
+
+// rate returns the lower of the limit that a server names and of that of a cold one, and false if it has neither. The
+// caller holds the lock.
+func (l *List) rate(server upstream.ServerKey) (float64, bool) {
+	rate, cold := l.coldRate(server)
 	s := l.statements[server]
-	return s.rate, s.limited
+	if s.limited && (!cold || s.rate < rate) {
+		return s.rate, true
+	}
+	return rate, cold
+}
+
+// coldShare is the part of a cold server's rate that is granted. When a silent keeper is back, instances that still use their
+// own parts and those that ask it send together more than is granted, and a cold server crashes within a second.
+const coldShare = 0.75
+
+// coldRate returns the rate at which requests to a cold server are granted, and false if the server is not cold.
+func (l *List) coldRate(server upstream.ServerKey) (float64, bool) {
+	rate, cold := l.Cold(server)
+	return coldShare * rate, cold
+}
+
+// permit returns the permits of a limited server. The caller holds the lock.
+func (l *List) permit(server upstream.ServerKey) *bucket {
+	b, ok := l.permits[server]
+	if !ok {
+		b = &bucket{burst: keeperBurst, at: l.Now()}
+		l.permits[server] = b
+	}
+	return b
 }
 
 // known returns all that is known, in the order of the servers.
@@ -214,6 +247,11 @@
 		}
 		delete(l.statements, server)
 	}
+	for server := range l.permits {
+		if _, limited := l.rate(server); !limited {
+			l.forget(server)
+		}
+	}
 }
 
 // goneTTL is how long a limit is kept after the last answer of a server that is no longer registered.
--- a/throttle/permit.go
+++ b/throttle/permit.go
@@ -125,7 +125,7 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	d := denied{now.Add(reply.Next), now.Add(reply.RetryIn)}
-	if l.statements[server].limited && reply.Next > 0 {
+	if _, limited := l.rate(server); limited && reply.Next > 0 {
 		l.denied[server] = d
 	}
 	return &Denial{RetryAt: d.retryAt}
@@ -172,12 +172,12 @@
 	_, known := l.Reachable()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.statements[server]
-	if !s.limited {
+	rate, limited := l.rate(server)
+	if !limited {
 		return TakeReply{Granted: true}
 	}
 	f := l.fallback(server)
-	reply := takeFrom(&f.bucket, l.Now(), max(s.rate, minRate)/float64(max(known, 1)), use)
+	reply := takeFrom(&f.bucket, l.Now(), max(rate, minRate)/float64(max(known, 1)), use)
 	if reply.Granted {
 		f.sent++
 	}
@@ -197,11 +197,11 @@
 func (l *List) takeShare(server upstream.ServerKey, share float64, use Use) TakeReply {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.statements[server]
-	if !s.limited {
+	rate, limited := l.rate(server)
+	if !limited {
 		return TakeReply{Granted: true}
 	}
-	return takeFrom(l.permits[server], l.Now(), max(s.rate, minRate)*share, use)
+	return takeFrom(l.permit(server), l.Now(), max(rate, minRate)*share, use)
 }
 
 func takeFrom(b *bucket, now time.Time, rate float64, use Use) TakeReply {
@@ -222,23 +222,23 @@
 
 // CanTake reports whether there is a permit for a request, at the keeper of a server that grants a part of its limit.
 func (l *List) CanTake(server upstream.ServerKey, share float64) bool {
-	if l.inForce.Load() == 0 {
+	if _, limited := l.Rate(server); !limited {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.statements[server]
-	if !s.limited {
+	rate, limited := l.rate(server)
+	if !limited {
 		return true
 	}
-	b := l.permits[server]
-	b.refill(l.Now(), max(s.rate, minRate)*share)
+	b := l.permit(server)
+	b.refill(l.Now(), max(rate, minRate)*share)
 	return b.level >= 1
 }
 
 // Take takes a permit that CanTake has reported.
 func (l *List) Take(server upstream.ServerKey, share float64) {
-	if l.inForce.Load() > 0 {
+	if _, limited := l.Rate(server); limited {
 		l.takeShare(server, share, ForRequest)
 	}
 }
@@ -251,11 +251,11 @@
 
 // Exhausted returns the ids of the servers for which there is no permit at present, as far as this instance knows.
 func (l *List) Exhausted() []string {
-	if l.inForce.Load() == 0 {
-		return nil
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.denied) == 0 {
+		return nil
+	}
 	now := l.Now()
 	var out []string
 	for server, d := range l.denied {
@@ -271,9 +271,6 @@
 // RetryAt returns the time from which a caller should return to a server for which there is no permit at present, or the
 // zero time if there may be one.
 func (l *List) RetryAt(server upstream.ServerKey) time.Time {
-	if l.inForce.Load() == 0 {
-		return time.Time{}
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if d := l.denied[server]; d.until.After(l.Now()) {
