Order waiting model requests by rank, aim and work

Cause: priorities of routes and accounts were read and dropped, and all model requests of a service had the tightest aim of its routes.

Each request carries its rank, its aim and its longest wait. Waits are predicted for the rank.

--- a/cell/core.go
+++ b/cell/core.go
@@ -1,10 +1,12 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"teaselgate/engine"
+	"teaselgate/queue"
 	"teaselgate/rule"
 )
 
@@ -41,6 +43,10 @@
 	Avoid        []string      // names of servers that want no requests from the caller of the dispatcher
 	Waited       time.Duration // time that the request waited before this call
 	Left         time.Duration // time until the caller's deadline; 0 if unknown
+	Rank         int           // 0 is the most urgent
+	Ordered      bool          // whether requests to the model differ in what waiting costs their callers
+	First        time.Duration // target for the time to the first event; 0 for that of the cell
+	MaxWait      time.Duration // longest wait of a late request; 0 for that of the cell
 	Charge       int64         // tokens to charge to the client account
 	Rate         float64       // rate of the client account, tokens per second
 	Burst        float64       // burst of the client account, tokens
@@ -114,13 +120,14 @@
 	targets              Targets
 	poolStep             poolStepModel
 	hints                hints
-	queue                *fairQueue
+	queue                *queue.Fair
 	waiting              map[string]*waitingRequest
 	delayed              map[string]*delayedRequest // requests that are not queued yet, by key
 	levelsDue            instant                    // time until which new requests wait for the accounts' levels
 	reservations         map[string]*reservation
 	costRate             costRateMeter // cost placed per second while requests are waiting
 	lateCostRate         costRateMeter // cost of late requests placed per second while late requests are waiting
+	inflow               inflow
 	limiter              rateLimiter
 	demand               demand
 	lastReachable        map[string]instant     // time when each instance was last reachable, by name
@@ -139,10 +146,11 @@
 	return &Core{
 		poolStep:             newPoolStepModel(),
 		hints:                newHints(),
-		queue:                newFairQueue(),
+		queue:                queue.NewFair(),
 		waiting:              make(map[string]*waitingRequest),
 		delayed:              make(map[string]*delayedRequest),
 		reservations:         make(map[string]*reservation),
+		inflow:               newInflow(),
 		limiter:              newRateLimiter(),
 		lastReachable:        make(map[string]instant),
 		placementPausedUntil: make(map[string]instant),
@@ -279,53 +287,12 @@
 	c.chargeAndQueue(now, request)
 }
 
-func (c *Core) newWaitingRequest(now instant, request PlaceRequest) *waitingRequest {
-	w := &waitingRequest{request: request, account: c.queue.account(request.Account, request.Weight)}
-	w.cost = float64(request.PromptTokens + outputTokenCost*request.MaxTokens)
-	w.arrived = now.Add(-request.Waited)
-	unloadedTime := c.unloadedPrefillTime(request)
-	budget := max(c.targets.FirstToken-firstTokenMargin-unloadedTime, time.Duration(longPromptFactor*float64(unloadedTime)))
-	w.targetDeadline = w.arrived.Add(budget)
-	w.responseDeadline = w.arrived.Add(c.targets.MaxWait)
-	retryLimit := now.Add(maxRetryWait)
-	if request.Left > 0 {
-		latestPlacement := now.Add(request.Left - unloadedTime)
-		w.targetDeadline, retryLimit = min(w.targetDeadline, latestPlacement), min(retryLimit, latestPlacement)
-		w.responseDeadline = min(w.responseDeadline, latestPlacement.Add(-c.minStreamTime(request.MaxTokens)))
-	}
-	w.waitDeadline = w.targetDeadline
-	switch {
-	case c.isRetry(w):
-		w.waitDeadline = retryLimit
-	case !w.urgent():
-		w.waitDeadline = w.responseDeadline
-		w.late = now.After(w.targetDeadline)
-	case w.request.Class == rule.ClassPatient && now.After(w.targetDeadline):
-		c.markLate(w)
-	}
-	return w
-}
-
-// unloadedPrefillTime returns the time to compute and transfer a prompt in an idle cell.
-func (c *Core) unloadedPrefillTime(request PlaceRequest) time.Duration {
-	prefill, link := c.meanRates()
-	return seconds(float64(request.PromptTokens)/prefill + float64(request.PromptTokens)/link)
-}
-
-// minStreamTime returns the shortest time to generate the tokens, or 0 before the first sample of a step.
-func (c *Core) minStreamTime(tokens int) time.Duration {
-	if c.poolStep.samples == 0 {
-		return 0
-	}
-	return seconds(float64(tokens) * c.poolStep.mean(1))
-}
-
 // Cancel removes a waiting request and refunds its charge, or releases the reservation of a placed one.
 func (c *Core) Cancel(now instant, key string) {
 	c.cancelDelayed(key)
 	if w, ok := c.waiting[key]; ok {
 		delete(c.waiting, key)
-		c.queue.remove(w)
+		c.queue.Remove(&w.Item)
 		c.limiter.refund(w.request)
 	}
 	c.Release(now, key, Report{})
@@ -335,31 +302,27 @@
 // since the last call.
 func (c *Core) Decide(now instant) []Decision {
 	c.costRate.advance(now, c.backlog)
-	c.lateCostRate.advance(now, c.backlog && c.queue.lateCost > 0)
-	c.queue.maxCredit = c.urgentLead()
+	c.lateCostRate.advance(now, c.backlog && c.queue.LateCost(math.MaxInt) > 0)
+	c.queue.Lead = c.urgentLead()
 	c.queueDue(now)
 	c.sweep(now)
 	ready := c.readyToPlace(now)
 	if ready {
-		for c.queue.length > 0 {
-			if c.queue.pick(now, c.urgentLead(), func(w *waitingRequest) bool { return c.tryPlace(now, w) }) == nil {
+		for c.queue.Len() > 0 {
+			c.queue.Lead = c.urgentLead()
+			if c.queue.Pick(now, func(i *queue.Item) bool { return c.tryPlace(now, c.waiting[i.Key]) }) == nil {
 				break
 			}
 		}
 	}
-	c.backlog = ready && c.queue.length > 0
+	c.backlog = ready && c.queue.Len() > 0
 	out := c.decisions
 	c.decisions = nil
 	return out
 }
 
-// urgentLead returns the virtual time by which urgent requests may run ahead of their account's share.
-func (c *Core) urgentLead() float64 {
-	return c.costRate.perSecond() * maxUrgentLeadSeconds / max(c.queue.activeWeight, 1)
-}
-
 // QueueLength returns the number of waiting requests.
-func (c *Core) QueueLength() int { return c.queue.length + len(c.delayed) }
+func (c *Core) QueueLength() int { return c.queue.Len() + len(c.delayed) }
 
 // tryPlace places a request if there is room, and reports whether it did.
 func (c *Core) tryPlace(now instant, w *waitingRequest) bool {
@@ -369,7 +332,7 @@
 	}
 	pieces := c.piecesNeeded(w.request)
 	need := pieces
-	if w.bestEffort() {
+	if w.BestEffort() {
 		need += bestEffortHeadroom * pieces
 	}
 	d := c.chooseDecode(now, &w.request, need, plan.end.Sub(now))
@@ -392,10 +355,10 @@
 	c.hints.recordStored(now, p, r.prefixes)
 	delete(c.waiting, r.key)
 	if c.backlog {
-		c.costRate.add(w.cost)
+		c.costRate.add(w.Cost)
 	}
-	if c.backlog && w.late {
-		c.lateCostRate.add(w.cost)
+	if c.backlog && w.Late {
+		c.lateCostRate.add(w.Cost)
 	}
 	r.earlyReport = p.wantsEarlyReport(now)
 	r.inputs = Inputs{
--- a/cell/delayed.go
+++ b/cell/delayed.go
@@ -33,7 +33,7 @@
 // burst for tenths of a second, though it is within its rate. If the account has the tokens soon enough for a response in
 // time, the request waits for them; otherwise it is rejected at once.
 func (c *Core) chargeAndQueue(now instant, request PlaceRequest) {
-	patience := time.Duration(maxRateWaitShare * float64(c.newWaitingRequest(now, request).targetDeadline.Sub(now)))
+	patience := time.Duration(maxRateWaitShare * float64(c.newWaitingRequest(now, request).Target.Sub(now)))
 	wait, ok := c.limiter.charge(now, request, patience)
 	switch {
 	case !ok:
@@ -51,13 +51,14 @@
 // enqueue queues a charged request, or rejects it if it could not be placed in time.
 func (c *Core) enqueue(now instant, request PlaceRequest) {
 	w := c.newWaitingRequest(now, request)
+	c.inflow.add(now, w.Rank, w.Cost)
 	if retry, err := c.admit(now, w); err != nil {
 		c.limiter.refund(request)
 		c.decisions = append(c.decisions, Decision{Key: request.Key, Err: err, RetryIn: retry})
 		return
 	}
 	c.waiting[request.Key] = w
-	c.queue.push(w)
+	c.queue.Push(&w.Item)
 }
 
 // queueDue queues the delayed requests that are due.
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -43,6 +43,11 @@
 	Exclude      []string // servers not to use, since they failed the request before
 	Avoid        []string // servers that want no requests from this instance
 
+	Rank    int           // 0 is the most urgent
+	Ordered bool          // whether requests to the model differ in what waiting costs their callers
+	First   time.Duration // target for the time to the first event; 0 for that of the model
+	MaxWait time.Duration // longest wait of a late request; 0 for that of the model
+
 	Charge   int64     // tokens that the dispatcher charges to the account; 0 if its rate is limited elsewhere
 	Rate     float64   // rate of the client account, tokens per second
 	Burst    float64   // burst of the client account, tokens
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -201,7 +201,7 @@
 		Key: r.ID, From: p.ownerName(), Left: left, Account: r.Account, Weight: r.Weight, Class: r.Class,
 		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone, Zones: r.Zones,
 		Exclude: r.Exclude, Avoid: r.Avoid, Waited: waited,
-		Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
+		Rank: r.Rank, Ordered: r.Ordered, First: r.First, MaxWait: r.MaxWait, Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
 	}
 }
 
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"teaselgate/rule"
+	"teaselgate/queue"
 )
 
 const (
@@ -15,9 +15,6 @@
 	maxRetry              = 30 * time.Second // longest such time
 	costRateWindow        = 3 * time.Second  // time constant of the decay
 	costRateWarmupSeconds = 0.3              // time with waiting requests before the rate is used
-
-	// minLateShare is the smallest share of the picks that late requests get.
-	minLateShare = 1.0 / (backgroundPickInterval * latePickInterval)
 )
 
 // costRateMeter measures the cost placed per second over the time in which requests are waiting.
@@ -58,7 +55,7 @@
 		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
 	}
 	wait := c.predictWait(w)
-	if c.queue.length >= maxQueueLength && !c.makeRoom(w) {
+	if c.queue.Len() >= queue.MaxLength && !c.makeRoom(w) {
 		return retryIn(wait), shed.New("cell: the queue is full")
 	}
 	if now.After(w.waitDeadline) && now.After(w.responseDeadline) {
@@ -70,9 +67,13 @@
 	if wait.Seconds() <= maxWaitShare*w.waitDeadline.Sub(now).Seconds() {
 		return 0, nil
 	}
-	if w.request.Class != rule.ClassPatient || w.late {
+	if !w.Patient || w.Late {
 		return retryIn(wait), c.waitTooLong(now, w, wait)
 	}
+	if c.displaceLarger(now, w) {
+		return 0, nil
+	}
+	c.queue.RecordLate(now, &w.Item)
 	c.markLate(w)
 	if wait = c.predictWait(w); now.Add(wait).After(w.waitDeadline) {
 		return retryIn(wait), c.waitTooLong(now, w, wait)
@@ -80,68 +81,67 @@
 	return 0, nil
 }
 
-func (c *Core) waitTooLong(now instant, w *waitingRequest, wait time.Duration) error {
-	return shed.New("cell: the wait of %v would be too long: cost %.0f waits with %.0f of it late, %.0f/s are placed, %v left",
-		wait.Round(time.Millisecond), c.queue.waitingCost[0]+c.queue.waitingCost[1], c.queue.lateCost,
-		c.costRate.perSecond(), w.waitDeadline.Sub(now).Round(time.Millisecond))
+// displaceLarger makes a waiting request late that needs much more work, if a new one can be on time in its place. It
+// reports whether it did.
+func (c *Core) displaceLarger(now instant, w *waitingRequest) bool {
+	if !w.request.Ordered {
+		return false
+	}
+	larger := c.queue.Displaced(now, &w.Item)
+	rate := c.availableRate(w.Rank)
+	if larger == nil || rate == 0 {
+		return false
+	}
+	if wait := c.queue.CostAhead(&w.Item, larger.Cost) / rate; wait > maxWaitShare*w.waitDeadline.Sub(now).Seconds() {
+		return false
+	}
+	c.deferLate(now, c.waiting[larger.Key])
+	return true
 }
 
-// markLate marks a request that has missed its target or is predicted to miss it. The request must not be in the queue.
-func (c *Core) markLate(w *waitingRequest) {
-	w.late = true
-	w.waitDeadline = w.responseDeadline
+func (c *Core) waitTooLong(now instant, w *waitingRequest, wait time.Duration) error {
+	return shed.New("cell: the wait of %v would be too long: rank %d, cost %.0f waits with %.0f of it late, %.0f/s are placed, %v left",
+		wait.Round(time.Millisecond), w.Rank, c.queue.Cost(), c.queue.LateCost(math.MaxInt),
+		c.costRate.perSecond(), w.waitDeadline.Sub(now).Round(time.Millisecond))
 }
 
-// isRetry reports whether an earlier attempt of the request failed through no fault of its caller.
-func (c *Core) isRetry(w *waitingRequest) bool { return len(w.request.Exclude) > 0 }
-
 // predictWait estimates the wait of a new request from the cost ahead of it. An urgent request waits for its account's
-// share of the cell, and at most until all waiting urgent requests are placed; a late one waits for all late requests.
-// For an on-time background request predictWait returns 0.
+// share of the cell, and at most until all waiting urgent requests of its and more urgent ranks are placed; a late one waits
+// for all late requests of these ranks. For an on-time background request predictWait returns 0.
 func (c *Core) predictWait(w *waitingRequest) time.Duration {
 	rate := c.costRate.perSecond()
-	if rate == 0 {
+	switch {
+	case rate == 0:
 		return 0
-	}
-	q, a := c.queue, w.account
-	if w.late {
-		return seconds(q.lateCost / max(c.lateCostRate.perSecond(), rate*minLateShare))
-	}
-	if !w.urgent() {
+	case w.Late:
+		return seconds(c.queue.LateCost(w.Rank) / max(c.lateCostRate.perSecond(), rate*queue.MinLateShare))
+	case w.Background:
 		return 0
+	default:
+		return seconds(c.queue.CostAhead(&w.Item, 0) / c.availableRate(w.Rank))
 	}
-	weights := q.activeWeight
-	if a.urgent.len()+a.backgroundLen() == 0 {
-		weights += a.weight
-	}
-	own := (a.urgentCost/a.weight + max(a.virtualStart-q.virtualTime-c.urgentLead(), 0)) * weights
-	return seconds(min(own, q.waitingCost[0]) / rate)
 }
 
-// makeRoom rejects the newest request of the account with the most waiting cost per weight, a background request if
-// there is one, so that an account that fills the queue does not shut out the others. It reports whether it did so.
+// availableRate returns the cost per second that is placed for requests of a rank: the measured rate less what requests of
+// more urgent ranks have brought lately, but at least the part that less urgent ranks keep.
+func (c *Core) availableRate(rank int) float64 {
+	rate := c.costRate.perSecond()
+	return max(rate-c.inflow.before(rank), rate*queue.FloorShare)
+}
+
+// makeRoom rejects a request of the account that fills the queue, and reports whether it did so.
 func (c *Core) makeRoom(w *waitingRequest) bool {
-	var worst *accountQueue
-	for _, a := range c.queue.accounts {
-		if worst == nil || (a.urgentCost+a.backgroundCost)/a.weight > (worst.urgentCost+worst.backgroundCost)/worst.weight {
-			worst = a
-		}
-	}
-	if worst == nil || worst == w.account {
+	i := c.queue.MakeRoom(&w.Item)
+	if i == nil {
 		return false
 	}
-	for _, f := range []*fifo[*waitingRequest]{&worst.late, &worst.onTime, &worst.urgent} {
-		if n := f.len(); n > 0 {
-			c.reject(f.items[n-1], shed.New("cell: the queue is full"), minRetry)
-			return true
-		}
-	}
-	return false
+	c.reject(c.waiting[i.Key], shed.New("cell: the queue is full"), minRetry)
+	return true
 }
 
 func (c *Core) reject(w *waitingRequest, err error, retry time.Duration) {
 	delete(c.waiting, w.request.Key)
-	c.queue.remove(w)
+	c.queue.Remove(&w.Item)
 	c.limiter.refund(w.request)
 	c.decisions = append(c.decisions, Decision{Key: w.request.Key, Err: err, RetryIn: retry})
 }
@@ -155,8 +155,8 @@
 	}
 	c.lastSweep = now
 	for _, w := range c.overdue(now) {
-		if now.After(w.waitDeadline) && (w.late || w.request.Class != rule.ClassPatient) {
-			c.reject(w, shed.New("cell: no place in time: waited %v, %d wait", now.Sub(w.arrived).Round(time.Millisecond), c.queue.length), retryIn(c.predictWait(w)))
+		if now.After(w.waitDeadline) && (w.Late || !w.Patient) {
+			c.reject(w, shed.New("cell: no place in time: waited %v, %d wait", now.Sub(w.arrived).Round(time.Millisecond), c.queue.Len()), retryIn(c.predictWait(w)))
 		} else {
 			c.deferLate(now, w)
 		}
@@ -166,14 +166,14 @@
 			c.Release(now, r.key, Report{})
 		}
 	}
-	c.queue.removeIdle()
+	c.queue.RemoveIdle()
 }
 
 // overdue returns the waiting requests past their wait deadline or their target, oldest first.
 func (c *Core) overdue(now instant) []*waitingRequest {
 	var out []*waitingRequest
 	for _, w := range c.waiting {
-		if now.After(w.waitDeadline) || (!w.late && !w.urgent() && !c.isRetry(w) && now.After(w.targetDeadline)) {
+		if now.After(w.waitDeadline) || (!w.Late && w.Background && !c.isRetry(w) && now.After(w.Target)) {
 			out = append(out, w)
 		}
 	}
@@ -186,13 +186,14 @@
 // deferLate marks a waiting request as late, which puts it behind on-time ones, or rejects it if it would wait too
 // long.
 func (c *Core) deferLate(now instant, w *waitingRequest) {
+	c.queue.RecordLate(now, &w.Item)
 	late := *w
 	c.markLate(&late)
 	if wait := c.predictWait(&late); now.Add(wait).After(late.waitDeadline) {
 		c.reject(w, c.waitTooLong(now, &late, wait), retryIn(wait))
 		return
 	}
-	c.queue.remove(w)
+	c.queue.Remove(&w.Item)
 	c.markLate(w)
-	c.queue.push(w)
+	c.queue.Push(&w.Item)
 }
--- /dev/null
+++ b/cell/waiting.go
@@ -0,0 +1,85 @@
+package cell
+
+import (
+	"cmp"
+	"time"
+
+	"teaselgate/queue"
+	"teaselgate/rule"
+)
+
+// Constants of waiting requests.
+const (
+	outputTokenCost      = 16  // cost of a generated token in prompt tokens
+	maxUrgentLeadSeconds = 0.5 // seconds of the cell's work by which urgent requests may lead
+)
+
+// waitingRequest is a request in the queue, with the times by which it should be placed.
+type waitingRequest struct {
+	queue.Item
+	request          PlaceRequest
+	arrived          instant
+	responseDeadline instant // the caller has the whole response in time if the request is placed by then
+	waitDeadline     instant // a request still waiting then is rejected or becomes late
+}
+
+func (c *Core) newWaitingRequest(now instant, request PlaceRequest) *waitingRequest {
+	w := &waitingRequest{request: request, arrived: now.Add(-request.Waited)}
+	w.Item = queue.Item{
+		Key: request.Key, Rank: request.Rank, Background: request.Class == rule.ClassSummary,
+		Patient: request.Class == rule.ClassPatient, Cost: float64(request.PromptTokens + outputTokenCost*request.MaxTokens),
+	}
+	c.queue.Assign(&w.Item, request.Account, request.Weight)
+	unloadedTime := c.unloadedPrefillTime(request)
+	budget := max(
+		cmp.Or(request.First, c.targets.FirstToken)-firstTokenMargin-unloadedTime,
+		time.Duration(longPromptFactor*float64(unloadedTime)),
+	)
+	w.Target = w.arrived.Add(budget)
+	w.responseDeadline = w.arrived.Add(cmp.Or(request.MaxWait, c.targets.MaxWait))
+	retryLimit := now.Add(maxRetryWait)
+	if request.Left > 0 {
+		latestPlacement := now.Add(request.Left - unloadedTime)
+		w.Target, retryLimit = min(w.Target, latestPlacement), min(retryLimit, latestPlacement)
+		w.responseDeadline = min(w.responseDeadline, latestPlacement.Add(-c.minStreamTime(request.MaxTokens)))
+	}
+	w.waitDeadline = w.Target
+	switch {
+	case c.isRetry(w):
+		w.waitDeadline = retryLimit
+	case w.Background:
+		w.waitDeadline = w.responseDeadline
+		w.Late = now.After(w.Target)
+	case w.Patient && now.After(w.Target):
+		c.markLate(w)
+	}
+	return w
+}
+
+// markLate marks a request that has missed its target or is predicted to miss it. The request must not be in the queue.
+func (c *Core) markLate(w *waitingRequest) {
+	w.Late = true
+	w.waitDeadline = w.responseDeadline
+}
+
+// isRetry reports whether an earlier attempt of the request failed through no fault of its caller.
+func (c *Core) isRetry(w *waitingRequest) bool { return len(w.request.Exclude) > 0 }
+
+// unloadedPrefillTime returns the time to compute and transfer a prompt in an idle cell.
+func (c *Core) unloadedPrefillTime(request PlaceRequest) time.Duration {
+	prefill, link := c.meanRates()
+	return seconds(float64(request.PromptTokens)/prefill + float64(request.PromptTokens)/link)
+}
+
+// minStreamTime returns the shortest time to generate the tokens, or 0 before the first sample of a step.
+func (c *Core) minStreamTime(tokens int) time.Duration {
+	if c.poolStep.samples == 0 {
+		return 0
+	}
+	return seconds(float64(tokens) * c.poolStep.mean(1))
+}
+
+// urgentLead returns the virtual time by which urgent requests may run ahead of their account's share.
+func (c *Core) urgentLead() float64 {
+	return c.costRate.perSecond() * maxUrgentLeadSeconds / max(c.queue.ActiveWeight(), 1)
+}
--- a/forward/model.go
+++ b/forward/model.go
@@ -13,6 +13,7 @@
 	"teaselgate/event"
 	"teaselgate/metric"
 	"teaselgate/platform"
+	"teaselgate/registry"
 	"teaselgate/rule"
 	"teaselgate/upstream"
 )
@@ -79,7 +80,9 @@
 
 func (m *modelRequest) placementRequest() cell.Request {
 	model, _ := m.view.Rules.Model(m.service.Name)
+	first, maxWait := registry.Targets(m.route)
 	return cell.Request{
+		Rank: registry.Rank(m.route, m.account), First: first, MaxWait: maxWait, Ordered: m.view.Ordered(m.service.Name),
 		ID: m.ID, Account: m.account.Name, Weight: 1, Class: rule.ClassPatient, Model: model,
 		PromptTokens: m.PromptTokens + m.tokensSent(),
 		MaxTokens:    max(m.expectedOutputTokens()-m.tokensSent(), m.service.Engine.TokensPerEvent),
@@ -89,6 +92,15 @@
 	}
 }
 
+// enginePriority returns the priority of the request at engines, or 0 if they need none.
+func (m *modelRequest) enginePriority() int {
+	priority, ok := m.view.EnginePriority(m.service.Name, m.route)
+	if !ok {
+		return 0
+	}
+	return priority
+}
+
 // charge returns the cost that the placement charges to the account's rate. Retries are not charged.
 func (m *modelRequest) charge() int64 {
 	if !m.rateLimited() || m.prefillSent {
@@ -210,7 +222,7 @@
 	ctx, stop := context.WithTimeout(ctx, time.Duration(prefillTimeoutFactor*float64(expected))+prefillTimeoutMargin)
 	defer stop()
 	resp, err := m.send(ctx, platform.ForwardOptions{
-		Server: server.Server, Address: server.At, Prefill: true, LastEventID: m.lastEventID(),
+		Server: server.Server, Address: server.At, Prefill: true, LastEventID: m.lastEventID(), Priority: m.enginePriority(),
 	})
 	if isWithheld(err) {
 		return platform.Handle{}, m.resultFromSendError(ctx, err)
@@ -261,7 +273,7 @@
 ) attemptResult {
 	m.events = 0
 	resp, err := m.send(ctx, platform.ForwardOptions{
-		Server: placement.Decode.Server, Address: placement.Decode.At,
+		Server: placement.Decode.Server, Address: placement.Decode.At, Priority: m.enginePriority(),
 		KVSource: platform.KVSource(placement.Prefill.At, handle), LastEventID: m.lastEventID(),
 	})
 	if err != nil {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -416,12 +416,25 @@
 	f.version = max(f.version, e.Version)
 	if isNew {
 		f.Record(event.Event{
-			Code: event.RulesApplied, Detail: fmt.Sprintf("configuration %d, version %v", c.Version, e.Version),
+			Code:   event.RulesApplied,
+			Detail: fmt.Sprintf("configuration %d, version %v, priorities %s", c.Version, e.Version, describePriorities(c)),
 		})
 	}
 	return true
 }
 
+// describePriorities returns the priorities that accounts and routes have, for the log.
+func describePriorities(c *platform.Configuration) string {
+	accounts, routes := make(map[int]bool), make(map[int]bool)
+	for _, a := range c.Accounts {
+		accounts[a.Priority] = true
+	}
+	for _, r := range c.Routes {
+		routes[r.Priority] = true
+	}
+	return fmt.Sprintf("of accounts %v, of routes %v", slices.Sorted(maps.Keys(accounts)), slices.Sorted(maps.Keys(routes)))
+}
+
 // rebuildView puts a new view of the known configuration and servers in force, and has the peers notified. The caller
 // holds the lock.
 func (f *Follower) rebuildView() {
--- a/registry/view.go
+++ b/registry/view.go
@@ -40,6 +40,9 @@
 
 	coldUntil    time.Time // end of the last cold period of a server; zero if there is none
 	hasEvacuated bool      // whether a server is in an evacuated availability zone
+
+	priorities map[string][]int // distinct priorities of the routes to a service with model engines, ascending
+	ordered    map[string]bool  // whether these routes differ in priority or target, by service
 }
 
 // EngineSettings are the settings of model engines.
@@ -71,6 +74,7 @@
 		v.coldUntil = later(v.coldUntil, s.ColdUntil)
 		v.hasEvacuated = v.hasEvacuated || s.Evacuated
 	}
+	v.indexRoutes()
 	v.Rules = v.buildRules(servers, engines)
 	return v
 }
