Tell refused callers times to return that hold, one after the other

Change: package promise, a ledger of what refused callers were told. The dispatcher tells each the time behind what waits and what was promised, holds it for a second, and passes the promises to its successor through the instances. Requests over their account's rate get the same.

--- a/cell/core.go
+++ b/cell/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"teaselgate/engine"
+	"teaselgate/promise"
 	"teaselgate/queue"
 	"teaselgate/rule"
 )
@@ -47,6 +48,8 @@
 	Ordered      bool          // whether requests to the model differ in what waiting costs their callers
 	First        time.Duration // target for the time to the first event; 0 for that of the cell
 	MaxWait      time.Duration // longest wait of a late request; 0 for that of the cell
+	Return       string        // tells the repeat of a refused request; empty if nothing is promised
+	ReturnWithin time.Duration // longest time after which the caller repeats a refused request; 0 if unknown
 	Charge       int64         // tokens to charge to the client account
 	Rate         float64       // rate of the client account, tokens per second
 	Burst        float64       // burst of the client account, tokens
@@ -128,6 +131,7 @@
 	costRate             costRateMeter // cost placed per second while requests are waiting
 	lateCostRate         costRateMeter // cost of late requests placed per second while late requests are waiting
 	inflow               inflow
+	promises             promise.Ledger // to callers that were refused
 	limiter              rateLimiter
 	demand               demand
 	lastReachable        map[string]instant     // time when each instance was last reachable, by name
--- a/cell/holding.go
+++ b/cell/holding.go
@@ -22,7 +22,7 @@
 // HoldingsArgs asks an instance for its holdings in a cell.
 type HoldingsArgs struct {
 	Cell   ID
-	Levels bool // whether the caller also wants the levels of the accounts
+	Levels bool // whether the caller also wants the levels of the accounts and the promises to refused callers
 }
 
 // HoldingsReply is the reply to HoldingsArgs.
@@ -31,6 +31,7 @@
 	Prefers    string                  // name of the instance that the replying one takes for the cell's dispatcher
 	Dispatches bool                    // whether the replying instance is a dispatcher of the cell that goes on placing
 	Levels     map[string]AccountLevel // by account
+	Promises   map[string]heldPromise  // to refused callers, by key of the request
 }
 
 // AdoptArgs informs a dispatcher of a reservation made by another one.
@@ -104,6 +105,7 @@
 	reply.Prefers, reply.Dispatches = r.hub.Preferred(args.Cell), r.hub.dispatches(args.Cell)
 	if args.Levels {
 		reply.Levels = r.hub.levels.list(args.Cell, r.hub.Now())
+		reply.Promises = r.hub.promises.list(args.Cell, r.hub.Now())
 	}
 	return nil
 }
@@ -137,9 +139,11 @@
 		defer mu.Unlock()
 		replies[from] = reply
 		newestLevels(levels, d.coreTime(h.Now()), reply.Levels)
+		d.adoptPromises(h.Now(), reply.Promises)
 		d.adopt(h.Now(), reply.Holdings, false)
 	}
 	d.adopt(h.Now(), h.holdings.list(d.id), false)
+	d.adoptPromises(h.Now(), h.promises.list(d.id, h.Now()))
 	newestLevels(levels, d.coreTime(h.Now()), h.levels.list(d.id, h.Now()))
 	var calls sync.WaitGroup
 	for _, m := range h.Peers() {
--- a/cell/hub.go
+++ b/cell/hub.go
@@ -39,6 +39,7 @@
 
 	holdings *holdingSet
 	levels   *levelSet
+	promises *promiseSet
 
 	mu         sync.Mutex
 	cells      map[ID]*dispatcher
@@ -51,7 +52,7 @@
 	return &Hub{
 		Rules: rules, Engines: engines, Record: record, Now: time.Now,
 		Reachable: func() (int, int) { return 1, 1 }, Preferred: func(ID) string { return "" }, Limits: throttle.NewList(),
-		holdings: newHoldingSet(), levels: newLevelSet(),
+		holdings: newHoldingSet(), levels: newLevelSet(), promises: newPromiseSet(),
 		cells: make(map[ID]*dispatcher), wake: make(chan struct{}, 1),
 	}
 }
--- a/cell/placement.go
+++ b/cell/placement.go
@@ -48,6 +48,9 @@
 	First   time.Duration // target for the time to the first event; 0 for that of the model
 	MaxWait time.Duration // longest wait of a late request; 0 for that of the model
 
+	Return       string        // tells the repeat of a refused request; empty if nothing is promised
+	ReturnWithin time.Duration // longest time after which the caller repeats a refused request; 0 if unknown
+
 	Charge   int64     // tokens that the dispatcher charges to the account; 0 if its rate is limited elsewhere
 	Rate     float64   // rate of the client account, tokens per second
 	Burst    float64   // burst of the client account, tokens
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -150,6 +150,7 @@
 func (p *Placer) placementFromReply(m fleet.Member, id ID, r Request, reply PlaceReply) (*Placement, error) {
 	switch reply.Status {
 	case Shed:
+		p.recordPromise(id, r, reply)
 		return nil, &Refusal{
 			Err: shed.New("cell: shed by %s: %s", m.Name, reply.Reason), RetryAt: p.Hub.Now().Add(reply.RetryIn),
 		}
@@ -192,6 +193,17 @@
 	return placement, nil
 }
 
+// recordPromise records when a refused caller was told to return, for the next dispatcher.
+func (p *Placer) recordPromise(id ID, r Request, reply PlaceReply) {
+	if !r.Ordered || r.Return == "" || r.ReturnWithin > 0 && reply.RetryIn > r.ReturnWithin {
+		return
+	}
+	now := p.Hub.Now()
+	p.Hub.promises.record(id, r.Return, passedPromise{
+		rank: r.Rank, cost: float64(r.PromptTokens + outputTokenCost*r.MaxTokens), at: now.Add(reply.RetryIn),
+	}, now)
+}
+
 func (p *Placer) newPlaceRequest(r Request, waited time.Duration) PlaceRequest {
 	left := time.Duration(0) // a duration, since the dispatcher's clock may differ
 	if !r.Deadline.IsZero() {
@@ -201,7 +213,8 @@
 		Key: r.ID, From: p.ownerName(), Left: left, Account: r.Account, Weight: r.Weight, Class: r.Class,
 		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone, Zones: r.Zones,
 		Exclude: r.Exclude, Avoid: r.Avoid, Waited: waited,
-		Rank: r.Rank, Ordered: r.Ordered, First: r.First, MaxWait: r.MaxWait, Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
+		Rank: r.Rank, Ordered: r.Ordered, First: r.First, MaxWait: r.MaxWait,
+		Return: r.Return, ReturnWithin: r.ReturnWithin, Charge: r.Charge, Rate: r.Rate, Burst: r.Burst,
 	}
 }
 
--- a/cell/ratelimiter.go
+++ b/cell/ratelimiter.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"teaselgate/promise"
 )
 
 // Constants of the rate limits of client accounts.
@@ -38,8 +40,9 @@
 // tokenBucket is the token bucket of an account. Debits of requests that were admitted elsewhere can make its level
 // negative.
 type tokenBucket struct {
-	level, rate, burst float64 // tokens, tokens per second, tokens
-	reserved           float64 // tokens of requests that wait until the level allows them
+	level, rate, burst float64        // tokens, tokens per second, tokens
+	reserved           float64        // tokens of requests that wait until the level allows them
+	promises           promise.Ledger // of tokens, to callers that were refused
 	at                 instant
 	since              instant // when this dispatcher began to count; until then it knew the level from the instances
 }
@@ -63,7 +66,7 @@
 	}
 	b := l.bucket(now, request.Account, request.Rate, request.Burst)
 	// A request larger than the burst passes once the bucket is full, and leaves a debt.
-	missing := min(float64(request.Charge), b.burst) - (b.level - b.reserved)
+	missing := min(float64(request.Charge), b.burst) - (b.level - b.reserved - b.held(now, request))
 	if missing <= 0 {
 		b.level -= float64(request.Charge)
 		return 0, true
@@ -73,7 +76,28 @@
 		b.reserved += float64(request.Charge)
 		return wait, true
 	}
-	return max(wait, minRateRetry), false
+	return max(l.promise(now, request, b, wait), minRateRetry), false
+}
+
+// held returns the tokens that are held for callers that were told to return about now. Such a caller has them.
+func (b *tokenBucket) held(now instant, request PlaceRequest) float64 {
+	if request.Return == "" || b.promises.Redeem(now, request.Return) == promise.AsTold {
+		return 0
+	}
+	return b.promises.Due(now, 0)
+}
+
+// promise returns the time after which a refused request is to be repeated, behind those of the account that were refused
+// before, and records it if its caller can wait that long.
+func (l *rateLimiter) promise(now instant, request PlaceRequest, b *tokenBucket, wait time.Duration) time.Duration {
+	if !request.Ordered || request.Return == "" {
+		return wait
+	}
+	wait += seconds(b.promises.Outstanding(now, 0) / (b.rate * l.share))
+	if request.ReturnWithin == 0 || wait <= request.ReturnWithin {
+		b.promises.Make(now, request.Return, promise.Promise{Cost: float64(request.Charge), At: now.Add(wait)})
+	}
+	return wait
 }
 
 // describe describes the figures that decide whether a request is within its account's rate, for the log.
--- /dev/null
+++ b/cell/return.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"sync"
+	"time"
+
+	"teaselgate/promise"
+	"teaselgate/queue"
+)
+
+// Callers that are refused return once. If all that are refused in a burst are told the same time, they return into the same
+// wall. The functions below tell each the time at which its request will have room behind what waits and what was promised to
+// those before, and hold the room for a moment.
+
+// promiseReturn returns the time after which a refused request is to be repeated, and records it as a promise if the caller
+// can wait that long. Those that return go ahead of late requests, so they are promised the room that late requests get, and at
+// least the floor that less urgent ranks keep. The wait is predicted without promises.
+func (c *Core) promiseReturn(now instant, w *waitingRequest, wait time.Duration) time.Duration {
+	r := w.request
+	if !r.Ordered || r.Return == "" {
+		return retryIn(wait)
+	}
+	available := c.availableRate(w.Rank)
+	if rate := max(c.lateCostRate.perSecond(), available*queue.FloorShare); rate > 0 {
+		wait = seconds(c.queue.UrgentCost(w.Rank)/available + (c.promises.Outstanding(now, w.Rank)+w.Cost)/rate)
+	}
+	wait = retryIn(wait)
+	if r.ReturnWithin == 0 || wait <= r.ReturnWithin {
+		c.promises.Make(now, r.Return, promise.Promise{Rank: w.Rank, Cost: w.Cost, At: now.Add(wait)})
+	}
+	return wait
+}
+
+// redeem gives a request whose caller returns as told the room that was promised: it waits ahead of newcomers of its rank, and
+// is not refused for the length of the queue.
+func (c *Core) redeem(now instant, w *waitingRequest) bool {
+	if c.promises.Redeem(now, w.request.Return) != promise.AsTold {
+		return false
+	}
+	w.Patient, w.Returned = false, true
+	w.waitDeadline = w.responseDeadline
+	return true
+}
+
+// heldPromise is a promise that an instance has passed on to a caller.
+type heldPromise struct {
+	Promise promise.Promise // its time is on no clock; see In
+	In      time.Duration   // time until the caller may return
+}
+
+// promiseSet holds the promises that an instance has passed on, for a dispatcher that follows the one that made them.
+type promiseSet struct {
+	mu    sync.Mutex
+	cells map[ID]map[string]passedPromise // by key of the request
+}
+
+type passedPromise struct {
+	rank int
+	cost float64
+	at   time.Time
+}
+
+func newPromiseSet() *promiseSet { return &promiseSet{cells: make(map[ID]map[string]passedPromise)} }
+
+// record records a promise to a caller of this instance, and drops those that no longer hold.
+func (s *promiseSet) record(id ID, key string, p passedPromise, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cells[id] == nil {
+		s.cells[id] = make(map[string]passedPromise)
+	}
+	for k, old := range s.cells[id] {
+		if now.Sub(old.at) > promise.Hold {
+			delete(s.cells[id], k)
+		}
+	}
+	s.cells[id][key] = p
+}
+
+// list returns the promises of a cell that still hold.
+func (s *promiseSet) list(id ID, now time.Time) map[string]heldPromise {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out map[string]heldPromise
+	for key, p := range s.cells[id] {
+		if now.Sub(p.at) > promise.Hold {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]heldPromise)
+		}
+		out[key] = heldPromise{promise.Promise{Rank: p.rank, Cost: p.cost}, p.at.Sub(now)}
+	}
+	return out
+}
+
+// adoptPromises takes the promises that an earlier dispatcher made.
+func (d *dispatcher) adoptPromises(now time.Time, promises map[string]heldPromise) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := d.coreTime(now)
+	for key, p := range promises {
+		p.Promise.At = at.Add(p.In)
+		d.core.promises.Make(at, key, p.Promise)
+	}
+}
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -54,21 +54,21 @@
 	if c.piecesNeeded(w.request) > c.decodes[0].pieces {
 		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
 	}
-	wait := c.predictWait(w)
+	wait := c.predictWait(w) + c.dueWait(now, w)
 	if c.queue.Len() >= queue.MaxLength && !c.makeRoom(w) {
 		return retryIn(wait), shed.New("cell: the queue is full")
 	}
 	if now.After(w.waitDeadline) && now.After(w.responseDeadline) {
 		return retryIn(wait), shed.New("cell: the caller's time is too short for an answer")
 	}
-	if c.isRetry(w) {
+	if c.isRetry(w) || c.redeem(now, w) {
 		return 0, nil
 	}
 	if wait.Seconds() <= maxWaitShare*w.waitDeadline.Sub(now).Seconds() {
 		return 0, nil
 	}
 	if !w.Patient || w.Late {
-		return retryIn(wait), c.waitTooLong(now, w, wait)
+		return c.promiseReturn(now, w, wait), c.waitTooLong(now, w, wait)
 	}
 	if c.displaceLarger(now, w) {
 		return 0, nil
@@ -76,7 +76,7 @@
 	c.queue.RecordLate(now, &w.Item)
 	c.markLate(w)
 	if wait = c.predictWait(w); now.Add(wait).After(w.waitDeadline) {
-		return retryIn(wait), c.waitTooLong(now, w, wait)
+		return c.promiseReturn(now, w, wait), c.waitTooLong(now, w, wait)
 	}
 	return 0, nil
 }
@@ -122,6 +122,15 @@
 	}
 }
 
+// dueWait returns the time that the room takes which is held for callers that are due to return.
+func (c *Core) dueWait(now instant, w *waitingRequest) time.Duration {
+	due, rate := c.promises.Due(now, w.Rank), c.availableRate(w.Rank)
+	if due == 0 || rate == 0 {
+		return 0
+	}
+	return seconds(due / rate)
+}
+
 // availableRate returns the cost per second that is placed for requests of a rank: the measured rate less what requests of
 // more urgent ranks have brought lately, but at least the part that less urgent ranks keep.
 func (c *Core) availableRate(rank int) float64 {
@@ -156,7 +165,7 @@
 	c.lastSweep = now
 	for _, w := range c.overdue(now) {
 		if now.After(w.waitDeadline) && (w.Late || !w.Patient) {
-			c.reject(w, shed.New("cell: no place in time: waited %v, %d wait", now.Sub(w.arrived).Round(time.Millisecond), c.queue.Len()), retryIn(c.predictWait(w)))
+			c.reject(w, shed.New("cell: no place in time: waited %v, %d wait", now.Sub(w.arrived).Round(time.Millisecond), c.queue.Len()), c.promiseReturn(now, w, c.predictWait(w)))
 		} else {
 			c.deferLate(now, w)
 		}
@@ -190,7 +199,7 @@
 	late := *w
 	c.markLate(&late)
 	if wait := c.predictWait(&late); now.Add(wait).After(late.waitDeadline) {
-		c.reject(w, c.waitTooLong(now, &late, wait), retryIn(wait))
+		c.reject(w, c.waitTooLong(now, &late, wait), c.promiseReturn(now, &late, wait))
 		return
 	}
 	c.queue.Remove(&w.Item)
--- a/forward/model.go
+++ b/forward/model.go
@@ -82,6 +82,7 @@
 	model, _ := m.view.Rules.Model(m.service.Name)
 	first, maxWait := registry.Targets(m.route)
 	return cell.Request{
+		Return: m.part, ReturnWithin: platform.ReturnWithin(m.deadline.Sub(m.handler.Now())),
 		Rank: registry.Rank(m.route, m.account), First: first, MaxWait: maxWait, Ordered: m.view.Ordered(m.service.Name),
 		ID: m.ID, Account: m.account.Name, Weight: 1, Class: rule.ClassPatient, Model: model,
 		PromptTokens: m.PromptTokens + m.tokensSent(),
--- a/queue/account.go
+++ b/queue/account.go
@@ -183,6 +183,8 @@
 
 func (f *fifo[T]) push(v T) { f.items = append(f.items, v) }
 
+func (f *fifo[T]) pushFront(v T) { f.items = append([]T{v}, f.items...) }
+
 func (f *fifo[T]) remove(v T) {
 	for i := range f.items {
 		if f.items[i] != v {
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -73,7 +73,12 @@
 		q.activeWeight += a.weight
 	}
 	l := q.level(i.levelOrder())
-	a.addLane(l).fifoFor(i).push(i)
+	items := a.addLane(l).fifoFor(i)
+	if i.Returned {
+		items.pushFront(i)
+	} else {
+		items.push(i)
+	}
 	q.count(i, l, 1)
 	l.accounts.update(a, true)
 }
--- a/queue/item.go
+++ b/queue/item.go
@@ -10,6 +10,7 @@
 	Patient    bool    // waits for room that on-time items leave, once it is late
 	Late       bool    // has missed its target or is predicted to miss it
 	Cost       float64 // work that it needs, in prompt tokens
+	Returned   bool    // its caller returns at the time that it was told, and goes ahead of newcomers
 	Target     Instant // time by which an item that is not late must be placed
 
 	account *account
