Give out the slots of plain services by one instance for all

Cause: at large fleets each instance sees too few of a plain service's requests to know its servers.

Change: package slot has a keeper for each service, which gives out slots in the order of package queue, lets requests wait at the gate, tells refused ones when to return, and has a common part of the retry budget. The picker of plain servers moves there from cell, the index of servers to rule. An attempt is cut only if a retry is left. Callers that return as told wait as late ones and no longer before those that can be on time.

--- a/cell/health.go
+++ b/cell/health.go
@@ -9,6 +9,7 @@
 const (
 	trialInterval = 5 * time.Second // interval of the trials of a slow server
 	pollTimeout   = 400 * time.Millisecond
+	minPause      = time.Second // shortest pause of a server after a failure
 	// maxServerPause is the longest pause of a model engine. A trial costs one request, while an unused engine that
 	// works again costs its share of the pool's capacity.
 	maxServerPause = 4 * time.Second
--- a/cell/local.go
+++ b/cell/local.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"teaselgate/rule"
+	"teaselgate/slot"
 )
 
 // defaultPrefillTime is the time until the end of the prefill that local policies report, since they do not predict it.
@@ -21,10 +22,10 @@
 	Now    func() time.Time
 	Random func(n int) int // returns a random number in [0, n)
 
-	directory directory
+	directory rule.Directory
 	mu        sync.Mutex
-	nextIndex map[string]int       // next round robin index, by pool
-	servers   map[string]*peakEWMA // by server name
+	nextIndex map[string]int            // next round robin index, by pool
+	servers   map[string]*slot.PeakEWMA // by server name
 }
 
 // NewLocalPlacer returns a placer that takes its servers from the rules.
@@ -34,7 +35,7 @@
 		Now:       time.Now,
 		Random:    rand.IntN,
 		nextIndex: make(map[string]int),
-		servers:   make(map[string]*peakEWMA),
+		servers:   make(map[string]*slot.PeakEWMA),
 	}
 }
 
@@ -50,8 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l.server(prefill.Server).pending++
-	l.server(decode.Server).pending++
+	l.server(prefill.Server).Pending++
+	l.server(decode.Server).Pending++
 	placed := l.Now()
 	release := func(report Report) { l.release(prefill, decode, placed, report) }
 	return &Placement{Prefill: prefill, Decode: decode, Inputs: Inputs{Prefill: defaultPrefillTime}, release: release}, nil
@@ -64,20 +65,20 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	p, d := l.server(prefill.Server), l.server(decode.Server)
-	p.pending--
-	d.pending--
+	p.Pending--
+	d.Pending--
 	if !r.Prefilled.IsZero() {
-		p.observe(now, r.Prefilled.Sub(placed))
+		p.Observe(now, r.Prefilled.Sub(placed))
 	}
 	if !r.Imported.IsZero() && r.Generated > 0 {
-		d.observe(now, r.Ended.Sub(r.Imported)/time.Duration(r.Generated))
+		d.Observe(now, r.Ended.Sub(r.Imported)/time.Duration(r.Generated))
 	}
 }
 
-func (l *LocalPlacer) server(name string) *peakEWMA {
+func (l *LocalPlacer) server(name string) *slot.PeakEWMA {
 	s, ok := l.servers[name]
 	if !ok {
-		s = &peakEWMA{}
+		s = &slot.PeakEWMA{}
 		l.servers[name] = s
 	}
 	return s
@@ -85,7 +86,7 @@
 
 // pick returns a live server of a pool. The caller holds l.mu.
 func (l *LocalPlacer) pick(pool string, r Request) (rule.Server, error) {
-	live := l.directory.live(l.Rules(), pool, slices.Concat(r.Exclude, r.Avoid))
+	live := l.directory.Live(l.Rules(), pool, slices.Concat(r.Exclude, r.Avoid))
 	if len(live) == 0 {
 		return rule.Server{}, noServer.New("cell: no live server in pool %s", pool)
 	}
@@ -96,8 +97,8 @@
 		return live[start], nil
 	case rule.PlacementEWMA:
 		now := l.Now()
-		score := func(i int) float64 { return l.server(live[i].Server).score(now) }
-		return live[betterOfTwo(len(live), l.Random, score)], nil
+		score := func(i int) float64 { return l.server(live[i].Server).Score(now) }
+		return live[slot.BetterOfTwo(len(live), l.Random, score)], nil
 	default:
 		return l.leastLoaded(live, start), nil
 	}
@@ -108,7 +109,7 @@
 	best := live[start]
 	for i := range live {
 		s := live[(start+i)%len(live)]
-		if l.server(s.Server).pending < l.server(best.Server).pending {
+		if l.server(s.Server).Pending < l.server(best.Server).Pending {
 			best = s
 		}
 	}
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -12,6 +12,7 @@
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/rule"
+	"teaselgate/slot"
 )
 
 // Timing and limits of the calls to dispatchers.
@@ -28,14 +29,13 @@
 // Placer places model requests by the policy in the model's rule. Set the exported fields before calling Serve.
 type Placer struct {
 	Local  *LocalPlacer
-	Plain  *PlainPicker
 	Hub    *Hub
 	Self   string                // name of this instance
 	Live   func() []fleet.Member // returns the instances that may be dispatchers
 	Call   func(ctx context.Context, address, method string, args, reply any) error
 	Random func(n int) int
 
-	directory    directory
+	directory    rule.Directory
 	mu           sync.Mutex
 	rankings     map[ID]ranking
 	loads        map[ID]cellLoad
@@ -68,7 +68,6 @@
 func NewPlacer(rules func() *rule.Set, hub *Hub) *Placer {
 	p := &Placer{
 		Local:        NewLocalPlacer(rules),
-		Plain:        NewPlainPicker(rules),
 		Hub:          hub,
 		Random:       rand.IntN,
 		rankings:     make(map[ID]ranking),
@@ -164,8 +163,8 @@
 		}
 	}
 	rules := p.Hub.Rules()
-	prefill, ok1 := p.directory.liveServer(rules, r.Model.Prefill, reply.Prefill)
-	decode, ok2 := p.directory.liveServer(rules, r.Model.Decode, reply.Decode)
+	prefill, ok1 := p.directory.LiveServer(rules, r.Model.Prefill, reply.Prefill)
+	decode, ok2 := p.directory.LiveServer(rules, r.Model.Decode, reply.Decode)
 	if !ok1 || !ok2 {
 		p.release(m, id, Released{Key: r.ID})
 		return nil, nil
@@ -253,14 +252,14 @@
 // chooseCell returns the less loaded of two random cells of a model's pools.
 func (p *Placer) chooseCell(r Request) ID {
 	id := ID{Prefill: r.Model.Prefill, Decode: r.Model.Decode}
-	n := cellCount(len(p.directory.pool(p.Hub.Rules(), id.Decode)))
+	n := cellCount(len(p.directory.Pool(p.Hub.Rules(), id.Decode)))
 	if n == 1 {
 		return id
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Hub.Now()
-	id.Share = betterOfTwo(n, p.Random, func(share int) float64 {
+	id.Share = slot.BetterOfTwo(n, p.Random, func(share int) float64 {
 		l := p.loads[ID{id.Prefill, id.Decode, share}]
 		if now.After(l.until) {
 			return 0
@@ -270,10 +269,9 @@
 	return id
 }
 
-// Running returns the number of this instance's requests at each backend server, by name. A model request counts at its
-// decode server.
+// Running returns the number of this instance's model requests at each decode server, by name.
 func (p *Placer) Running() map[string]int {
-	out := p.Plain.pending()
+	out := make(map[string]int)
 	if p.Hub != nil {
 		p.Hub.holdings.count(out)
 	}
@@ -289,13 +287,27 @@
 	for _, m := range p.Hub.Rules().Models() {
 		if m.Prefill == server.Pool || m.Decode == server.Pool {
 			id := ID{Prefill: m.Prefill, Decode: m.Decode}
-			id.Share = shareIndex(server.Server, cellCount(len(p.directory.pool(p.Hub.Rules(), id.Decode))))
+			id.Share = shareIndex(server.Server, cellCount(len(p.directory.Pool(p.Hub.Rules(), id.Decode))))
 			return p.Dispatcher(id)
 		}
 	}
 	return p.Dispatcher(ID{Prefill: server.Pool, Decode: server.Pool})
 }
 
+// SlotKeeper returns the instance that gives out the slots of a plain service: the second that may dispatch for its pool, since
+// the first has the work of the models' dispatcher.
+func (p *Placer) SlotKeeper(pool string) (fleet.Member, bool) {
+	ranked := p.rankedDispatchers(ID{Prefill: pool, Decode: pool})
+	switch len(ranked) {
+	case 0:
+		return fleet.Member{}, false
+	case 1:
+		return ranked[0], true
+	default:
+		return ranked[1], true
+	}
+}
+
 // rankedDispatchers returns the instances that may be a cell's dispatcher, the preferred one first.
 func (p *Placer) rankedDispatchers(id ID) []fleet.Member {
 	p.mu.Lock()
@@ -304,7 +316,7 @@
 	r, ok := p.rankings[id]
 	if !ok || now.After(r.until) {
 		r = ranking{
-			p.rankResponsive(now, id, cellCount(len(p.directory.pool(p.Hub.Rules(), id.Decode)))),
+			p.rankResponsive(now, id, cellCount(len(p.directory.Pool(p.Hub.Rules(), id.Decode)))),
 			now.Add(rankingTTL),
 		}
 		p.rankings[id] = r
--- a/cell/return.go
+++ b/cell/return.go
@@ -13,8 +13,9 @@
 // those before, and hold the room for a moment.
 
 // promiseReturn returns the time after which a refused request is to be repeated, and records it as a promise if the caller
-// can wait that long. Those that return go ahead of late requests, so they are promised the room that late requests get, and at
-// least the floor that less urgent ranks keep. The wait is predicted without promises.
+// can wait that long. Those that return go ahead of other late requests, so they are promised the room that late requests
+// have got lately, and at least the floor that less urgent ranks keep when a burst is over. The wait is predicted without
+// promises.
 func (c *Core) promiseReturn(now instant, w *waitingRequest, wait time.Duration) time.Duration {
 	r := w.request
 	if !r.Ordered || r.Return == "" {
@@ -31,15 +32,12 @@
 	return wait
 }
 
-// redeem gives a request whose caller returns as told the room that was promised: it waits ahead of newcomers of its rank, and
-// is not refused for the length of the queue.
-func (c *Core) redeem(now instant, w *waitingRequest) bool {
-	if c.promises.Redeem(now, w.request.Return) != promise.AsTold {
-		return false
-	}
-	w.Patient, w.Returned = false, true
-	w.waitDeadline = w.responseDeadline
-	return true
+// queueReturned gives a request whose caller returns as told the room that was promised: it waits ahead of the other late
+// ones of its rank, and is not refused for their number. It is late by the time that its caller has waited already, so it does
+// not take the room of requests that can still be on time.
+func (c *Core) queueReturned(w *waitingRequest) {
+	w.Returned = true
+	c.markLate(w)
 }
 
 // heldPromise is a promise that an instance has passed on to a caller.
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"teaselgate/promise"
 	"teaselgate/queue"
 )
 
@@ -54,17 +55,23 @@
 	if c.piecesNeeded(w.request) > c.decodes[0].pieces {
 		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
 	}
-	wait := c.predictWait(w) + c.dueWait(now, w)
+	wait := c.predictWait(now, w)
 	if c.queue.Len() >= queue.MaxLength && !c.makeRoom(w) {
 		return retryIn(wait), shed.New("cell: the queue is full")
 	}
 	if now.After(w.waitDeadline) && now.After(w.responseDeadline) {
 		return retryIn(wait), shed.New("cell: the caller's time is too short for an answer")
 	}
-	if c.isRetry(w) || c.redeem(now, w) {
+	if c.isRetry(w) {
 		return 0, nil
 	}
+	standing := c.promises.Redeem(now, w.request.Return)
 	if wait.Seconds() <= maxWaitShare*w.waitDeadline.Sub(now).Seconds() {
+		c.promises.Withdraw(w.request.Return)
+		return 0, nil
+	}
+	if standing == promise.AsTold {
+		c.queueReturned(w)
 		return 0, nil
 	}
 	if !w.Patient || w.Late {
@@ -75,7 +82,7 @@
 	}
 	c.queue.RecordLate(now, &w.Item)
 	c.markLate(w)
-	if wait = c.predictWait(w); now.Add(wait).After(w.waitDeadline) {
+	if wait = c.predictWait(now, w); now.Add(wait).After(w.waitDeadline) {
 		return c.promiseReturn(now, w, wait), c.waitTooLong(now, w, wait)
 	}
 	return 0, nil
@@ -107,14 +114,16 @@
 
 // predictWait estimates the wait of a new request from the cost ahead of it. An urgent request waits for its account's
 // share of the cell, and at most until all waiting urgent requests of its and more urgent ranks are placed; a late one waits
-// for all late requests of these ranks. For an on-time background request predictWait returns 0.
-func (c *Core) predictWait(w *waitingRequest) time.Duration {
+// for all late requests of these ranks, and for what callers that are due to return were promised. For an on-time background
+// request predictWait returns 0.
+func (c *Core) predictWait(now instant, w *waitingRequest) time.Duration {
 	rate := c.costRate.perSecond()
 	switch {
 	case rate == 0:
 		return 0
 	case w.Late:
-		return seconds(c.queue.LateCost(w.Rank) / max(c.lateCostRate.perSecond(), rate*queue.MinLateShare))
+		ahead := c.queue.LateCost(w.Rank) + c.promises.Due(now, w.Rank)
+		return seconds(ahead / max(c.lateCostRate.perSecond(), rate*queue.MinLateShare))
 	case w.Background:
 		return 0
 	default:
@@ -122,15 +131,6 @@
 	}
 }
 
-// dueWait returns the time that the room takes which is held for callers that are due to return.
-func (c *Core) dueWait(now instant, w *waitingRequest) time.Duration {
-	due, rate := c.promises.Due(now, w.Rank), c.availableRate(w.Rank)
-	if due == 0 || rate == 0 {
-		return 0
-	}
-	return seconds(due / rate)
-}
-
 // availableRate returns the cost per second that is placed for requests of a rank: the measured rate less what requests of
 // more urgent ranks have brought lately, but at least the part that less urgent ranks keep.
 func (c *Core) availableRate(rank int) float64 {
@@ -165,7 +165,7 @@
 	c.lastSweep = now
 	for _, w := range c.overdue(now) {
 		if now.After(w.waitDeadline) && (w.Late || !w.Patient) {
-			c.reject(w, shed.New("cell: no place in time: waited %v, %d wait", now.Sub(w.arrived).Round(time.Millisecond), c.queue.Len()), c.promiseReturn(now, w, c.predictWait(w)))
+			c.reject(w, shed.New("cell: no place in time: waited %v, %d wait", now.Sub(w.arrived).Round(time.Millisecond), c.queue.Len()), c.promiseReturn(now, w, c.predictWait(now, w)))
 		} else {
 			c.deferLate(now, w)
 		}
@@ -198,7 +198,7 @@
 	c.queue.RecordLate(now, &w.Item)
 	late := *w
 	c.markLate(&late)
-	if wait := c.predictWait(&late); now.Add(wait).After(late.waitDeadline) {
+	if wait := c.predictWait(now, &late); now.Add(wait).After(late.waitDeadline) {
 		c.reject(w, c.waitTooLong(now, &late, wait), c.promiseReturn(now, &late, wait))
 		return
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -20,6 +20,7 @@
 	"teaselgate/quarantine"
 	"teaselgate/rule"
 	"teaselgate/service"
+	"teaselgate/slot"
 )
 
 // RequestIDHeader is the header of the request id in every response.
@@ -40,7 +41,7 @@
 	Admit              func(context.Context, rule.Account, int64) (*allowance.Charge, time.Time, error)
 	Place              func(context.Context, cell.Request) (*cell.Placement, error)
 	PickServer         func(pool string, exclude []string) (rule.Server, error)
-	ReportServerResult func(server string, took time.Duration, result cell.Result) // called once for each PickServer
+	ReportServerResult func(server string, took time.Duration, result slot.Result) // called once for each PickServer
 	Engines            *engine.Client
 	Services           *service.Client
 	Claims             *outcome.ClaimStore
--- a/entry/once.go
+++ b/entry/once.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"time"
 
-	"teaselgate/cell"
 	"teaselgate/event"
 	"teaselgate/outcome"
 	"teaselgate/rule"
 	"teaselgate/service"
+	"teaselgate/slot"
 )
 
 const (
@@ -137,7 +137,7 @@
 	}
 	o.request.markSent(conn.server, h.Now())
 	resp, err := conn.Send(ctx, newServiceRequest(o.incoming, conn.server, o.body.reader()))
-	h.ReportServerResult(conn.server.Server, h.Now().Sub(conn.openedAt), cell.ResultFromResponse(resp, err))
+	h.ReportServerResult(conn.server.Server, h.Now().Sub(conn.openedAt), slot.ResultFromResponse(resp, err))
 	if err != nil {
 		conn.Close()
 		h.Record(event.Event{Code: event.AtMostOnceOutcomeUnknown, Request: o.id, Server: conn.server.Server, Detail: err.Error()})
@@ -151,7 +151,7 @@
 // closeUnused closes a connection on which nothing was sent.
 func (h *Handler) closeUnused(conn *serviceConn) {
 	conn.Close()
-	h.ReportServerResult(conn.server.Server, h.Now().Sub(conn.openedAt), cell.Answered)
+	h.ReportServerResult(conn.server.Server, h.Now().Sub(conn.openedAt), slot.Answered)
 }
 
 // openService connects to a live server of the request's pool. If it fails, the request has not run.
@@ -179,7 +179,7 @@
 		if err == nil {
 			return &serviceConn{Conn: conn, server: server, openedAt: start}, nil
 		}
-		h.ReportServerResult(server.Server, h.Now().Sub(start), cell.Failed)
+		h.ReportServerResult(server.Server, h.Now().Sub(start), slot.Failed)
 		tried = append(tried, server.Server)
 		h.Record(event.Event{Code: event.AttemptFailed, Request: o.id, Server: server.Server, Detail: err.Error()})
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -9,11 +9,11 @@
 	"net/url"
 	"strings"
 
-	"teaselgate/cell"
 	"teaselgate/event"
 	"teaselgate/outcome"
 	"teaselgate/rule"
 	"teaselgate/service"
+	"teaselgate/slot"
 )
 
 const (
@@ -108,11 +108,11 @@
 }
 
 // serverResult returns the result that counts for the server. A cancelled request is not a failure of the server.
-func serverResult(ctx context.Context, resp *http.Response, err error) cell.Result {
+func serverResult(ctx context.Context, resp *http.Response, err error) slot.Result {
 	if err != nil && ctx.Err() != nil {
-		return cell.Answered
+		return slot.Answered
 	}
-	return cell.ResultFromResponse(resp, err)
+	return slot.ResultFromResponse(resp, err)
 }
 
 // canRetry reports whether a failed idempotent request may be sent to another server. Unless the server was
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -18,6 +18,7 @@
 	"teaselgate/quarantine"
 	"teaselgate/registry"
 	"teaselgate/rule"
+	"teaselgate/slot"
 	"teaselgate/throttle"
 	"teaselgate/upstream"
 )
@@ -38,10 +39,11 @@
 	ViewChanged func() <-chan struct{} // returns a channel that is closed when View returns another view
 	SettledAt   func() time.Time       // returns the time until which entries of live servers may be missing
 	Place       func(context.Context, cell.Request) (*cell.Placement, error)
-	PickServer  func(pool string, exclude []string) (rule.Server, error)
-	// ReportServerResult is called once for each PickServer, or UnpickServer if the request was not sent.
-	ReportServerResult func(server string, took time.Duration, result cell.Result)
-	UnpickServer       func(server string)
+	PickServer  func(ctx context.Context, pool string, ask slot.Ask) (rule.Server, error)
+	// ReportServerResult is called once for each PickServer, with the key of its ask, or UnpickServer if the request was not
+	// sent.
+	ReportServerResult func(key, server string, took time.Duration, result slot.Result)
+	UnpickServer       func(key, server string)
 	// Charge takes tokens from the rate of a client account. With an error it returns the time from which to retry.
 	Charge      func(a platform.Account, tokens int64) (time.Time, error)
 	RetryBudget func(service string) *outcome.RetryBudget
@@ -117,6 +119,8 @@
 	received time.Time
 	deadline time.Time
 	runs     int          // number of backend servers that may have run the request
+	picks    int          // number of servers asked for
+	unpaid   bool         // the next attempt is to be paid from the retry budget that the instances share
 	part     string       // stands for the whole request in the quarantine
 	trial    bool         // whether the request tries parts that are in quarantine, and so is not refused for them
 	sent     *sentAttempt // nil if no attempt awaits its answer
--- a/forward/home.go
+++ b/forward/home.go
@@ -44,17 +44,3 @@
 		return s.State != rule.ServerLive || !q.isAtHome(s)
 	})
 }
-
-// serversElsewhere returns the names of the servers of a pool that may not get the request.
-func (q *request) serversElsewhere(pool string) []string {
-	if q.zones == nil {
-		return nil
-	}
-	var out []string
-	for _, s := range q.view.Rules.Servers(pool) {
-		if !q.isAtHome(s) {
-			out = append(out, s.Server)
-		}
-	}
-	return out
-}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -9,10 +9,10 @@
 	"net/http"
 	"time"
 
-	"teaselgate/cell"
 	"teaselgate/event"
 	"teaselgate/metric"
 	"teaselgate/platform"
+	"teaselgate/slot"
 	"teaselgate/throttle"
 	"teaselgate/upstream"
 )
@@ -45,15 +45,21 @@
 	var result attemptResult
 	for {
 		server, err := q.pickServer(ctx, tried)
+		if errors.Is(err, slot.ErrNoRetry) {
+			q.record(event.RetryBudgetSpent, "", err.Error())
+			q.handleAttemptFailure(ctx, result)
+			return
+		}
 		if err != nil {
 			q.handleNoServer(ctx, len(tried), result, err)
 			return
 		}
+		key := q.slotKey()
 		tried = append(tried, server.Server)
 		start := h.Now()
 		result = q.attempt(ctx, server.Server, server.At, len(tried))
 		took := h.Now().Sub(start)
-		h.ReportServerResult(server.Server, took, result.serverResult(ctx))
+		h.ReportServerResult(key, server.Server, took, result.serverResult(ctx))
 		if result.completed {
 			h.ObserveStage(metric.StageService, took)
 			return
@@ -91,14 +97,14 @@
 }
 
 // serverResult returns the result that counts for the server. A cancelled request is not a failure of the server.
-func (r attemptResult) serverResult(ctx context.Context) cell.Result {
+func (r attemptResult) serverResult(ctx context.Context) slot.Result {
 	switch {
 	case r.serverError:
-		return cell.ServerError
+		return slot.ServerError
 	case r.serverFault && ctx.Err() == nil:
-		return cell.Failed
+		return slot.Failed
 	default:
-		return cell.Answered
+		return slot.Answered
 	}
 }
 
@@ -111,13 +117,12 @@
 // handleNoServer ends a request for which no server can be picked. After an attempt it returns the error response of the
 // server, if there is one.
 func (q *request) handleNoServer(ctx context.Context, tried int, last attemptResult, err error) {
-	var denial *throttle.Denial
-	denied := errors.As(err, &denial)
+	retryAt, known := retryTime(err)
 	switch {
 	case last.savedResponse != nil:
 		q.writeResponse(last.savedResponse, "")
-	case denied && q.runs == 0 && ctx.Err() == nil:
-		q.refuse(http.StatusServiceUnavailable, max(denial.RetryAt.Sub(q.handler.Now()), minRateRetryAfter), err.Error())
+	case known && q.runs == 0 && ctx.Err() == nil:
+		q.refuse(http.StatusServiceUnavailable, max(retryAt.Sub(q.handler.Now()), minRateRetryAfter), err.Error())
 	case tried > 0:
 		q.fail(ctx, "no other server for a retry: "+err.Error())
 	default:
@@ -125,6 +130,19 @@
 	}
 }
 
+// retryTime returns the time that an error names from which to retry.
+func retryTime(err error) (time.Time, bool) {
+	var denial *throttle.Denial
+	if errors.As(err, &denial) {
+		return denial.RetryAt, true
+	}
+	var refusal *slot.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.RetryAt, true
+	}
+	return time.Time{}, false
+}
+
 // handleAttemptFailure ends a request after its last attempt: with the server's error response, if there is one.
 func (q *request) handleAttemptFailure(ctx context.Context, result attemptResult) {
 	if result.savedResponse != nil {
@@ -136,7 +154,8 @@
 
 // canRetry reports whether a request may be sent to another server after a failed attempt. Retries are meant for
 // servers that reject requests because their queues are full, and for servers that fail some of their requests. A retry
-// is withdrawn from the retry budget, unless nothing was sent.
+// is withdrawn from the retry budget, unless nothing was sent. If this instance's part of the budget is spent, the one that the
+// instances share pays, which is known when the next server is asked for.
 func (q *request) canRetry(result attemptResult, tried int) bool {
 	if tried >= maxTriedServers {
 		return false
@@ -144,7 +163,8 @@
 	if !result.notRun && (q.route.Kind != platform.Idempotent || q.runs >= q.route.MaxAttempts) {
 		return false
 	}
-	return result.notSent || q.spendRetries(1)
+	q.unpaid = !result.notSent && !q.handler.RetryBudget(q.service.Name).Withdraw()
+	return true
 }
 
 // spendRetries withdraws n requests from the service's retry budget, which is divided among the instances. If the
@@ -197,9 +217,11 @@
 	return attemptResult{completed: true, serverError: serverError}
 }
 
-// attemptContext bounds an attempt that can be retried, so that a server that does not respond leaves time for another.
+// attemptContext bounds an attempt that can be retried, so that a server that does not respond leaves time for another. An
+// attempt is not cut if no retry is left to pay for the other.
 func (q *request) attemptContext(ctx context.Context, tried int) (context.Context, context.CancelFunc) {
-	if q.route.Kind != platform.Idempotent || q.runs+1 >= q.route.MaxAttempts || tried >= maxTriedServers {
+	if q.route.Kind != platform.Idempotent || q.runs+1 >= q.route.MaxAttempts || tried >= maxTriedServers ||
+		q.handler.RetryBudget(q.service.Name).Remaining() < 1 {
 		return context.WithCancel(ctx)
 	}
 	remaining := q.deadline.Sub(q.handler.Now())
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -24,6 +24,9 @@
 // keep the total within the settings, apart from the burst of at least one retry that each instance has.
 const (
 	retryShareFactor = 0.7 // applied to retry.share, since instances may count requests differently
+	// sharedRetryShare is the part of retry.share that the keeper of a service's slots gives out where slots are shared. It is
+	// taken from that of the instances.
+	sharedRetryShare = 0.4
 	retryBurstFactor = 0.6 // applied to retry.extra, which is divided among the instances
 )
 
@@ -40,8 +43,7 @@
 	handler.Zone, handler.Regions = i.Options.Zone, i.Options.RegionOf()
 	handler.View, handler.ViewChanged, handler.SettledAt = i.registry.Current, i.registry.Changed, i.registry.SettledAt
 	handler.Place = i.placer.Place
-	handler.PickServer, handler.UnpickServer = i.placer.Plain.Pick, i.placer.Plain.Unpick
-	handler.ReportServerResult = i.placer.Plain.RecordResult
+	handler.PickServer, handler.UnpickServer, handler.ReportServerResult = i.slots.Pick, i.slots.Unpick, i.slots.Done
 	handler.Charge = func(a platform.Account, tokens int64) (time.Time, error) {
 		return i.debitReporter.Charge(cell.Debit{Account: a.Name, Tokens: tokens, Rate: a.Rate, Burst: a.Burst})
 	}
@@ -77,7 +79,11 @@
 	defer b.mu.Unlock()
 	_, known := b.instance.fleet.CountReachable()
 	retry := b.instance.settings().Retry
-	share, burst := retryShareFactor*retry.Share, max(retryBurstFactor*float64(retry.Extra)/float64(known), 1)
+	factor := retryShareFactor
+	if b.instance.sharesSlots(service) {
+		factor -= sharedRetryShare
+	}
+	share, burst := factor*retry.Share, max(retryBurstFactor*float64(retry.Extra)/float64(known), 1)
 	budget, ok := b.byService[service]
 	if !ok {
 		budget = outcome.NewRetryBudget(share, burst)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -32,6 +32,7 @@
 	"teaselgate/registry"
 	"teaselgate/rule"
 	"teaselgate/service"
+	"teaselgate/slot"
 	"teaselgate/socket"
 	"teaselgate/throttle"
 	"teaselgate/upstream"
@@ -60,8 +61,12 @@
 	allowance       *allowance.Limiter // rules only
 	admit           admitFunc          // rules only
 	placer          *cell.Placer
-	handler         http.Handler        // serves callers' requests
-	registry        *registry.Follower  // store only
+	handler         http.Handler       // serves callers' requests
+	registry        *registry.Follower // store only
+	plain           *slot.Picker       // servers of plain services, by what this instance alone knows
+	slotKeeper      *slot.Keeper
+	slots           *slot.Client
+	slotServers     rule.Directory
 	connectionPool  *upstream.Pool      // store only
 	debitReporter   *cell.DebitReporter // store only
 	retryBudgets    *retryBudgets       // store only
@@ -205,12 +210,12 @@
 func (i *Instance) buildSteps() []func(*suture.Supervisor) error {
 	if i.Options.Source == option.SourceStore {
 		return []func(*suture.Supervisor) error{
-			i.buildCertificates, i.buildRegistry, i.buildFleet, i.buildQuarantine, i.buildCell, i.buildThrottle, i.buildForward,
+			i.buildCertificates, i.buildRegistry, i.buildFleet, i.buildQuarantine, i.buildCell, i.buildThrottle, i.buildSlots, i.buildForward,
 			i.buildStageBalancers, i.buildMetrics,
 		}
 	}
 	return []func(*suture.Supervisor) error{
-		i.buildCertificates, i.buildConfig, i.buildFleet, i.buildQuarantine, i.buildOrder, i.buildAllowance, i.buildCell,
+		i.buildCertificates, i.buildConfig, i.buildFleet, i.buildQuarantine, i.buildOrder, i.buildAllowance, i.buildCell, i.buildSlots,
 		i.buildOutcome, i.buildMetrics,
 	}
 }
--- a/instance/status.go
+++ b/instance/status.go
@@ -43,9 +43,9 @@
 	if rules == nil {
 		return nil
 	}
-	running, out := i.placer.Running(), make(map[string]int)
+	models, plain, out := i.placer.Running(), i.plain.Running(), make(map[string]int)
 	for _, s := range rules.AllServers() {
-		out[s.Zone] += running[s.Server]
+		out[s.Zone] += models[s.Server] + plain[s.Server]
 	}
 	return out
 }
--- a/registry/view.go
+++ b/registry/view.go
@@ -206,7 +206,9 @@
 
 // serverRule returns the rule of a server, in the pool of its stage.
 func serverRule(s platform.Server) rule.Server {
-	out := rule.Server{Server: s.ID, Pool: s.Service, Zone: s.Zone, At: s.Address, State: rule.ServerLive}
+	out := rule.Server{
+		Server: s.ID, Pool: s.Service, Zone: s.Zone, At: s.Address, State: rule.ServerLive, Slots: s.Slots,
+	}
 	switch s.Stage {
 	case platform.Prefill:
 		out.Pool += prefillSuffix
--- a/rule/rule.go
+++ b/rule/rule.go
@@ -129,6 +129,8 @@
 	At     string      `yaml:"at"`     // IP address and port
 	State  ServerState `yaml:"state"`
 
+	// Slots is the number of requests that the server runs at once; 0 if it states none.
+	Slots int `yaml:"-" json:"-"`
 	// ColdPeriod tells one cold period of the server from the next: what was learned about its speed before does not hold
 	// in it. It is 0 if none is known.
 	ColdPeriod int64 `yaml:"-" json:"-"`
--- /dev/null
+++ b/slot/core_test.go
@@ -0,0 +1,309 @@
+package slot
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"teaselgate/queue"
+	"teaselgate/rule"
+)
+
+const (
+	start       = queue.Instant(time.Hour)
+	serverSlots = 6
+)
+
+func testServers(n int) []rule.Server {
+	out := make([]rule.Server, 0, n)
+	for i := range n {
+		out = append(out, rule.Server{
+			Server: fmt.Sprint("s", i), Pool: "o", Zone: string(rune('a' + i%3)), At: fmt.Sprint("10.0.0.", i, ":80"),
+			State: rule.ServerLive, Slots: serverSlots,
+		})
+	}
+	return out
+}
+
+// end is the end of a request in a replay.
+type end struct {
+	at     queue.Instant
+	report Report
+}
+
+type endHeap []end
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(end)) }
+func (h *endHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// replay replays arrivals at a service without a network.
+type replay struct {
+	core    *Core
+	work    func(server string) time.Duration
+	result  func(server string) Result
+	ends    endHeap
+	onTime  map[int]int // answers within the aim, by rank
+	late    map[int]int
+	refused map[int]int
+	given   map[string]int           // slots given, by server
+	held    map[int][]time.Duration  // times that refused requests were held, by rank
+	arrived map[string]queue.Instant // by key
+	asks    map[string]Ask
+}
+
+func newReplay(servers int) *replay {
+	r := &replay{
+		core: NewCore(), onTime: make(map[int]int), late: make(map[int]int), refused: make(map[int]int), given: make(map[string]int),
+		held: make(map[int][]time.Duration), arrived: make(map[string]queue.Instant), asks: make(map[string]Ask),
+		result: func(string) Result { return Answered },
+	}
+	r.core.SetServers(testServers(servers))
+	return r
+}
+
+// step advances the replay to a time at which requests come.
+func (r *replay) step(now queue.Instant, asks ...Ask) {
+	for len(r.ends) > 0 && !r.ends[0].at.After(now) {
+		e := heap.Pop(&r.ends).(end)
+		r.core.Record(e.at, e.report)
+		r.handle(e.at, r.core.Decide(e.at))
+	}
+	for _, a := range asks {
+		r.arrived[a.Key], r.asks[a.Key] = now, a
+		r.core.Submit(now, a)
+	}
+	r.handle(now, r.core.Decide(now))
+}
+
+func (r *replay) handle(now queue.Instant, decisions []Decision) {
+	for _, d := range decisions {
+		a := r.asks[d.Key]
+		waited := now.Sub(r.arrived[d.Key])
+		if d.Err != nil {
+			r.refused[a.Rank]++
+			r.held[a.Rank] = append(r.held[a.Rank], waited)
+			continue
+		}
+		r.given[d.Server]++
+		took := r.work(d.Server)
+		heap.Push(&r.ends, end{now.Add(took), Report{Key: d.Key, Took: took, Result: r.result(d.Server)}})
+		if waited+took <= a.Aim {
+			r.onTime[a.Rank]++
+		} else {
+			r.late[a.Rank]++
+		}
+	}
+}
+
+// A burst of more requests than the slots bear: no server may get more than it can run, urgent requests are on time, others are
+// refused at once or served in time, and accounts fare alike.
+func TestSharedSlotsInABurst(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	r := newReplay(5)
+	r.work = func(string) time.Duration { return time.Duration(30+random.ExpFloat64()*30) * time.Millisecond }
+	const aim, left = 300 * time.Millisecond, 2 * time.Second
+	sent := make(map[int]int)
+	now := start
+	for n := 0; now.Before(start.Add(10 * time.Second)); n++ {
+		load := 0.4
+		if since := now.Sub(start); since > 2*time.Second && since < 6*time.Second {
+			load = 1.4
+		}
+		now = now.Add(time.Duration(random.ExpFloat64() / (load * 5 * serverSlots / 0.06) * float64(time.Second)))
+		rank := 2
+		if n%5 == 0 {
+			rank = 0
+		}
+		sent[rank]++
+		r.step(now, Ask{Key: fmt.Sprint(n), Account: fmt.Sprint("a", n%7), Weight: 1, Rank: rank, Left: left, Aim: aim})
+		for _, s := range r.core.servers {
+			if s.inUse > serverSlots+spareSlots {
+				t.Fatalf("server %s has %d requests", s.Server.Server, s.inUse)
+			}
+		}
+	}
+	r.step(now.Add(time.Minute))
+	t.Logf("sent %v, on time %v, late %v, refused %v", sent, r.onTime, r.late, r.refused)
+	if share := float64(r.onTime[0]) / float64(sent[0]); share < 0.95 {
+		t.Errorf("%.2f of the urgent requests are on time", share)
+	}
+	if r.refused[2] == 0 {
+		t.Error("no request was refused in a burst of 1.4 times the capacity")
+	}
+	for rank, held := range r.held {
+		for _, h := range held {
+			if h > left {
+				t.Errorf("a request of rank %d was refused after %v, past its deadline", rank, h)
+			}
+		}
+	}
+}
+
+// A slow server must get less than its share, and one that fails must be paused and tried again.
+func TestSharedSlotsFollowTheServers(t *testing.T) {
+	run := func(set func(r *replay)) *replay {
+		r := newReplay(4)
+		r.work = func(string) time.Duration { return 60 * time.Millisecond }
+		set(r)
+		for n := range 4000 {
+			r.step(start.Add(time.Duration(n)*5*time.Millisecond), Ask{Key: fmt.Sprint(n), Account: "a", Weight: 1, Left: time.Second, Aim: 300 * time.Millisecond})
+		}
+		return r
+	}
+	slow := run(func(r *replay) {
+		r.work = func(s string) time.Duration {
+			if s == "s1" {
+				return 240 * time.Millisecond
+			}
+			return 60 * time.Millisecond
+		}
+	})
+	if slow.given["s1"] > 4000/8 {
+		t.Errorf("the slow server got %d of 4000 requests, half of its share is 500", slow.given["s1"])
+	}
+	failing := run(func(r *replay) {
+		r.result = func(s string) Result {
+			if s == "s1" {
+				return Failed
+			}
+			return Answered
+		}
+	})
+	if n := failing.given["s1"]; n > 60 || n < maxFailures+2 {
+		t.Errorf("the failing server got %d of 4000 requests", n)
+	}
+}
+
+// Noise of some tenths of a second must not be taken for a slow server: it would leave slots idle.
+func TestNoiseDoesNotMakeAServerSlow(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	r := newReplay(3)
+	now := start
+	r.work = func(s string) time.Duration {
+		noisy := int(now.Sub(start)/(600*time.Millisecond))*7%20 < 3 // 600 ms at a time, in turn
+		if noisy && s == fmt.Sprint("s", int(now.Sub(start)/(600*time.Millisecond))%3) {
+			return 37 * time.Millisecond
+		}
+		return time.Duration(10+random.IntN(10)) * time.Millisecond
+	}
+	for n := range 20000 {
+		now = start.Add(time.Duration(n) * 2 * time.Millisecond)
+		r.step(now, Ask{Key: fmt.Sprint(n), Account: "a", Weight: 1, Zone: "x", Left: time.Second, Aim: 120 * time.Millisecond})
+	}
+	for server, n := range r.given {
+		if n < 20000/6 {
+			t.Errorf("%s got %d of 20000 requests, less than half of its share", server, n)
+		}
+	}
+}
+
+// A server of another zone must not be used while one in the instance's zone is as free.
+func TestSlotsInTheZoneOfTheInstanceArePreferred(t *testing.T) {
+	r := newReplay(3)
+	r.work = func(string) time.Duration { return 20 * time.Millisecond }
+	for n := range 200 {
+		r.step(start.Add(time.Duration(n)*30*time.Millisecond), Ask{Key: fmt.Sprint(n), Account: "a", Weight: 1, Zone: "b", Left: time.Second, Aim: time.Second})
+	}
+	if r.given["s1"] != 200 {
+		t.Errorf("the server in zone b got %d of 200 requests", r.given["s1"])
+	}
+}
+
+// Retries beyond the shared budget must not be sent: they would multiply the load of failing servers.
+func TestSharedRetriesStayWithinTheBudget(t *testing.T) {
+	r := newReplay(2)
+	r.core.RetryShare = 0.1
+	r.work = func(string) time.Duration { return time.Millisecond }
+	for n := range 1000 {
+		at := start.Add(time.Duration(n) * 10 * time.Millisecond)
+		r.step(at, Ask{Key: fmt.Sprint(n), Account: "a", Weight: 1, First: true, Left: time.Second})
+		r.step(at, Ask{Key: fmt.Sprint(n, "-2"), Account: "a", Weight: 1, Retry: true, Left: time.Second})
+	}
+	paid := 2000 - r.refused[0]
+	if retries := paid - 1000; retries > 100+maxRetryBudget+1 || retries < 100 {
+		t.Errorf("%d retries were paid", retries)
+	}
+}
+
+// Whatever comes, each ask gets one decision, slots are counted right, and lost reports free their slots in the end.
+func TestCoreCountsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, now := NewCore(), start
+		c.SetServers(testServers(2))
+		decided := make(map[string]int)
+		var given []string
+		n := 0
+		decide := func() {
+			for _, d := range c.Decide(now) {
+				if decided[d.Key]++; decided[d.Key] > 1 {
+					t.Fatalf("%s was decided twice", d.Key)
+				}
+				if d.Err == nil {
+					given = append(given, d.Key)
+				} else if !errors.Is(d.Err, ErrFull) && !errors.Is(d.Err, ErrNoServer) {
+					t.Fatalf("unexpected error %v", d.Err)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				n++
+				c.Submit(now, Ask{
+					Key: fmt.Sprint(n), Account: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"), Rank: rapid.IntRange(0, 2).Draw(t, "rank"),
+					Left: time.Duration(rapid.IntRange(50, 2000).Draw(t, "left")) * time.Millisecond, Aim: 200 * time.Millisecond,
+					Exclude: rapid.SampledFrom([][]string{nil, {"s0"}}).Draw(t, "exclude"),
+				})
+				decide()
+			},
+			"end": func(t *rapid.T) {
+				if len(given) == 0 || rapid.Bool().Draw(t, "lost") {
+					return
+				}
+				c.Record(now, Report{Key: given[0], Took: 20 * time.Millisecond, Result: Result(rapid.IntRange(0, 2).Draw(t, "result"))})
+				given = given[1:]
+				decide()
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+				decide()
+			},
+			"cancel": func(t *rapid.T) {
+				key := fmt.Sprint(rapid.IntRange(0, n).Draw(t, "key"))
+				if decided[key] == 0 {
+					decided[key]++
+				}
+				c.Cancel(key)
+				decide()
+			},
+			"": func(t *rapid.T) {
+				for _, s := range c.servers {
+					if s.inUse < 0 || s.inUse > serverSlots+spareSlots {
+						t.Fatalf("%d requests at %s", s.inUse, s.Server.Server)
+					}
+				}
+			},
+		})
+		now = now.Add(time.Minute)
+		decide()
+		if s := c.State(now); s.InUse != 0 || s.Waiting != 0 {
+			t.Fatalf("unexpected state %+v after all has ended", s)
+		}
+		for i := range n {
+			if decided[fmt.Sprint(i+1)] != 1 {
+				t.Fatalf("%d was never decided", i+1)
+			}
+		}
+	})
+}
--- a/cell/errorrate.go
+++ b/slot/errorrate.go
@@ -1,4 +1,4 @@
-package cell
+package slot
 
 import (
 	"math"
--- a/cell/ewma.go
+++ b/slot/latency.go
@@ -1,4 +1,4 @@
-package cell
+package slot
 
 import (
 	"math"
@@ -11,17 +11,17 @@
 	unansweredPenalty = time.Second      // cost of a server with outstanding requests that has not answered yet
 )
 
-// peakEWMA scores a server by a moving average of its latency, which rises at once with a peak and decays slowly, times
+// PeakEWMA scores a server by a moving average of its latency, which rises at once with a peak and decays slowly, times
 // its outstanding requests. Of two random servers the one with the lower score is chosen. It follows the PeakEWMA of
 // the ns-3 study of Envoy's load balancers (rroblak/envoy-peak-ewma).
-type peakEWMA struct {
+type PeakEWMA struct {
 	cost    float64 // moving average of the latency, in seconds
 	updated time.Time
-	pending int
+	Pending int // outstanding requests
 }
 
-// observe records the latency of one response.
-func (p *peakEWMA) observe(now time.Time, latency time.Duration) {
+// Observe records the latency of one response.
+func (p *PeakEWMA) Observe(now time.Time, latency time.Duration) {
 	sample := latency.Seconds()
 	if sample > p.cost || p.updated.IsZero() {
 		p.cost = sample
@@ -32,17 +32,17 @@
 	p.updated = now
 }
 
-// score returns the expected wait in seconds. An idle server that has not answered yet scores 0 and so is tried first.
-func (p *peakEWMA) score(now time.Time) float64 {
+// Score returns the expected wait in seconds. An idle server that has not answered yet scores 0 and so is tried first.
+func (p *PeakEWMA) Score(now time.Time) float64 {
 	cost := p.cost * math.Exp(-now.Sub(p.updated).Seconds()/ewmaDecay.Seconds())
-	if p.updated.IsZero() && p.pending > 0 {
+	if p.updated.IsZero() && p.Pending > 0 {
 		cost = unansweredPenalty.Seconds()
 	}
-	return cost * float64(p.pending+1)
+	return cost * float64(p.Pending+1)
 }
 
-// betterOfTwo returns the index with the lower score of two different random indexes below n.
-func betterOfTwo(n int, random func(int) int, score func(int) float64) int {
+// BetterOfTwo returns the index with the lower score of two different random indexes below n.
+func BetterOfTwo(n int, random func(int) int, score func(int) float64) int {
 	if n < 2 {
 		return 0
 	}
--- a/cell/plain.go
+++ b/slot/picker.go
@@ -1,4 +1,6 @@
-package cell
+// Package slot finds servers of plain services for requests. An instance that sees few of a service's requests can't know how
+// busy its servers are, so there one instance, the keeper of the service, gives out the slots for all.
+package slot
 
 import (
 	"math/rand/v2"
@@ -11,18 +13,18 @@
 
 // Pauses of a server after failures.
 const (
-	minPause = time.Second      // shortest pause, also of model engines
-	maxPause = 30 * time.Second // longest pause of a plain server
+	minPause = time.Second
+	maxPause = 30 * time.Second
 )
 
-// PlainPicker picks servers of plain services: the better of two random servers by latency and errors, among those that
+// Picker picks servers of plain services: the better of two random servers by latency and errors, among those that
 // are not paused. It is independent of the placement of model requests. Set the exported fields before use.
-type PlainPicker struct {
+type Picker struct {
 	Rules  func() *rule.Set
 	Now    func() time.Time
 	Random func(n int) int
 
-	directory directory
+	directory rule.Directory
 	mu        sync.Mutex
 	servers   map[string]*plainServer
 }
@@ -50,30 +52,30 @@
 }
 
 type plainServer struct {
-	latency     peakEWMA
+	latency     PeakEWMA
 	errors      errorRate
 	pause       time.Duration // length of the last pause; 0 while the server works
 	pausedUntil time.Time     // end of the pause; zero while the server works
 }
 
-// NewPlainPicker returns a picker that takes its servers from the rules.
-func NewPlainPicker(rules func() *rule.Set) *PlainPicker {
-	return &PlainPicker{Rules: rules, Now: time.Now, Random: rand.IntN, servers: make(map[string]*plainServer)}
+// NewPicker returns a picker that takes its servers from the rules.
+func NewPicker(rules func() *rule.Set) *Picker {
+	return &Picker{Rules: rules, Now: time.Now, Random: rand.IntN, servers: make(map[string]*plainServer)}
 }
 
 // Pick returns a server of a pool. The caller calls RecordResult when the request has ended.
-func (p *PlainPicker) Pick(pool string, exclude []string) (rule.Server, error) {
+func (p *Picker) Pick(pool string, exclude []string) (rule.Server, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	live := p.directory.live(p.Rules(), pool, exclude)
+	live := p.directory.Live(p.Rules(), pool, exclude)
 	if len(live) == 0 {
-		return rule.Server{}, noServer.New("cell: no live server in pool %s", pool)
+		return rule.Server{}, noServer.New("slot: no live server in pool %s", pool)
 	}
 	now := p.Now()
 	candidates := p.unpaused(live, now)
 	picked := candidates[p.choose(now, candidates)]
 	s := p.server(picked.Server)
-	s.latency.pending++
+	s.latency.Pending++
 	if !s.pausedUntil.IsZero() {
 		// One request tries the paused server; the next ones avoid it until its result.
 		s.pausedUntil = now.Add(s.pause)
@@ -81,19 +83,26 @@
 	return picked, nil
 }
 
+// Take counts a request that another instance gave a slot of a server.
+func (p *Picker) Take(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server(server).latency.Pending++
+}
+
 // Unpick takes back a Pick: the request was not sent to the server.
-func (p *PlainPicker) Unpick(server string) {
+func (p *Picker) Unpick(server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.server(server)
-	s.latency.pending--
+	s.latency.Pending--
 	if !s.pausedUntil.IsZero() {
 		s.pausedUntil = p.Now() // another request may try the paused server
 	}
 }
 
 // choose returns the index of the better of two random servers, or of three if the better one often fails.
-func (p *PlainPicker) choose(now time.Time, servers []rule.Server) int {
+func (p *Picker) choose(now time.Time, servers []rule.Server) int {
 	n := len(servers)
 	if n < 2 {
 		return 0
@@ -110,7 +119,7 @@
 	return p.better(now, servers, best, (first+thirdOffset)%n)
 }
 
-func (p *PlainPicker) better(now time.Time, servers []rule.Server, a, b int) int {
+func (p *Picker) better(now time.Time, servers []rule.Server, a, b int) int {
 	if p.server(servers[b].Server).score(now) < p.server(servers[a].Server).score(now) {
 		return b
 	}
@@ -118,7 +127,7 @@
 }
 
 // unpaused returns the servers that are not paused, or all servers if all are paused.
-func (p *PlainPicker) unpaused(live []rule.Server, now time.Time) []rule.Server {
+func (p *Picker) unpaused(live []rule.Server, now time.Time) []rule.Server {
 	out := make([]rule.Server, 0, len(live))
 	for _, s := range live {
 		if !p.server(s.Server).pausedUntil.After(now) {
@@ -133,20 +142,20 @@
 
 // score returns the expected cost of a request in seconds: its latency and the cost of a failure.
 func (s *plainServer) score(now time.Time) float64 {
-	return s.latency.score(now) + errorCost.Seconds()*s.errors.current(now)
+	return s.latency.Score(now) + errorCost.Seconds()*s.errors.current(now)
 }
 
 // RecordResult records the result of a request; latency is the time to the header of the response.
-func (p *PlainPicker) RecordResult(server string, latency time.Duration, result Result) {
+func (p *Picker) RecordResult(server string, latency time.Duration, result Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
 	s := p.server(server)
-	s.latency.pending--
+	s.latency.Pending--
 	s.errors.observe(now, result != Answered)
 	switch result {
 	case Answered:
-		s.latency.observe(now, latency)
+		s.latency.Observe(now, latency)
 		s.pause, s.pausedUntil = 0, time.Time{}
 	case ServerError:
 		s.pause, s.pausedUntil = 0, time.Time{}
@@ -156,20 +165,20 @@
 	}
 }
 
-// pending returns the number of requests at each server.
-func (p *PlainPicker) pending() map[string]int {
+// Running returns the number of requests at each server, by name.
+func (p *Picker) Running() map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[string]int, len(p.servers))
 	for name, s := range p.servers {
-		if s.latency.pending > 0 {
-			out[name] = s.latency.pending
+		if s.latency.Pending > 0 {
+			out[name] = s.latency.Pending
 		}
 	}
 	return out
 }
 
-func (p *PlainPicker) server(name string) *plainServer {
+func (p *Picker) server(name string) *plainServer {
 	s, ok := p.servers[name]
 	if !ok {
 		s = &plainServer{}
