Count a returning request's first attempt, and let late ones wait where that helps

Cause: a caller that came back after a refusal was treated as a newcomer, so in a burst it took room from requests that could still be on time, and the room for late ones was predicted from what they had got during the burst, which is nothing: most were refused though they could wait six seconds.

Change: the ledger keeps when a refused request came first, and its aim counts from then. Late requests are predicted a floor of the room.

--- a/cell/core.go
+++ b/cell/core.go
@@ -424,14 +424,17 @@
 	return best, bestPlan, cached
 }
 
+// usualTokens returns the mean length of the streams placed lately, or 0 before the first.
+func (c *Core) usualTokens() float64 { return c.demand.meanTokens }
+
 // chooseDecode returns the decode server with the shortest predicted step among those that have room when the prompt's
 // KV cache is ready. Servers that have room now precede those whose room is predicted. An idle server that has never
 // had a request is preferred: otherwise a slow server would stay in use while the others are never tried. Of servers whose
 // steps differ little the emptier one is preferred: when one fails, fewer streams break. In a strict pool, only servers
-// that have room now are chosen.
+// that have room now are chosen. Slow servers are chosen only if no other one has room.
 func (c *Core) chooseDecode(now instant, request *PlaceRequest, pieces int, wait time.Duration) *decodeServer {
 	var best *decodeServer
-	var bestFree bool
+	var bestFree, bestSlow bool
 	var bestScore float64
 	allPaused := !slices.ContainsFunc(c.decodes, func(d *decodeServer) bool {
 		return available(now, d.server, d.health)
@@ -440,6 +443,10 @@
 		if !c.eligible(now, request, d.server, d.usable(now) || allPaused) {
 			continue
 		}
+		slow := d.isSlow(now)
+		if slow && !d.mayTakeSlowly(request, c.usualTokens()) {
+			continue
+		}
 		c.advance(now, d)
 		fits, free := d.hasRoom(now, pieces, wait)
 		if !fits || c.pool.Strict && !free {
@@ -453,8 +460,17 @@
 		if d.server.Zone != request.Zone {
 			score += decodeZonePenalty.Seconds()
 		}
-		if best == nil || (free && !bestFree) || (free == bestFree && score < bestScore) {
-			best, bestFree, bestScore = d, free, score
+		better := score < bestScore
+		switch {
+		case best == nil:
+			better = true
+		case free != bestFree:
+			better = free
+		case slow != bestSlow:
+			better = bestSlow
+		}
+		if better {
+			best, bestFree, bestSlow, bestScore = d, free, slow, score
 		}
 	}
 	return best
--- a/cell/decode.go
+++ b/cell/decode.go
@@ -10,13 +10,15 @@
 
 // Constants of decode servers.
 const (
-	outlierFactor       = 1.8                    // a server slower than typical by this factor gets only trials
+	outlierFactor       = 1.8                    // a server slower than typical by this factor gets only short streams that no other has room for
+	slowFactor          = 1.5                    // a server slower than the median by this factor gets no long streams
 	foreignLoadTTL      = 3 * time.Second        // how long the counts of other dispatchers' requests are used
 	refusalTTL          = 700 * time.Millisecond // how long the room counts as lower after a refused import
 	foreignSlotsDivisor = 2                      // at most slots/foreignSlotsDivisor count as taken by others
 	maxReportLag        = 2 * time.Second        // a load report may show a state up to this long ago
 	endTimeMargin       = 30 * time.Millisecond  // a stream must end this long before a transfer to make room for it
 	endTimeFactor       = 1.08                   // safety factor on the predicted time to the end of a stream
+	maxSlowShare        = 0.4                    // part of the time to the deadline that a stream at a slow server may take
 )
 
 // decodeServer is the dispatcher's state of a decode server.
@@ -158,16 +160,30 @@
 	d.foreignUntil = max(d.foreignUntil, now.Add(refusalTTL))
 }
 
-// usable reports whether the server may get a new request now. A server on trial gets one at a time, an outlier one
-// whenever it is idle and has had no sample for trialInterval. After stepRecoveryTime without samples, the factor of an
-// outlier is reset.
+// usable reports whether the server may get a new request now. A server on trial gets one at a time.
 func (d *decodeServer) usable(now instant) bool {
-	if d.server.State != rule.ServerLive || !d.health.usable(now) || (d.health.onTrial() && len(d.streams) > 0) {
-		return false
-	}
+	return d.server.State == rule.ServerLive && d.health.usable(now) && (!d.health.onTrial() || len(d.streams) == 0)
+}
+
+// isSlow reports whether the server is so slow that it gets only what mayTakeSlowly allows. An idle outlier gets a request like
+// any other when it has had no sample for trialInterval. After stepRecoveryTime without samples, its factor is reset.
+func (d *decodeServer) isSlow(now instant) bool {
 	if !d.steps.outlier() {
-		return true
+		return d.steps.slow()
 	}
 	d.steps.resetStaleFactor(now)
-	return len(d.streams) == 0 && now.Sub(d.steps.lastSample) > trialInterval
+	return len(d.streams) > 0 || now.Sub(d.steps.lastSample) <= trialInterval
+}
+
+// mayTakeSlowly reports whether a slow server may get a request that no other one has room for: one whose stream is not longer
+// than usual and ends in good time, with events that come as often as they must. Long streams wait for faster servers.
+func (d *decodeServer) mayTakeSlowly(request *PlaceRequest, usualTokens float64) bool {
+	if request.Left <= 0 {
+		return !d.steps.outlier()
+	}
+	if float64(request.MaxTokens) > usualTokens || len(d.streams) >= d.batchLimit {
+		return false
+	}
+	stream := seconds(float64(request.MaxTokens) * d.steps.step(d.batchLimit))
+	return stream <= time.Duration(maxSlowShare*float64(request.Left))
 }
--- a/cell/demand.go
+++ b/cell/demand.go
@@ -10,6 +10,9 @@
 // demandWindow is the time constant of the averages of a cell's load: longer than one stream, shorter than a burst.
 const demandWindow = 4 * time.Second
 
+// meanTokensWeight is the weight of a new request in the mean of the expected output tokens.
+const meanTokensWeight = 0.02
+
 // Demand is the load of a cell's prefill and decode stages, in numbers of fully busy servers.
 type Demand struct {
 	Prefill        float64
@@ -23,6 +26,7 @@
 type demand struct {
 	prefillSeconds float64 // seconds of prefill work placed, decaying exponentially
 	pieceSeconds   float64 // reserved pieces times the seconds of their reservation, decaying exponentially
+	meanTokens     float64 // moving average of the output tokens expected of a request
 	at             instant
 }
 
@@ -39,6 +43,10 @@
 // add adds the work of a placed request whose stream is predicted to take the given time.
 func (d *demand) add(now instant, r *reservation, stream time.Duration) {
 	d.advance(now)
+	if d.meanTokens == 0 {
+		d.meanTokens = float64(r.maxTokens)
+	}
+	d.meanTokens += meanTokensWeight * (float64(r.maxTokens) - d.meanTokens)
 	d.prefillSeconds += r.plan.end.Sub(r.plan.start).Seconds()
 	d.pieceSeconds += float64(r.pieces) * (r.plan.linkEnd.Sub(now) + stream).Seconds()
 }
--- a/cell/observe.go
+++ b/cell/observe.go
@@ -61,7 +61,7 @@
 		return
 	}
 	if c.poolStep.samples == 0 {
-		c.demand = demand{at: now} // the demand so far was computed with the initial step time
+		c.demand = demand{at: now, meanTokens: c.demand.meanTokens} // the demand so far was computed with the initial step time
 	}
 	d, took := r.decode, report.Ended.Sub(report.Imported)
 	d.steps.observe(now, (d.streamSeconds-r.startStreamSeconds)/span, took/time.Duration(report.Generated))
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -118,7 +118,7 @@
 			p.cancelIfMoved(m, id, r.ID, skipped)
 			continue
 		}
-		placement, err := p.placementFromReply(m, id, r, reply)
+		placement, err := p.placementFromReply(m, id, r, arrived, reply)
 		if placement != nil || err != nil {
 			return placement, err
 		}
@@ -146,10 +146,12 @@
 
 // placementFromReply converts a reply into a placement. It returns nil without an error if a server is not live by the
 // rules in force at this instance; the caller then calls again without these servers.
-func (p *Placer) placementFromReply(m fleet.Member, id ID, r Request, reply PlaceReply) (*Placement, error) {
+func (p *Placer) placementFromReply(
+	m fleet.Member, id ID, r Request, arrived time.Time, reply PlaceReply,
+) (*Placement, error) {
 	switch reply.Status {
 	case Shed:
-		p.recordPromise(id, r, reply)
+		p.recordPromise(id, r, arrived, reply)
 		return nil, &Refusal{
 			Err: shed.New("cell: shed by %s: %s", m.Name, reply.Reason), RetryAt: p.Hub.Now().Add(reply.RetryIn),
 		}
@@ -193,14 +195,18 @@
 }
 
 // recordPromise records when a refused caller was told to return, for the next dispatcher.
-func (p *Placer) recordPromise(id ID, r Request, reply PlaceReply) {
-	if !r.Ordered || r.Return == "" || r.ReturnWithin > 0 && reply.RetryIn > r.ReturnWithin {
+func (p *Placer) recordPromise(id ID, r Request, arrived time.Time, reply PlaceReply) {
+	if !r.Ordered || r.Return == "" {
 		return
 	}
 	now := p.Hub.Now()
-	p.Hub.promises.record(id, r.Return, passedPromise{
-		rank: r.Rank, cost: float64(r.PromptTokens + outputTokenCost*r.MaxTokens), at: now.Add(reply.RetryIn),
-	}, now)
+	told := passedPromise{
+		rank: r.Rank, cost: float64(r.PromptTokens + outputTokenCost*r.MaxTokens), first: arrived, at: now.Add(reply.RetryIn),
+	}
+	if r.ReturnWithin > 0 && reply.RetryIn > r.ReturnWithin {
+		told.cost = 0
+	}
+	p.Hub.promises.record(id, r.Return, told, now)
 }
 
 func (p *Placer) newPlaceRequest(r Request, waited time.Duration) PlaceRequest {
--- a/cell/ratelimiter.go
+++ b/cell/ratelimiter.go
@@ -95,7 +95,7 @@
 	}
 	wait += seconds(b.promises.Outstanding(now, 0) / (b.rate * l.share))
 	if request.ReturnWithin == 0 || wait <= request.ReturnWithin {
-		b.promises.Make(now, request.Return, promise.Promise{Cost: float64(request.Charge), At: now.Add(wait)})
+		b.promises.Make(now, request.Return, promise.Promise{Cost: float64(request.Charge), First: now, At: now.Add(wait)})
 	}
 	return wait
 }
--- a/cell/return.go
+++ b/cell/return.go
@@ -5,36 +5,42 @@
 	"time"
 
 	"teaselgate/promise"
-	"teaselgate/queue"
 )
 
 // Callers that are refused return once. If all that are refused in a burst are told the same time, they return into the same
 // wall. The functions below tell each the time at which its request will have room behind what waits and what was promised to
 // those before, and hold the room for a moment.
 
-// promiseReturn returns the time after which a refused request is to be repeated, and records it as a promise if the caller
-// can wait that long. Those that return go ahead of other late requests, so they are promised the room that late requests
-// have got lately, and at least the floor that less urgent ranks keep when a burst is over. The wait is predicted without
-// promises.
+// promiseReturn returns the time after which a refused request is to be repeated: behind the late requests that wait, and behind
+// those whose callers were told to return. It holds room for the request if the caller can wait that long.
 func (c *Core) promiseReturn(now instant, w *waitingRequest, wait time.Duration) time.Duration {
 	r := w.request
 	if !r.Ordered || r.Return == "" {
 		return retryIn(wait)
 	}
-	available := c.availableRate(w.Rank)
-	if rate := max(c.lateCostRate.perSecond(), available*queue.FloorShare); rate > 0 {
-		wait = seconds(c.queue.UrgentCost(w.Rank)/available + (c.promises.Outstanding(now, w.Rank)+w.Cost)/rate)
+	if rate := c.lateRate(w); rate > 0 {
+		wait += seconds((c.promises.Outstanding(now, w.Rank) + w.Cost) / rate)
 	}
 	wait = retryIn(wait)
-	if r.ReturnWithin == 0 || wait <= r.ReturnWithin {
-		c.promises.Make(now, r.Return, promise.Promise{Rank: w.Rank, Cost: w.Cost, At: now.Add(wait)})
+	p := promise.Promise{Rank: w.Rank, Cost: w.Cost, First: w.first, At: now.Add(wait)}
+	if r.ReturnWithin > 0 && wait > r.ReturnWithin {
+		p.Cost = 0
 	}
+	c.promises.Make(now, r.Return, p)
 	return wait
 }
 
+// firstArrival returns when a request came first: before the refusal after which its caller has returned, if that is known.
+func (c *Core) firstArrival(now instant, request PlaceRequest) instant {
+	arrived := now.Add(-request.Waited)
+	if p, ok := c.promises.Get(request.Return); ok && request.Return != "" {
+		return min(arrived, p.First)
+	}
+	return arrived
+}
+
 // queueReturned gives a request whose caller returns as told the room that was promised: it waits ahead of the other late
-// ones of its rank, and is not refused for their number. It is late by the time that its caller has waited already, so it does
-// not take the room of requests that can still be on time.
+// ones of its rank, and is not refused for their number.
 func (c *Core) queueReturned(w *waitingRequest) {
 	w.Returned = true
 	c.markLate(w)
@@ -42,8 +48,9 @@
 
 // heldPromise is a promise that an instance has passed on to a caller.
 type heldPromise struct {
-	Promise promise.Promise // its time is on no clock; see In
+	Promise promise.Promise // its times are on no clock; see the fields below
 	In      time.Duration   // time until the caller may return
+	Since   time.Duration   // time since the request came first
 }
 
 // promiseSet holds the promises that an instance has passed on, for a dispatcher that follows the one that made them.
@@ -53,9 +60,10 @@
 }
 
 type passedPromise struct {
-	rank int
-	cost float64
-	at   time.Time
+	rank  int
+	cost  float64
+	first time.Time
+	at    time.Time
 }
 
 func newPromiseSet() *promiseSet { return &promiseSet{cells: make(map[ID]map[string]passedPromise)} }
@@ -87,7 +95,7 @@
 		if out == nil {
 			out = make(map[string]heldPromise)
 		}
-		out[key] = heldPromise{promise.Promise{Rank: p.rank, Cost: p.cost}, p.at.Sub(now)}
+		out[key] = heldPromise{promise.Promise{Rank: p.rank, Cost: p.cost}, p.at.Sub(now), now.Sub(p.first)}
 	}
 	return out
 }
@@ -98,7 +106,7 @@
 	defer d.mu.Unlock()
 	at := d.coreTime(now)
 	for key, p := range promises {
-		p.Promise.At = at.Add(p.In)
+		p.Promise.At, p.Promise.First = at.Add(p.In), at.Add(-p.Since)
 		d.core.promises.Make(at, key, p.Promise)
 	}
 }
--- a/cell/return_test.go
+++ b/cell/return_test.go
@@ -80,8 +80,8 @@
 }
 
 // burstReplay returns a replay of a burst of three seconds of 2.5 times what a cell can serve, between base loads of .7 times
-// that. One request in ten is urgent.
-func burstReplay(seed uint64, ordered bool) *replay {
+// that. One request in ten is urgent. The others have an aim, and wait up to three times that when they are late.
+func burstReplay(seed uint64, aim time.Duration) *replay {
 	random := rand.New(rand.NewPCG(seed, 0))
 	r := &replay{serviceTime: time.Second}
 	const decodes, slots = 6, 5
@@ -101,8 +101,8 @@
 		a := replayedRequest{at: at, first: at, PlaceRequest: PlaceRequest{
 			Key: fmt.Sprint(n), Account: fmt.Sprint("a", random.IntN(5)), Weight: 1, Class: rule.ClassPatient,
 			PromptTokens: 500 + random.IntN(1500), MaxTokens: 100, Left: 14 * time.Second,
-			Rank: 2, First: 2 * time.Second, MaxWait: 6 * time.Second,
-			Ordered: ordered, Return: fmt.Sprint("r", n), ReturnWithin: 4600 * time.Millisecond,
+			Rank: 2, First: aim, MaxWait: 3 * aim,
+			Ordered: true, Return: fmt.Sprint("r", n), ReturnWithin: 4600 * time.Millisecond,
 		}}
 		if n%10 == 0 {
 			a.Rank, a.First, a.MaxWait = 0, 800*time.Millisecond, 2400*time.Millisecond
@@ -116,7 +116,7 @@
 // come back into the same wall.
 func TestCallersThatReturnAsToldAreServed(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3, 4, 5} {
-		r := burstReplay(seed, true)
+		r := burstReplay(seed, 900*time.Millisecond)
 		r.run(clockStart.Add(30 * time.Second))
 		served, turnedAway := 0, 0
 		for _, a := range r.placed {
@@ -140,7 +140,7 @@
 func TestCallersThatReturnEarlyHaveNoAdvantage(t *testing.T) {
 	early, told := [2]int{}, [2]int{} // served, returned
 	for _, seed := range []uint64{1, 2, 3, 4, 5} {
-		r := burstReplay(seed, true)
+		r := burstReplay(seed, 900*time.Millisecond)
 		for n := range r.arrivals {
 			r.arrivals[n].early = n%2 == 0
 		}
@@ -168,7 +168,7 @@
 // Urgent requests must be on time in a burst while many less urgent ones are served.
 func TestUrgentRequestsAreOnTimeInABurst(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3, 4, 5} {
-		r := burstReplay(seed, true)
+		r := burstReplay(seed, 2*time.Second)
 		urgent, all := 0, len(r.arrivals)
 		for _, a := range r.arrivals {
 			if a.Rank == 0 {
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -123,7 +123,7 @@
 		return 0
 	case w.Late:
 		ahead := c.queue.LateCost(w.Rank) + c.promises.Due(now, w.Rank)
-		return seconds(ahead / max(c.lateCostRate.perSecond(), rate*queue.MinLateShare))
+		return seconds(ahead / c.lateRate(w))
 	case w.Background:
 		return 0
 	default:
@@ -131,6 +131,17 @@
 	}
 }
 
+// lateRate returns the cost per second that late requests are predicted to get: what they have got lately, or a floor. During a
+// burst they get nothing, but it is over before most callers give up. Where requests differ in what waiting costs, a late one
+// may wait long, and the floor is what less urgent ranks keep; otherwise it is the smallest part of the picks.
+func (c *Core) lateRate(w *waitingRequest) float64 {
+	floor := c.costRate.perSecond() * queue.MinLateShare
+	if w.request.Ordered {
+		floor = c.availableRate(w.Rank) * queue.FloorShare
+	}
+	return max(c.lateCostRate.perSecond(), floor)
+}
+
 // availableRate returns the cost per second that is placed for requests of a rank: the measured rate less what requests of
 // more urgent ranks have brought lately, but at least the part that less urgent ranks keep.
 func (c *Core) availableRate(rank int) float64 {
--- a/cell/step.go
+++ b/cell/step.go
@@ -24,6 +24,7 @@
 	samples, sumBatch, sumStep, sumBatchSquared, sumBatchStep float64
 	base, slope                                               float64 // of the line, in seconds and seconds per stream
 	typicalFactor                                             float64 // median factor of the servers, at least 1
+	medianFactor                                              float64 // median factor of the servers; 0 before the first sample
 }
 
 func newPoolStepModel() poolStepModel {
@@ -38,7 +39,8 @@
 		return
 	}
 	slices.Sort(factors)
-	m.typicalFactor = max(factors[(len(factors)-1)/2], 1)
+	m.medianFactor = factors[(len(factors)-1)/2]
+	m.typicalFactor = max(m.medianFactor, 1)
 }
 
 func (m *poolStepModel) observe(batch, step float64) {
@@ -102,6 +104,11 @@
 // outlier reports whether the server is slow compared with most of its pool.
 func (m *serverStepModel) outlier() bool { return m.factor >= outlierFactor*m.pool.typicalFactor }
 
+// slow reports whether the server is clearly slower than the middle of its pool.
+func (m *serverStepModel) slow() bool {
+	return m.pool.medianFactor > 0 && m.factor >= slowFactor*m.pool.medianFactor || m.outlier()
+}
+
 // resetStaleFactor resets the factor of a server without recent samples to the pool's mean, so that a server that was
 // slow is tried again.
 func (m *serverStepModel) resetStaleFactor(now instant) {
--- a/cell/waiting.go
+++ b/cell/waiting.go
@@ -19,12 +19,13 @@
 	queue.Item
 	request          PlaceRequest
 	arrived          instant
+	first            instant // arrival of the request's first attempt, before a refusal
 	responseDeadline instant // the caller has the whole response in time if the request is placed by then
 	waitDeadline     instant // a request still waiting then is rejected or becomes late
 }
 
 func (c *Core) newWaitingRequest(now instant, request PlaceRequest) *waitingRequest {
-	w := &waitingRequest{request: request, arrived: now.Add(-request.Waited)}
+	w := &waitingRequest{request: request, arrived: now.Add(-request.Waited), first: c.firstArrival(now, request)}
 	w.Item = queue.Item{
 		Key: request.Key, Rank: request.Rank, Background: request.Class == rule.ClassSummary,
 		Patient: request.Class == rule.ClassPatient, Cost: float64(request.PromptTokens + outputTokenCost*request.MaxTokens),
@@ -35,7 +36,7 @@
 		cmp.Or(request.First, c.targets.FirstToken)-firstTokenMargin-unloadedTime,
 		time.Duration(longPromptFactor*float64(unloadedTime)),
 	)
-	w.Target = w.arrived.Add(budget)
+	w.Target = w.first.Add(budget)
 	w.responseDeadline = w.arrived.Add(cmp.Or(request.MaxWait, c.targets.MaxWait))
 	retryLimit := now.Add(maxRetryWait)
 	if request.Left > 0 {
--- a/promise/ledger.go
+++ b/promise/ledger.go
@@ -19,9 +19,10 @@
 
 // Promise is the time at which a refused caller was told to return.
 type Promise struct {
-	Rank int
-	Cost float64       // work that the request needs
-	At   queue.Instant // when the caller may return
+	Rank  int
+	Cost  float64       // work for which room is held; 0 if the caller can't wait until At
+	First queue.Instant // when the request came first
+	At    queue.Instant // when the caller may return
 }
 
 // Standing says how the return of a caller compares with what it was told.
@@ -61,12 +62,18 @@
 		return Early
 	}
 	delete(l.promises, key)
-	if now.After(p.At.Add(Hold)) {
+	if now.After(p.At.Add(Hold)) || p.Cost == 0 {
 		return Newcomer
 	}
 	return AsTold
 }
 
+// Get returns what a refused request was told, and whether it is known.
+func (l *Ledger) Get(key string) (Promise, bool) {
+	p, ok := l.promises[key]
+	return p, ok
+}
+
 // Withdraw ends the promise to a request that is served before its time.
 func (l *Ledger) Withdraw(key string) { delete(l.promises, key) }
 
--- a/promise/ledger_test.go
+++ b/promise/ledger_test.go
@@ -38,6 +38,10 @@
 		})
 	}
 	var l Ledger
+	l.Make(start, "no room", Promise{At: start})
+	if l.Redeem(start, "no room") != Newcomer {
+		t.Error("a caller without a promise is preferred")
+	}
 	if l.Redeem(start, "unknown") != Newcomer || l.Redeem(start, "") != Newcomer {
 		t.Error("a request without a promise is no newcomer")
 	}
