Bound what is held for slow callers, and refuse late plain requests at once

Cause: responses that were read before they could be written counted against no limit, bodies that did not fit were read until they exceeded it, and an attempt's bound for retries cut responses that slow callers were reading.

Change: limit.Memory covers bodies and responses; what does not fit is refused before it is read, or passed on at the caller's pace. The wait of late plain requests is predicted from what late ones have got. The meter of placed cost moves to queue.

--- a/cell/core.go
+++ b/cell/core.go
@@ -128,8 +128,8 @@
 	delayed              map[string]*delayedRequest // requests that are not queued yet, by key
 	levelsDue            instant                    // time until which new requests wait for the accounts' levels
 	reservations         map[string]*reservation
-	costRate             costRateMeter // cost placed per second while requests are waiting
-	lateCostRate         costRateMeter // cost of late requests placed per second while late requests are waiting
+	costRate             queue.RateMeter // cost placed per second while requests are waiting
+	lateCostRate         queue.RateMeter // cost of late requests placed per second while late requests are waiting
 	inflow               inflow
 	promises             promise.Ledger // to callers that were refused
 	limiter              rateLimiter
@@ -221,8 +221,8 @@
 		return
 	}
 	factor := float64(after.inUse) / float64(before.inUse)
-	c.costRate.scale(factor)
-	c.lateCostRate.scale(factor)
+	c.costRate.Scale(factor)
+	c.lateCostRate.Scale(factor)
 }
 
 // mergeServers returns the states of servers. Servers whose address is unchanged keep theirs, others get a new one. What was
@@ -305,8 +305,8 @@
 // Decide places the requests that fit, rejects those that can no longer be answered in time, and returns all decisions
 // since the last call.
 func (c *Core) Decide(now instant) []Decision {
-	c.costRate.advance(now, c.backlog)
-	c.lateCostRate.advance(now, c.backlog && c.queue.LateCost(math.MaxInt) > 0)
+	c.costRate.Advance(now, c.backlog)
+	c.lateCostRate.Advance(now, c.backlog && c.queue.LateCost(math.MaxInt) > 0)
 	c.queue.Lead = c.urgentLead()
 	c.queueDue(now)
 	c.sweep(now)
@@ -359,10 +359,10 @@
 	c.hints.recordStored(now, p, r.prefixes)
 	delete(c.waiting, r.key)
 	if c.backlog {
-		c.costRate.add(w.Cost)
+		c.costRate.Add(w.Cost)
 	}
 	if c.backlog && w.Late {
-		c.lateCostRate.add(w.Cost)
+		c.lateCostRate.Add(w.Cost)
 	}
 	r.earlyReport = p.wantsEarlyReport(now)
 	r.inputs = Inputs{
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -11,42 +11,11 @@
 )
 
 const (
-	sweepInterval         = 20 * time.Millisecond
-	minRetry              = time.Second      // shortest time after which a rejected request may be retried
-	maxRetry              = 30 * time.Second // longest such time
-	costRateWindow        = 3 * time.Second  // time constant of the decay
-	costRateWarmupSeconds = 0.3              // time with waiting requests before the rate is used
+	sweepInterval = 20 * time.Millisecond
+	minRetry      = time.Second      // shortest time after which a rejected request may be retried
+	maxRetry      = 30 * time.Second // longest such time
 )
 
-// costRateMeter measures the cost placed per second over the time in which requests are waiting.
-type costRateMeter struct {
-	cost, waitSeconds float64 // decaying sums of the cost placed and of the time with waiting requests
-	at                instant
-}
-
-func (m *costRateMeter) advance(now instant, waiting bool) {
-	if !m.at.IsZero() && waiting {
-		dt := now.Sub(m.at).Seconds()
-		keep := math.Exp(-dt / costRateWindow.Seconds())
-		m.cost *= keep
-		m.waitSeconds = m.waitSeconds*keep + dt
-	}
-	m.at = now
-}
-
-func (m *costRateMeter) add(cost float64) { m.cost += cost }
-
-// scale changes the measured rate by a factor.
-func (m *costRateMeter) scale(factor float64) { m.cost *= factor }
-
-// perSecond returns the rate, or 0 before costRateWarmupSeconds with waiting requests.
-func (m *costRateMeter) perSecond() float64 {
-	if m.waitSeconds < costRateWarmupSeconds {
-		return 0
-	}
-	return m.cost / m.waitSeconds
-}
-
 // admit rejects a new request that could not be placed in time. With an error it returns the time after which to retry.
 func (c *Core) admit(now instant, w *waitingRequest) (time.Duration, error) {
 	if !c.hasServersFor(w.request) {
@@ -109,7 +78,7 @@
 func (c *Core) waitTooLong(now instant, w *waitingRequest, wait time.Duration) error {
 	return shed.New("cell: the wait of %v would be too long: rank %d, cost %.0f waits with %.0f of it late, %.0f/s are placed, %v left",
 		wait.Round(time.Millisecond), w.Rank, c.queue.Cost(), c.queue.LateCost(math.MaxInt),
-		c.costRate.perSecond(), w.waitDeadline.Sub(now).Round(time.Millisecond))
+		c.costRate.PerSecond(), w.waitDeadline.Sub(now).Round(time.Millisecond))
 }
 
 // predictWait estimates the wait of a new request from the cost ahead of it. An urgent request waits for its account's
@@ -117,7 +86,7 @@
 // for all late requests of these ranks, and for what callers that are due to return were promised. For an on-time background
 // request predictWait returns 0.
 func (c *Core) predictWait(now instant, w *waitingRequest) time.Duration {
-	rate := c.costRate.perSecond()
+	rate := c.costRate.PerSecond()
 	switch {
 	case rate == 0:
 		return 0
@@ -135,17 +104,17 @@
 // burst they get nothing, but it is over before most callers give up. Where requests differ in what waiting costs, a late one
 // may wait long, and the floor is what less urgent ranks keep; otherwise it is the smallest part of the picks.
 func (c *Core) lateRate(w *waitingRequest) float64 {
-	floor := c.costRate.perSecond() * queue.MinLateShare
+	floor := c.costRate.PerSecond() * queue.MinLateShare
 	if w.request.Ordered {
 		floor = c.availableRate(w.Rank) * queue.FloorShare
 	}
-	return max(c.lateCostRate.perSecond(), floor)
+	return max(c.lateCostRate.PerSecond(), floor)
 }
 
 // availableRate returns the cost per second that is placed for requests of a rank: the measured rate less what requests of
 // more urgent ranks have brought lately, but at least the part that less urgent ranks keep.
 func (c *Core) availableRate(rank int) float64 {
-	rate := c.costRate.perSecond()
+	rate := c.costRate.PerSecond()
 	return max(rate-c.inflow.before(rank), rate*queue.FloorShare)
 }
 
--- a/cell/waiting.go
+++ b/cell/waiting.go
@@ -82,5 +82,5 @@
 
 // urgentLead returns the virtual time by which urgent requests may run ahead of their account's share.
 func (c *Core) urgentLead() float64 {
-	return c.costRate.perSecond() * maxUrgentLeadSeconds / max(c.queue.ActiveWeight(), 1)
+	return c.costRate.PerSecond() * maxUrgentLeadSeconds / max(c.queue.ActiveWeight(), 1)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -12,6 +12,7 @@
 
 	"teaselgate/cell"
 	"teaselgate/event"
+	"teaselgate/limit"
 	"teaselgate/metric"
 	"teaselgate/outcome"
 	"teaselgate/platform"
@@ -50,6 +51,7 @@
 	Servers     *upstream.Pool
 	Backoff     *upstream.Backoff // servers that want no requests
 	Limits      *throttle.List    // limits of requests that servers name
+	Memory      *limit.Memory     // for responses that are read before they are written
 	Quarantine  *quarantine.List  // requests, and parts of prompts, that crash servers
 	// Observe is called with each response of a backend server and the time when its request was sent.
 	Observe       func(key upstream.ServerKey, sent time.Time, resp *http.Response)
@@ -96,6 +98,7 @@
 		SettledAt:     func() time.Time { return time.Time{} },
 		Backoff:       upstream.NewBackoff(),
 		Limits:        throttle.NewList(),
+		Memory:        limit.NewMemory(0),
 		Quarantine:    quarantine.NewList(),
 		Observe:       func(upstream.ServerKey, time.Time, *http.Response) {},
 		Record:        func(event.Event) {},
@@ -123,12 +126,14 @@
 	unpaid   bool         // the next attempt is to be paid from the retry budget that the instances share
 	part     string       // stands for the whole request in the quarantine
 	trial    bool         // whether the request tries parts that are in quarantine, and so is not refused for them
+	held     int64        // bytes of responses for which memory is reserved
 	sent     *sentAttempt // nil if no attempt awaits its answer
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{handler: h, incoming: r, writer: w, received: h.Now()}
+	defer q.releaseMemory()
 	q.RequestHeaders = platform.ReadRequestHeaders(r, q.received)
 	if !q.admit() || !q.readBody() {
 		return
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -25,6 +25,7 @@
 	attemptTimeoutShare = 0.45 // of the remaining time, for an attempt that can be retried on another server
 	latencyTargetShare  = 0.6  // of the route's latency target, so that a second attempt can still meet it
 	copyBufferBytes     = 16 << 10
+	bufferStepBytes     = 4 << 10  // least memory that is reserved for a response; doubled as it grows
 	maxUnframedBytes    = 64 << 20 // of a response that states no length; more are taken for bytes without end
 )
 
@@ -180,7 +181,7 @@
 // attempt sends the request to one server and forwards its response, unless the response is a server error of an
 // idempotent route.
 func (q *request) attempt(ctx context.Context, id, address string, tried int) attemptResult {
-	ctx, stop := q.attemptContext(ctx, tried)
+	ctx, stop, answered := q.attemptContext(ctx, tried)
 	defer stop()
 	resp, err := q.send(ctx, platform.ForwardOptions{Server: id, Address: address})
 	if err != nil {
@@ -197,11 +198,12 @@
 	if !platform.IsSealed(resp.Header) || platform.IsEncoded(resp.Header) {
 		return attemptResult{serverFault: true, reason: "the response has no seal or is encoded"}
 	}
-	content, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	content, whole, err := q.bufferResponse(resp.Body)
 	if err != nil {
 		return brokenOff(ctx, "the response broke off: "+err.Error())
 	}
-	if len(content) > maxBufferedBytes {
+	if !whole {
+		answered()
 		q.streamResponse(ctx, resp, content)
 		return attemptResult{completed: true}
 	}
@@ -217,19 +219,53 @@
 	return attemptResult{completed: true, serverError: serverError}
 }
 
+// bufferResponse reads a response up to maxBufferedBytes, as far as there is memory for it, and reports whether that was all.
+// Callers that read slowly hold what was read for them; without memory they are served at the pace at which they read.
+func (q *request) bufferResponse(body io.Reader) (content []byte, whole bool, err error) {
+	for len(content) < maxBufferedBytes {
+		if len(content) == cap(content) {
+			more := int64(max(cap(content), bufferStepBytes))
+			if !q.handler.Memory.Reserve(more) {
+				return content, false, nil
+			}
+			q.held += more
+			content = append(make([]byte, 0, int64(cap(content))+more), content...)
+		}
+		n, err := body.Read(content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		if errors.Is(err, io.EOF) {
+			return content, true, nil
+		}
+		if err != nil {
+			return content, false, err
+		}
+	}
+	return content, false, nil
+}
+
+// releaseMemory gives back the memory of the responses that were read for the request.
+func (q *request) releaseMemory() { q.handler.Memory.Release(q.held) }
+
 // attemptContext bounds an attempt that can be retried, so that a server that does not respond leaves time for another. An
 // attempt is not cut if no retry is left to pay for the other.
-func (q *request) attemptContext(ctx context.Context, tried int) (context.Context, context.CancelFunc) {
+// The bound ends with a call of answered: what has come is passed on at the pace at which the caller reads.
+func (q *request) attemptContext(ctx context.Context, tried int) (bounded context.Context, stop, answered func()) {
+	bounded, cancel := context.WithCancel(ctx)
 	if q.route.Kind != platform.Idempotent || q.runs+1 >= q.route.MaxAttempts || tried >= maxTriedServers ||
 		q.handler.RetryBudget(q.service.Name).Remaining() < 1 {
-		return context.WithCancel(ctx)
+		return bounded, cancel, func() {}
 	}
 	remaining := q.deadline.Sub(q.handler.Now())
 	timeout := time.Duration(attemptTimeoutShare * float64(remaining))
 	if target := time.Duration(latencyTargetShare * float64(q.route.TargetLatency)); target > 0 {
 		timeout = min(timeout, target)
 	}
-	return context.WithTimeout(ctx, max(timeout, minAttemptTimeout))
+	timer := time.AfterFunc(max(timeout, minAttemptTimeout), cancel)
+	stop = func() {
+		timer.Stop()
+		cancel()
+	}
+	return bounded, stop, func() { timer.Stop() }
 }
 
 // send sends the request to a server once, with the time left until the deadline.
--- a/forward/testenv_test.go
+++ b/forward/testenv_test.go
@@ -64,6 +64,7 @@
 	mu      sync.Mutex
 	events  []event.Event
 
+	bytesRead     atomic.Int64 // by the handler from all servers
 	configuration *platform.Configuration
 	registered    []platform.Server
 	view          atomic.Pointer[registry.View]
@@ -205,7 +206,20 @@
 	env.mu.Unlock()
 	server := &http.Server{Handler: s, IdleTimeout: s.IdleTimeout}
 	go func() { _ = server.Serve(&singleConnListener{conn: serverConn}) }()
-	return clientConn, nil
+	return &countedConn{clientConn, &env.bytesRead}, nil
+}
+
+// countedConn counts the bytes that are read from it.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
 }
 
 // closeConns closes all connections to a server, as its crash does.
--- a/instance/build_forward.go
+++ b/instance/build_forward.go
@@ -51,7 +51,7 @@
 	handler.Servers = i.connectionPool
 	handler.Engines = i.newEngineClient()
 	handler.Backoff, handler.Observe = i.backoff, i.observeResponse
-	handler.Quarantine, handler.Limits = i.quarantine, i.throttle
+	handler.Quarantine, handler.Limits, handler.Memory = i.quarantine, i.throttle, i.memory
 	handler.Record = i.events.Record
 	handler.ObserveResult = func(kind platform.RouteKind, result forward.RequestResult) {
 		i.metrics.CountRequestResult(routeKindTag(kind), string(result))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -84,6 +84,7 @@
 	leaving         atomic.Bool
 	storeRestored   chan struct{}                  // receives a value when the platform store was restored
 	backoff         *upstream.Backoff              // backend servers that want no requests
+	memory          *limit.Memory                  // for what is held for slow callers and servers
 	throttle        *throttle.List                 // limits of requests per second that backend servers name
 	quarantine      *quarantine.List               // parts of prompts that crash engines
 	reloaded        atomic.Pointer[option.Options] // settings of the last reload; nil before the first
@@ -182,6 +183,7 @@
 	i.platform = platform.NewClient(i.Options.Platform, i.Secrets.Platform)
 	i.storeRestored = make(chan struct{}, 1)
 	i.backoff = upstream.NewBackoff()
+	i.memory = limit.NewMemory(i.Options.Limit.Memory)
 	i.throttle = throttle.NewList()
 	i.throttle.Record = i.events.Record
 	i.platform.OnRestored = i.recordStoreRestored
--- a/instance/server.go
+++ b/instance/server.go
@@ -30,7 +30,7 @@
 
 // newCallerServer returns the HTTP server for callers. It also sets requestMetrics and limitedListener.
 func (i *Instance) newCallerServer() *http.Server {
-	server := limit.NewServer(i.handler, i.Options.Limit, i.isBodyBuffered, i.events.Record)
+	server := limit.NewServer(i.handler, i.Options.Limit, i.memory, i.isBodyBuffered, i.events.Record)
 	i.requestMetrics = &metric.Handler{Next: server.Handler, Metrics: i.metrics, Route: i.routeName, Now: time.Now}
 	server.Handler = i.requestMetrics
 	server.ErrorLog = i.newServerLog()
--- a/limit/handler.go
+++ b/limit/handler.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"teaselgate/event"
@@ -24,12 +23,10 @@
 	StallTimeout      time.Duration // longest time to wait for a caller that transfers nothing
 	MinBytesPerSecond int64         // average rate below which a caller counts as stalled
 	MaxBodyBytes      int64
-	MaxBufferedBytes  int64                  // total of the request bodies that are held in memory at once
+	Memory            *Memory                // for request bodies that are held as a whole
 	IsBuffered        func(path string) bool // reports whether request bodies for a path are held in memory as a whole
 	Record            func(event.Event)
 	Now               func() time.Time
-
-	buffered atomic.Int64 // bytes of request bodies held in memory
 }
 
 // ServeHTTP implements http.Handler.
@@ -56,6 +53,11 @@
 		// This deadline also applies when the server discards a body that the handler does not read.
 		_ = control.SetReadDeadline(body.waitBudget.deadline(h.Now()))
 		body.isBuffered = h.IsBuffered(r.URL.Path)
+		if body.isBuffered && !h.Memory.Fits(max(r.ContentLength, 0)) {
+			w.Header().Set("Connection", "close") // the body is not read
+			h.refuse(w, h.tooManyBodies())
+			return
+		}
 		defer body.end()
 		r.Body = http.MaxBytesReader(w, body, h.MaxBodyBytes)
 	}
@@ -85,11 +87,11 @@
 	handler    *Handler
 	control    *http.ResponseController
 	waitBudget *waitBudget
-	isBuffered bool // whether the body counts against MaxBufferedBytes
+	isBuffered bool // whether the body counts against Memory
 
 	mu       sync.Mutex
 	ended    bool  // whether the request has ended
-	buffered int64 // bytes counted in handler.buffered
+	buffered int64 // bytes reserved in handler.Memory
 }
 
 // end releases the memory of the body. From then on, reads fail without touching the connection, which may already
@@ -98,7 +100,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ended = true
-	b.handler.buffered.Add(-b.buffered)
+	b.handler.Memory.Release(b.buffered)
 }
 
 // setDeadline sets the deadline of the next read unless the request has ended, and reports whether it did.
@@ -111,7 +113,7 @@
 	return !b.ended
 }
 
-// reserve counts n bytes of a buffered body, and returns a refusal if all bodies together exceed MaxBufferedBytes.
+// reserve takes memory for n bytes of a buffered body, and returns a refusal if there is none.
 func (b *bodyReader) reserve(n int) error {
 	if !b.isBuffered {
 		return nil
@@ -121,12 +123,16 @@
 	if b.ended {
 		return nil
 	}
-	b.buffered += int64(n)
-	if b.handler.buffered.Add(int64(n)) <= b.handler.MaxBufferedBytes {
+	if b.handler.Memory.Reserve(int64(n)) {
+		b.buffered += int64(n)
 		return nil
 	}
+	return b.handler.tooManyBodies()
+}
+
+func (h *Handler) tooManyBodies() *outcome.Refusal {
 	return outcome.NewRefusal(http.StatusServiceUnavailable, "too-many-bodies",
-		"the instance holds too many request bodies").WithRetryAt(b.handler.Now().Add(retryDelay))
+		"the instance holds too many request bodies").WithRetryAt(h.Now().Add(retryDelay))
 }
 
 // Read implements io.Reader.
--- a/limit/idle_test.go
+++ b/limit/idle_test.go
@@ -94,7 +94,7 @@
 	}), option.Limit{
 		Connections: 100, Header: 4 << 10, Body: 8 << 20, Memory: 32 << 20, Begin: 5 * time.Second, Stall: 10 * time.Second,
 		Pace: 1 << 10, Idle: time.Minute,
-	}, isModelPath, func(event.Event) {})
+	}, NewMemory(32<<20), isModelPath, func(event.Event) {})
 	listener := WrapListener(server, inner, 100, func(event.Event) {})
 	go func() { _ = server.Serve(listener) }()
 	clients := make([]*stopClient, 0, 3*int(phases))
@@ -241,7 +241,7 @@
 	}
 	server := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNoContent)
-	}), limits, isModelPath, func(event.Event) {})
+	}), limits, NewMemory(limits.Memory), isModelPath, func(event.Event) {})
 	listener := WrapListener(server, inner, 100, func(event.Event) {})
 	clients := make([]*stopClient, 0, 20)
 	for range cap(clients) {
--- a/limit/late_read_test.go
+++ b/limit/late_read_test.go
@@ -35,7 +35,7 @@
 	}
 	server := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNoContent)
-	}), limits, isModelPath, func(event.Event) {})
+	}), limits, NewMemory(limits.Memory), isModelPath, func(event.Event) {})
 	listener := WrapListener(server, lateListener{inner}, 100, func(event.Event) {})
 	c := newStopClient(t, inner.Addr().String(), queued, "/")
 	defer c.conn.Close()
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -83,7 +83,7 @@
 func startServer(t *testing.T, limits option.Limit, handler http.HandlerFunc) *testServer {
 	t.Helper()
 	s := &testServer{pipeListener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}}
-	s.server = NewServer(handler, limits, isModelPath, s.record)
+	s.server = NewServer(handler, limits, NewMemory(limits.Memory), isModelPath, s.record)
 	s.listener = WrapListener(s.server, s.pipeListener, limits.Connections, s.record)
 	go func() { _ = s.server.Serve(s.listener) }()
 	t.Cleanup(func() {
@@ -403,7 +403,7 @@
 				t.Errorf("unexpected error of a flush: %v", err)
 			}
 		}
-	}), limits, isModelPath, func(event.Event) {}).Handler
+	}), limits, NewMemory(limits.Memory), isModelPath, func(event.Event) {}).Handler
 	server := httptest.NewUnstartedServer(handler)
 	server.EnableHTTP2 = true
 	server.StartTLS()
@@ -437,19 +437,31 @@
 			<-release
 		})
 		body := strings.Repeat("x", 400<<10)
-		send := func(path string) net.Conn {
+		sendWith := func(path, framing, body string) net.Conn {
 			conn := s.dial()
 			writeInBackground(t, conn, func() {
-				_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+				_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\n%s\r\n\r\n%s", path, framing, body)
 			})
 			synctest.Wait()
 			return conn
 		}
+		send := func(path string) net.Conn {
+			return sendWith(path, fmt.Sprintf("Content-Length: %d", len(body)), body)
+		}
+		sendChunked := func(path string) net.Conn {
+			return sendWith(path, "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body))
+		}
 		first := send("/model")
 		send("/model")
-		if got := readResponse(t, send("/model")); got.status != http.StatusServiceUnavailable ||
-			got.header.Get("Retry-After") == "" || got.header.Get(outcome.Header) != string(outcome.NotRun) {
-			t.Errorf("unexpected response to a third body of 400 KiB with a limit of 1 MiB: %v", got)
+		// A body whose length is known is refused before it is read, another one as soon as it does not fit.
+		for read, conn := range []net.Conn{send("/model"), sendChunked("/model")} {
+			if got := readResponse(t, conn); got.status != http.StatusServiceUnavailable ||
+				got.header.Get("Retry-After") == "" || got.header.Get(outcome.Header) != string(outcome.NotRun) {
+				t.Errorf("unexpected response to a third body of 400 KiB with a limit of 1 MiB: %v", got)
+			}
+			if refused.Load() > 1 || read == 0 && accepted.Load() != 2 {
+				t.Errorf("%d bodies were read and refused, %d accepted", refused.Load(), accepted.Load())
+			}
 		}
 		// Bodies that are passed on without buffering are not counted.
 		send("/plain")
@@ -470,7 +482,7 @@
 	tlsServer := httptest.NewTLSServer(nil)
 	defer tlsServer.Close()
 	synctest.Test(t, func(t *testing.T) {
-		server := NewServer(http.NotFoundHandler(), limits, isModelPath, func(event.Event) {})
+		server := NewServer(http.NotFoundHandler(), limits, NewMemory(limits.Memory), isModelPath, func(event.Event) {})
 		server.TLSConfig = &tls.Config{Certificates: tlsServer.TLS.Certificates}
 		inner := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
 		go func() {
--- a/limit/server.go
+++ b/limit/server.go
@@ -10,9 +10,9 @@
 )
 
 // NewServer returns an HTTP server for callers that applies the limits of the settings. The function isBuffered reports
-// whether request bodies for a path are held in memory as a whole.
+// whether request bodies for a path are held in memory as a whole, for which the memory is.
 func NewServer(
-	next http.Handler, limits option.Limit, isBuffered func(path string) bool, record func(event.Event),
+	next http.Handler, limits option.Limit, memory *Memory, isBuffered func(path string) bool, record func(event.Event),
 ) *http.Server {
 	return &http.Server{
 		Handler: &Handler{
@@ -20,7 +20,7 @@
 			StallTimeout:      limits.Stall,
 			MinBytesPerSecond: limits.Pace,
 			MaxBodyBytes:      limits.Body,
-			MaxBufferedBytes:  limits.Memory,
+			Memory:            memory,
 			IsBuffered:        isBuffered,
 			Record:            record,
 			Now:               time.Now,
--- a/slot/core.go
+++ b/slot/core.go
@@ -82,6 +82,7 @@
 	promises  promise.Ledger
 	latency   float64 // mean latency of the service, in seconds
 	retries   float64 // retries left in the shared budget
+	lateRate  queue.RateMeter
 	decisions []Decision
 }
 
@@ -226,14 +227,17 @@
 // predictWait estimates the wait of a new request: until those before it have a slot, at the rate at which slots become free.
 func (c *Core) predictWait(now queue.Instant, w *waitingAsk) time.Duration {
 	ahead := c.queue.CostAhead(&w.Item, 0)
-	if w.Late && w.Patient {
-		ahead = c.queue.UrgentCost(math.MaxInt32) + c.queue.LateCost(w.Rank)
+	rate := c.rate(now, &w.ask)
+	if w.BestEffort() {
+		// Late requests get what on-time ones leave, which is next to nothing in a burst.
+		ahead = c.queue.LateCost(w.Rank)
+		rate = max(c.lateRate.PerSecond(), rate*queue.MinLateShare)
 	}
 	ahead += c.promises.Due(now, w.Rank)
 	if c.queue.Len() == 0 && c.choose(now, &w.ask) != nil {
 		return 0
 	}
-	return secondsOf((ahead + 1) / c.rate(now, &w.ask))
+	return secondsOf((ahead + 1) / rate)
 }
 
 // rate returns the number of slots that become free per second at the servers that a request may use.
@@ -319,6 +323,7 @@
 			c.free(key)
 		}
 	}
+	c.lateRate.Advance(now, c.queue.LateCost(math.MaxInt32) > 0)
 	c.sweep(now)
 	for c.queue.Len() > 0 {
 		c.queue.Lead = leadSeconds * c.rate(now, &Ask{}) / max(c.queue.ActiveWeight(), 1)
@@ -350,6 +355,11 @@
 			continue
 		}
 		w.Late = true
+		if wait := c.predictWait(now, w); now.Add(wait).After(w.waitDeadline) {
+			delete(c.waiting, w.Key)
+			c.refuse(now, w, wait)
+			continue
+		}
 		c.queue.Push(&w.Item)
 	}
 	c.queue.RemoveIdle()
@@ -365,6 +375,9 @@
 	d := Decision{Key: w.Key, Server: s.Server.Server, Waited: now.Sub(w.arrived), InUse: s.inUse}
 	c.leases[w.Key] = &lease{server: s, decision: d, until: w.deadline.Add(leaseGrace)}
 	delete(c.waiting, w.Key)
+	if w.Late {
+		c.lateRate.Add(w.Cost)
+	}
 	c.decide(d)
 	return true
 }
--- a/slot/core_test.go
+++ b/slot/core_test.go
@@ -142,13 +142,20 @@
 	if r.refused[2] == 0 {
 		t.Error("no request was refused in a burst of 1.4 times the capacity")
 	}
+	heldLong := 0
 	for rank, held := range r.held {
 		for _, h := range held {
 			if h > left {
 				t.Errorf("a request of rank %d was refused after %v, past its deadline", rank, h)
 			}
+			if h > aim {
+				heldLong++
+			}
 		}
 	}
+	if heldLong > (r.refused[0]+r.refused[2])/5 {
+		t.Errorf("%d of %d refused requests were held longer than their aim for nothing", heldLong, r.refused[0]+r.refused[2])
+	}
 }
 
 // A slow server must get less than its share, and one that fails must be paused and tried again.
