Let the soak evacuate zones, rank routes and read slowly; export slots and memory

Cause: the soak and the metrics did not know the new parts.

Change: the soak's servers stand in two zones, one of which is evacuated again and again; its streaming routes differ in priority; one response in twenty is read slowly. Metrics for slots, promised returns and held memory.

--- a/cell/hub.go
+++ b/cell/hub.go
@@ -146,6 +146,7 @@
 	UsedSlots int // reserved slots
 	Slots     int // slots of the servers that are not paused, up to the largest batch that meets the target
 
+	Promised  int     // refused callers for which room is held until they return
 	RateShare float64 // part of each client account's rate that the dispatcher of one of the cells may grant
 }
 
@@ -158,6 +159,7 @@
 		d.mu.Lock()
 		s.Waiting += d.core.QueueLength()
 		s.RateShare = d.core.limiter.share
+		s.Promised += d.core.promises.Len(d.coreTime(now))
 		for _, server := range d.core.decodes {
 			s.UsedSlots += len(server.streams)
 			if server.health.usable(d.coreTime(now)) {
--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -89,12 +89,28 @@
 		c.lastDropped = dropped
 	}
 	i.collectServers()
+	i.collectSlots()
+	i.metrics.SetMemoryHeld(i.memory.Used())
 	i.metrics.SetQuarantined(i.quarantine.Count())
 	if i.registry != nil {
 		i.collectStoreState()
 	}
 }
 
+// collectSlots sets the state of the slots of plain services. Those that another instance gives out get zeros.
+func (i *Instance) collectSlots() {
+	rules := i.ruleSet()
+	if rules == nil {
+		return
+	}
+	states := i.slotKeeper.States()
+	for name, pool := range rules.Pools() {
+		if pool.Duty == rule.Plain {
+			i.metrics.SetSlots(name, states[name].Waiting, states[name].InUse)
+		}
+	}
+}
+
 // collectServers sets the number of backend servers for each duty and state, including zeros.
 func (i *Instance) collectServers() {
 	rules := i.ruleSet()
@@ -145,6 +161,7 @@
 	for _, m := range rules.Models() {
 		s := states[m.Decode]
 		i.metrics.SetCell(m.Decode, s.Waiting, s.UsedSlots, s.Slots)
+		i.metrics.SetPromisedReturns(m.Decode, s.Promised)
 		i.metrics.SetRateShare(s.RateShare)
 	}
 }
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -107,7 +107,7 @@
 	Servers = Definition{
 		"servers", Gauge,
 		[]string{"duty", "state"},
-		"Backend servers in force by duty (`plain`, `prefill`, `decode`) and state (`live`, `leaving`).",
+		"Backend servers in force by duty (`plain`, `prefill`, `decode`) and state (`live`, `leaving`, `evacuated`).",
 	}
 	ServersBusy = Definition{
 		"servers_busy", Gauge, nil,
@@ -117,6 +117,25 @@
 		"servers_limited", Gauge, nil,
 		"Backend servers that have named the requests a second that they take from all instances together.",
 	}
+	SlotsWaiting = Definition{
+		"slots_waiting", Gauge,
+		[]string{"pool"},
+		"Requests that wait at this instance for a slot of a plain service; 0 where another instance gives out its slots.",
+	}
+	SlotsUsed = Definition{
+		"slots_used", Gauge,
+		[]string{"pool"},
+		"Slots of a plain service that this instance has given out, to all instances.",
+	}
+	PromisedReturns = Definition{
+		"promised_returns", Gauge,
+		[]string{"pool"},
+		"Refused callers for which this instance's dispatcher holds room of the decode pool until they return.",
+	}
+	MemoryHeld = Definition{
+		"memory_held_bytes", Gauge, nil,
+		"Bytes of bodies and responses that are held for callers and servers that are slower than the instance; `limit.memory` bounds them.",
+	}
 	Quarantined = Definition{
 		"quarantined", Gauge, nil,
 		"Requests, and parts of prompts or groups of them, under which servers crashed, and which are refused.",
@@ -145,5 +164,6 @@
 var Catalogue = []Definition{
 	Requests, RequestTime, FirstChunk, ChunkGap, InFlight, Connections, Events, Members, Revision,
 	CellWaiting, CellUsed, CellSlots,
-	RequestResults, StageTime, StoreCalls, StoreTime, Servers, ServersBusy, ServersLimited, Quarantined, StoreDataAge, RetriesLeft, RateShare, LinesDropped,
+	RequestResults, StageTime, StoreCalls, StoreTime, Servers, ServersBusy, ServersLimited, SlotsWaiting, SlotsUsed, PromisedReturns, MemoryHeld, Quarantined,
+	StoreDataAge, RetriesLeft, RateShare, LinesDropped,
 }
--- a/metric/request_path.go
+++ b/metric/request_path.go
@@ -56,6 +56,21 @@
 // SetServersLimited sets the number of backend servers that have named a limit of requests per second.
 func (m *Metrics) SetServersLimited(n int) { m.scope.Gauge(ServersLimited.Name).Update(float64(n)) }
 
+// SetSlots sets the state of the slots of a plain service that this instance gives out.
+func (m *Metrics) SetSlots(pool string, waiting, used int) {
+	scope := m.scope.Tagged(map[string]string{"pool": pool})
+	scope.Gauge(SlotsWaiting.Name).Update(float64(waiting))
+	scope.Gauge(SlotsUsed.Name).Update(float64(used))
+}
+
+// SetPromisedReturns sets the number of refused callers for which room of a pool is held.
+func (m *Metrics) SetPromisedReturns(pool string, n int) {
+	m.scope.Tagged(map[string]string{"pool": pool}).Gauge(PromisedReturns.Name).Update(float64(n))
+}
+
+// SetMemoryHeld sets the bytes that are held for slow callers and servers.
+func (m *Metrics) SetMemoryHeld(bytes int64) { m.scope.Gauge(MemoryHeld.Name).Update(float64(bytes)) }
+
 // SetQuarantined sets the number of parts of prompts, or groups of them, that are refused.
 func (m *Metrics) SetQuarantined(n int) { m.scope.Gauge(Quarantined.Name).Update(float64(n)) }
 
--- a/promise/ledger.go
+++ b/promise/ledger.go
@@ -74,6 +74,17 @@
 	return p, ok
 }
 
+// Len returns the number of promises for which room is held.
+func (l *Ledger) Len(now queue.Instant) int {
+	n := 0
+	for _, p := range l.promises {
+		if p.Cost > 0 && !now.After(p.At.Add(Hold)) {
+			n++
+		}
+	}
+	return n
+}
+
 // Withdraw ends the promise to a request that is served before its time.
 func (l *Ledger) Withdraw(key string) { delete(l.promises, key) }
 
--- a/soak/client.go
+++ b/soak/client.go
@@ -25,6 +25,9 @@
 	requestDeadline  = 9 * time.Second       // deadline stated in each request
 	deadlyShare      = 0.05                  // share of the streams whose prompts crash decode engines
 	maxFinalDeadly   = 3                     // requests with deadly prompts that may reach engines after all faults
+	slowShare        = 0.05                  // share of the responses that are read slowly
+	slowReadBytes    = 16                    // bytes that a slow client reads at a time
+	slowReadPause    = 10 * time.Millisecond // pause before each such read
 	cancelAfter      = 60 * time.Millisecond // time after which a client cancels
 )
 
@@ -142,7 +145,7 @@
 		return res
 	}
 	defer resp.Body.Close()
-	content, err := io.ReadAll(resp.Body)
+	content, err := io.ReadAll(&pacedReader{resp.Body, random.Float64() < slowShare})
 	if err != nil {
 		return res
 	}
@@ -150,6 +153,21 @@
 	return res
 }
 
+// pacedReader reads a response, a few bytes at a time if it is slow.
+type pacedReader struct {
+	io.Reader
+	slow bool
+}
+
+// Read implements io.Reader.
+func (r *pacedReader) Read(p []byte) (int, error) {
+	if r.slow {
+		time.Sleep(slowReadPause)
+		p = p[:min(len(p), slowReadBytes)]
+	}
+	return r.Reader.Read(p)
+}
+
 // check compares the results of the clients with the requests that backend servers received, and returns a description
 // of each violated guarantee.
 func (c *clients) check() []string {
@@ -181,6 +199,7 @@
 	}
 	c.checkFinal(runs)
 	c.checkLimits(results)
+	c.checkEvacuations(results)
 	c.checkDeadlyRequests(results)
 	return c.violations
 }
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -42,6 +42,7 @@
 	backend    *backend.Server
 	proxy      *proxy
 	service    string
+	zone       string
 	httpServer *http.Server
 	starts     atomic.Int64 // number of starts after the first
 }
@@ -63,7 +64,8 @@
 	processes     []*process
 	addresses     []string // addresses of the instances that serve callers
 	version       int      // last version of the configuration
-	lastTriedPort int      // freeAddresses tries the ports above it
+	evacuations   evacuationLog
+	lastTriedPort int // freeAddresses tries the ports above it
 }
 
 // newEnvironment starts the store, the backend servers and the instances, and waits until the instances accept
@@ -102,7 +104,7 @@
 	}
 	text := caller.Configuration(caller.Settings{
 		Version: e.version, PlainTimeout: plainTimeout, EngineSlots: engineSlots, EngineKVTokens: engineKVTokens,
-		AccountRate: accountRate, Key: accountKey,
+		AccountRate: accountRate, Key: accountKey, DigestPriority: 2,
 	})
 	if _, err := e.storeClient.Update(ctx, platform.ConfigurationKind, platform.ConfigurationName, old.Version, text); err != nil {
 		return fmt.Errorf("soak: unable to write the configuration: %w", err)
@@ -121,7 +123,9 @@
 		if err != nil {
 			return fmt.Errorf("soak: unable to listen: %w", err)
 		}
-		b := &backendServer{backend: s.Init(), proxy: p, service: service, httpServer: &http.Server{Handler: s}}
+		b := &backendServer{
+			backend: s.Init(), proxy: p, service: service, zone: zoneOf(len(e.servers)), httpServer: &http.Server{Handler: s},
+		}
 		s.OnCrash = func() { p.crash(ctx, s.RestartTime) }
 		go func() { _ = b.httpServer.Serve(listener) }()
 		e.servers = append(e.servers, b)
@@ -238,7 +242,7 @@
 		return // registerServers tries again after the interval
 	}
 	entry := map[string]any{
-		"service": b.service, "address": b.proxy.address(), "zone": "a",
+		"service": b.service, "address": b.proxy.address(), "zone": b.zone,
 		"slots": b.backend.Slots, "state": "ready", "stage": b.backend.Stage, "born": b.starts.Load(),
 	}
 	// If the update fails, registerServers tries again after the interval.
--- a/soak/process.go
+++ b/soak/process.go
@@ -37,6 +37,7 @@
 peer: %s
 platform: http://%s
 source: store
+evacuations: true
 stop: {grace: 8s}
 retry: {share: 0.2, extra: 50, window: 10s}
 log: {format: json}
--- a/soak/run.go
+++ b/soak/run.go
@@ -63,6 +63,7 @@
 	for n := range limitedServers {
 		background.Go(func() { s.nameLimits(trafficCtx, env, n) })
 	}
+	background.Go(func() { s.evacuateZones(trafficCtx, env) })
 	s.injectFaults(trafficCtx, env)
 	s.endFaults(env)
 	wait(ctx, recoveryTime)
@@ -124,9 +125,11 @@
 		{func() { server.proxy.setMode(faultMode) }, func() { server.proxy.setMode(pass) }},
 		{server.proxy.resetAll, func() {}},
 		{func() { storeProxy.setMode(faultMode) }, func() { storeProxy.setMode(pass) }},
-		{func() { env.store.SetFaults(store.Faults{Outage: true}) }, func() { env.store.SetFaults(store.Faults{}) }},
-		{env.store.DropHistory, func() {}},
-		restoreFault(env.store),
+		env.disturbingStore(fault{
+			func() { env.store.SetFaults(store.Faults{Outage: true}) }, func() { env.store.SetFaults(store.Faults{}) },
+		}),
+		env.disturbingStore(fault{env.store.DropHistory, func() {}}),
+		env.disturbingStore(restoreFault(env.store)),
 		{func() { server.backend.SetFaults(backend.Faults{Leaving: true}) }, server.restart},
 		{
 			func() { server.backend.SetFaults(serverFault(random.IntN(serverFaultKinds))) },
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -24,8 +24,8 @@
  {"name":"order","hostname":"shop.example","pathPrefix":"/order/","routeType":"non_idempotent","timeoutMs":%d,"targetLatencyMs":100,"service":"shop","maxAttempts":1},
  {"name":"status","hostname":"shop.example","pathPrefix":"/status/","routeType":"idempotent","timeoutMs":%d,"targetLatencyMs":100,"service":"shop","maxAttempts":2},
  {"name":"open","hostname":"shop.example","pathPrefix":"/open/","routeType":"idempotent","timeoutMs":%d,"targetLatencyMs":100,"service":"shop","maxAttempts":2,"public":true},
- {"name":"draft","hostname":"shop.example","pathPrefix":"/draft/","routeType":"streaming","timeoutMs":9000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":1,"sticky":true},
- {"name":"digest","hostname":"shop.example","pathPrefix":"/digest/","routeType":"streaming","timeoutMs":9000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true}],
+ {"name":"draft","hostname":"shop.example","pathPrefix":"/draft/","routeType":"streaming","timeoutMs":9000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":1,"sticky":true,"priority":0},
+ {"name":"digest","hostname":"shop.example","pathPrefix":"/digest/","routeType":"streaming","timeoutMs":9000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true,"priority":%d}],
  "services":[{"name":"shop"},{"name":"llm","engine":{"slots":%d,"kvCapacityTokens":%d,"stride":8,"kvHoldS":0.5}}],
  "limits":{"maxBodyBytes":4096},
  "tenants":[{"name":"dala","apiKeys":["%s"],"unit":"tokens","plainTokens":200,"ratePerS":%d,"burst":%d}]}`
@@ -38,13 +38,14 @@
 	EngineKVTokens int           // KV cache capacity per engine, in tokens
 	AccountRate    int           // rate of the client account in tokens per second, and its burst in tokens
 	Key            string        // API key of the client account
+	DigestPriority int           // priority of the route of resumable streams; that of the other routes is 0
 }
 
 // Configuration returns the configuration document as an operator writes it.
 func Configuration(s Settings) json.RawMessage {
 	ms := s.PlainTimeout.Milliseconds()
 	return json.RawMessage(fmt.Sprintf(configurationFormat,
-		s.Version, ms, ms, ms, s.EngineSlots, s.EngineKVTokens, s.Key, s.AccountRate, s.AccountRate))
+		s.Version, ms, ms, ms, s.DigestPriority, s.EngineSlots, s.EngineKVTokens, s.Key, s.AccountRate, s.AccountRate))
 }
 
 // Request is what a caller states about its request in headers.
