Don't count requests on their way as users of a plain server's slots

A keeper gave out as many slots as a server has, counted from its decision to the report of the end.

The keeper measures the time between its decision, the attempt and the report, and gives each server as many requests as keep its slots busy with that time. A replay without a network covers it.

--- a/cli/evacuate.go
+++ b/cli/evacuate.go
@@ -79,7 +79,7 @@
 	if err := os.WriteFile(edited, []byte(changed), 0o600); err != nil {
 		return fmt.Errorf("cli: unable to write the rules: %w", err)
 	}
-	defer os.Remove(edited) // gone already if the change was applied
+	defer func() { _ = os.Remove(edited) }() // gone already if the change was applied
 	plan, err := flags.change.plan(cmd, edited)
 	if err != nil {
 		return err
--- a/slot/core.go
+++ b/slot/core.go
@@ -16,6 +16,7 @@
 	// spareSlots is the number of requests that a server gets beyond its slots, so that none is idle while the end of a request
 	// is reported and the next one is on its way.
 	spareSlots     = 1
+	maxOnTheWay    = 4.0                   // most requests for each slot, those on the way included
 	initialLatency = 50 * time.Millisecond // of a service, before the first sample
 	latencyWeight  = 0.05                  // weight of a new sample, so that noise of some tenths of a second passes
 	fullPenalty    = 0.3                   // part by which the latency of a full server counts as longer than that of an empty one
@@ -81,6 +82,7 @@
 	leases    map[string]*lease
 	promises  promise.Ledger
 	latency   float64 // mean latency of the service, in seconds
+	transit   float64 // mean seconds between keeper and instance for an attempt: the decision's way and the report's
 	retries   float64 // retries left in the shared budget
 	lateRate  queue.RateMeter
 	decisions []Decision
@@ -100,6 +102,7 @@
 type lease struct {
 	server   *sharedServer
 	decision Decision
+	since    queue.Instant
 	until    queue.Instant // the slot counts as free then, if no report came
 }
 
@@ -155,8 +158,17 @@
 	return !s.pausedUntil.After(now) && s.inUse == 0
 }
 
+// capacity returns the number of requests that keep all slots of a server in use. Part of them is on the way: an instance is
+// about as far from its servers as from the keeper, so the time at the server is the latency less the transit
+// without the time that reports wait to be sent.
+func (c *Core) capacity(s *sharedServer) int {
+	latency := c.latencyOf(s)
+	atServer := max(latency-max(c.transit-reportDelay.Seconds(), 0), 2*latency/maxOnTheWay)
+	return int(math.Ceil(float64(s.slots()) * min((latency+c.transit)/atServer, maxOnTheWay)))
+}
+
 // hasSlot reports whether a request would be run without a long wait at the server.
-func (s *sharedServer) hasSlot() bool { return s.inUse < s.slots()+spareSlots }
+func (c *Core) hasSlot(s *sharedServer) bool { return s.inUse < c.capacity(s)+spareSlots }
 
 func (a *Ask) allows(s rule.Server) bool {
 	return s.State == rule.ServerLive && !slices.Contains(a.Exclude, s.Server) &&
@@ -245,7 +257,7 @@
 	sum := 0.0
 	for _, s := range c.servers {
 		if a.allows(s.Server) && s.usable(now) {
-			sum += float64(s.slots()) / c.latencyOf(s)
+			sum += float64(c.capacity(s)) / (c.latencyOf(s) + c.transit)
 		}
 	}
 	return max(sum, 1)
@@ -278,22 +290,24 @@
 	c.free(key)
 }
 
-func (c *Core) free(key string) *sharedServer {
-	l, ok := c.leases[key]
-	if !ok {
-		return nil
+func (c *Core) free(key string) {
+	if l, ok := c.leases[key]; ok {
+		delete(c.leases, key)
+		l.server.inUse--
 	}
-	delete(c.leases, key)
-	l.server.inUse--
-	return l.server
 }
 
 // Record frees the slot of an attempt that has ended, and records what that says about its server.
 func (c *Core) Record(now queue.Instant, r Report) {
-	s := c.free(r.Key)
-	if s == nil || r.Unused {
+	l, ok := c.leases[r.Key]
+	if !ok {
+		return
+	}
+	c.free(r.Key)
+	if r.Unused {
 		return
 	}
+	s := l.server
 	if r.Result == Failed {
 		if s.failures++; s.failures >= maxFailures {
 			s.pause = min(max(2*s.pause, minSharedPause), maxSharedPause)
@@ -313,6 +327,7 @@
 	}
 	observe(&s.latency)
 	observe(&c.latency)
+	c.transit += latencyWeight * (max(now.Sub(l.since)-r.Took, 0).Seconds() - c.transit)
 }
 
 // Decide gives free slots to waiting requests, refuses those that would be too late, and returns all decisions since the last
@@ -373,7 +388,7 @@
 	}
 	s.inUse++
 	d := Decision{Key: w.Key, Server: s.Server.Server, Waited: now.Sub(w.arrived), InUse: s.inUse}
-	c.leases[w.Key] = &lease{server: s, decision: d, until: w.deadline.Add(leaseGrace)}
+	c.leases[w.Key] = &lease{server: s, decision: d, since: now, until: w.deadline.Add(leaseGrace)}
 	delete(c.waiting, w.Key)
 	if w.Late {
 		c.lateRate.Add(w.Cost)
@@ -389,11 +404,12 @@
 	var best *sharedServer
 	bestScore := 0.0
 	for _, s := range c.servers {
-		if !a.allows(s.Server) || !s.hasSlot() || !allPaused && !s.usable(now) {
+		if !a.allows(s.Server) || !c.hasSlot(s) || !allPaused && !s.usable(now) {
 			continue
 		}
-		score := c.latencyOf(s) * (1 + fullPenalty*float64(s.inUse)/float64(s.slots()))
-		if s.inUse >= s.slots() {
+		capacity := c.capacity(s)
+		score := c.latencyOf(s) * (1 + fullPenalty*float64(s.inUse)/float64(capacity))
+		if s.inUse >= capacity {
 			score += c.latencyOf(s) // the request waits at the server for a slot
 		}
 		if s.Zone != a.Zone {
--- a/slot/core_test.go
+++ b/slot/core_test.go
@@ -53,6 +53,8 @@
 	core    *Core
 	work    func(server string) time.Duration
 	result  func(server string) Result
+	transit time.Duration // from the keeper to an instance, and from an instance to a server
+	delay   time.Duration // that a report waits to be sent
 	ends    endHeap
 	onTime  map[int]int // answers within the aim, by rank
 	late    map[int]int
@@ -98,7 +100,8 @@
 		}
 		r.given[d.Server]++
 		took := r.work(d.Server)
-		heap.Push(&r.ends, end{now.Add(took), Report{Key: d.Key, Took: took, Result: r.result(d.Server)}})
+		took += 2 * r.transit
+		heap.Push(&r.ends, end{now.Add(took + 2*r.transit + r.delay), Report{Key: d.Key, Took: took, Result: r.result(d.Server)}})
 		if waited+took <= a.Aim {
 			r.onTime[a.Rank]++
 		} else {
@@ -158,6 +161,30 @@
 	}
 }
 
+// Requests on their way to or from a server use none of its slots. If they counted as if they did, services with short requests
+// would keep requests waiting beside idle slots.
+func TestSlotsAreNotKeptForRequestsOnTheWay(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	r := newReplay(3)
+	r.transit, r.delay = 4*time.Millisecond, reportDelay
+	r.work = func(string) time.Duration { return 15 * time.Millisecond }
+	now := start
+	for n := range 8000 {
+		now = now.Add(time.Duration(random.ExpFloat64() / (0.9 * 3 * serverSlots / 0.015) * float64(time.Second)))
+		r.step(now, Ask{Key: fmt.Sprint(n), Account: fmt.Sprint("a", n%7), Weight: 1, Left: 2 * time.Second, Aim: 150 * time.Millisecond})
+	}
+	r.step(now.Add(time.Minute))
+	t.Logf("on time %d, late %d, refused %d", r.onTime[0], r.late[0], r.refused[0])
+	if r.onTime[0] < 8000*95/100 {
+		t.Errorf("%d of 8000 requests are on time at 0.9 of what the servers bear", r.onTime[0])
+	}
+	held := 15*time.Millisecond + 4*r.transit + r.delay
+	want := float64(serverSlots) * held.Seconds() / 0.015
+	if c := float64(r.core.capacity(r.core.servers[0])); c < want-1 || c > want+1 {
+		t.Errorf("a server gets %v requests at once, %.1f keep its %d slots busy", c, want, serverSlots)
+	}
+}
+
 // A slow server must get less than its share, and one that fails must be paused and tried again.
 func TestSharedSlotsFollowTheServers(t *testing.T) {
 	run := func(set func(r *replay)) *replay {
@@ -278,7 +305,11 @@
 				if len(given) == 0 || rapid.Bool().Draw(t, "lost") {
 					return
 				}
-				c.Record(now, Report{Key: given[0], Took: 20 * time.Millisecond, Result: Result(rapid.IntRange(0, 2).Draw(t, "result"))})
+				took := time.Duration(0)
+				if l, ok := c.leases[given[0]]; ok {
+					took = now.Sub(l.since) // no time on the way, so the bound on a server's requests is that of its slots
+				}
+				c.Record(now, Report{Key: given[0], Took: took, Result: Result(rapid.IntRange(0, 2).Draw(t, "result"))})
 				given = given[1:]
 				decide()
 			},
