--- a/slot/core.go
+++ b/slot/core.go
@@ -400,8 +400,9 @@
 }
 
 // choose returns the server with a free slot at which the request is predicted to be done first, or nil if there is none, or
-// none that is worth its failures: a request waits for a sounder server as long as that costs its caller less. If all servers
-// are paused, they are used all the same: the fault has probably passed.
+// none that is worth its failures: a request waits for a sounder server if that takes no longer than a request does, and costs
+// its caller less. Longer waits would make more requests late in a burst than the failures cost. If all servers are paused, they
+// are used all the same: the fault has probably passed.
 func (c *Core) choose(now queue.Instant, a *Ask) *sharedServer {
 	candidates := c.candidates(now, a)
 	leastErrors := 1.0
@@ -413,7 +414,7 @@
 	bestScore := 0.0
 	for _, s := range candidates {
 		failures := errorCost.Seconds() * (s.errors.current(timeOf(now)) - leastErrors)
-		if !c.hasSlot(s) || failures > wait+c.latencyOf(s) {
+		if !c.hasSlot(s) || wait <= c.latencyOf(s) && failures > wait+c.latencyOf(s) {
 			continue
 		}
 		capacity := c.capacity(s)
