Explain where a request would go now, without sending it

teaselgate preview asks an instance: it prints the request's rank, the predicted wait and what goes before it, the verdict (placed, waits, refused), and each server that was weighed with its figures and the reason why it is chosen or not. The choice of servers gives these reasons itself (cell/choice.go, slot/choice.go), so that the explanation can't differ from the decision.

Measured: go test ./cell ./slot ./preview, go test ./instance -run Preview.

--- a/admin/client.go
+++ b/admin/client.go
@@ -7,8 +7,10 @@
 	"crypto/x509"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -17,6 +19,9 @@
 // callTimeout limits one request to an instance.
 const callTimeout = 10 * time.Second
 
+// maxErrorBytes limits the part of an error response that an error repeats.
+const maxErrorBytes = 300
+
 var (
 	namespace = errorx.NewNamespace("admin")
 	failed    = namespace.NewType("failed")
@@ -66,7 +71,8 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return failed.New("admin: status %d from %s%s", resp.StatusCode, address, path)
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes)) // the status says enough without it
+		return failed.New("admin: status %d from %s%s: %s", resp.StatusCode, address, path, strings.TrimSpace(string(text)))
 	}
 	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
 		return failed.Wrap(err, "admin: unable to decode the response of %s%s", address, path)
--- a/cell/core.go
+++ b/cell/core.go
@@ -330,23 +330,20 @@
 
 // tryPlace places a request if there is room, and reports whether it did.
 func (c *Core) tryPlace(now instant, w *waitingRequest) bool {
-	p, plan, cached := c.choosePrefill(now, &w.request)
+	choice := c.choosePrefill(now, &w.request)
+	p, plan := choice.server, choice.plan
 	if p == nil {
 		return false
 	}
 	pieces := c.piecesNeeded(w.request)
-	need := pieces
-	if w.BestEffort() {
-		need += bestEffortHeadroom * pieces
-	}
-	d := c.chooseDecode(now, &w.request, need, plan.end.Sub(now))
+	d := c.chooseDecode(now, &w.request, c.piecesReserved(w), plan.end.Sub(now))
 	if d == nil {
 		return false
 	}
 	r := &reservation{
 		key: w.request.Key, owner: w.request.From, prefill: p, decode: d, pieces: pieces,
 		promptTokens: w.request.PromptTokens, maxTokens: w.request.MaxTokens, ceiling: w.request.Ceiling,
-		cachedTokens: cached, prefixes: w.request.Prefixes, plan: plan, placedAt: now,
+		cachedTokens: choice.cached, prefixes: w.request.Prefixes, plan: plan, placedAt: now,
 	}
 	c.countRequest(p.server)
 	c.countRequest(d.server)
@@ -378,6 +375,15 @@
 	}
 }
 
+// piecesReserved returns the number of KV cache pieces that must be free for a request: a best-effort one leaves some to others.
+func (c *Core) piecesReserved(w *waitingRequest) int {
+	pieces := c.piecesNeeded(w.request)
+	if w.BestEffort() {
+		pieces += bestEffortHeadroom * pieces
+	}
+	return pieces
+}
+
 // piecesNeeded returns the number of KV cache pieces for the prompt and MaxTokens output tokens of a request.
 func (c *Core) piecesNeeded(request PlaceRequest) int {
 	piece := c.pool.Block
@@ -386,92 +392,3 @@
 	}
 	return (request.PromptTokens + request.MaxTokens + piece - 1) / piece
 }
-
-// eligible reports whether a server may get a request, regardless of its load. The caller passes in whether the server
-// is usable.
-func (c *Core) eligible(now instant, request *PlaceRequest, s rule.Server, usable bool) bool {
-	return usable && s.State == rule.ServerLive && request.allows(s) && !c.placementPaused(now, s.Server) &&
-		!slices.Contains(request.Exclude, s.Server) && !slices.Contains(request.Avoid, s.Server) && c.canRequest(s)
-}
-
-// choosePrefill returns the prefill server at which the transfer of a prompt's KV cache is predicted to end first, the
-// plan there, and the prompt tokens that are expected in its prefix cache. Servers in the availability zone of the calling
-// instance, which also gets the decode server, are preferred as long as that delays the first token little: a transfer
-// between zones takes twice as long and fills the links between them.
-func (c *Core) choosePrefill(now instant, request *PlaceRequest) (best *prefillServer, bestPlan prefillPlan, cached int) {
-	hits := c.hints.find(now, request.Prefixes)
-	var bestEnd instant
-	allPaused := !slices.ContainsFunc(c.prefills, func(p *prefillServer) bool {
-		return available(now, p.server, p.health)
-	})
-	for _, p := range c.prefills {
-		if !c.eligible(now, request, p.server, p.usable(now) || allPaused) || p.prompts.freeAt.Sub(now) > maxPrefillBacklog {
-			continue
-		}
-		expected := min(hitTokens(hits, p), request.PromptTokens)
-		plan := p.plan(now, request.PromptTokens, expected)
-		if plan.linkStart.Sub(plan.end) > maxLinkWait {
-			continue
-		}
-		end := plan.linkEnd
-		if p.server.Zone != request.Zone {
-			end = end.Add(time.Duration(prefillZoneShare * float64(c.targets.FirstToken)))
-		}
-		if best == nil || end.Before(bestEnd) {
-			best, bestPlan, bestEnd, cached = p, plan, end, expected
-		}
-	}
-	return best, bestPlan, cached
-}
-
-// usualTokens returns the mean length of the streams placed lately, or 0 before the first.
-func (c *Core) usualTokens() float64 { return c.demand.meanTokens }
-
-// chooseDecode returns the decode server with the shortest predicted step among those that have room when the prompt's
-// KV cache is ready. Servers that have room now precede those whose room is predicted. An idle server that has never
-// had a request is preferred: otherwise a slow server would stay in use while the others are never tried. Of servers whose
-// steps differ little the emptier one is preferred: when one fails, fewer streams break. In a strict pool, only servers
-// that have room now are chosen. Slow servers are chosen only if no other one has room.
-func (c *Core) chooseDecode(now instant, request *PlaceRequest, pieces int, wait time.Duration) *decodeServer {
-	var best *decodeServer
-	var bestFree, bestSlow bool
-	var bestScore float64
-	allPaused := !slices.ContainsFunc(c.decodes, func(d *decodeServer) bool {
-		return available(now, d.server, d.health)
-	})
-	for _, d := range c.decodes {
-		if !c.eligible(now, request, d.server, d.usable(now) || allPaused) {
-			continue
-		}
-		slow := d.isSlow(now)
-		if slow && !d.mayTakeSlowly(request, c.usualTokens()) {
-			continue
-		}
-		c.advance(now, d)
-		fits, free := d.hasRoom(now, pieces, wait)
-		if !fits || c.pool.Strict && !free {
-			continue
-		}
-		batch := len(d.streams) + d.currentForeignSlots(now)
-		score := d.steps.step(batch+1) * (1 + fullBatchPenalty*float64(batch)/float64(max(d.slots, 1)))
-		if batch == 0 && !d.hasServed {
-			score = 0
-		}
-		if d.server.Zone != request.Zone {
-			score += decodeZonePenalty.Seconds()
-		}
-		better := score < bestScore
-		switch {
-		case best == nil:
-			better = true
-		case free != bestFree:
-			better = free
-		case slow != bestSlow:
-			better = bestSlow
-		}
-		if better {
-			best, bestFree, bestSlow, bestScore = d, free, slow, score
-		}
-	}
-	return best
-}
--- a/cell/shed.go
+++ b/cell/shed.go
@@ -18,24 +18,18 @@
 
 // admit rejects a new request that could not be placed in time. With an error it returns the time after which to retry.
 func (c *Core) admit(now instant, w *waitingRequest) (time.Duration, error) {
-	if !c.hasServersFor(w.request) {
-		return minRetry, noServer.New("cell: no server in the cell that the request may use")
-	}
-	if c.piecesNeeded(w.request) > c.decodes[0].pieces {
-		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
-	}
 	wait := c.predictWait(now, w)
+	if retry, err := c.checkServable(now, w, wait); err != nil {
+		return retry, err
+	}
 	if c.queue.Len() >= queue.MaxLength && !c.makeRoom(w) {
 		return retryIn(wait), shed.New("cell: the queue is full")
 	}
-	if now.After(w.waitDeadline) && now.After(w.responseDeadline) {
-		return retryIn(wait), shed.New("cell: the caller's time is too short for an answer")
-	}
 	if c.isRetry(w) {
 		return 0, nil
 	}
 	standing := c.promises.Redeem(now, w.request.Return)
-	if wait.Seconds() <= maxWaitShare*w.waitDeadline.Sub(now).Seconds() {
+	if isInTime(now, w, wait) {
 		c.promises.Withdraw(w.request.Return)
 		return 0, nil
 	}
@@ -57,6 +51,25 @@
 	return 0, nil
 }
 
+// checkServable returns an error if a request can't be served however little waits, with the time after which to retry.
+func (c *Core) checkServable(now instant, w *waitingRequest, wait time.Duration) (time.Duration, error) {
+	if !c.hasServersFor(w.request) {
+		return minRetry, noServer.New("cell: no server in the cell that the request may use")
+	}
+	if c.piecesNeeded(w.request) > c.decodes[0].pieces {
+		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
+	}
+	if now.After(w.waitDeadline) && now.After(w.responseDeadline) {
+		return retryIn(wait), shed.New("cell: the caller's time is too short for an answer")
+	}
+	return 0, nil
+}
+
+// isInTime reports whether a request that waits for so long is placed well before its deadline for that.
+func isInTime(now instant, w *waitingRequest, wait time.Duration) bool {
+	return wait.Seconds() <= maxWaitShare*w.waitDeadline.Sub(now).Seconds()
+}
+
 // displaceLarger makes a waiting request late that needs much more work, if a new one can be on time in its place. It
 // reports whether it did.
 func (c *Core) displaceLarger(now instant, w *waitingRequest) bool {
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -75,6 +75,7 @@
 	root.AddCommand(
 		newServeCommand(),
 		newExplainCommand(),
+		newPreviewCommand(),
 		newSoakCommand(),
 		newCheckCommand(),
 		newPlanCommand(),
--- a/forward/home.go
+++ b/forward/home.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 
+	"teaselgate/platform"
 	"teaselgate/rule"
 )
 
@@ -11,23 +12,29 @@
 // account name. Where both name regions, both bind. It returns false after it has refused a request for which there is no
 // such zone. The body of a request goes to no other instance, so its memory stays where its servers are.
 func (q *request) setHomes() bool {
-	if len(q.route.Homes) == 0 && len(q.account.Homes) == 0 {
-		return true
-	}
-	q.zones = make([]string, 0, len(q.handler.Regions))
-	for zone, region := range q.handler.Regions {
-		if isHome(q.route.Homes, region) && isHome(q.account.Homes, region) {
-			q.zones = append(q.zones, zone)
-		}
-	}
-	if len(q.zones) == 0 {
+	q.zones = q.handler.homeZones(q.route, q.account)
+	if q.zones != nil && len(q.zones) == 0 {
 		q.refuse(http.StatusServiceUnavailable, noServerRetryAfter, "no availability zone in the regions of the route and the account")
 		return false
 	}
-	slices.Sort(q.zones)
 	return true
 }
 
+// homeZones returns the availability zones in the regions of a route and an account by name, or nil if neither names any.
+func (h *Handler) homeZones(route platform.Route, account platform.Account) []string {
+	if len(route.Homes) == 0 && len(account.Homes) == 0 {
+		return nil
+	}
+	zones := make([]string, 0, len(h.Regions))
+	for zone, region := range h.Regions {
+		if isHome(route.Homes, region) && isHome(account.Homes, region) {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // isHome reports whether a region is among the given ones; no regions stand for all.
 func isHome(homes []string, region string) bool {
 	return len(homes) == 0 || slices.Contains(homes, region)
--- a/instance/server.go
+++ b/instance/server.go
@@ -16,6 +16,7 @@
 	"teaselgate/config"
 	"teaselgate/limit"
 	"teaselgate/metric"
+	"teaselgate/preview"
 	"teaselgate/rule"
 	"teaselgate/timeline"
 )
@@ -97,6 +98,7 @@
 	mux.HandleFunc("GET /health", i.requireAdminToken(i.serveHealth))
 	mux.HandleFunc("GET /metrics", i.requireAdminToken(i.metrics.ServeHTTP))
 	mux.HandleFunc("GET /events", i.requireAdminToken(i.serveEvents))
+	mux.HandleFunc("GET "+preview.Path, i.requireAdminToken(i.servePreview))
 	mux.HandleFunc("GET "+config.StatusPath, i.requireAdminToken(i.serveStatus))
 	if i.registry == nil {
 		mux.HandleFunc("POST /evict", i.requireAdminToken(i.allowance.ServeEvict))
--- a/registry/view.go
+++ b/registry/view.go
@@ -104,6 +104,12 @@
 	return a, ok
 }
 
+// AccountNamed returns a client account by name.
+func (v *View) AccountNamed(name string) (platform.Account, bool) {
+	a, ok := v.accounts[name]
+	return a, ok
+}
+
 // HasAccounts reports whether there are client accounts, so that requests need a key.
 func (v *View) HasAccounts() bool { return len(v.accounts) > 0 }
 
--- a/slot/core.go
+++ b/slot/core.go
@@ -165,17 +165,12 @@
 func (c *Core) capacity(s *sharedServer) int {
 	latency := c.latencyOf(s)
 	atServer := max(latency-max(c.transit-reportDelay.Seconds(), 0), 2*latency/maxOnTheWay)
-	return int(math.Ceil(float64(s.slots()) * min((latency+c.transit)/atServer, maxOnTheWay)))
+	return int(math.Round(float64(s.slots()) * min((latency+c.transit)/atServer, maxOnTheWay)))
 }
 
 // hasSlot reports whether a request would be run without a long wait at the server.
 func (c *Core) hasSlot(s *sharedServer) bool { return s.inUse < c.capacity(s)+spareSlots }
 
-func (a *Ask) allows(s rule.Server) bool {
-	return s.State == rule.ServerLive && !slices.Contains(a.Exclude, s.Server) &&
-		(len(a.Zones) == 0 || slices.Contains(a.Zones, s.Zone))
-}
-
 // Submit asks for a slot. Submitting a waiting request again has no effect, and one that has a slot repeats its decision.
 func (c *Core) Submit(now queue.Instant, a Ask) {
 	if l, ok := c.leases[a.Key]; ok {
@@ -188,8 +183,8 @@
 	if a.First {
 		c.retries = min(c.retries+c.RetryShare, maxRetryBudget)
 	}
-	if !slices.ContainsFunc(c.servers, func(s *sharedServer) bool { return a.allows(s.Server) }) {
-		c.decide(Decision{Key: a.Key, Err: noServer.New("slot: no live server that the request may use"), RetryIn: minRetryIn})
+	if !c.hasServerFor(&a) {
+		c.decide(Decision{Key: a.Key, Err: noServer.New(noLiveServer), RetryIn: minRetryIn})
 		return
 	}
 	if a.Retry {
@@ -228,7 +223,7 @@
 	w := &waitingAsk{ask: a, arrived: now.Add(-a.Waited)}
 	margin := secondsOf(latencyMargin * c.latency)
 	w.deadline = now.Add(cmp.Or(a.Left, defaultLease))
-	w.waitDeadline = w.deadline.Add(-margin)
+	w.waitDeadline = max(w.deadline.Add(-margin), now) // a request that need not wait is tried, however little time it has
 	w.Item = queue.Item{Key: a.Key, Rank: a.Rank, Patient: a.Aim > 0, Cost: 1, Target: w.waitDeadline}
 	if a.Aim > 0 {
 		w.Target = min(w.Target, w.arrived.Add(max(a.Aim-margin, margin)))
@@ -399,58 +394,6 @@
 	return true
 }
 
-// choose returns the server with a free slot at which the request is predicted to be done first, or nil if there is none, or
-// none that is worth its failures: a request waits for a sounder server if that takes no longer than a request does, and costs
-// its caller less. Longer waits would make more requests late in a burst than the failures cost. If all servers are paused, they
-// are used all the same: the fault has probably passed.
-func (c *Core) choose(now queue.Instant, a *Ask) *sharedServer {
-	candidates := c.candidates(now, a)
-	leastErrors := 1.0
-	for _, s := range candidates {
-		leastErrors = min(leastErrors, s.errors.current(timeOf(now)))
-	}
-	wait := float64(c.queue.Len()+1) / c.rate(now, a)
-	var best *sharedServer
-	bestScore := 0.0
-	for _, s := range candidates {
-		failures := errorCost.Seconds() * (s.errors.current(timeOf(now)) - leastErrors)
-		if !c.hasSlot(s) || wait <= c.latencyOf(s) && failures > wait+c.latencyOf(s) {
-			continue
-		}
-		capacity := c.capacity(s)
-		score := c.latencyOf(s) * (1 + fullPenalty*float64(s.inUse)/float64(capacity))
-		if s.inUse >= capacity {
-			score += c.latencyOf(s) // the request waits at the server for a slot
-		}
-		score += failures
-		if s.Zone != a.Zone {
-			score += zonePenalty.Seconds()
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = s, score
-		}
-	}
-	return best
-}
-
-// candidates returns the servers that a request may use, full ones too.
-func (c *Core) candidates(now queue.Instant, a *Ask) []*sharedServer {
-	var live, usable []*sharedServer
-	for _, s := range c.servers {
-		if !a.allows(s.Server) {
-			continue
-		}
-		live = append(live, s)
-		if s.usable(now) {
-			usable = append(usable, s)
-		}
-	}
-	if len(usable) == 0 {
-		return live
-	}
-	return usable
-}
-
 // State sums up the slots of a service.
 type State struct {
 	InUse   int
--- a/slot/core_test.go
+++ b/slot/core_test.go
@@ -212,6 +212,23 @@
 	}
 }
 
+// A request with less time left than an answer usually takes must not be refused while a server is idle: it may be answered in
+// time, and is refused only where it would have to wait.
+func TestRequestsWithLittleTimeGetFreeSlots(t *testing.T) {
+	c := NewCore()
+	c.SetServers(testServers(1))
+	for n := range serverSlots + spareSlots + 1 {
+		c.Submit(start, Ask{Key: fmt.Sprint(n), Account: "a", Weight: 1, Left: 30 * time.Millisecond, Aim: 300 * time.Millisecond})
+		decisions := c.Decide(start)
+		if len(decisions) != 1 {
+			t.Fatalf("%d decisions", len(decisions))
+		}
+		if full := n == serverSlots+spareSlots; errors.Is(decisions[0].Err, ErrFull) != full {
+			t.Errorf("unexpected decision on request %d: %+v", n, decisions[0])
+		}
+	}
+}
+
 // A slow server must get less than its share, and one that fails must be paused and tried again.
 func TestSharedSlotsFollowTheServers(t *testing.T) {
 	run := func(set func(r *replay)) *replay {
