--- a/slot/choice.go
+++ b/slot/choice.go
@@ -46,7 +46,7 @@
 }
 
 func (c *Core) newChoice(now queue.Instant, a *Ask) choice {
-	out := choice{ask: a, allPaused: true, leastErrors: 1, wait: float64(c.queue.Len()+1) / c.rate(now, a)}
+	out := choice{ask: a, allPaused: true, leastErrors: 1, wait: float64(max(c.queue.Len(), 1)) / c.rate(now, a)}
 	for _, s := range c.servers {
 		if a.allows(s.Server) && s.usable(now) {
 			out.allPaused = false
