--- a/forward/preview.go
+++ b/forward/preview.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 
 	"teaselgate/cell"
 	"teaselgate/platform"
@@ -37,10 +38,7 @@
 func (p *Previewer) newRequest(described preview.Request) (*request, error) {
 	h := p.Handler
 	now := h.Now()
-	incoming, err := http.NewRequest(http.MethodPost, "http://"+described.Host+described.Path, nil)
-	if err != nil {
-		return nil, preview.ErrNoRoute
-	}
+	incoming := &http.Request{Method: http.MethodPost, Host: described.Host, URL: &url.URL{Path: described.Path}}
 	q := &request{handler: h, incoming: incoming, received: now, picks: 1, view: h.View()}
 	q.RequestHeaders = platform.RequestHeaders{
 		ID: "preview", PromptTokens: described.Prompt, MaxOutputTokens: described.Output,
