Pass over a shared plain server only on a clear share of failures

One failed request in a row of good ones gave a server an error rate of .3, as one instance's picker counts.

A keeper sees the results of all instances, so each sample weighs .05, and a server is passed over only if it fails .15 more of its requests than the soundest one.

--- a/slot/choice.go
+++ b/slot/choice.go
@@ -84,8 +84,9 @@
 		return 0, noSlot
 	}
 	latency, capacity := c.latencyOf(s), c.capacity(s)
-	failures := errorCost.Seconds() * max(s.errors.current(timeOf(now))-choice.leastErrors, 0)
-	if choice.wait <= latency && failures > choice.wait+latency {
+	excess := max(s.errors.current(timeOf(now))-choice.leastErrors, 0)
+	failures := errorCost.Seconds() * excess
+	if excess > unsoundShare && choice.wait <= latency && failures > choice.wait+latency {
 		return 0, unsound
 	}
 	score = latency*(1+fullPenalty*float64(s.inUse)/float64(capacity)) + failures
--- a/slot/core.go
+++ b/slot/core.go
@@ -21,6 +21,7 @@
 	latencyWeight  = 0.05                  // weight of a new sample, so that noise of some tenths of a second passes
 	fullPenalty    = 0.3                   // part by which the latency of a full server counts as longer than that of an empty one
 	zonePenalty    = 2 * time.Millisecond  // counts for a server outside the instance's availability zone
+	unsoundShare   = 0.15                  // a server that fails this part of its requests more than the soundest one is passed over for a moment
 	latencyMargin  = 1.5                   // multiple of the mean latency that is kept for a request before its deadline
 	maxFailures    = 3                     // failures in a row after which a server is paused
 	minSharedPause = 500 * time.Millisecond
@@ -304,7 +305,7 @@
 		return
 	}
 	s := l.server
-	s.errors.observe(timeOf(now), r.Result != Answered)
+	s.errors.observe(timeOf(now), r.Result != Answered, sharedErrorWeight)
 	if r.Result == Failed {
 		if s.failures++; s.failures >= maxFailures {
 			s.pause = min(max(2*s.pause, minSharedPause), maxSharedPause)
--- a/slot/core_test.go
+++ b/slot/core_test.go
@@ -212,6 +212,24 @@
 	}
 }
 
+// Some requests fail at every server. They must not make a server look unsound that happened to get one of them: without a share
+// from which it is passed over, one failure took a server out of use until its error rate had decayed for seconds.
+func TestRequestsThatFailEverywhereLeaveServersInUse(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	r := newReplay(3)
+	r.work = func(string) time.Duration { return 15 * time.Millisecond }
+	r.result = func(string) Result { return []Result{Answered, ServerError}[max(random.IntN(50)-48, 0)] }
+	now := start
+	for n := range 8000 {
+		now = now.Add(time.Duration(random.ExpFloat64() / (0.75 * 3 * serverSlots / 0.015) * float64(time.Second)))
+		r.step(now, Ask{Key: fmt.Sprint(n), Account: "a", Weight: 1, Left: 2 * time.Second, Aim: 30 * time.Millisecond})
+	}
+	r.step(now.Add(time.Minute))
+	if r.onTime[0] < 8000*99/100 {
+		t.Errorf("%d of 8000 requests are on time, late %d, refused %d", r.onTime[0], r.late[0], r.refused[0])
+	}
+}
+
 // A request with less time left than an answer usually takes must not be refused while a server is idle: it may be answered in
 // time, and is refused only where it would have to wait.
 func TestRequestsWithLittleTimeGetFreeSlots(t *testing.T) {
--- a/slot/errorrate.go
+++ b/slot/errorrate.go
@@ -7,7 +7,8 @@
 
 // Constants of the error rates of plain servers.
 const (
-	errorSampleWeight    = 0.3             // weight of a new sample
+	errorSampleWeight    = 0.3             // weight of a new sample of one instance
+	sharedErrorWeight    = 0.05            // weight of a new sample of all instances, of which there are many more
 	errorDecay           = 3 * time.Second // time constant of the decay, by which a server regains requests
 	thirdChoiceErrorRate = 0.05            // a third server is considered if the better of two has at least this rate
 	errorCost            = time.Second     // cost of a failed request, which the caller must repeat or give up
@@ -21,10 +22,10 @@
 }
 
 // observe records whether a request failed.
-func (r *errorRate) observe(now time.Time, failed bool) {
-	share := r.current(now) * (1 - errorSampleWeight)
+func (r *errorRate) observe(now time.Time, failed bool, weight float64) {
+	share := r.current(now) * (1 - weight)
 	if failed {
-		share += errorSampleWeight
+		share += weight
 	}
 	r.share, r.updated = share, now
 }
--- a/slot/picker.go
+++ b/slot/picker.go
@@ -152,7 +152,7 @@
 	now := p.Now()
 	s := p.server(server)
 	s.latency.Pending--
-	s.errors.observe(now, result != Answered)
+	s.errors.observe(now, result != Answered, errorSampleWeight)
 	switch result {
 	case Answered:
 		s.latency.Observe(now, latency)
