--- a/soak/client.go
+++ b/soak/client.go
@@ -200,6 +200,7 @@
 	c.checkFinal(runs)
 	c.checkLimits(results)
 	c.checkEvacuations(results)
+	c.checkColdServers()
 	c.checkDeadlyRequests(results)
 	return c.violations
 }
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -104,7 +104,7 @@
 	}
 	text := caller.Configuration(caller.Settings{
 		Version: e.version, PlainTimeout: plainTimeout, EngineSlots: engineSlots, EngineKVTokens: engineKVTokens,
-		AccountRate: accountRate, Key: accountKey, DigestPriority: 2,
+		AccountRate: accountRate, Key: accountKey, DigestPriority: 2, ColdTime: coldTime, ColdRate: coldRate,
 	})
 	if _, err := e.storeClient.Update(ctx, platform.ConfigurationKind, platform.ConfigurationName, old.Version, text); err != nil {
 		return fmt.Errorf("soak: unable to write the configuration: %w", err)
@@ -244,6 +244,7 @@
 	entry := map[string]any{
 		"service": b.service, "address": b.proxy.address(), "zone": b.zone,
 		"slots": b.backend.Slots, "state": "ready", "stage": b.backend.Stage, "born": b.starts.Load(),
+		"coldLeftMs": b.backend.ColdLeft().Milliseconds(),
 	}
 	// If the update fails, registerServers tries again after the interval.
 	_, _ = e.storeClient.Update(ctx, platform.ServerKind, b.backend.ID, old.Version, entry)
--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselgate/platform"
+	"teaselgate/standin/caller"
 )
 
 // Evacuations during a run, and the times within which instances must obey them.
@@ -17,6 +18,8 @@
 	evacuationPause    = 4 * time.Second // longest time between two evacuations
 	evacuationBound    = 5 * time.Second // until no request reaches the servers of the zone
 	storeDisturbedTime = 6 * time.Second // by which disturbance of the store stretches the bound
+	coldTime           = 3 * time.Second // how long the plain servers of the zone are cold after that
+	coldRate           = 1.0             // requests per second that such a server takes; well below what it gets otherwise
 )
 
 // zoneOf returns the availability zone of the nth backend server.
@@ -79,10 +82,30 @@
 			}
 			wait(written, registrationInterval)
 		}
+		env.coolServers(written)
 		env.evacuations.add(&env.evacuations.spans, span{began, ended})
 	}
 }
 
+// coolServers makes the plain servers of the zone cold after its evacuation. Their entries say so.
+func (e *environment) coolServers(ctx context.Context) {
+	for _, b := range e.servers {
+		if b.zone == evacuatedZone && b.service == caller.PlainService {
+			b.backend.SetCold(coldRate, time.Now().Add(coldTime))
+			e.register(ctx, b)
+		}
+	}
+}
+
+// checkColdServers checks that no server crashed since it got more requests than a cold one takes.
+func (c *clients) checkColdServers() {
+	for _, b := range c.env.servers {
+		if n := b.backend.ColdCrashes(); n > 0 {
+			c.addViolation("%s crashed %d times under more requests than a cold server takes", b.backend.ID, n)
+		}
+	}
+}
+
 // checkEvacuations checks that servers of an evacuated zone got no requests, from instances that were not disturbed.
 func (c *clients) checkEvacuations(results []result) {
 	addresses := make(map[string]string, len(results))
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -59,6 +59,8 @@
 	crashed        chan struct{}  // closed and replaced when the server crashes
 	limits         []namedLimit   // limits that the server has named, the newest last
 	arrivals       []arrival      // requests and calls, in the order in which they came in
+	cold           coldPeriod
+	coldCrashes    int
 }
 
 // Faults are the faults to inject. Of the faults of requests, a prefill meets only Reject, LoseResponse, WrongServer,
@@ -214,11 +216,17 @@
 	if s.AdvertisedIdleTimeout > 0 {
 		w.Header().Set(headerKeepAlive, fmt.Sprintf("timeout=%d", int(s.AdvertisedIdleTimeout.Seconds())))
 	}
+	expected := r.Header.Get(headerExpectedServer)
+	misdirected := faults.WrongServer || expected != "" && expected != s.ID
+	if !misdirected && !s.takesRequest(received.ReceivedAt) {
+		s.crash(received.Path)
+		panic(http.ErrAbortHandler)
+	}
 	switch {
 	case faults.Silent:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
-	case faults.WrongServer || r.Header.Get(headerExpectedServer) != "" && r.Header.Get(headerExpectedServer) != s.ID:
+	case misdirected:
 		s.record(received, false)
 		w.Header().Set(headerInstanceID, "another")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -26,7 +26,7 @@
  {"name":"open","hostname":"shop.example","pathPrefix":"/open/","routeType":"idempotent","timeoutMs":%d,"targetLatencyMs":100,"service":"shop","maxAttempts":2,"public":true},
  {"name":"draft","hostname":"shop.example","pathPrefix":"/draft/","routeType":"streaming","timeoutMs":9000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":1,"sticky":true,"priority":0},
  {"name":"digest","hostname":"shop.example","pathPrefix":"/digest/","routeType":"streaming","timeoutMs":9000,"targetLatencyMs":900,"gapAimMs":300,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true,"priority":%d}],
- "services":[{"name":"shop"},{"name":"llm","engine":{"slots":%d,"kvCapacityTokens":%d,"stride":8,"kvHoldS":0.5}}],
+ "services":[{"name":"shop","coldS":%g,"coldPerS":%g},{"name":"llm","engine":{"slots":%d,"kvCapacityTokens":%d,"stride":8,"kvHoldS":0.5}}],
  "limits":{"maxBodyBytes":4096},
  "tenants":[{"name":"dala","apiKeys":["%s"],"unit":"tokens","plainTokens":200,"ratePerS":%d,"burst":%d}]}`
 
@@ -39,13 +39,15 @@
 	AccountRate    int           // rate of the client account in tokens per second, and its burst in tokens
 	Key            string        // API key of the client account
 	DigestPriority int           // priority of the route of resumable streams; that of the other routes is 0
+	ColdTime       time.Duration // how long plain backend servers are cold after a start
+	ColdRate       float64       // requests per second that a cold plain backend server takes; 0 means no limit
 }
 
 // Configuration returns the configuration document as an operator writes it.
 func Configuration(s Settings) json.RawMessage {
 	ms := s.PlainTimeout.Milliseconds()
 	return json.RawMessage(fmt.Sprintf(configurationFormat,
-		s.Version, ms, ms, ms, s.DigestPriority, s.EngineSlots, s.EngineKVTokens, s.Key, s.AccountRate, s.AccountRate))
+		s.Version, ms, ms, ms, s.DigestPriority, s.ColdTime.Seconds(), s.ColdRate, s.EngineSlots, s.EngineKVTokens, s.Key, s.AccountRate, s.AccountRate))
 }
 
 // Request is what a caller states about its request in headers.
