--- a/soak/environment.go
+++ b/soak/environment.go
@@ -241,11 +241,7 @@
 	if platform.IsDown(err) {
 		return // registerServers tries again after the interval
 	}
-	entry := map[string]any{
-		"service": b.service, "address": b.proxy.address(), "zone": b.zone,
-		"slots": b.backend.Slots, "state": "ready", "stage": b.backend.Stage, "born": b.starts.Load(),
-		"coldLeftMs": b.backend.ColdLeft().Milliseconds(),
-	}
+	entry := b.backend.Entry(b.service, b.proxy.address(), b.zone, b.starts.Load())
 	// If the update fails, registerServers tries again after the interval.
 	_, _ = e.storeClient.Update(ctx, platform.ServerKind, b.backend.ID, old.Version, entry)
 }
--- a/standin/backend/cold.go
+++ b/standin/backend/cold.go
@@ -43,11 +43,14 @@
 	return false
 }
 
-// ColdLeft returns how much longer the server is cold.
-func (s *Server) ColdLeft() time.Duration {
+// Entry returns the server's entry in the platform store. The number of starts tells one start from the next.
+func (s *Server) Entry(service, address, zone string, starts int64) map[string]any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(time.Until(s.cold.until), 0)
+	return map[string]any{
+		"service": service, "address": address, "zone": zone, "slots": s.Slots, "state": "ready", "stage": s.Stage, "born": starts,
+		"coldLeftMs": max(time.Until(s.cold.until), 0).Milliseconds(),
+	}
 }
 
 // ColdCrashes returns how often the server crashed since it got more requests than a cold one takes.
