Name the check of a request's addressee in the stand-in

The condition beside the count of a cold server's requests made ServeHTTP too branched for the linter (gocyclo).

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -187,6 +187,12 @@
 	}
 }
 
+// isExpected reports whether a request names this server, or none, as the one that it is addressed to.
+func (s *Server) isExpected(r *http.Request) bool {
+	expected := r.Header.Get(headerExpectedServer)
+	return expected == "" || expected == s.ID
+}
+
 // ServeHTTP serves requests, and control calls under /-/.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.Down() {
@@ -216,8 +222,7 @@
 	if s.AdvertisedIdleTimeout > 0 {
 		w.Header().Set(headerKeepAlive, fmt.Sprintf("timeout=%d", int(s.AdvertisedIdleTimeout.Seconds())))
 	}
-	expected := r.Header.Get(headerExpectedServer)
-	misdirected := faults.WrongServer || expected != "" && expected != s.ID
+	misdirected := faults.WrongServer || !s.isExpected(r)
 	if !misdirected && !s.takesRequest(received.ReceivedAt) {
 		s.crash(received.Path)
 		panic(http.ErrAbortHandler)
