Don't refuse newcomers to plain services for returns after a burst

Room is held for a second for callers that were told to return. While nothing waits, late requests are predicted the whole rate.

--- a/slot/core.go
+++ b/slot/core.go
@@ -238,8 +238,10 @@
 	ahead := c.queue.CostAhead(&w.Item, 0)
 	rate := c.rate(now, &w.ask)
 	if w.BestEffort() {
-		// Late requests get what on-time ones leave, which is next to nothing in a burst.
 		ahead = c.queue.LateCost(w.Rank)
+	}
+	if w.BestEffort() && c.queue.Len() > 0 {
+		// Late requests get what on-time ones leave, which is next to nothing in a burst.
 		rate = max(c.lateRate.PerSecond(), rate*queue.MinLateShare)
 	}
 	ahead += c.promises.Due(now, w.Rank)
--- a/slot/core_test.go
+++ b/slot/core_test.go
@@ -230,6 +230,46 @@
 	}
 }
 
+// After a burst, room is held for callers that are about to return. While nothing waits, that must not make a newcomer that can
+// wait a little look like one of a burst, where late requests get next to nothing: it was refused with most of its time left.
+func TestNewcomersAreNotRefusedForReturnsAfterABurst(t *testing.T) {
+	c, now := NewCore(), start
+	c.SetServers(testServers(2))
+	refused := 0
+	for n := range 300 {
+		c.Submit(now, Ask{
+			Key: fmt.Sprint(n), Account: fmt.Sprint("a", n%7), Weight: 1, Left: 2 * time.Second, Aim: 300 * time.Millisecond,
+			Return: fmt.Sprint("r", n), ReturnWithin: 2 * time.Second,
+		})
+		for _, d := range c.Decide(now) {
+			if d.Err != nil {
+				refused++
+			}
+		}
+	}
+	if refused == 0 {
+		t.Fatal("the burst was too small")
+	}
+	now = now.Add(1200 * time.Millisecond) // nearly all promises are due
+	for key := range c.waiting {           // the burst ends, and the callers that wait leave
+		c.Cancel(key)
+	}
+	for key := range c.leases {
+		c.Record(now, Report{Key: key, Unused: true})
+	}
+	c.Decide(now)
+	for n := range 2 * (serverSlots + spareSlots) {
+		c.Submit(now, Ask{Key: fmt.Sprint("busy", n), Account: "b", Weight: 1, Left: 2 * time.Second, Aim: 300 * time.Millisecond})
+		c.Decide(now)
+	}
+	c.Submit(now, Ask{Key: "newcomer", Account: "c", Weight: 1, Left: 2 * time.Second, Aim: 300 * time.Millisecond})
+	for _, d := range c.Decide(now) {
+		if d.Err != nil {
+			t.Errorf("a newcomer was refused with %d waiting and %.0f promised: %v", c.queue.Len(), c.promises.Due(now, 0), d.Err)
+		}
+	}
+}
+
 // A request with less time left than an answer usually takes must not be refused while a server is idle: it may be answered in
 // time, and is refused only where it would have to wait.
 func TestRequestsWithLittleTimeGetFreeSlots(t *testing.T) {
