Check that previews send nothing to backend servers

The test of a running instance said so and did not look. It counts what the servers have received before and after.

--- a/instance/preview_test.go
+++ b/instance/preview_test.go
@@ -14,6 +14,10 @@
 func TestPreviewOfARunningInstance(t *testing.T) {
 	site := startStoreSite(t)
 	site.awaitConfiguration(t)
+	before := make(map[string]int)
+	for name, server := range site.servers {
+		before[name] = len(server.Received())
+	}
 	client, err := admin.NewClient("", "")
 	if err != nil {
 		t.Fatal(err)
@@ -37,4 +41,9 @@
 	if _, err := ask(preview.Request{Host: caller.Host, Path: "/order/1", Account: "nobody"}); err == nil || !strings.Contains(err.Error(), "account") {
 		t.Errorf("unexpected error %v of an unknown account", err)
 	}
+	for name, server := range site.servers {
+		if n := len(server.Received()); n != before[name] {
+			t.Errorf("%s got %d requests for the previews", name, n-before[name])
+		}
+	}
 }
