Cool only idle servers in the soak, and let engines settle before its checks

Seed 2218: a restored store had lost an evacuation and all instances had restarted, so the zone's servers were in use when the soak made them cold as if they had been idle; one crashed before the instances knew. Seed 2210: a final request crashed d1 17 ms before the check of what engines still run. Both are faults of the soak: a server in use is warm, and an engine may hold what it computed for half a second. The checks themselves stay.

--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -87,11 +87,13 @@
 	}
 }
 
-// coolServers makes the plain servers of the zone cold after its evacuation. Their entries say so.
+// coolServers makes the plain servers of the zone cold that have been idle during its evacuation. Their entries say so. Others
+// have been in use, since a restored store had lost the evacuation and all instances had restarted.
 func (e *environment) coolServers(ctx context.Context) {
+	now := time.Now()
 	for _, b := range e.servers {
-		if b.zone == evacuatedZone && b.service == caller.PlainService {
-			b.backend.SetCold(coldRate, time.Now().Add(coldTime))
+		if b.zone == evacuatedZone && b.service == caller.PlainService && b.backend.ArrivalsSince(now.Add(-coldTime)) == 0 {
+			b.backend.SetCold(coldRate, now.Add(coldTime))
 			e.register(ctx, b)
 		}
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -31,6 +31,7 @@
 	meanFaultInterval = 700 * time.Millisecond  // mean time from the start of a fault to that of the next
 	meanFaultDuration = 1500 * time.Millisecond // mean duration of a fault
 	recoveryTime      = 10 * time.Second        // time between the faults and the final requests
+	settleTime        = time.Second             // after the last request: engines keep a computed prompt for half of it, and one may just have crashed
 	minServedShare    = 0.9                     // share of the final requests that must be served
 	finalRequests     = 40                      // number of requests after the recovery time
 )
@@ -68,6 +69,7 @@
 	s.endFaults(env)
 	wait(ctx, recoveryTime)
 	clients.sendFinal(ctx, finalRequests)
+	wait(ctx, settleTime)
 	violations := clients.check()
 	if logDir := env.cleanUpLogs(len(violations) > 0); logDir != "" {
 		fmt.Fprintf(s.Out, "logs: %s\n", logDir)
