Say how large a configuration was, whose call ended a connection, and what peers' calls cost

Change: event 1101 names the size, the source and the time of the fetch; the error of a call without a reply how many bytes arrived meanwhile; that of a call which ended with its connection the method whose missing reply had it closed. The metric teaselgate_peer_bytes counts bytes by method and direction.

--- a/instance/build_metric.go
+++ b/instance/build_metric.go
@@ -12,6 +12,7 @@
 	"teaselgate/event"
 	"teaselgate/fleet"
 	"teaselgate/metric"
+	"teaselgate/peer"
 	"teaselgate/platform"
 	"teaselgate/rule"
 )
@@ -25,6 +26,11 @@
 	i.platform.ObserveCall = func(call platform.CallResult) {
 		i.metrics.ObserveStoreCall(call.Method, storeResultTag(call.Err), call.Duration, call.Watch)
 	}
+	traffic := peer.Traffic{
+		Sent:     func(method string, bytes int) { i.metrics.AddPeerBytes(method, "sent", bytes) },
+		Received: func(method string, bytes int) { i.metrics.AddPeerBytes(method, "received", bytes) },
+	}
+	i.peers.Traffic, i.peerServer.Traffic = traffic, traffic
 	supervisor.Add(&metricsCollector{instance: i, lastCounts: make(map[event.Code]uint64)})
 	return nil
 }
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -99,6 +99,11 @@
 		[]string{"method", "result"},
 		"Calls to the platform store. The result is `ok`, `conflict`, `missing`, `history` (the changes are no longer kept), `down` or `unknown` (a write without a response).",
 	}
+	PeerBytes = Definition{
+		"peer_bytes", Counter,
+		[]string{"method", "direction"},
+		"Bytes of calls between instances by method and direction (`sent`, `received`), with headers and without those of TLS. The method of a call that does not exist is empty.",
+	}
 	StoreTime = Definition{
 		"store_seconds", Histogram,
 		[]string{"method"},
@@ -164,6 +169,6 @@
 var Catalogue = []Definition{
 	Requests, RequestTime, FirstChunk, ChunkGap, InFlight, Connections, Events, Members, Revision,
 	CellWaiting, CellUsed, CellSlots,
-	RequestResults, StageTime, StoreCalls, StoreTime, Servers, ServersBusy, ServersLimited, SlotsWaiting, SlotsUsed, PromisedReturns, MemoryHeld, Quarantined,
+	RequestResults, StageTime, StoreCalls, StoreTime, PeerBytes, Servers, ServersBusy, ServersLimited, SlotsWaiting, SlotsUsed, PromisedReturns, MemoryHeld, Quarantined,
 	StoreDataAge, RetriesLeft, RateShare, LinesDropped,
 }
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -72,6 +72,7 @@
 	m.SetCell("chat-decode", 1, 2, 3)
 	m.CountRequestResult("once", "late")
 	m.ObserveStage(StageQueue, time.Millisecond)
+	m.AddPeerBytes("Registry.Fetch", "sent", 850_000)
 	m.ObserveStoreCall(http.MethodGet, "ok", time.Millisecond, false)
 	m.SetServers("plain", "live", 3)
 	m.SetServersBusy(1)
--- a/metric/request_path.go
+++ b/metric/request_path.go
@@ -36,6 +36,11 @@
 	m.scope.Tagged(map[string]string{"kind": kind, "outcome": outcome}).Counter(RequestResults.Name).Inc(1)
 }
 
+// AddPeerBytes adds to the bytes of calls between instances.
+func (m *Metrics) AddPeerBytes(method, direction string, bytes int) {
+	m.scope.Tagged(map[string]string{"method": method, "direction": direction}).Counter(PeerBytes.Name).Inc(int64(bytes))
+}
+
 // ObserveStoreCall counts a call to the platform store and, unless the call waited for changes, records its duration.
 func (m *Metrics) ObserveStoreCall(method, result string, duration time.Duration, waited bool) {
 	m.scope.Tagged(map[string]string{"method": method, "result": result}).Counter(StoreCalls.Name).Inc(1)
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"encoding/gob"
 	"io"
 	"net/rpc"
@@ -47,18 +46,23 @@
 	conn    io.ReadWriteCloser
 	decoder *gob.Decoder
 	encoder *gob.Encoder
-	out     *bufio.Writer
+	in      *countingReader
+	out     *countingWriter
 	clock   Clock
+	traffic Traffic
+	method  string // method of the message that is being read
 }
 
-func newCodec(conn io.ReadWriteCloser, clock Clock) *codec {
-	out := bufio.NewWriter(conn)
+func newCodec(conn io.ReadWriteCloser, clock Clock, traffic Traffic) *codec {
+	in, out := newCountingReader(conn), newCountingWriter(conn)
 	return &codec{
 		conn:    conn,
-		decoder: gob.NewDecoder(bufio.NewReader(conn)),
+		decoder: gob.NewDecoder(in),
 		encoder: gob.NewEncoder(out),
+		in:      in,
 		out:     out,
 		clock:   clock,
+		traffic: traffic,
 	}
 }
 
@@ -67,7 +71,8 @@
 
 // write sends a header and a body. It closes the connection after an error, because the other side can't find the next
 // message after a partial one.
-func (c *codec) write(header, body any) error {
+func (c *codec) write(method string, header, body any) error {
+	defer func() { c.traffic.sent(method, c.out.takeCount()) }()
 	err := c.encoder.Encode(header)
 	if err == nil {
 		err = c.encoder.Encode(body)
@@ -81,12 +86,18 @@
 	return err
 }
 
+// readBody reads the body of a message, also of one whose rest is missing, and counts its bytes.
+func (c *codec) readBody(body any) error {
+	defer func() { c.traffic.received(c.method, c.in.takeCount()) }()
+	return c.decoder.Decode(body)
+}
+
 // clientCodec implements rpc.ClientCodec.
 type clientCodec struct{ *codec }
 
 // WriteRequest sends a call.
 func (c clientCodec) WriteRequest(r *rpc.Request, args any) error {
-	return c.write(requestHeader{Method: r.ServiceMethod, Seq: r.Seq, Stamp: c.clock.next()}, args)
+	return c.write(r.ServiceMethod, requestHeader{Method: r.ServiceMethod, Seq: r.Seq, Stamp: c.clock.next()}, args)
 }
 
 // ReadResponseHeader reads the header of a reply.
@@ -96,12 +107,13 @@
 		return err
 	}
 	c.clock.observe(header.Stamp)
+	c.method = header.Method
 	r.ServiceMethod, r.Seq, r.Error = header.Method, header.Seq, header.Error
 	return nil
 }
 
 // ReadResponseBody reads a reply. If reply is nil, it skips the reply.
-func (c clientCodec) ReadResponseBody(reply any) error { return c.decoder.Decode(reply) }
+func (c clientCodec) ReadResponseBody(reply any) error { return c.readBody(reply) }
 
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct{ *codec }
@@ -113,14 +125,15 @@
 		return err
 	}
 	c.clock.observe(header.Stamp)
+	c.method = header.Method
 	r.ServiceMethod, r.Seq = header.Method, header.Seq
 	return nil
 }
 
 // ReadRequestBody reads the arguments of a call. If args is nil, it skips them.
-func (c serverCodec) ReadRequestBody(args any) error { return c.decoder.Decode(args) }
+func (c serverCodec) ReadRequestBody(args any) error { return c.readBody(args) }
 
 // WriteResponse sends a reply.
 func (c serverCodec) WriteResponse(r *rpc.Response, reply any) error {
-	return c.write(responseHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error, Stamp: c.clock.next()}, reply)
+	return c.write(r.ServiceMethod, responseHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error, Stamp: c.clock.next()}, reply)
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -35,13 +36,15 @@
 	Token    string      // secret shared by all instances
 	TLS      *tls.Config // nil for plain connections
 	Clock    Clock
+	Traffic  Traffic
 
-	rpc *rpc.Server
+	rpc     *rpc.Server
+	methods map[string]bool // names of the methods that peers can call
 }
 
 // NewServer returns a server without registered receivers.
 func NewServer(listener net.Listener, token string) *Server {
-	return &Server{Listener: listener, Token: token, rpc: rpc.NewServer()}
+	return &Server{Listener: listener, Token: token, rpc: rpc.NewServer(), methods: make(map[string]bool)}
 }
 
 // Register adds a receiver whose methods peers can call under the given name.
@@ -49,6 +52,9 @@
 	if err := s.rpc.RegisterName(name, receiver); err != nil {
 		return fmt.Errorf("peer: unable to register %s: %w", name, err)
 	}
+	for method := range reflect.TypeOf(receiver).Methods() {
+		s.methods[name+"."+method.Name] = true
+	}
 	return nil
 }
 
@@ -81,5 +87,21 @@
 	if err := acceptorHandshake(conn, s.Token); err != nil {
 		return
 	}
-	s.rpc.ServeCodec(serverCodec{newCodec(conn, s.Clock)})
+	s.rpc.ServeCodec(serverCodec{newCodec(conn, s.Clock, s.knownTraffic())})
+}
+
+// knownTraffic returns the observer of the traffic, to which methods that do not exist have no name: peers choose them.
+func (s *Server) knownTraffic() Traffic {
+	known := func(observe func(string, int)) func(string, int) {
+		return func(method string, bytes int) {
+			if observe == nil {
+				return
+			}
+			if !s.methods[method] {
+				method = ""
+			}
+			observe(method, bytes)
+		}
+	}
+	return Traffic{Sent: known(s.Traffic.Sent), Received: known(s.Traffic.Received)}
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -20,6 +20,8 @@
 	TLS   func(host string) *tls.Config // returns the configuration for a peer's host; nil for plain connections
 	Clock Clock
 
+	Traffic Traffic
+
 	mu      sync.Mutex
 	clients map[string]*client // by address
 }
@@ -27,7 +29,9 @@
 // client is an open connection to a peer.
 type client struct {
 	rpc       *rpc.Client
-	lastReply atomic.Int64 // time of the last reply, in Unix nanoseconds
+	in        *countingReader
+	lastReply atomic.Int64           // time of the last reply, in Unix nanoseconds
+	replaced  atomic.Pointer[string] // method whose missing reply had the connection closed
 }
 
 // NewPool returns an empty pool.
@@ -43,15 +47,18 @@
 	if err != nil {
 		return unreachable.Wrap(err, "peer: unable to reach %s", address)
 	}
-	start := time.Now().UnixNano()
+	start, receivedBefore := time.Now().UnixNano(), c.in.total.Load()
 	received := newReply(reply)
 	call := c.rpc.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
+		err := noReply.Wrap(ctx.Err(), "peer: no reply from %s to %s after %v, in which %d bytes arrived",
+			address, method, time.Duration(time.Now().UnixNano()-start).Round(time.Millisecond), c.in.total.Load()-receivedBefore)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) && c.lastReply.Load() < start {
+			c.replaced.CompareAndSwap(nil, &method)
 			p.remove(address, c)
 		}
-		return noReply.Wrap(ctx.Err(), "peer: no reply from %s to %s", address, method)
+		return err
 	case <-call.Done:
 		if call.Error == nil {
 			reflect.ValueOf(reply).Elem().Set(received.Elem())
@@ -72,6 +79,9 @@
 		return err
 	}
 	p.remove(address, c)
+	if method := c.replaced.Load(); method != nil {
+		return noReply.Wrap(err, "peer: call to %s ended with the connection, which got no reply to %s", address, *method)
+	}
 	return noReply.Wrap(err, "peer: call to %s failed", address)
 }
 
@@ -93,7 +103,8 @@
 		conn.Close()
 		return other, nil
 	}
-	c := &client{rpc: rpc.NewClientWithCodec(clientCodec{newCodec(conn, p.Clock)})}
+	connection := newCodec(conn, p.Clock, p.Traffic)
+	c := &client{rpc: rpc.NewClientWithCodec(clientCodec{connection}), in: connection.in}
 	p.clients[address] = c
 	return c, nil
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -177,7 +177,7 @@
 	case platform.ConfigurationKind:
 		for _, o := range list.Objects {
 			if o.Name == platform.ConfigurationName && !o.Deleted {
-				changed = f.mergeConfig(Entry{Version: o.Version, Data: o.Data}) || changed
+				changed = f.mergeConfig(Entry{Version: o.Version, Data: o.Data}, "the store") || changed
 			}
 		}
 	case platform.EvacuationKind:
@@ -281,9 +281,9 @@
 	return true
 }
 
-// mergeConfig stores a configuration if it is newer than the known one and valid, and reports whether it did.
-// The caller holds the lock.
-func (f *Follower) mergeConfig(e Entry) bool {
+// mergeConfig stores a configuration from a source, which the log names, if it is newer than the known one and valid, and
+// reports whether it did. The caller holds the lock.
+func (f *Follower) mergeConfig(e Entry, source string) bool {
 	if e.Version == f.config.Version || e.Version < f.config.Version && e.Version.Era() == f.config.Version.Era() {
 		return false
 	}
@@ -301,8 +301,9 @@
 	f.version = max(f.version, e.Version)
 	if isNew {
 		f.Record(event.Event{
-			Code:   event.RulesApplied,
-			Detail: fmt.Sprintf("configuration %d, version %v, priorities %s", c.Version, e.Version, describePriorities(c)),
+			Code: event.RulesApplied,
+			Detail: fmt.Sprintf("configuration %d, version %v, %d bytes from %s, priorities %s",
+				c.Version, e.Version, len(e.Data), source, describePriorities(c)),
 		})
 	}
 	return true
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
@@ -226,6 +227,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), fetchTimeout)
 	defer stop()
 	var reply FetchReply
+	start := f.Now()
 	if err := f.Call(ctx, address, RPCName+".Fetch", f.knownVersions(), &reply); err != nil {
 		f.Record(event.Event{Code: event.RelayFailed, Detail: address + ": " + err.Error()})
 		return
@@ -235,7 +237,8 @@
 	changed := reply.Listed && f.recordListed()
 	changed = f.mergeFetchedEvacuations(reply.Evacuations, reply.EvacuationsListed) || changed
 	if reply.Config.Version > 0 {
-		changed = f.mergeConfig(reply.Config) || changed
+		source := fmt.Sprintf("%s in %v", address, f.Now().Sub(start).Round(time.Millisecond))
+		changed = f.mergeConfig(reply.Config, source) || changed
 	}
 	for id, e := range reply.Servers {
 		changed = f.mergeServer(id, e, false) || changed
