--- a/peer/pool.go
+++ b/peer/pool.go
@@ -21,6 +21,7 @@
 	Clock Clock
 
 	Traffic Traffic
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	clients map[string]*client // by address
@@ -36,7 +37,11 @@
 
 // NewPool returns an empty pool.
 func NewPool(token string) *Pool {
-	return &Pool{Token: token, clients: make(map[string]*client)}
+	return &Pool{Token: token, Dial: dialTCP, clients: make(map[string]*client)}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return socket.NewDialer().DialContext(ctx, "tcp", address)
 }
 
 // Call runs a method at a peer and waits for its reply until the context ends. reply must be a pointer; it is left as it
@@ -111,7 +116,7 @@
 
 // dial opens a connection to a peer and runs the handshake on it.
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := socket.NewDialer().DialContext(ctx, "tcp", address)
+	conn, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
