Don't take a connection for dead on which bytes arrive

Cause: a small call that waited behind a configuration ran out of time, and Pool.Call closed the connection since no reply had been completed meanwhile: the configuration, two thirds through, was lost with it, and all other calls on it. Change: a connection is closed only if nothing at all arrived on it since the call began. Measured: TestCallOutOfTimeLeavesConnectionOnWhichBytesArrive failed before (read/write on closed pipe) and passes; go test -race ./peer passes.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -29,10 +29,9 @@
 
 // client is an open connection to a peer.
 type client struct {
-	rpc       *rpc.Client
-	in        *countingReader
-	lastReply atomic.Int64           // time of the last reply, in Unix nanoseconds
-	replaced  atomic.Pointer[string] // method whose missing reply had the connection closed
+	rpc      *rpc.Client
+	in       *countingReader
+	replaced atomic.Pointer[string] // method whose missing reply had the connection closed
 }
 
 // NewPool returns an empty pool.
@@ -45,21 +44,22 @@
 }
 
 // Call runs a method at a peer and waits for its reply until the context ends. reply must be a pointer; it is left as it
-// is if the call fails. If the context's deadline passes and no reply to any call has come over the connection since the
-// call began, Call closes the connection: it may be dead.
+// is if the call fails. If the context's deadline passes and nothing has come over the connection since the call began, Call
+// closes the connection: it may be dead.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	c, err := p.client(ctx, address)
 	if err != nil {
 		return unreachable.Wrap(err, "peer: unable to reach %s", address)
 	}
-	start, receivedBefore := time.Now().UnixNano(), c.in.total.Load()
+	start, receivedBefore := time.Now(), c.in.total.Load()
 	received := newReply(reply)
 	call := c.rpc.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
+		arrived := c.in.total.Load() - receivedBefore
 		err := noReply.Wrap(ctx.Err(), "peer: no reply from %s to %s after %v, in which %d bytes arrived",
-			address, method, time.Duration(time.Now().UnixNano()-start).Round(time.Millisecond), c.in.total.Load()-receivedBefore)
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && c.lastReply.Load() < start {
+			address, method, time.Since(start).Round(time.Millisecond), arrived)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && arrived == 0 {
 			c.replaced.CompareAndSwap(nil, &method)
 			p.remove(address, c)
 		}
@@ -80,7 +80,6 @@
 func (p *Pool) result(address string, c *client, err error) error {
 	var serverError rpc.ServerError
 	if err == nil || errors.As(err, &serverError) {
-		c.lastReply.Store(time.Now().UnixNano())
 		return err
 	}
 	p.remove(address, c)
--- a/peer/traffic_test.go
+++ b/peer/traffic_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
+
+	"teaselgate/standin/network"
 )
 
 // trafficLog sums bytes by method. It is safe for concurrent use.
@@ -126,3 +130,42 @@
 		t.Errorf("unexpected error of the other call, got %v", err)
 	}
 }
+
+// Fetches of large configurations ended with their connection whenever a small call behind them got no reply in time, although
+// the configuration was arriving.
+func TestCallOutOfTimeLeavesConnectionOnWhichBytesArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate = 125_000 // bytes a second, so that a big reply takes 0.8 s
+		memory := network.New()
+		caller, host := memory.AddHost("caller", rate), memory.AddHost("host", rate)
+		server := NewServer(host, "secret")
+		receiver := pausingReceiver{make(chan struct{})}
+		if err := server.Register("Pausing", receiver); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { _ = server.Serve(ctx); close(ended) }()
+		pool := NewPool("secret")
+		pool.Dial = caller.Dial
+		big := make(chan error, 1)
+		go func() {
+			var reply []byte
+			big <- pool.Call(t.Context(), "host", "Pausing.Big", 1, &reply)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		short, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		var reply int
+		if err := pool.Call(short, "host", "Pausing.Wait", 1, &reply); !errors.Is(err, ErrNoReply) {
+			t.Errorf("unexpected error of a call without a reply, got %v instead of %v", err, ErrNoReply)
+		}
+		stop()
+		if err := <-big; err != nil {
+			t.Errorf("unexpected error of a call whose reply was arriving: %v", err)
+		}
+		close(receiver.proceed)
+		pool.Close()
+		cancel()
+		<-ended
+	})
+}
