Exchange knowledge with one peer at a time, and let failed exchanges rest

Cause: evidence of crashes and limits of servers go whole to each peer whose digest differs, with several at once, within half a second whatever their size; after a failure the next probe began it again from nothing. 512 crashes are 78 KB in each direction, limits of 12,000 servers 463 KB, which a link of 10 Mbit/s passes in 62 and 370 ms. Change: one such exchange is under way at an instance at a time, and a peer is left alone for exchangePause after a failure, too.

--- a/gossip/spreader.go
+++ b/gossip/spreader.go
@@ -31,6 +31,7 @@
 
 	mu         sync.Mutex
 	exchanged  map[string]exchange // last exchange, by address of the peer
+	exchanging bool                // whether an exchange with a peer whose digest differs is under way
 	ended      bool                // whether Wait was called since Learn
 	background sync.WaitGroup
 }
@@ -95,7 +96,8 @@
 }
 
 // ExchangeIfDifferent exchanges all knowledge, in the background, with a peer whose digest differs from the own one:
-// messages to it or from it may have been lost, as while one of the two was paused.
+// messages to it or from it may have been lost, as while one of the two was paused. There is one such exchange at a time, since
+// all knowledge may take a narrow link for some time, and after a failure the peer is left alone for exchangePause.
 func (s *Spreader) ExchangeIfDifferent(
 	address string, own, digest uint64, exchange func(ctx context.Context, address string) error,
 ) {
@@ -105,20 +107,24 @@
 	s.start(func() {
 		ctx, stop := context.WithTimeout(context.Background(), callTimeout)
 		defer stop()
-		if err := exchange(ctx, address); err != nil {
+		err := exchange(ctx, address)
+		s.mu.Lock()
+		s.exchanging = false
+		s.mu.Unlock()
+		if err != nil {
 			s.Failed(address, err)
-			s.mu.Lock()
-			delete(s.exchanged, address)
-			s.mu.Unlock()
 		}
 	})
 }
 
-// claimExchange reports whether an exchange with a peer is due, and if so counts it as done.
+// claimExchange reports whether an exchange with a peer is due, and if so counts it as begun.
 func (s *Spreader) claimExchange(address string, digest uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
+	if s.exchanging {
+		return false
+	}
 	if last, ok := s.exchanged[address]; ok && last.digest == digest && now.Before(last.next) {
 		return false
 	}
@@ -127,7 +133,7 @@
 			delete(s.exchanged, known)
 		}
 	}
-	s.exchanged[address] = exchange{digest, now.Add(exchangePause)}
+	s.exchanged[address], s.exchanging = exchange{digest, now.Add(exchangePause)}, true
 	return true
 }
 
@@ -135,9 +141,11 @@
 func (s *Spreader) start(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ended {
-		s.background.Go(f)
+	if s.ended {
+		s.exchanging = false
+		return
 	}
+	s.background.Go(f)
 }
 
 // Wait waits until the calls in the background have ended. No others begin before the next Learn.
