End fetches of configurations that nobody has any more

Cause: if the only instance with a newer configuration ended while others fetched it, those without the store would have waited for it for ever, and never taken the older one of the rest. Change: a fetch ends after three seconds in which no part has come; its parts are kept for the next one. Progress tells how far a fetch is.

--- a/registry/config.go
+++ b/registry/config.go
@@ -240,6 +240,25 @@
 		len(stats.Sources), stats.Bytes, stats.Requests, stats.Failures, f.Now().Sub(t.heardAt).Round(time.Millisecond))
 }
 
+// Progress is the state of the fetch of a configuration from other instances.
+type Progress struct {
+	Number  int64 // number of the configuration
+	Parts   int
+	Missing int
+	HeardAt time.Time // when this instance heard of it
+}
+
+// Progress returns the state of the fetch that is running, and false if there is none.
+func (f *Follower) Progress() (Progress, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.wanted == nil {
+		return Progress{}, false
+	}
+	outline := f.wanted.Outline
+	return Progress{f.wanted.Number, outline.Len(), f.offer.Missing(outline.Sum), f.wanted.heardAt}, true
+}
+
 // Parts replies with parts of a configuration. The caller fetches it, and so is a source of its parts.
 func (r *Receiver) Parts(args transfer.Args, reply *transfer.Reply) error {
 	*reply = r.follower.offer.Give(args)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -383,6 +383,35 @@
 	})
 }
 
+// The only instance with the newest configuration may be gone before another has it. Those without the store then need an older one.
+func TestOlderConfigurationIsTakenOnceNobodyHasTheNewest(t *testing.T) {
+	s := newFakeStore()
+	s.put("config", "main", configurationJSON(1, "old.example"))
+	s.put("servers", "a", serverEntryJSON("10.0.0.1:80", "ready"))
+	runFollowers(t, s, 3, func(followers []*Follower) {
+		isolated := NewFollower(func(context.Context, string, platform.Version) (platform.List, error) {
+			return platform.List{}, platform.ErrUnavailable
+		})
+		isolated.Call = followers[2].Call
+		defer startFetchingConfigs(isolated)()
+		lost := transfer.NewDocument([]byte(configurationJSON(2, "new.example"))).Outline()
+		isolated.want(ConfigOutline{Version: 1000, Number: 2, Outline: lost}, "1")
+		if p, ok := isolated.Progress(); !ok || p.Number != 2 || p.Missing > p.Parts {
+			t.Errorf("unexpected progress %v", p)
+		}
+		for range 6 {
+			sleep(pollInterval)
+			version, digest := followers[0].versionAndDigest()
+			args := TellArgs{Address: "0", Version: version, Digest: digest}
+			args.Config, args.Number = followers[0].newestConfig()
+			_ = isolated.Receiver().Tell(args, &TellReply{})
+		}
+		if view := isolated.Current(); view == nil || view.Configuration.Version != 1 {
+			t.Error("the instance does not have the older configuration")
+		}
+	})
+}
+
 func TestInvalidServerEntriesAreIgnored(t *testing.T) {
 	invalid := []string{
 		`"text"`, `{}`, `{"service":"s","zone":"z","state":"ready"}`,
--- a/transfer/fetch.go
+++ b/transfer/fetch.go
@@ -14,6 +14,9 @@
 	pickInterval = 10 * time.Millisecond  // time between looks for a source that can be asked
 	// searchDelay is how soon a source must be available; otherwise an instance of which nothing is known is asked.
 	searchDelay = 100 * time.Millisecond
+	// stallLimit is how long a fetch goes on without parts. Those that had the document may be gone, and an older one is better
+	// than none.
+	stallLimit = 3 * time.Second
 )
 
 // Fetch fetches a document from other instances. Its exported fields are set before Run.
@@ -31,6 +34,7 @@
 	plan     *Plan
 	stats    Stats
 	searched time.Time // time of the last search
+	stalls   time.Time // time at which the fetch ends unless parts come before
 }
 
 // Stats says what a fetch has cost.
@@ -70,12 +74,15 @@
 }
 
 // Run fetches the missing parts until the document is complete or the context ends. Meanwhile the Offer gives the parts that
-// are there to others. Errors: ErrMalformed, ErrDamaged, and that of the context.
+// are there to others. Errors: ErrMalformed, ErrDamaged, ErrStalled, and that of the context.
 func (f *Fetch) Run(ctx context.Context) (*Document, []byte, error) {
 	assembly, err := f.Offer.begin(f.outline)
 	if err != nil {
 		return nil, nil, err
 	}
+	f.mu.Lock()
+	f.stalls = f.Now().Add(stallLimit)
+	f.mu.Unlock()
 	var workers sync.WaitGroup
 	for worker := range fetchWorkers {
 		workers.Go(func() { f.work(ctx, assembly, worker) })
@@ -84,14 +91,17 @@
 	if ctx.Err() != nil {
 		return nil, nil, ctx.Err()
 	}
+	if n := f.Offer.Missing(f.outline.Sum); n > 0 {
+		return nil, nil, stalled.New("transfer: nobody has %d parts of %d that are missing", n, f.outline.Len())
+	}
 	return assembly.Document()
 }
 
-// work asks one source after the other until nothing is missing or the context ends.
+// work asks one source after the other until nothing is missing, nothing has come for too long or the context ends.
 func (f *Fetch) work(ctx context.Context, assembly *Assembly, worker int) {
 	for ctx.Err() == nil {
 		wanted, missing := f.Offer.wanted(assembly, worker, fetchWorkers)
-		if !missing {
+		if !missing || f.isStalled() {
 			return
 		}
 		address, ok := f.pick()
@@ -103,6 +113,13 @@
 	}
 }
 
+// isStalled reports whether nothing has come for too long.
+func (f *Fetch) isStalled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Now().After(f.stalls)
+}
+
 // pick returns a source that can be asked now. If there will be none soon, it adds one to ask.
 func (f *Fetch) pick() (string, bool) {
 	f.mu.Lock()
@@ -150,6 +167,7 @@
 	f.stats.Requests++
 	f.stats.Bytes += bytes
 	if bytes > 0 {
+		f.stalls = f.Now().Add(stallLimit)
 		f.stats.Sources[address] += bytes
 	}
 	if err != nil {
--- a/transfer/offer.go
+++ b/transfer/offer.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// Missing returns the number of missing parts of the document that is being fetched, or 0 if it is another one.
+func (o *Offer) Missing(sum Sum) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.fetching == nil || o.fetching.outline.Sum != sum {
+		return 0
+	}
+	return len(o.fetching.missing)
+}
+
 // begin begins the fetch of a document, with the parts of those that this instance knows. It replaces another fetch.
 func (o *Offer) begin(outline Outline) (*Assembly, error) {
 	o.mu.Lock()
--- a/transfer/outline.go
+++ b/transfer/outline.go
@@ -21,11 +21,14 @@
 	namespace = errorx.NewNamespace("transfer")
 	malformed = namespace.NewType("malformed")
 	damaged   = namespace.NewType("damaged")
+	stalled   = namespace.NewType("stalled")
 
 	// ErrMalformed means that an outline is not that of any document.
 	ErrMalformed = malformed.NewWithNoMessage()
 	// ErrDamaged means that the parts of a document don't make the document that its outline names.
 	ErrDamaged = damaged.NewWithNoMessage()
+	// ErrStalled means that no instance had missing parts of a document for stallLimit.
+	ErrStalled = stalled.NewWithNoMessage()
 )
 
 // PartID names a part after its content.
--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -261,3 +261,21 @@
 		t.Errorf("unexpected source %q although near ones have nothing new", address)
 	}
 }
+
+// An instance must not wait for ever for a document whose holders are gone, since others may have an older one.
+func TestFetchEndsWhenNobodyHasTheDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFetch(NewDocument(routesText(1, 20)).Outline())
+		f.Offer, f.Self = NewOffer(), "self"
+		f.Search = func() string { return "other" }
+		f.Ask = func(context.Context, string, Args) (Reply, error) { return Reply{Result: Unknown}, nil }
+		f.Add("restarted")
+		start := time.Now()
+		if _, _, err := f.Run(t.Context()); !errors.Is(err, ErrStalled) {
+			t.Errorf("unexpected error, got %v instead of %v", err, ErrStalled)
+		}
+		if took := time.Since(start); took > stallLimit+time.Second {
+			t.Errorf("the fetch ended after %v", took)
+		}
+	})
+}
