Show in teaselgate status which configuration an instance has and fetches

Cause: on the users' platform, status showed revision 0 for all instances, and nothing of a change that lags. Change: the number of the configuration in force; for one that is being fetched its number, parts, missing parts and the time since the instance heard of it; the note of a lagging instance says so. Measured: go test ./cli ./config ./registry passes.

--- a/cli/status.go
+++ b/cli/status.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -139,13 +140,22 @@
 		case s.Rejected != nil:
 			note = fmt.Sprintf("refused revision %d: %s", s.Rejected.Revision, s.Rejected.Reason)
 		case s.Revision < revision:
-			note = "lags"
+			note = describeLag(s)
 		}
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%t\t%t\t%s\n", r.Name, r.Zone, r.State, s.Revision, s.Ready, s.Connected, note)
 	}
 	_ = table.Flush()
 }
 
+// describeLag says why an instance is at an older revision than others, as far as it knows.
+func describeLag(s *config.Status) string {
+	if s.Fetching == nil {
+		return "lags"
+	}
+	return fmt.Sprintf("lags: fetching revision %d for %v, %d of %d parts missing",
+		s.Fetching.Revision, s.Fetching.Lag.Round(time.Millisecond), s.Fetching.Missing, s.Fetching.Parts)
+}
+
 // printJSON prints a value as indented JSON.
 func printJSON(cmd *cobra.Command, v any) error {
 	encoder := json.NewEncoder(cmd.OutOrStdout())
--- a/config/status.go
+++ b/config/status.go
@@ -36,11 +36,20 @@
 	Change    string     `json:"change,omitempty"`   // ID of the change that made that revision
 	Rejected  *Rejection `json:"rejected,omitempty"` // last rejected revision, if newer than the one in force
 	Members   []Member   `json:"members"`            // instances known to this one
+	Fetching  *Fetching  `json:"fetching,omitempty"` // newer revision that the instance is fetching from others, if any
 
 	Evacuated []string       `json:"evacuated,omitempty"` // availability zones whose evacuation is in force at the instance
 	Running   map[string]int `json:"running,omitempty"`   // the instance's requests at backend servers, by availability zone
 }
 
+// Fetching is a revision that an instance is fetching from others.
+type Fetching struct {
+	Revision uint64        `json:"revision"`
+	Parts    int           `json:"parts"`   // number of its parts
+	Missing  int           `json:"missing"` // number of those that are missing
+	Lag      time.Duration `json:"lag_ns"`  // time since the instance heard of it
+}
+
 // Member is an instance as the platform or another instance knows it.
 type Member struct {
 	Name  string `json:"name"`
--- a/instance/status.go
+++ b/instance/status.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"time"
 
 	"teaselgate/config"
 )
@@ -14,6 +15,8 @@
 	var s config.Status
 	if i.registry == nil {
 		s = i.rules.Status()
+	} else {
+		s.Revision, s.Fetching = i.configurationNumber(), i.fetchingStatus()
 	}
 	s.Instance = i.Options.Name
 	s.Zone = i.Options.Zone
@@ -26,6 +29,26 @@
 	return s
 }
 
+// fetchingStatus returns the state of the fetch of a configuration, or nil.
+func (i *Instance) fetchingStatus() *config.Fetching {
+	p, ok := i.registry.Progress()
+	if !ok {
+		return nil
+	}
+	return &config.Fetching{
+		Revision: uint64(p.Number), Parts: p.Parts, Missing: p.Missing, Lag: time.Since(p.HeardAt),
+	}
+}
+
+// configurationNumber returns the number of the configuration in force, or 0.
+func (i *Instance) configurationNumber() uint64 {
+	view := i.registry.Current()
+	if view == nil {
+		return 0
+	}
+	return uint64(view.Configuration.Version)
+}
+
 // evacuated returns the availability zones whose evacuation is in force, by name.
 func (i *Instance) evacuated() []string {
 	if i.registry != nil {
