--- a/transfer/offer.go
+++ b/transfer/offer.go
@@ -1,7 +1,9 @@
 package transfer
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -40,6 +42,8 @@
 	whole    *Document
 	fetching *Assembly
 	seats    Seats
+	givenOf  Sum   // document of given
+	given    []int // how often each part of a document was given
 }
 
 // NewOffer returns an offer without documents.
@@ -74,24 +78,30 @@
 	return nil
 }
 
-// choose returns wanted parts of a document, from a random one on, so that instances which ask at once get different ones and
-// can give them to each other. The caller holds the lock.
+// choose returns wanted parts of a document, first those that were given least often. So instances which ask at once get different
+// ones and can give them to each other. The caller holds the lock.
 func (o *Offer) choose(h holder, wanted []byte) [][]byte {
 	outline := h.Outline()
-	start, size := o.Random(outline.Len()), 0
-	var out [][]byte
+	if o.givenOf != outline.Sum {
+		o.givenOf, o.given = outline.Sum, make([]int, outline.Len())
+	}
+	var places []int
+	start := o.Random(outline.Len())
 	for n := range outline.Len() {
 		at := (start + n) % outline.Len()
-		if at/8 >= len(wanted) || wanted[at/8]&(1<<(at%8)) == 0 {
-			continue
+		if at/8 < len(wanted) && wanted[at/8]&(1<<(at%8)) != 0 && h.Part(outline.ID(at)) != nil {
+			places = append(places, at)
 		}
+	}
+	slices.SortStableFunc(places, func(a, b int) int { return cmp.Compare(o.given[a], o.given[b]) })
+	var out [][]byte
+	size := 0
+	for _, at := range places {
 		part := h.Part(outline.ID(at))
-		if part == nil {
-			continue
-		}
 		if size+len(part) > replyBytes {
 			break
 		}
+		o.given[at]++
 		out, size = append(out, part), size+len(part)
 	}
 	return out
