Decide by the size of a list whether a change is left to the watch

With silent watches, a leaving server was noticed one reading (0.7 s) later than before in a store that takes more than 100 ms for a list: what is left to the watch was decided by the time of the last list, which in a slow store is long for small lists, too.

The size decides now: lists below 128 KB, 100 ms of a link of 10 Mbit/s, are read at once.

TestLeavingServersAreNoticedInASlowStoreWithSilentWatches: none of five servers was noticed within one reading before, all five are now.

--- a/registry/watch.go
+++ b/registry/watch.go
@@ -74,18 +74,19 @@
 	complete platform.Version // version of the last complete list
 	seen     platform.Version // version up to which changes were read
 	next     time.Time        // time from which a complete list may be read again
-	cost     time.Duration    // time that the last complete list took
+	size     int              // bytes of the objects in the last complete list
 	noticed  platform.Version // version that was noticed at the last reading and left to the watch, or 0
 }
 
-// costlyRead is the time of a complete list from which on the watch has until the next reading to bring a change. Otherwise an
-// instance with a narrow link would get each change twice at the same time.
-const costlyRead = 100 * time.Millisecond
+// largeList is the size in bytes of a complete list from which on the watch has until the next reading to bring a change. Otherwise
+// an instance with a narrow link would get each change twice at the same time. The size decides, not the time that the list took:
+// a slow store must not delay the entries of leaving servers further.
+const largeList = 128 << 10 // 100 ms at 10 Mbit/s
 
 // leaveToWatch reports whether a change is left to the watch, which has brought all up to a version.
 func (r *storeRead) leaveToWatch(newest, watched platform.Version) bool {
 	switch {
-	case r.cost < costlyRead:
+	case r.size < largeList:
 		return false
 	case watched >= newest:
 		r.seen, r.complete, r.noticed = newest, newest, 0
@@ -171,8 +172,7 @@
 	read.seen = list.Version
 	if complete {
 		end := f.Now()
-		read.cost = end.Sub(start)
-		read.complete, read.next = list.Version, end.Add((completeReadShare-1)*read.cost)
+		read.complete, read.next, read.size = list.Version, end.Add((completeReadShare-1)*end.Sub(start)), list.Size()
 	}
 	return true
 }
