Exchange evidence, limits and members in pages of what differs

Instances whose evidence of crashes, limits of servers or members differ exchanged all of it in one message each way: 78 KB at 512 crashes, 463 KB at 12,000 servers, 78 KB at 1,000 instances, in which small calls on the same connection waited, and begun again from nothing after a failure.

The registry's digests by group move to gossip and serve all four. An exchange asks for pages of 8 KB of the groups that differ, merges them, and sends back what the peer lacks; what has come before a failure is not asked for again. Evidence is merged at once after its last page, since blocks follow from all of it together. Without digests, as from instances of an earlier release, all is exchanged as before.

--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -44,14 +44,19 @@
 	Heard bool
 }
 
-// SyncArgs carries all members that the caller knows.
+// SyncArgs carries members that the caller knows, and asks for a page of those in which the callee differs. Without digests it
+// carries all members, and the reply those that the caller does not know or of which it has older updates.
 type SyncArgs struct {
 	Members []Member
+	Digests []uint64 // digests of all members at the caller, by group
+	Next    int      // group with which the page begins
 }
 
-// SyncReply carries the members that the callee knows and the caller does not, or of which it has older updates.
+// SyncReply carries a page of members.
 type SyncReply struct {
 	Members []Member
+	Digests []uint64 // digests of all members at the callee, by group
+	Next    int      // group with which the next page begins; 0 if there is none
 }
 
 // Receiver serves the RPC methods of a Fleet.
@@ -78,8 +83,13 @@
 	return nil
 }
 
-// Sync replies with the members of which the caller has no update or an older one, and merges those of the caller.
+// Sync merges members of the caller and replies with those that differ.
 func (r *Receiver) Sync(args SyncArgs, reply *SyncReply) error {
+	if len(args.Digests) > 0 {
+		r.fleet.merge(args.Members)
+		reply.Members, reply.Digests, reply.Next = r.fleet.page(args.Digests, args.Next)
+		return nil
+	}
 	known := make(map[string]Member, len(args.Members))
 	for _, m := range args.Members {
 		known[m.Name] = m
@@ -209,8 +219,8 @@
 	return m
 }
 
-// syncOccasionally exchanges all members with a random peer, less often in a larger fleet: the exchange only repairs
-// what the spread of updates missed, and its size grows with the fleet.
+// syncOccasionally exchanges members with a random peer, less often in a larger fleet: the exchange only repairs
+// what the spread of updates missed.
 func (f *Fleet) syncOccasionally(ctx context.Context) {
 	size := f.peerCount()
 	if size < smallFleetSize || rand.IntN(size) < smallFleetSize {
@@ -224,16 +234,6 @@
 	}
 }
 
-// syncWith exchanges all members with the instance at an address.
-func (f *Fleet) syncWith(ctx context.Context, address string) {
-	ctx, stop := context.WithTimeout(ctx, probeTimeout)
-	defer stop()
-	var reply SyncReply
-	if f.Call(ctx, address, RPCName+".Sync", SyncArgs{f.Members()}, &reply) == nil {
-		f.merge(reply.Members)
-	}
-}
-
 // probeRound marks expired suspects as gone, and probes some peers in the background.
 func (f *Fleet) probeRound(ctx context.Context) {
 	f.expireSuspects(f.Now())
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -1,11 +1,11 @@
 package quarantine
 
 import (
-	"hash/fnv"
-	"io"
 	"slices"
 	"sync"
 	"time"
+
+	"teaselgate/gossip"
 )
 
 // Limits of the evidence.
@@ -140,32 +140,52 @@
 	l.successes = kept
 }
 
-// digest returns a digest of the crashes and of the parts that have succeeded since their last crash, or 0 without
-// evidence. Two instances with the same evidence have the same digest.
-func (l *ledger) digest() uint64 {
-	sum := uint64(0)
+// group returns the group of a crash in exchanges between instances.
+func (c Crash) group() int { return gossip.GroupOf(gossip.Hash(c.Request, c.Server)) }
+
+// size returns the approximate size of a crash and the successes of its parts in a message, in bytes.
+func (c Crash) size() int {
+	size := crashBytes + len(c.Request) + len(c.Server) + len(c.Caller.Account) + len(c.Caller.Key)
+	for _, part := range c.Parts {
+		size += successBytes + 2*len(part)
+	}
+	return size
+}
+
+// Approximate sizes in messages, in bytes, without texts.
+const (
+	crashBytes   = 24
+	successBytes = 10
+)
+
+// sizes returns the sizes of the groups.
+func (l *ledger) sizes() (out [gossip.Groups]int) {
+	for _, c := range l.crashes {
+		out[c.group()] += c.size()
+	}
+	return out
+}
+
+// digests returns digests of the crashes with those of their parts that have succeeded since the last crash under them, by
+// group. Two instances with the same evidence have the same digests.
+func (l *ledger) digests() gossip.Digests {
 	last := make(map[string]time.Time)
 	for _, c := range l.crashes {
-		sum ^= hash(c.Request, c.Server)
 		for _, part := range c.Parts {
 			last[part] = c.At
 		}
 	}
-	for part, at := range last {
-		if l.successes[part].After(at) {
-			sum ^= hash(part)
+	var out gossip.Digests
+	for _, c := range l.crashes {
+		texts := []string{c.Request, c.Server}
+		for _, part := range c.Parts {
+			if l.successes[part].After(last[part]) {
+				texts = append(texts, part)
+			}
 		}
+		out[c.group()] ^= gossip.Hash(texts...)
 	}
-	return sum
-}
-
-func hash(texts ...string) uint64 {
-	h := fnv.New64a()
-	for _, text := range texts {
-		_, _ = io.WriteString(h, text) // never fails
-		_, _ = h.Write([]byte{0})
-	}
-	return h.Sum64()
+	return out
 }
 
 // recentParts holds the parts of recent requests that servers have answered, in two generations, so that old ones are
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"teaselgate/delay"
 	"teaselgate/event"
+	"teaselgate/gossip"
 )
 
 // RPCName is the name under which the methods are registered for other instances.
@@ -30,10 +32,12 @@
 	Age  time.Duration // time since the success
 }
 
-// Evidence is what an instance tells another.
+// Evidence is what an instance tells another. In an exchange it is one page of it, or asks for one.
 type Evidence struct {
 	Crashes   []CrashReport
 	Successes []SuccessReport
+	Digests   []uint64 // digests of all evidence of the sender, by group; without them all of it is asked for
+	Next      int      // group with which the page that is asked for begins, or the one after a reply; 0 if there is none
 }
 
 // TellReply is the empty reply to Evidence.
@@ -80,14 +84,35 @@
 func (l *List) evidence() Evidence {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ledger.prune(l.Now())
+	return l.report(l.ledger.crashes)
+}
+
+// evidencePage returns a page of the evidence in the groups that differ from other digests.
+func (l *List) evidencePage(other []uint64, from int) Evidence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ledger.prune(l.Now())
+	digests := l.ledger.digests()
+	page, next := digests.Differing(other).Page(from, l.ledger.sizes())
+	e := l.report(slices.DeleteFunc(slices.Clone(l.ledger.crashes), func(c Crash) bool { return !page[c.group()] }))
+	e.Digests, e.Next = digests[:], next
+	return e
+}
+
+// report returns crashes and the successes of their parts as sent to other instances. The caller holds the lock.
+func (l *List) report(crashes []Crash) Evidence {
 	now := l.Now()
-	l.ledger.prune(now)
 	var e Evidence
-	for _, c := range l.ledger.crashes {
+	sent := make(map[string]bool)
+	for _, c := range crashes {
 		e.Crashes = append(e.Crashes, c.report(now))
-	}
-	for part, at := range l.ledger.successes {
-		e.Successes = append(e.Successes, success{part, at}.report(now))
+		for _, part := range c.Parts {
+			if at, ok := l.ledger.successes[part]; ok && !sent[part] {
+				sent[part] = true
+				e.Successes = append(e.Successes, success{part, at}.report(now))
+			}
+		}
 	}
 	return e
 }
@@ -163,22 +188,44 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ledger.digest()
+	return l.ledger.digests().Sum()
+}
+
+// digests returns the digests of the evidence, by group.
+func (l *List) digests() gossip.Digests {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ledger.digests()
 }
 
-// ExchangeIfDifferent exchanges all evidence, in the background, with a peer whose digest differs.
+// ExchangeIfDifferent exchanges the evidence that differs, in the background, with a peer whose digest differs.
 func (l *List) ExchangeIfDifferent(address string, digest uint64) {
 	l.spreader.ExchangeIfDifferent(address, l.Digest(), digest, l.exchange)
 }
 
-// exchange sends all evidence to a peer and merges that of the peer.
+// exchange merges the evidence that a peer has in the groups that differ, and sends it that of this instance. After a failure
+// the next exchange has only the groups that still differ.
 func (l *List) exchange(ctx context.Context, address string) error {
-	var reply Evidence
-	if err := l.Call(ctx, address, RPCName+".Exchange", l.evidence(), &reply); err != nil {
+	own := l.digests()
+	var learnt Evidence
+	err := gossip.EachPage(ctx, func(ctx context.Context, from int) (int, error) {
+		var page Evidence
+		err := l.Call(ctx, address, RPCName+".Exchange", Evidence{Digests: own[:], Next: from}, &page)
+		learnt.Crashes, learnt.Successes = append(learnt.Crashes, page.Crashes...), append(learnt.Successes, page.Successes...)
+		learnt.Digests = page.Digests
+		return page.Next, err
+	})
+	l.mergeReports(learnt) // all at once, since blocks follow from all evidence together
+	if err != nil {
 		return err
 	}
-	l.mergeReports(reply)
-	return nil
+	return gossip.EachPage(ctx, func(ctx context.Context, from int) (int, error) {
+		page := l.evidencePage(learnt.Digests, from)
+		if len(page.Crashes) == 0 {
+			return 0, nil
+		}
+		return page.Next, l.Call(ctx, address, RPCName+".Tell", page, &TellReply{})
+	})
 }
 
 // Receiver serves the RPC methods of a List.
@@ -193,9 +240,14 @@
 	return nil
 }
 
-// Exchange merges all evidence of a peer and replies with that of this instance.
+// Exchange merges the evidence of a peer and replies with a page of what differs from it at this instance, or with all evidence
+// to a peer without digests.
 func (r *Receiver) Exchange(args Evidence, reply *Evidence) error {
 	r.list.mergeReports(args)
-	*reply = r.list.evidence()
+	if len(args.Digests) == 0 {
+		*reply = r.list.evidence()
+		return nil
+	}
+	*reply = r.list.evidencePage(args.Digests, args.Next)
 	return nil
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -132,9 +132,9 @@
 
 // rank returns the position of this instance in the order in which the instances try the parts of a block again.
 func (l *List) rank(key string) int {
-	own, before := hash(key, l.Self), 0
+	own, before := gossip.Hash(key, l.Self), 0
 	for _, name := range l.Live() {
-		if hash(key, name) < own {
+		if gossip.Hash(key, name) < own {
 			before++
 		}
 	}
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -158,7 +158,7 @@
 		known.addSuccess(s)
 	}
 	l.merge(crashes, successes, false)
-	return object.Version, known.digest() == l.Digest(), nil
+	return object.Version, known.digests().Sum() == l.Digest(), nil
 }
 
 // decode decodes the evidence in the platform store. If that fails, the next write replaces it.
--- a/registry/digest.go
+++ b/registry/digest.go
@@ -4,29 +4,14 @@
 	"encoding/binary"
 	"hash/fnv"
 
+	"teaselgate/gossip"
 	"teaselgate/platform"
 )
 
-// digestGroups is the number of groups of entries with a digest of their own, so that two instances which differ in some
-// entries exchange the groups of these only.
-const digestGroups = 64
-
-// digests are digests of the versions of entries in force, by group. The evacuations in force are in the first.
-type digests [digestGroups]uint64
-
-// sum returns a digest of all groups.
-func (d digests) sum() uint64 {
-	var sum uint64
-	for _, group := range d {
-		sum ^= group
-	}
-	return sum
-}
-
-// computeDigests returns digests of the versions of the servers that are not gone and of the evacuations in force. The caller
-// holds the lock.
-func (f *Follower) computeDigests() digests {
-	var out digests
+// computeDigests returns digests of the versions of the servers that are not gone, by group, and of the evacuations in force, in
+// the first group. The caller holds the lock.
+func (f *Follower) computeDigests() gossip.Digests {
+	var out gossip.Digests
 	for id, e := range f.servers {
 		if !e.Gone {
 			out[groupOf(id)] ^= hashVersion(id, e.Version)
@@ -41,7 +26,7 @@
 }
 
 // groupOf returns the group of a server's entry.
-func groupOf(id string) int { return int(hashVersion(id, 0) % digestGroups) }
+func groupOf(id string) int { return gossip.GroupOf(hashVersion(id, 0)) }
 
 func hashVersion(name string, version platform.Version) uint64 {
 	h := fnv.New64a()
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -14,6 +14,7 @@
 
 	"teaselgate/delay"
 	"teaselgate/event"
+	"teaselgate/gossip"
 	"teaselgate/platform"
 	"teaselgate/transfer"
 )
@@ -75,7 +76,7 @@
 	listedAt       time.Time                   // when that was first so
 	changed        chan struct{}               // closed when the next view is put in force
 	version        platform.Version            // newest version of the configuration and all entries
-	digests        digests                     // digests of the entries in force
+	digests        gossip.Digests              // digests of the entries in force
 	lapseDeadlines map[string]time.Time        // time until which a lapsed entry is kept, by server id
 	leaving        map[string]int64            // starts of servers that have said themselves that they leave, by id
 	revivals       map[string]revival          // entries of removed servers in a restored store, by server id
--- a/registry/relay.go
+++ b/registry/relay.go
@@ -9,6 +9,7 @@
 
 	"teaselgate/delay"
 	"teaselgate/event"
+	"teaselgate/gossip"
 	"teaselgate/platform"
 )
 
@@ -47,9 +48,6 @@
 	Entry
 }
 
-// fetchBytes is the size of entries after which a reply ends, so that other calls on the connection don't wait for long.
-const fetchBytes = 8 << 10
-
 // TellArgs tells a peer which version an instance has.
 type TellArgs struct {
 	Address string           // peer address of that instance
@@ -142,7 +140,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	*reply = FetchReply{
-		Config: f.newerConfig(args.Config, args.Number), Version: f.entriesVersion, Digest: f.digests.sum(), Listed: f.serversListed,
+		Config: f.newerConfig(args.Config, args.Number), Version: f.entriesVersion, Digest: f.digests.Sum(), Listed: f.serversListed,
 		Evacuations: f.newerEvacuations(args.Evacuations), EvacuationsListed: f.evacuations.listed,
 	}
 	reply.Servers, reply.More = f.entriesSince(args.Since, args.Digests)
@@ -152,9 +150,9 @@
 // entriesSince returns entries that are newer than a version, oldest first, and whether there are more. With digests, only
 // those of the groups that differ. The caller holds the lock.
 func (f *Follower) entriesSince(since platform.Version, other []uint64) (out []NamedEntry, more bool) {
+	differ := f.digests.Differing(other)
 	for id, e := range f.servers {
-		group := groupOf(id)
-		if e.Version > since && (group >= len(other) || other[group] != f.digests[group]) {
+		if e.Version > since && differ[groupOf(id)] {
 			out = append(out, NamedEntry{id, e})
 		}
 	}
@@ -162,7 +160,7 @@
 	size := 0
 	for n, e := range out {
 		// Entries of one version stay together, since the next request begins after a version.
-		if size >= fetchBytes && e.Version != out[n-1].Version {
+		if size >= gossip.PageBytes && e.Version != out[n-1].Version {
 			return out[:n], true
 		}
 		size += len(e.ID) + len(e.Data)
@@ -247,7 +245,7 @@
 	if f.view.Load() == nil {
 		return 0, 0
 	}
-	return f.version, f.digests.sum()
+	return f.version, f.digests.Sum()
 }
 
 // fetchArgs returns what this instance has, as arguments of Fetch.
@@ -275,7 +273,7 @@
 	f.mu.Lock()
 	own, version := f.computeDigests(), f.entriesVersion
 	f.mu.Unlock()
-	if reply.Digest == own.sum() || reply.Version < version {
+	if reply.Digest == own.Sum() || reply.Version < version {
 		return
 	}
 	args := f.fetchArgs()
--- a/registry/relay_test.go
+++ b/registry/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"testing"
 
+	"teaselgate/gossip"
 	"teaselgate/platform"
 )
 
@@ -48,8 +49,8 @@
 		}{
 			"one change":    {FetchArgs{Since: platform.Version(servers - 1)}, oneEntry},
 			"nothing":       {FetchArgs{Since: platform.Version(servers)}, oneEntry},
-			"all, in pages": {FetchArgs{}, 3 * fetchBytes}, // a page ends after fetchBytes of entries, without their versions
-			"an old one":    {FetchArgs{Digests: lacking.digests[:]}, 3 * fetchBytes},
+			"all, in pages": {FetchArgs{}, 3 * gossip.PageBytes}, // a page ends after gossip.PageBytes of entries, without their versions
+			"an old one":    {FetchArgs{Digests: lacking.digests[:]}, 3 * gossip.PageBytes},
 		}
 		for name, test := range tests {
 			var reply FetchReply
--- a/throttle/gossip.go
+++ b/throttle/gossip.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"teaselgate/delay"
 	"teaselgate/event"
+	"teaselgate/gossip"
 	"teaselgate/upstream"
 )
 
@@ -18,9 +20,11 @@
 	prunePeriod = time.Minute
 )
 
-// Statements is what an instance tells another about limits.
+// Statements is what an instance tells another about limits. In an exchange it is one page of them, or asks for one.
 type Statements struct {
-	All []Statement
+	All     []Statement
+	Digests []uint64 // digests of all statements of the sender, by group; without them all are asked for
+	Next    int      // group with which the page that is asked for begins, or the one after a reply; 0 if there is none
 }
 
 // TellReply is the empty reply to Statements.
@@ -67,7 +71,7 @@
 				return err
 			}
 			if unsent := l.takeUnsent(); len(unsent) > 0 {
-				l.spreader.Tell(ctx, RPCName+".Tell", Statements{unsent}, func() any { return &TellReply{} })
+				l.spreader.Tell(ctx, RPCName+".Tell", Statements{All: unsent}, func() any { return &TellReply{} })
 			}
 		}
 	}
@@ -78,19 +82,48 @@
 	l.Record(event.Event{Code: event.LimitCallFailed, Detail: address + ": " + err.Error()})
 }
 
-// ExchangeIfDifferent exchanges all statements, in the background, with a peer whose digest differs.
+// ExchangeIfDifferent exchanges the statements that differ, in the background, with a peer whose digest differs.
 func (l *List) ExchangeIfDifferent(address string, digest uint64) {
 	l.spreader.ExchangeIfDifferent(address, l.Digest(), digest, l.exchange)
 }
 
-// exchange sends all statements to a peer and merges those of the peer.
+// exchange merges the statements that a peer has in the groups that differ, and sends it those of this instance. After a failure
+// the next exchange has only the groups that still differ.
 func (l *List) exchange(ctx context.Context, address string) error {
-	var reply Statements
-	if err := l.Call(ctx, address, RPCName+".Exchange", Statements{l.known()}, &reply); err != nil {
+	var theirs []uint64
+	err := gossip.EachPage(ctx, func(ctx context.Context, from int) (int, error) {
+		var page Statements
+		own := digestStatements(l.known())
+		if err := l.Call(ctx, address, RPCName+".Exchange", Statements{Digests: own[:], Next: from}, &page); err != nil {
+			return 0, err
+		}
+		l.mergeAll(page, "from "+address)
+		theirs = page.Digests
+		return page.Next, nil
+	})
+	if err != nil {
 		return err
 	}
-	l.mergeAll(reply, "from "+address)
-	return nil
+	return gossip.EachPage(ctx, func(ctx context.Context, from int) (int, error) {
+		page := l.page(theirs, from)
+		if len(page.All) == 0 {
+			return 0, nil
+		}
+		return page.Next, l.Call(ctx, address, RPCName+".Tell", page, &TellReply{})
+	})
+}
+
+// page returns a page of the statements in the groups that differ from other digests.
+func (l *List) page(other []uint64, from int) Statements {
+	all := l.known()
+	digests := digestStatements(all)
+	var sizes [gossip.Groups]int
+	for _, s := range all {
+		sizes[s.group()] += s.size()
+	}
+	page, next := digests.Differing(other).Page(from, sizes)
+	all = slices.DeleteFunc(all, func(s Statement) bool { return !page[s.group()] })
+	return Statements{All: all, Digests: digests[:], Next: next}
 }
 
 func (l *List) mergeAll(s Statements, source string) {
@@ -112,10 +145,15 @@
 	return nil
 }
 
-// Exchange merges all statements of a peer and replies with those of this instance.
+// Exchange merges the statements of a peer and replies with a page of those that differ at this instance, or with all to a peer
+// without digests.
 func (r *Receiver) Exchange(args Statements, reply *Statements) error {
 	r.list.mergeAll(args, "from a peer")
-	reply.All = r.list.known()
+	if len(args.Digests) == 0 {
+		reply.All = r.list.known()
+		return nil
+	}
+	*reply = r.list.page(args.Digests, args.Next)
 	return nil
 }
 
--- a/throttle/list.go
+++ b/throttle/list.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -218,17 +217,7 @@
 }
 
 // Digest returns a digest of what is known about limits; 0 without limits, now or lately.
-func (l *List) Digest() uint64 {
-	statements := l.known()
-	if len(statements) == 0 {
-		return 0
-	}
-	h := fnv.New64a()
-	for _, s := range statements {
-		fmt.Fprintln(h, s.Server.Server, s.Server.Address, s.Limited, s.Rate)
-	}
-	return h.Sum64()
-}
+func (l *List) Digest() uint64 { return digestStatements(l.known()).Sum() }
 
 // prune drops the ends of limits that all instances have long heard of, and what is known of servers that are gone.
 func (l *List) prune() {
--- a/throttle/statement.go
+++ b/throttle/statement.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"strconv"
 	"time"
 
+	"teaselgate/gossip"
 	"teaselgate/upstream"
 )
 
@@ -63,6 +65,24 @@
 	return statement{rate: s.Rate, limited: s.Limited, kinds: s.Kinds, at: now.Add(-max(s.Age, 0))}
 }
 
+// statementBytes is the approximate size of a statement in a message without its texts, in bytes.
+const statementBytes = 20
+
+// size returns the approximate size of a statement in a message, in bytes.
+func (s Statement) size() int { return statementBytes + len(s.Server.Server) + len(s.Server.Address) }
+
+// group returns the group of a statement in exchanges between instances.
+func (s Statement) group() int { return gossip.GroupOf(gossip.Hash(s.Server.Server, s.Server.Address)) }
+
+// digestStatements returns digests of statements, by group, without their ages.
+func digestStatements(all []Statement) gossip.Digests {
+	var out gossip.Digests
+	for _, s := range all {
+		out[s.group()] ^= gossip.Hash(s.Server.Server, s.Server.Address, strconv.FormatBool(s.Limited), strconv.FormatFloat(s.Rate, 'g', -1, 64))
+	}
+	return out
+}
+
 // compareStatements orders statements by their servers.
 func compareStatements(a, b Statement) int {
 	return cmp.Or(cmp.Compare(a.Server.Server, b.Server.Server), cmp.Compare(a.Server.Address, b.Server.Address))
