Read only the changes of a large configuration from the store

The store's reply to a call for changes names the version up to which it holds, so the complete list of a large kind is read only if that reply does not come within 300 ms, as while watches are silent, or does not reach the newest version. The limit of complete lists to a fifth of the time goes, as small lists are always read whole.

The test's store now names its newest version in replies without changes, as the platform does; it named the version that it was asked for.

TestLargeConfigurationIsNotReadAgainForOtherChanges: twenty changes of a server had 2.1 MB of the configuration read before, none now.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -35,6 +35,7 @@
 	// are allowed.
 	pollInterval           = 700 * time.Millisecond
 	pollTimeout            = time.Second             // a healthy store tells its version within milliseconds
+	changesTimeout         = 300 * time.Millisecond  // a store whose watches are silent does not reply to a call for changes
 	unansweredPollInterval = 1500 * time.Millisecond // interval between readings while the store does not respond
 	storeContactLife       = 2 * pollInterval        // time for which a contact with the store counts
 	pollers                = 2                       // instances that always poll; with two, polling goes on when one ends
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -66,6 +66,13 @@
 	s.notifyWatchers()
 }
 
+// isSilent reports whether watches return no changes.
+func (s *fakeStore) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchesSilent
+}
+
 // ignores reports whether an instance gets no response from the store.
 func (s *fakeStore) ignores(instance int) bool {
 	s.mu.Lock()
@@ -152,7 +159,10 @@
 		select {
 		case <-changed:
 		case <-end:
-			return platform.List{Version: after}, nil
+			if silent {
+				return platform.List{Version: after}, nil
+			}
+			return platform.List{Version: list.Version}, nil
 		case <-ctx.Done():
 			return platform.List{}, ctx.Err()
 		}
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -71,16 +71,15 @@
 
 // storeRead is what was last read of a kind.
 type storeRead struct {
-	complete platform.Version // version of the last complete list
-	seen     platform.Version // version up to which changes were read
-	next     time.Time        // time from which a complete list may be read again
-	size     int              // bytes of the objects in the last complete list
-	noticed  platform.Version // version that was noticed at the last reading and left to the watch, or 0
+	seen    platform.Version // version up to which all changes were read
+	size    int              // bytes of the objects in the last complete list
+	noticed platform.Version // version that was noticed at the last reading and left to the watch, or 0
 }
 
-// largeList is the size in bytes of a complete list from which on the watch has until the next reading to bring a change. Otherwise
-// an instance with a narrow link would get each change twice at the same time. The size decides, not the time that the list took:
-// a slow store must not delay the entries of leaving servers further.
+// largeList is the size in bytes of a complete list from which on only changes are read, and the watch has until the next reading
+// to bring them. Otherwise an instance with a narrow link would get each change twice at the same time, and all objects after each
+// change of another kind. The size decides, not the time that the list took: a slow store must not delay the entries of leaving
+// servers further.
 const largeList = 128 << 10 // 100 ms at 10 Mbit/s
 
 // leaveToWatch reports whether a change is left to the watch, which has brought all up to a version.
@@ -89,7 +88,7 @@
 	case r.size < largeList:
 		return false
 	case watched >= newest:
-		r.seen, r.complete, r.noticed = newest, newest, 0
+		r.seen, r.noticed = newest, 0
 		return true
 	case r.noticed == 0 || watched >= r.noticed:
 		r.noticed = newest
@@ -99,10 +98,6 @@
 	return false
 }
 
-// completeReadShare is the part of the time that an instance may spend on complete lists of a kind, as 1 in so many. Large ones
-// take a narrow link for most of a second.
-const completeReadShare = 5
-
 // readChanges reads and merges what has changed in the store, and reports whether the store responded.
 func (f *Follower) readChanges(ctx context.Context, reads map[string]*storeRead) bool {
 	newestCtx, stop := context.WithTimeout(ctx, pollTimeout)
@@ -114,13 +109,13 @@
 	}
 	f.recordStoreResponse(platform.ConfigurationKind)
 	for kind, read := range reads {
-		if read.complete >= newest && !f.awaitsList(kind) {
+		if read.seen >= newest && !f.awaitsList(kind) {
 			continue // nothing at all has changed since
 		}
 		if read.leaveToWatch(newest, f.watchedVersion(kind)) {
 			continue
 		}
-		if !f.readKind(ctx, kind, read) {
+		if !f.readKind(ctx, kind, read, newest) {
 			return false
 		}
 	}
@@ -149,31 +144,35 @@
 	return kind == platform.EvacuationKind && len(f.evacuations.holds) > 0
 }
 
-// readKind reads and merges a complete list of a kind, or only its changes if the last complete list was read a short time
-// ago. Changes alone may lack some, while watches are silent. It reports whether the store responded.
-func (f *Follower) readKind(ctx context.Context, kind string, read *storeRead) bool {
-	start := f.Now()
-	complete := read.seen == 0 || !start.Before(read.next)
-	var list platform.List
-	var err error
-	if !complete {
-		list, err = f.Changes(ctx, kind, read.seen)
-		complete = errors.Is(err, platform.ErrHistoryDropped)
-	}
-	if complete {
-		list, err = f.Watch(ctx, kind, 0)
+// readKind reads and merges what has changed of a kind up to a version, from a complete list unless that is large. It reports
+// whether the store responded.
+func (f *Follower) readKind(ctx context.Context, kind string, read *storeRead, newest platform.Version) bool {
+	if read.size >= largeList && f.readOnlyChanges(ctx, kind, read, newest) {
+		return true
 	}
+	list, err := f.Watch(ctx, kind, 0)
 	if err != nil {
 		f.recordStoreFailure(ctx, kind, err)
 		return false
 	}
 	f.recordStoreResponse(kind)
-	f.mergeList(kind, list, complete)
-	read.seen = list.Version
-	if complete {
-		end := f.Now()
-		read.complete, read.next, read.size = list.Version, end.Add((completeReadShare-1)*end.Sub(start)), list.Size()
+	f.mergeList(kind, list, true)
+	read.seen, read.size = list.Version, list.Size()
+	return true
+}
+
+// readOnlyChanges reads and merges the changes of a kind, and reports whether the store named all up to a version. It does not
+// while watches are silent or the history is gone; the complete list that is read then shows whether the store responds.
+func (f *Follower) readOnlyChanges(ctx context.Context, kind string, read *storeRead, newest platform.Version) bool {
+	ctx, stop := context.WithTimeout(ctx, changesTimeout)
+	defer stop()
+	list, err := f.Changes(ctx, kind, read.seen)
+	if err != nil || list.Version < newest {
+		return false
 	}
+	f.recordStoreResponse(kind)
+	f.mergeList(kind, list, false)
+	read.seen = list.Version
 	return true
 }
 
