Test a large configuration at real processes over links of limited rate

The fleets of the other tests live in fake time and in one process. By hand: make long-links; the bound of three seconds needs a machine with little else to do.

--- a/Makefile
+++ b/Makefile
@@ -68,4 +68,9 @@
 	go test -run XXX -fuzz FuzzRead -fuzztime $(FUZZTIME) ./option
 	go test -run XXX -fuzz FuzzNoKeyLeaves -fuzztime $(FUZZTIME) ./entry
 
-long: long-allowance long-path long-config fuzz
+# A large configuration at real processes, over links of limited rate.
+.PHONY: long-links
+long-links:
+	go test ./registry -run InProcesses -processes -count 10 -v
+
+long: long-allowance long-path long-config long-links fuzz
