--- a/quarantine/exchange_test.go
+++ b/quarantine/exchange_test.go
@@ -1,15 +1,14 @@
 package quarantine
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"errors"
 	"strings"
 	"testing"
 	"time"
 
 	"teaselgate/gossip"
+	"teaselgate/standin/network"
 )
 
 // exchangeBytes is the most that a message of an exchange may have: a page, the digests, and one group more than fits.
@@ -45,16 +44,12 @@
 
 func (tr *traffic) count(t *testing.T, v any) {
 	t.Helper()
-	var out bytes.Buffer
-	e := gob.NewEncoder(&out)
-	for range 2 { // the second time without the type
-		out.Reset()
-		if err := e.Encode(v); err != nil {
-			t.Fatal(err)
-		}
+	size, err := network.MessageBytes(v)
+	if err != nil {
+		t.Fatal(err)
 	}
-	tr.bytes += out.Len()
-	tr.largest = max(tr.largest, out.Len())
+	tr.bytes += size
+	tr.largest = max(tr.largest, size)
 }
 
 // oneMore adds a crash to a list.
--- a/registry/relay_test.go
+++ b/registry/relay_test.go
@@ -1,13 +1,12 @@
 package registry
 
 import (
-	"bytes"
-	"encoding/gob"
 	"fmt"
 	"testing"
 
 	"teaselgate/gossip"
 	"teaselgate/platform"
+	"teaselgate/standin/network"
 )
 
 // followerOf returns a follower that knows many servers, with the versions 1, 2 and so on.
@@ -21,18 +20,14 @@
 	return f
 }
 
-// gobBytes returns the size of a value on a connection that has carried its type before.
-func gobBytes(t *testing.T, v any) int {
+// messageBytes returns the size of a message between instances.
+func messageBytes(t *testing.T, message any) int {
 	t.Helper()
-	var out bytes.Buffer
-	e := gob.NewEncoder(&out)
-	for range 2 {
-		out.Reset()
-		if err := e.Encode(v); err != nil {
-			t.Fatal(err)
-		}
+	size, err := network.MessageBytes(message)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return out.Len()
+	return size
 }
 
 // What a peer sends must not grow with the number of servers, whether the caller has nearly all entries, none, or lacks an old one.
@@ -57,9 +52,9 @@
 			if err := f.Receiver().Fetch(test.args, &reply); err != nil {
 				t.Fatal(err)
 			}
-			size := gobBytes(t, reply)
+			size := messageBytes(t, reply)
 			t.Logf("%d servers, %s: %d bytes asked, %d bytes in the first reply, %d entries, more %v",
-				servers, name, gobBytes(t, test.args), size, len(reply.Servers), reply.More)
+				servers, name, messageBytes(t, test.args), size, len(reply.Servers), reply.More)
 			if size > test.maximum {
 				t.Errorf("%d servers, %s: unexpected reply of %d bytes, at most %d are expected", servers, name, size, test.maximum)
 			}
--- a/throttle/exchange_test.go
+++ b/throttle/exchange_test.go
@@ -1,15 +1,14 @@
 package throttle
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"teaselgate/gossip"
+	"teaselgate/standin/network"
 	"teaselgate/upstream"
 )
 
@@ -61,16 +60,12 @@
 // countBytes returns the size of a message, and fails if it is too large.
 func countBytes(t *testing.T, v any, largest int) int {
 	t.Helper()
-	var out bytes.Buffer
-	e := gob.NewEncoder(&out)
-	for range 2 { // the second time without the type
-		out.Reset()
-		if err := e.Encode(v); err != nil {
-			t.Fatal(err)
-		}
+	size, err := network.MessageBytes(v)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if out.Len() > largest {
-		t.Errorf("a message has %d bytes, more than %d", out.Len(), largest)
+	if size > largest {
+		t.Errorf("a message has %d bytes, more than %d", size, largest)
 	}
-	return out.Len()
+	return size
 }
