--- a/registry/watch_test.go
+++ b/registry/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -74,3 +75,41 @@
 		}
 	})
 }
+
+// A store that responds slowly must not delay what is noticed of leaving servers, while watches are silent: only large lists are
+// left to the watch.
+func TestLeavingServersAreNoticedInASlowStoreWithSilentWatches(t *testing.T) {
+	const slow = 200 * time.Millisecond // of each call
+	s := newFakeStore()
+	s.put("config", "main", configurationJSON(1, "a.example"))
+	runFollowersWith(t, s, 1, func(_ int, f *Follower) {
+		watch, changes, newest := f.Watch, f.Changes, f.Newest
+		f.Watch = func(ctx context.Context, kind string, after platform.Version) (platform.List, error) {
+			sleep(slow)
+			return watch(ctx, kind, after)
+		}
+		f.Changes = func(ctx context.Context, kind string, after platform.Version) (platform.List, error) {
+			sleep(slow)
+			return changes(ctx, kind, after)
+		}
+		f.Newest = func(ctx context.Context) (platform.Version, error) {
+			sleep(slow)
+			return newest(ctx)
+		}
+	}, func(followers []*Follower) {
+		for n := range 5 {
+			s.put("servers", fmt.Sprint(n), serverEntryJSON(fmt.Sprintf("10.0.0.1:%d", n+1), "ready"))
+		}
+		sleep(3 * time.Second)
+		s.set(func() { s.watchesSilent = true })
+		for n := range 5 {
+			sleep(time.Duration(n+10) * 100 * time.Millisecond) // at different times between readings
+			id := fmt.Sprint(n)
+			s.put("servers", id, serverEntryJSON(fmt.Sprintf("10.0.0.1:%d", n+1), "draining"))
+			sleep(pollInterval + 3*slow) // one reading: the version, the servers and the configuration
+			if server, _ := followers[0].Current().Server(id); !server.Leaving {
+				t.Errorf("server %s does not leave", id)
+			}
+		}
+	})
+}
