--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -72,6 +72,7 @@
 		if len(members) == 0 {
 			return 0, nil
 		}
-		return next, f.Call(ctx, address, RPCName+".Sync", SyncArgs{members, digests, gossip.Groups}, &SyncReply{})
+		args := SyncArgs{Members: members, Digests: digests, Next: gossip.Groups} // there is no such group, so the reply has none
+		return next, f.Call(ctx, address, RPCName+".Sync", args, &SyncReply{})
 	})
 }
--- a/gossip/page.go
+++ b/gossip/page.go
@@ -39,20 +39,20 @@
 }
 
 // Differing returns the groups whose digests differ from others. Groups without another digest differ.
-func (d Digests) Differing(other []uint64) Set {
-	var out Set
+func (d Digests) Differing(other []uint64) GroupSet {
+	var out GroupSet
 	for group, digest := range d {
 		out[group] = group >= len(other) || other[group] != digest
 	}
 	return out
 }
 
-// Set is a set of groups.
-type Set [Groups]bool
+// GroupSet is a set of groups.
+type GroupSet [Groups]bool
 
 // Page returns the groups of the set that a page holds which begins with one of them, by the sizes of all groups in bytes, and
 // the group with which the next page begins, or 0 if there is none. A group is never divided.
-func (s Set) Page(from int, sizes [Groups]int) (page Set, next int) {
+func (s GroupSet) Page(from int, sizes [Groups]int) (page GroupSet, next int) {
 	size := 0
 	for group := max(from, 0); group < Groups; group++ {
 		if !s[group] {
--- a/gossip/spreader.go
+++ b/gossip/spreader.go
@@ -1,5 +1,5 @@
-// Package gossip spreads what an instance has learnt to its peers: what is new at once, and all of it to peers whose digest
-// differs.
+// Package gossip spreads what an instance knows to its peers: what is new at once, and what differs, in pages, to peers whose
+// digest differs.
 package gossip
 
 import (
@@ -77,7 +77,7 @@
 	return peers[:min(n, len(peers))]
 }
 
-// Learn exchanges all knowledge with the first peers that this instance knows after its start. It does not wait for that.
+// Learn exchanges what differs with the first peers that this instance knows after its start. It does not wait for that.
 func (s *Spreader) Learn(ctx context.Context, exchange func(ctx context.Context, address string) error) {
 	s.mu.Lock()
 	s.ended = false
@@ -95,9 +95,9 @@
 	})
 }
 
-// ExchangeIfDifferent exchanges all knowledge, in the background, with a peer whose digest differs from the own one:
-// messages to it or from it may have been lost, as while one of the two was paused. There is one such exchange at a time, since
-// all knowledge may take a narrow link for some time, and after a failure the peer is left alone for exchangePause.
+// ExchangeIfDifferent exchanges what differs, in the background, with a peer whose digest differs from the own one: messages to
+// it or from it may have been lost, as while one of the two was paused. There is one such exchange at a time, since it may take
+// a narrow link for some time, and after a failure the peer is left alone for exchangePause.
 func (s *Spreader) ExchangeIfDifferent(
 	address string, own, digest uint64, exchange func(ctx context.Context, address string) error,
 ) {
--- a/transfer/fetch.go
+++ b/transfer/fetch.go
@@ -10,7 +10,7 @@
 
 const (
 	fetchWorkers = 2                      // requests of a fetch that are under way at once, each to another source
-	askTimeout   = 300 * time.Millisecond // a reply has at most replyBytes, behind those to maxSeats instances
+	askTimeout   = 300 * time.Millisecond // a reply has at most replyBytes, behind those to maxUploads instances
 	pickInterval = 10 * time.Millisecond  // time between looks for a source that can be asked
 	// searchDelay is how soon a source must be available; otherwise an instance of which nothing is known is asked.
 	searchDelay = 100 * time.Millisecond
--- a/transfer/offer.go
+++ b/transfer/offer.go
@@ -41,7 +41,7 @@
 	mu       sync.Mutex
 	whole    *Document
 	fetching *Assembly
-	seats    Seats
+	uploads  Uploads
 	givenOf  Sum   // document of given
 	given    []int // how often each part of a document was given
 }
@@ -57,8 +57,8 @@
 	if h == nil {
 		return Reply{Result: Unknown}
 	}
-	if !o.seats.Take(args.Address, o.Now()) {
-		return Reply{Result: Busy, Others: o.seats.Holders(args.Address)}
+	if !o.uploads.Start(args.Address, o.Now()) {
+		return Reply{Result: Busy, Others: o.uploads.Receivers(args.Address)}
 	}
 	reply := Reply{Result: Empty, Parts: o.choose(h, args.Wanted)}
 	if len(reply.Parts) > 0 {
--- a/transfer/transfer_test.go
+++ b/transfer/transfer_test.go
@@ -215,24 +215,24 @@
 	}
 }
 
-func TestSeatsAreBoundedAndFreedByTime(t *testing.T) {
-	var s Seats
+func TestUploadsAreBoundedAndEndByTime(t *testing.T) {
+	var u Uploads
 	now := time.Unix(1_800_000_000, 0)
-	for n := range maxSeats {
-		if !s.Take(fmt.Sprint(n), now) {
-			t.Fatalf("no seat for instance %d", n)
+	for n := range maxUploads {
+		if !u.Start(fmt.Sprint(n), now) {
+			t.Fatalf("no upload to instance %d", n)
 		}
 	}
-	if s.Take("late", now) {
-		t.Error("unexpected seat for one instance too many")
+	if u.Start("late", now) {
+		t.Error("unexpected upload to one instance too many")
 	}
-	if !s.Take("0", now.Add(seatLife/2)) || s.Take("late", now.Add(seatLife)) {
-		t.Error("unexpected end of a seat that is in use")
+	if !u.Start("0", now.Add(uploadTimeout/2)) || u.Start("late", now.Add(uploadTimeout)) {
+		t.Error("unexpected end of an upload that goes on")
 	}
-	if !s.Take("late", now.Add(seatLife+1)) {
-		t.Error("no seat after others have ended")
+	if !u.Start("late", now.Add(uploadTimeout+1)) {
+		t.Error("no upload after others have ended")
 	}
-	if got := s.Holders("late"); !slices.Equal(got, []string{"0"}) {
+	if got := u.Receivers("late"); !slices.Equal(got, []string{"0"}) {
 		t.Errorf("unexpected holders %v", got)
 	}
 }
