--- a/review/_kit/deadly.go
+++ b/review/_kit/deadly.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,15 +19,17 @@
 // The deployment and the deadly request of the case.
 const (
 	deadlyInstances = 9
-	prefillEngines  = 2
-	decodeEngines   = 6
-	engineDowntime  = 3 * time.Second        // a crashed engine is back after that
-	crashAfter      = 400 * time.Millisecond // of a run of the deadly request
+	prefillEngines  = 4
+	decodeEngines   = 24
+	engineDowntime  = 3 * time.Second         // a crashed engine is back after that
+	crashAfter      = 2200 * time.Millisecond // of a run of the deadly request
 	deadlyPath      = "/draft/week"
 	deadlyPart      = "dead"
-	partVolley      = 12                     // requests with the deadly part at once, so that each engine gets some
-	repeatEvery     = 500 * time.Millisecond // the deadly request comes again at each machine
-	soundEvery      = time.Second            // pause between the sound requests at a machine
+	partVolley      = 48                    // requests with the deadly part at once, so that each engine gets some
+	repeatEvery     = 3 * time.Second       // the deadly request comes again at each machine
+	soundEvery      = 90 * time.Millisecond // a sound request comes at each machine
+	crashesToKnow   = 3
+	maxTries        = 8 // of the deadly request, until it has crashed three engines
 	maxLateRetries  = 3
 )
 
@@ -46,7 +50,7 @@
 	address = listener.Addr().String()
 	s := &backend.Server{
 		ID: fmt.Sprintf("i-%s-%d", name, boot), Stage: stage, Slots: 48, QueueLimit: 2, PrefillRate: 100_000, KVTokens: 32546,
-		EventInterval: 30 * time.Millisecond, StreamEvents: 20, HandleLifetime: 500 * time.Millisecond, RestartTime: time.Hour,
+		EventInterval: 60 * time.Millisecond, StreamEvents: 40, HandleLifetime: 500 * time.Millisecond, RestartTime: time.Hour,
 		FindServer: f.at,
 	}
 	if stage == "decode" {
@@ -96,6 +100,26 @@
 	return out, at
 }
 
+// endedUnder returns when engines crashed on which a request with a path ran, the first crash first.
+func (f *fleet) endedUnder(path string) (out []time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.boots {
+		crashes := s.Crashes()
+		if len(crashes) == 0 {
+			continue
+		}
+		for _, r := range s.Received() {
+			if r.Path == path && !r.Prefill && r.Ran {
+				out = append(out, crashes[0])
+				break
+			}
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
 // crashes returns when engines crashed.
 func (f *fleet) crashes() (out []time.Time) {
 	f.mu.Lock()
@@ -115,7 +139,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(timeBudgetMS * time.Millisecond))
 	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n"+
-		"Model-Name: m\r\nToken-Count: 400,160\r\nPrompt-Prefix: %s:200,%s:200\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		"Model-Name: m\r\nToken-Count: 400,320\r\nPrompt-Prefix: %s:200,%s:200\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 		path, plainHost, id, timeBudgetMS, clientKey, part, id, len(body), body)
 	if err != nil {
 		return 0, false
@@ -143,6 +167,8 @@
 			"roleSwitchS": 6.0,
 		},
 	})
+	tenant := manifest["tenants"].([]any)[0].(map[string]any)
+	tenant["ratePerS"], tenant["burst"] = 200_000, 200_000
 	if err := d.put("config", "main", manifest); err != nil {
 		return nil, err
 	}
@@ -178,42 +204,54 @@
 		status, whole := f.stream(i, id, "/draft/"+id, deadlyPart, id)
 		d.record.Printf("a request with the deadly part, %s at %s: status %d, whole %v", id, i.name, status, whole)
 	}
+	var sound sync.WaitGroup
+	stop := make(chan struct{})
+	var sent, cut int
+	for n, i := range d.instances {
+		sound.Go(func() { // callers whose requests are sound
+			time.Sleep(soundEvery * time.Duration(n) / time.Duration(len(d.instances)))
+			tick := time.NewTicker(soundEvery)
+			defer tick.Stop()
+			for {
+				sound.Go(func() {
+					id := nextID()
+					status, whole := f.stream(i, id, "/draft/"+id, "sound", id)
+					mu.Lock()
+					defer mu.Unlock()
+					sent++
+					if status == http.StatusOK && !whole {
+						cut++
+					}
+				})
+				select {
+				case <-stop:
+					return
+				case <-tick.C:
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
 	var wg sync.WaitGroup
 	wg.Go(func() { sendDeadly(d.instances[0]) })
-	time.Sleep(150 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	if d.trouble {
 		for n := range partVolley {
 			wg.Go(func() { sendPart(d.instances[n%len(d.instances)]) })
 		}
 	}
 	wg.Wait()
-	for n := range 2 {
+	for n := 0; len(f.endedUnder(deadlyPath)) < crashesToKnow; n++ {
+		if n == maxTries {
+			return nil, errors.New("the deadly request has not run three times")
+		}
 		time.Sleep(engineDowntime + time.Second)
-		sendDeadly(d.instances[n+1])
+		sendDeadly(d.instances[1+n%2])
 	}
-	third := time.Now()
+	known := f.endedUnder(deadlyPath)[crashesToKnow-1]
 	d.record.Printf("the deadly request has crashed three engines")
 	time.Sleep(time.Second) // a caller comes again after a moment, so that the machines know it by then
-	stop := make(chan struct{})
-	var cut int
 	for n, i := range d.instances {
-		wg.Go(func() { // a caller whose requests are sound
-			for {
-				id := nextID()
-				status, whole := f.stream(i, id, "/draft/"+id, "sound", id)
-				if status == http.StatusOK && !whole {
-					d.record.Printf("the sound stream %s at %s was cut", id, i.name)
-					mu.Lock()
-					cut++
-					mu.Unlock()
-				}
-				select {
-				case <-stop:
-					return
-				case <-time.After(soundEvery):
-				}
-			}
-		})
 		wg.Go(func() { // a caller that repeats the deadly request
 			time.Sleep(repeatEvery * time.Duration(n) / time.Duration(len(d.instances)))
 			tick := time.NewTicker(repeatEvery)
@@ -235,15 +273,16 @@
 	time.Sleep(2 * contactTime)
 	close(stop)
 	wg.Wait()
+	sound.Wait()
 	servers, at := f.arrivals(deadlyPath)
 	var late []string
 	for n, t := range at {
-		d.record.Printf("the deadly request reached %s %v after its third crash", servers[n], t.Sub(third).Round(time.Millisecond))
-		if t.After(third.Add(contactTime)) {
-			late = append(late, fmt.Sprintf("%s: reached %v after the third crash under the same request", servers[n], t.Sub(third).Round(time.Millisecond)))
+		d.record.Printf("the deadly request reached %s %v after its third crash", servers[n], t.Sub(known).Round(time.Millisecond))
+		if t.After(known.Add(contactTime)) {
+			late = append(late, fmt.Sprintf("%s: reached %v after the third crash under the same request", servers[n], t.Sub(known).Round(time.Millisecond)))
 		}
 	}
-	d.record.Printf("%d engines have crashed, %d sound streams were cut", len(f.crashes()), cut)
+	d.record.Printf("%d engines have crashed; of %d sound requests %d streams were cut", len(f.crashes()), sent, cut)
 	if len(late) <= maxLateRetries {
 		return nil, nil
 	}
