Add review case 6: late copies of answers reach other callers

Cause: with source: rules, service.Client.Do sends idempotent requests on kept connections of an http.Transport and compares no id, so a server's late copy of an answer is taken for the answer to the next request on the connection, which may be another client account's.

--- a/review/_kit2/bed.go
+++ b/review/_kit2/bed.go
@@ -122,7 +122,8 @@
 	return b.put("servers", id, spec)
 }
 
-// settingsTemplate is the template of the deploy file, filled in for a machine with the limits of the site.
+// settingsTemplate is the common part of the settings: the template of the deploy file, filled in for a machine with the
+// limits of the site, without the part that says where the configuration comes from.
 const settingsTemplate = `name: %q
 zone: "a"
 listen: %q
@@ -131,8 +132,6 @@
 peer: %q
 peers: [%s]
 platform: "http://%s"
-source: store
-regions: ["a=a"]
 limit:
   process: 134000000
   memory: 32000000
@@ -141,16 +140,22 @@
   share: 0.2
   extra: 58
   window: 10s
-engine:
-  fenced: true
 stop:
   grace: 8s
 log:
   format: json
 `
 
+// storeSettings are the settings of instances that take their configuration from the store, as the deploy file's template
+// has them.
+const storeSettings = `source: store
+regions: ["a=a"]
+engine:
+  fenced: true
+`
+
 // addInstances prepares instances. The seeds of each are the first three.
-func (b *bed) addInstances(count int) error {
+func (b *bed) addInstances(count int, settings string) error {
 	var seeds, metrics []string
 	for n := range count {
 		ports, err := freeAddresses(4)
@@ -168,7 +173,7 @@
 	for n, i := range b.instances {
 		i.settings = filepath.Join(b.dir, i.name+".yaml")
 		text := fmt.Sprintf(settingsTemplate, i.name, i.front, i.ready, metrics[n], i.peer, strings.Join(seeds, ","), b.storeAt)
-		if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(i.settings, []byte(text+settings), 0o600); err != nil {
 			return err
 		}
 	}
@@ -196,14 +201,20 @@
 	contactTime  = 3500 * time.Millisecond // longer than contactMs of the site
 )
 
-// startInstances starts all instances, and waits until they are ready and have been in touch for contactMs.
+// startInstances starts instances that take their configuration from the store, and waits until they are ready and have
+// been in touch for contactMs.
 func (b *bed) startInstances(count int) error {
-	if err := b.addInstances(count); err != nil {
+	if err := b.addInstances(count, storeSettings); err != nil {
 		return err
 	}
+	return b.awaitInstances()
+}
+
+// awaitInstances starts the instances, and waits until they are ready and have been in touch for contactMs.
+func (b *bed) awaitInstances() error {
 	for n, i := range b.instances {
 		if n > 0 {
-			time.Sleep(startSpacing / time.Duration(count))
+			time.Sleep(startSpacing / time.Duration(len(b.instances)))
 		}
 		if err := b.start(i); err != nil {
 			return err
--- a/review/_kit2/caller.go
+++ b/review/_kit2/caller.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -21,7 +20,7 @@
 	plainName  = "shopfront"
 	graceTime  = 8 * time.Second        // graceS
 	lossSlack  = 200 * time.Millisecond // lossSlackMs
-	maxCutKept = 3                      // requests that a machine may pass on and leave without an answer
+	maxCutKept = 3                      // requests from kept channels that a machine may pass on and leave without an answer
 )
 
 // manifest returns the operator's configuration with routes.
@@ -64,7 +63,8 @@
 	sent   time.Time // when its last byte was sent
 	ended  time.Time // when the answer or the connection ended
 	status int       // 0 if no head of an answer came
-	length int       // bytes of the body that came
+	answer string    // id of the request that the answer belongs to, as it says
+	body   string    // as far as it came
 	err    error     // why the answer is not complete; nil if it is
 }
 
@@ -83,7 +83,7 @@
 		what = "not answered (" + c.err.Error() + ")"
 	}
 	return fmt.Sprintf("%s %s with status %d and %d bytes, %.3f s after its last byte was sent",
-		c.id, what, c.status, c.length, c.took().Seconds())
+		c.id, what, c.status, len(c.body), c.took().Seconds())
 }
 
 // caller is a connection of a caller.
@@ -92,19 +92,8 @@
 	reader *bufio.Reader
 }
 
-// connect opens a connection. A receive buffer above zero bytes is that of a caller with a small window.
-func connect(address string, receiveBuffer int) (*caller, error) {
-	dialer := &net.Dialer{Timeout: time.Second}
-	if receiveBuffer > 0 {
-		dialer.Control = func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(fd uintptr) {
-				optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-			})
-			return errors.Join(err, optionErr)
-		}
-	}
-	conn, err := dialer.Dial("tcp", address)
+func connect(address string) (*caller, error) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
@@ -113,6 +102,11 @@
 
 // send sends a whole request with a body, which may be empty.
 func (c *caller) send(method, target, id string, budget time.Duration, headers, body string) (*call, error) {
+	return c.sendWithKey(key, method, target, id, budget, headers, body)
+}
+
+// sendWithKey is send for a caller with a key of its own.
+func (c *caller) sendWithKey(key, method, target, id string, budget time.Duration, headers, body string) (*call, error) {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%s",
 		method, target, host, id, budget.Milliseconds(), key, headers)
@@ -134,7 +128,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	out.status = resp.StatusCode
-	n, err := io.Copy(io.Discard, resp.Body)
-	out.length, out.err = int(n), err
+	out.status, out.answer = resp.StatusCode, resp.Header.Get("Attempt-Id")
+	body, err := io.ReadAll(resp.Body)
+	out.body, out.err = string(body), err
 }
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -22,10 +22,9 @@
 
 // cases are the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
-	"target":      changedTarget,
 	"slow-server": slowServer,
 	"queued":      queuedAtStop,
-	"slow-caller": slowCaller,
+	"late-copy":   lateCopy,
 }
 
 func main() {
--- a/review/_kit2/queued.go
+++ b/review/_kit2/queued.go
@@ -10,22 +10,30 @@
 	"teaselgate/standin/backend"
 )
 
-// queuedAtStop stops an instance while requests that it has read wait for room at the engines.
+// Load of queuedAtStop.
+const (
+	queuedBudget = 14 * time.Second       // of the callers, and timeoutMs of the route
+	queuedTarget = 2 * time.Second        // targetLatencyMs of the route
+	queuedSlots  = 2                      // of each engine
+	queuedEvery  = 125 * time.Millisecond // between two events of a stream
+	queuedEvents = 74                     // of a stream
+	queuedLead   = 500 * time.Millisecond // from the requests that take all slots to the SIGTERM
+	queuedDelay  = 1600 * time.Millisecond
+	queuedGap    = 200 * time.Millisecond // between two of the requests that wait
+	queuedLate   = 4                      // number of these
+)
+
+// queuedAtStop stops an instance, which then reads requests that have to wait for room at the engines.
 func queuedAtStop(b *bed, trouble bool) (bool, error) {
-	const (
-		budget   = 30 * time.Second
-		target   = 3 * time.Second
-		requests = 8
-	)
-	r := route("r-digest", "/digest/", "streaming", budget, target)
+	r := route("r-digest", "/digest/", "streaming", queuedBudget, queuedTarget)
 	r["service"], r["sticky"], r["gapAimMs"] = modelName, true, 300
 	if err := b.put("config", "main", manifest(r)); err != nil {
 		return false, err
 	}
 	engine := func(id string) *backend.Server {
 		return &backend.Server{
-			ID: id, Slots: 2, QueueLimit: 2, KVTokens: 32546, PrefillRate: 33333, EventInterval: 40 * time.Millisecond,
-			StreamEvents: 74, HandleLifetime: 500 * time.Millisecond, ReportInterval: 200 * time.Millisecond,
+			ID: id, Slots: queuedSlots, QueueLimit: 2, KVTokens: 32546, PrefillRate: 33333, EventInterval: queuedEvery,
+			StreamEvents: queuedEvents, HandleLifetime: 500 * time.Millisecond, ReportInterval: 200 * time.Millisecond,
 			StageChangeTime: 6 * time.Second,
 		}
 	}
@@ -40,33 +48,46 @@
 		return false, err
 	}
 	stopped := b.instances[0]
-	calls := make([]*call, requests)
+	var calls []*call
 	var waiting sync.WaitGroup
-	for n := range calls {
-		c, err := connect(stopped.front, 0)
+	send := func() error {
+		c, err := connect(stopped.front)
 		if err != nil {
-			return false, err
+			return err
 		}
-		id := fmt.Sprintf("9c41d07be2a3%04x", n)
+		id := fmt.Sprintf("9c41d07be2a3%04x", len(calls))
 		headers := "Model-Name: m\r\nToken-Count: 1460,80\r\nLength-Hint: 74\r\nPrompt-Prefix: 5c1e07a2:800," + id + ":660\r\n"
-		out, err := c.send(http.MethodPost, "/digest/2f", id, budget, headers, "the thread")
+		out, err := c.send(http.MethodPost, "/digest/2f", id, queuedBudget, headers, "the thread")
 		if err != nil {
-			return false, err
+			return err
 		}
 		b.record.printf("%s was sent to %s", id, stopped.name)
-		calls[n] = out
+		calls = append(calls, out)
 		waiting.Go(func() {
 			defer c.conn.Close()
-			c.receive(out, http.MethodPost, time.Now().Add(budget))
+			c.receive(out, http.MethodPost, out.sent.Add(queuedBudget))
 		})
+		return nil
+	}
+	for range queuedSlots {
+		if err := send(); err != nil {
+			return false, err
+		}
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(queuedLead)
 	stop := time.Now()
 	if trouble {
 		if err := b.signal(stopped, syscall.SIGTERM); err != nil {
 			return false, err
 		}
 	}
+	time.Sleep(queuedDelay)
+	for range queuedLate {
+		if err := send(); err != nil {
+			return false, err
+		}
+		time.Sleep(queuedGap)
+	}
 	waiting.Wait()
 	lost := 0
 	for _, c := range calls {
--- a/review/_kit2/slowserver.go
+++ b/review/_kit2/slowserver.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 	slowServers   = 7                       // one of them, 0.14 of the service, is slow at a time
 	slowCallers   = 480                     // kept connections to each instance
 	slowSlots     = 400                     // of a server, so that no request waits for one
-	slowRounds    = 9                       // in each another server is slow
+	slowRounds    = 14                      // in each another server is slow
 	slowWork      = 1300 * time.Millisecond // time that a request takes at a server
 	slowFactor    = 5                       // times as long at a slow one
 	slowFor       = 6500 * time.Millisecond // for which a server is slow
@@ -46,14 +47,14 @@
 	var callers []*caller
 	for _, i := range b.instances {
 		for range slowCallers {
-			c, err := connect(i.front, 0)
+			c, err := connect(i.front)
 			if err != nil {
 				return false, err
 			}
 			callers = append(callers, c)
 		}
 	}
-	cut := 0
+	cut := make([]int, slowInstances)
 	for round := range slowRounds {
 		slow := servers[round%slowServers]
 		if trouble {
@@ -62,10 +63,10 @@
 			time.AfterFunc(slowFor, func() { slow.SetFaults(backend.Faults{}) })
 		}
 		calls := sendRound(round, callers)
-		cut += b.countCut(round, servers, calls)
+		b.countCut(round, servers, calls, cut)
 	}
-	b.record.printf("%d requests were passed on to a server and got no answer before the connection was closed", cut)
-	return cut > maxCutKept, nil
+	b.record.printf("%v requests, by instance, were passed on to a server and got no answer before the connection was closed", cut)
+	return slices.Max(cut) > maxCutKept, nil
 }
 
 // sendRound sends a request on each connection and returns when all have ended. Every second one may run only once.
@@ -98,9 +99,9 @@
 	return calls
 }
 
-// countCut counts the calls of a round that reached a server and whose connection was closed without an answer, with time
-// left.
-func (b *bed) countCut(round int, servers []*backend.Server, calls []*call) int {
+// countCut adds the calls of a round that reached a server and whose connection was closed without an answer, with time
+// left, to the counts by instance.
+func (b *bed) countCut(round int, servers []*backend.Server, calls []*call, cut []int) {
 	runs := make(map[string]string)
 	for _, s := range servers {
 		for _, request := range s.Received() {
@@ -109,8 +110,8 @@
 			}
 		}
 	}
-	count, sent, answered, longest := 0, 0, 0, time.Duration(0)
-	for _, c := range calls {
+	sent, answered, longest := 0, 0, time.Duration(0)
+	for n, c := range calls {
 		if c == nil {
 			continue
 		}
@@ -121,12 +122,11 @@
 			continue
 		}
 		server, ran := runs[c.id]
-		isCut := ran && c.wasCut() && c.status == 0 && c.took() < slowBudget
+		isCut := round > 0 && ran && c.wasCut() && c.status == 0 && c.took() < slowBudget // kept since an earlier answer
 		if isCut {
-			count++
+			cut[n/slowCallers]++
 		}
 		b.record.printf("%v; run at %q; cut: %v", c, server, isCut)
 	}
-	b.record.printf("round %d: %d sent, %d answered, the last after %.3f s, %d cut", round, sent, answered, longest.Seconds(), count)
-	return count
+	b.record.printf("round %d: %d sent, %d answered, the last after %.3f s, %v cut so far", round, sent, answered, longest.Seconds(), cut)
 }
