Answer requests that wait at the shutdown deadline

Cause: the shutdown ends the base context of all requests, and forward/handler.go (fail) took each ended context for a caller that has disconnected. The cause of the context, which tells them apart, was read by the handler of the own dialect only.

Change: ErrShuttingDown moves to outcome, with EndedByShutdown and EndedByCaller, and fail closes the connection only if the caller has left. All waits of forward end in fail: the wait for a place, for servers, for a slot, for a permit, for the prefill, and for another server after a failure. What no server has run is refused with 503; what one may have run gets 502, which promises nothing.

--- a/entry/model.go
+++ b/entry/model.go
@@ -20,10 +20,6 @@
 	modelTimeout     = 15 * time.Minute
 )
 
-// ErrShuttingDown is the cancellation cause of requests that are still running at the shutdown deadline.
-var ErrShuttingDown = outcome.NewRefusal(http.StatusServiceUnavailable, "leaving",
-	"the instance is shutting down").WithOutcome(outcome.Unknown)
-
 // errCallerWrite means that the response could not be written to the caller.
 var errCallerWrite = errors.New("entry: unable to write to the caller")
 
@@ -59,9 +55,9 @@
 	if err == nil {
 		err = writer.finish()
 	}
-	shuttingDown := errors.Is(context.Cause(ctx), ErrShuttingDown)
+	shuttingDown := outcome.EndedByShutdown(ctx)
 	if shuttingDown && err != nil {
-		err = ErrShuttingDown
+		err = outcome.ErrShuttingDown
 	}
 	switch {
 	case err == nil:
--- a/entry/once.go
+++ b/entry/once.go
@@ -190,8 +190,8 @@
 	switch {
 	case ctx.Err() == nil:
 		return nil
-	case errors.Is(context.Cause(ctx), ErrShuttingDown):
-		return ErrShuttingDown.WithOutcome(outcome.NotRun)
+	case outcome.EndedByShutdown(ctx):
+		return outcome.ErrShuttingDown.WithOutcome(outcome.NotRun)
 	default:
 		return errCallerGone
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -274,12 +274,15 @@
 }
 
 // fail ends a request that failed: with 503 if it has not run, otherwise with 504 after its deadline or with 502. If
-// the caller has disconnected, it aborts the request.
+// the caller has disconnected, it aborts the request. At the shutdown deadline the callers are still there.
 func (q *request) fail(ctx context.Context, reason string) {
-	if q.incoming.Context().Err() != nil {
+	if outcome.EndedByCaller(q.incoming.Context()) {
 		q.abort(reason)
 		return
 	}
+	if outcome.EndedByShutdown(ctx) {
+		reason = outcome.ErrShuttingDown.Message + ": " + reason
+	}
 	status := http.StatusBadGateway
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		status = http.StatusGatewayTimeout
--- /dev/null
+++ b/forward/shutdown_test.go
@@ -0,0 +1,127 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"teaselgate/registry"
+	"teaselgate/rule"
+	"teaselgate/slot"
+	"teaselgate/standin/backend"
+	"teaselgate/throttle"
+	"teaselgate/upstream"
+)
+
+// shutdownCase is a request that is unfinished at the shutdown deadline, while its caller waits for the response.
+type shutdownCase struct {
+	name    string
+	prepare func(env *testEnv) // makes the request wait
+	request testRequest
+	status  int
+}
+
+// fillEngines has streams take all slots of the decode engines for a minute.
+func fillEngines(env *testEnv, running *sync.WaitGroup, until time.Duration) {
+	for _, d := range env.decode {
+		d.StreamEvents, d.EventInterval = 600, 100*time.Millisecond
+	}
+	for n := range len(env.decode) * env.decode[0].Slots {
+		req := draftRequest(fmt.Sprint("stream", n))
+		req.shutdownAfter = until
+		running.Go(func() { env.send(req) })
+	}
+	sleep(400 * time.Millisecond)
+}
+
+// pickOnce lets the first server of a request be picked, and has it wait in vain for another.
+func pickOnce(env *testEnv) {
+	pick := env.handler.PickServer
+	env.handler.PickServer = func(ctx context.Context, pool string, ask slot.Ask) (rule.Server, error) {
+		if ask.First {
+			return pick(ctx, pool, ask)
+		}
+		<-ctx.Done()
+		return rule.Server{}, ctx.Err()
+	}
+}
+
+// awaitPermit has a request wait for the permit of a server until its context ends.
+func awaitPermit(env *testEnv) {
+	limits := throttle.NewList()
+	limits.Keeper = func(upstream.ServerKey) string { return "keeper" }
+	limits.Call = func(ctx context.Context, _, _ string, _, _ any) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	for _, s := range env.plain {
+		key := upstream.ServerKey{Server: s.ID, Address: env.address(s)}
+		limits.Observe(key, throttle.Answer{Kind: throttle.Run, Limited: true, Rate: 1, SentAt: time.Now()})
+	}
+	env.handler.Limits = limits
+}
+
+func shutdownCases(running *sync.WaitGroup) []shutdownCase {
+	ending := func(req testRequest, after time.Duration) testRequest {
+		req.shutdownAfter, req.deadline = after, 8*time.Second
+		return req
+	}
+	fault := func(f backend.Faults) func(*testEnv) {
+		return func(env *testEnv) { setFaults(slices.Concat(env.plain, env.prefill, env.decode), f) }
+	}
+	return []shutdownCase{
+		{"stream waits for a place", func(env *testEnv) { fillEngines(env, running, time.Second) }, ending(draftRequest("a"), 50*time.Millisecond), 503},
+		{"stream waits for the prefill", fault(backend.Faults{Silent: true}), ending(draftRequest("a"), 50*time.Millisecond), 503},
+		{
+			"stream has no event yet", func(env *testEnv) { setFaults(env.decode, backend.Faults{Silent: true}) },
+			ending(draftRequest("a"), 300*time.Millisecond), 502,
+		},
+		{"stream waits for servers", func(env *testEnv) {
+			empty := registry.NewView(env.handler.View().Configuration, nil, registry.EngineSettings{})
+			env.handler.View = func() *registry.View { return empty }
+			settled := time.Now().Add(time.Second)
+			env.handler.SettledAt = func() time.Time { return settled }
+		}, ending(draftRequest("a"), 50*time.Millisecond), 503},
+		{"rejected request waits for another server", func(env *testEnv) {
+			pickOnce(env)
+			setFaults(env.plain, backend.Faults{Reject: true})
+		}, ending(orderRequest("a"), 50*time.Millisecond), 503},
+		{"request waits for a slot", func(env *testEnv) {
+			env.handler.PickServer = func(ctx context.Context, _ string, _ slot.Ask) (rule.Server, error) {
+				<-ctx.Done()
+				return rule.Server{}, ctx.Err()
+			}
+		}, ending(orderRequest("a"), 50*time.Millisecond), 503},
+		{"request waits for a permit", awaitPermit, ending(orderRequest("a"), 50*time.Millisecond), 503},
+		{"request runs", fault(backend.Faults{LoseResponse: true}), ending(orderRequest("a"), 50*time.Millisecond), 502},
+		{"failed request waits for another server", func(env *testEnv) {
+			pickOnce(env)
+			setFaults(env.plain, backend.Faults{OmitSeal: true})
+		}, ending(statusRequest("a"), 50*time.Millisecond), 502},
+	}
+}
+
+// A caller whose request waits at the shutdown deadline gets the true refusal: 503 if no server has run it, else 502. Its
+// connection was closed without an answer.
+func TestUnfinishedRequestsAreAnsweredAtShutdown(t *testing.T) {
+	for n := range shutdownCases(nil) {
+		runInTestEnv(t, func(env *testEnv) {
+			var running sync.WaitGroup
+			c := shutdownCases(&running)[n]
+			c.prepare(env)
+			got := env.send(c.request)
+			if got.broken || got.Code != c.status || got.took > c.request.shutdownAfter+10*time.Millisecond {
+				t.Errorf("%s: status %d instead of %d, cut %v, after %v: %v",
+					c.name, got.Code, c.status, got.broken, got.took, env.recordedEvents("a"))
+			}
+			if runs := runCount(slices.Concat(env.plain, env.decode), "a"); c.status == http.StatusServiceUnavailable && runs > 0 {
+				t.Errorf("%s: refused, but ran %d times", c.name, runs)
+			}
+			running.Wait()
+		})
+	}
+}
--- a/forward/testenv_test.go
+++ b/forward/testenv_test.go
@@ -279,6 +279,7 @@
 	model                       bool
 	forged                      bool          // whether the caller sets headers that only the router may set
 	disconnectAfter             time.Duration // time until the caller disconnects; 0 if it does not
+	shutdownAfter               time.Duration // time until the shutdown deadline of the instance; 0 if it does not shut down
 	parts                       []string      // ids of the shared parts of the prompt; empty for those of the test environment
 }
 
@@ -301,10 +302,13 @@
 	if req.forged {
 		caller.SetForgedHeaders(r.Header, forgedValue)
 	}
-	ctx, stop := context.WithCancel(r.Context())
-	defer stop()
+	ctx, end := context.WithCancelCause(r.Context())
+	defer end(nil)
 	if req.disconnectAfter > 0 {
-		time.AfterFunc(req.disconnectAfter, stop)
+		time.AfterFunc(req.disconnectAfter, func() { end(nil) })
+	}
+	if req.shutdownAfter > 0 {
+		time.AfterFunc(req.shutdownAfter, func() { end(outcome.ErrShuttingDown) })
 	}
 	resp := testResponse{ResponseRecorder: httptest.NewRecorder()}
 	start := time.Now()
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"teaselgate/delay"
-	"teaselgate/entry"
 	"teaselgate/event"
 	"teaselgate/fleet"
+	"teaselgate/outcome"
 )
 
 // DefaultBalancerDelay is how long an instance that reports not ready still accepts new requests, so that the load
@@ -85,7 +85,7 @@
 		return nil
 	}
 	i.events.Record(event.Event{Code: event.RequestsAborted})
-	abortRequests(entry.ErrShuttingDown)
+	abortRequests(outcome.ErrShuttingDown)
 	shutdownCtx, stop = context.WithTimeout(ctx, abortTimeout)
 	defer stop()
 	_ = caller.Shutdown(shutdownCtx)
--- a/outcome/fault_matrix_test.go
+++ b/outcome/fault_matrix_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"teaselgate/entry"
+	"teaselgate/outcome"
 	standengine "teaselgate/standin/engine"
 	"teaselgate/standin/fault"
 	standplatform "teaselgate/standin/platform"
@@ -213,7 +213,7 @@
 			"whole/replayed whole/replayed",
 	}},
 	{"instance ends its requests at the shutdown deadline", func(b *testbed, _ *backend, p *pendingRequest) fault.Action {
-		b.instances[0].end(entry.ErrShuttingDown)
+		b.instances[0].end(outcome.ErrShuttingDown)
 		if p.requestKind == kindOnce || p.requestKind == kindOnceKeyed {
 			return fault.Pass
 		}
--- a/outcome/fault_pairs_test.go
+++ b/outcome/fault_pairs_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"testing"
 
-	"teaselgate/entry"
+	"teaselgate/outcome"
 	"teaselgate/standin/fault"
 	standplatform "teaselgate/standin/platform"
 )
@@ -239,7 +239,7 @@
 	{
 		"shutdown deadline passes while the engine hangs", kindStream, "import",
 		func(b *testbed, _ *backend, _ *pendingRequest) fault.Action {
-			b.instances[0].end(entry.ErrShuttingDown)
+			b.instances[0].end(outcome.ErrShuttingDown)
 			return fault.Hang
 		},
 		"unknown",
--- a/throttle/permit.go
+++ b/throttle/permit.go
@@ -87,7 +87,7 @@
 	if err := l.Call(call, keeper, RPCName+".Take", *args, &reply); err != nil {
 		l.addSent(server, args.Sent)
 		if ctx.Err() != nil {
-			return &Denial{RetryAt: l.Now()} // the caller has gone, which says nothing about the keeper
+			return &Denial{RetryAt: l.Now()} // the request has ended, which says nothing about the keeper
 		}
 		l.recordSilence(keeper)
 		l.Record(event.Event{Code: event.KeeperUnreachable, Server: server.Server, Detail: keeper + ": " + err.Error()})
