Answer the own dialect's waiting requests truly at a shutdown

At the shutdown deadline callers of the own dialect saw, by what their request waited for: 503 "unknown" for a model request that waited for a place and had reached no engine; "no-allowance" or "unreachable" in place of the shutdown; and no answer at all for a request of class once, which waited on for its claim (3.9 s), a connection (27.9 s) or the response (19.9 s), while the process ends within 2 s.

Cause: the handler of model requests replaced each error by the refusal with an unknown outcome, and a request of class once used a context that outlasts its caller, and so the shutdown, too.

Change: the refusal has the outcome that the request has reached. A request of class once waits for its claim and for a connection until the shutdown deadline; once it was sent, it has AbortDelay (300 ms) more for its response, and ends as "leaving", "unknown", its claim marked as lost.

The fault matrix holds as it is, with AbortDelay at 10 s, since a busy machine may answer later than in 300 ms.

--- a/entry/charge_test.go
+++ b/entry/charge_test.go
@@ -34,6 +34,7 @@
 		"- {model: m, prefill: pre, decode: dec}   # operator: test\n" +
 		"- {route: model, path: /model, model: m}   # operator: test\n" +
 		"- {route: once, path: /once, pool: plain, calls: once}   # operator: test\n" +
+		"- {route: read, path: /read, pool: plain, calls: idempotent}   # operator: test\n" +
 		fmt.Sprintf("- {account: shop, rate: 1, burst: %d}   # operator: test\n", burst) +
 		fmt.Sprintf("- {key: %q, account: shop}   # operator: test\n", account.Hash(testSecret))
 	rules, problems := rule.Parse("test", []byte(text))
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -52,6 +52,7 @@
 	Now                func() time.Time
 
 	WriteTimeout time.Duration // limit for one chunk to a slow caller; 0 means defaultWriteTimeout
+	AbortDelay   time.Duration // for which sent requests of class once go on after the shutdown deadline; 0 means defaultAbortDelay
 
 	runningAttempts sync.Map // keys are the ids of attempts in progress
 }
@@ -100,8 +101,8 @@
 		return nil, refusal.WithRetryAt(retryAt)
 	}
 	if err != nil {
-		return nil, outcome.NewRefusal(http.StatusServiceUnavailable, "no-allowance",
-			"the client account's allowance can't be reached")
+		return nil, outcome.ErrorAtShutdown(ctx, outcome.NewRefusal(http.StatusServiceUnavailable, "no-allowance",
+			"the client account's allowance can't be reached"), outcome.NotRun)
 	}
 	return charge, nil
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -44,25 +44,22 @@
 		handler: h, request: q, completion: completion, parts: parts, writer: writer,
 		runOutcome: outcome.NotRun,
 	}
-	err = model.serve(ctx)
+	err = outcome.ErrorAtShutdown(ctx, model.serve(ctx), model.runOutcome)
 	charge.Settle(chargedTokens(err, completion.promptTokens()+writer.generatedTokens))
-	h.finishModel(r.Context(), q, writer, err)
+	h.finishModel(r.Context(), model, err)
 }
 
 // finishModel ends the response: it completes it, refuses the request, or closes the connection if the response has
 // started.
-func (h *Handler) finishModel(ctx context.Context, q *request, writer *completionWriter, err error) {
+func (h *Handler) finishModel(ctx context.Context, model *modelRequest, err error) {
+	q, writer := model.request, model.writer
 	if err == nil {
 		err = writer.finish()
 	}
-	shuttingDown := outcome.EndedByShutdown(ctx)
-	if shuttingDown && err != nil {
-		err = outcome.ErrShuttingDown
-	}
 	switch {
 	case err == nil:
 		h.Record(event.Event{Code: event.RequestCompleted, Request: q.id, Account: q.account.Account})
-	case !shuttingDown && ctx.Err() != nil || errors.Is(err, errCallerWrite):
+	case outcome.EndedByCaller(ctx) || errors.Is(err, errCallerWrite):
 		h.Record(event.Event{Code: event.RequestCancelled, Request: q.id, Account: q.account.Account})
 		panic(http.ErrAbortHandler)
 	case !writer.started:
@@ -98,15 +95,15 @@
 		if err != nil {
 			m.reportEngine(ctx, a, err)
 		}
+		if a.engineReached {
+			m.runOutcome = outcome.Unknown
+		}
 		if err == nil || ctx.Err() != nil || errors.Is(err, errCallerWrite) {
 			return err
 		}
 		if errors.Is(err, errWithdrawnKey) {
 			return errWithdrawnKey.WithOutcome(outcome.Ran)
 		}
-		if a.engineReached {
-			m.runOutcome = outcome.Unknown
-		}
 		m.exclude = append(m.exclude, a.failedServer())
 		h.Record(event.Event{
 			Code: event.AttemptFailed, Request: m.request.id, Server: a.failedServer(), Detail: err.Error(),
--- a/entry/once.go
+++ b/entry/once.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,6 +23,7 @@
 	maxOnceBodyBytes       = 1 << 20   // limit of bodies with an idempotency key; without one, longer bodies are streamed
 	maxStoredResponseBytes = 512 << 10 // limit of response bodies stored for replay
 	onceTimeout            = 28 * time.Second
+	defaultAbortDelay      = 300 * time.Millisecond
 	maxConnAge             = time.Second // age limit of a connection when the request is sent
 	replayedValue          = "yes"
 	bodyTooLargeMessage    = "the body of a call with an idempotency key is too large"
@@ -44,17 +46,19 @@
 }
 
 // serveOnce sends a request to a service at most once. It continues if the caller disconnects, so that a retry by the
-// caller finds the response.
+// caller finds the response. The shutdown deadline ends its waits, and AbortDelay later the wait for the response.
 func (h *Handler) serveOnce(w http.ResponseWriter, r *http.Request, q *request) error {
 	body, err := readBody(w, r, maxOnceBodyBytes)
 	if err != nil {
 		return err
 	}
 	q.setPart(r, body.head)
-	ctx, stop := context.WithTimeout(context.WithoutCancel(r.Context()), onceTimeout)
+	waiting, stopWaiting := untilShutdown(r.Context(), 0)
+	defer stopWaiting()
+	ctx, stop := untilShutdown(r.Context(), cmp.Or(h.AbortDelay, defaultAbortDelay))
 	defer stop()
 	o := &onceRequest{request: q, incoming: r, body: body}
-	stored, err := h.takeClaim(ctx, o)
+	stored, err := h.takeClaim(waiting, o)
 	if err != nil {
 		return err
 	}
@@ -66,7 +70,7 @@
 		o.dropClaim(ctx)
 		return refusal
 	}
-	resp, err := h.sendOnce(ctx, o)
+	resp, err := h.sendOnce(waiting, ctx, o)
 	if err != nil {
 		return err
 	}
@@ -78,6 +82,23 @@
 	return h.storeAndSend(ctx, w, o, resp)
 }
 
+// untilShutdown returns a context that outlasts the connection of a request's caller, up to onceTimeout. It ends a while after
+// the shutdown deadline.
+func untilShutdown(request context.Context, delay time.Duration) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancelCause(context.WithoutCancel(request))
+	ctx, stop := context.WithTimeout(ctx, onceTimeout)
+	detach := context.AfterFunc(request, func() {
+		if outcome.EndedByShutdown(request) {
+			time.AfterFunc(delay, func() { end(outcome.ErrShuttingDown) })
+		}
+	})
+	return ctx, func() {
+		detach()
+		stop()
+		end(nil)
+	}
+}
+
 // takeClaim takes the claim of a request with an idempotency key, or returns the stored response of an earlier request
 // with the same key.
 func (h *Handler) takeClaim(ctx context.Context, o *onceRequest) (*outcome.StoredResponse, error) {
@@ -99,6 +120,9 @@
 		Digest:  outcome.Digest([]byte(o.incoming.Method), []byte(o.incoming.URL.RequestURI()), o.body.head),
 	})
 	if errors.Is(err, outcome.ErrPlatformDown) {
+		if outcome.EndedByShutdown(ctx) {
+			return nil, outcome.ErrShuttingDown.WithOutcome(outcome.NotRun)
+		}
 		if o.route.Outage != rule.OutagePass {
 			return nil, outcome.PlatformDownRefusal()
 		}
@@ -117,9 +141,9 @@
 }
 
 // sendOnce opens a connection, marks the claim as sent, and sends the request. A connection that has become too old
-// while the claim was marked is replaced.
-func (h *Handler) sendOnce(ctx context.Context, o *onceRequest) (*http.Response, error) {
-	conn, err := h.openService(ctx, o)
+// while the claim was marked is replaced. The context waiting ends the wait for a connection.
+func (h *Handler) sendOnce(waiting, ctx context.Context, o *onceRequest) (*http.Response, error) {
+	conn, err := h.openService(waiting, o)
 	if err != nil {
 		o.dropClaim(ctx)
 		return nil, err
@@ -130,7 +154,7 @@
 	}
 	if h.Now().Sub(conn.openedAt) > maxConnAge {
 		h.closeUnused(conn)
-		if conn, err = h.openService(ctx, o); err != nil {
+		if conn, err = h.openService(waiting, o); err != nil {
 			o.dropClaim(ctx)
 			return nil, err
 		}
@@ -143,7 +167,7 @@
 		h.Record(event.Event{Code: event.AtMostOnceOutcomeUnknown, Request: o.id, Server: conn.server.Server, Detail: err.Error()})
 		h.reportNoAnswer(ctx, o.request, false, nil)
 		o.markLost(ctx)
-		return nil, errNoAnswer
+		return nil, outcome.ErrorAtShutdown(ctx, errNoAnswer, outcome.Unknown)
 	}
 	return resp, nil
 }
@@ -226,7 +250,7 @@
 		h.Record(event.Event{Code: event.ResponseInterrupted, Request: o.id, Detail: err.Error()})
 		h.reportNoAnswer(ctx, o.request, false, nil)
 		o.markLost(ctx)
-		return errNoAnswer
+		return outcome.ErrorAtShutdown(ctx, errNoAnswer, outcome.Unknown)
 	}
 	response := outcome.StoredResponse{
 		Status: resp.StatusCode, Header: resp.Header.Clone(), Trailer: resp.Trailer.Clone(), Body: head,
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -102,7 +102,7 @@
 			runOutcome = outcome.Unknown
 		}
 		if !h.canRetry(r.Context(), q, err, body, len(tried)) {
-			return nil, errUnreachable.WithOutcome(runOutcome)
+			return nil, outcome.ErrorAtShutdown(r.Context(), errUnreachable.WithOutcome(runOutcome), runOutcome)
 		}
 	}
 }
--- a/outcome/shutdown.go
+++ b/outcome/shutdown.go
@@ -15,3 +15,11 @@
 
 // EndedByCaller reports whether the context of a request ended because its caller has disconnected.
 func EndedByCaller(ctx context.Context) bool { return ctx.Err() != nil && !EndedByShutdown(ctx) }
+
+// ErrorAtShutdown returns the refusal of an unfinished request if the shutdown has ended its context, and otherwise err.
+func ErrorAtShutdown(ctx context.Context, err error, runOutcome Outcome) error {
+	if err != nil && EndedByShutdown(ctx) {
+		return ErrShuttingDown.WithOutcome(runOutcome)
+	}
+	return err
+}
--- a/outcome/testbed_test.go
+++ b/outcome/testbed_test.go
@@ -236,6 +236,7 @@
 		Place: placer.Place, PickServer: plain.Pick, ReportServerResult: plain.RecordResult,
 		Engines: engines, Services: services, Claims: inst.claims, RetryBudget: outcome.NewDefaultRetryBudget(),
 		CancelAttempt: inst.canceller.Cancel, Record: func(event.Event) {}, Now: time.Now, WriteTimeout: responseTimeout,
+		AbortDelay: 10 * time.Second,
 	}
 	inst.sweeper = &outcome.Sweeper{
 		Owner:             inst.owner,
