Refuse requests that can't be served before the shutdown deadline

Streams that got a place late were cut in the middle.

Cause: a stop had no deadline that a waiting request knew. Its steps were durations, each counted from the end of the one before, so that slow peers could also move the end of the stop beyond the grace period.

Change: leave stores the deadline at its beginning. Placer and slot.Client pass on the time that is left until then, if it ends before the caller's, and dispatcher and keeper also heed it for requests that wait already. Such a request is refused when even an idle engine could not end its response in time, with the time to return that any refusal has; the others wait on.

--- a/cell/core.go
+++ b/cell/core.go
@@ -43,7 +43,8 @@
 	Exclude      []string      // names of servers not to use, since they failed the request before
 	Avoid        []string      // names of servers that want no requests from the caller of the dispatcher
 	Waited       time.Duration // time that the request waited before this call
-	Left         time.Duration // time until the caller's deadline; 0 if unknown
+	Left         time.Duration // time until the caller's deadline or, with Stopping, the shutdown deadline; 0 if unknown
+	Stopping     bool          // whether Left ends with the shutdown deadline of the calling instance, so that no answer can come after it
 	Rank         int           // 0 is the most urgent
 	Ordered      bool          // whether requests to the model differ in what waiting costs their callers
 	First        time.Duration // target for the time to the first event; 0 for that of the cell
@@ -268,8 +269,8 @@
 	return sum / n
 }
 
-// Submit charges a request to its account and queues it. Submitting a waiting request again has no effect, and submitting
-// a placed one repeats its decision. A reservation under the same key that this core did not place is released first.
+// Submit charges a request to its account and queues it. Submitting a waiting request again has no effect unless its instance
+// has begun to stop meanwhile, and submitting a placed one repeats its decision. A reservation under the same key that this core did not place is released first.
 func (c *Core) Submit(now instant, request PlaceRequest) {
 	if r, ok := c.reservations[request.Key]; ok {
 		if !r.discovered && r.prefill != nil {
@@ -278,10 +279,12 @@
 		}
 		c.Release(now, request.Key, Report{})
 	}
-	if _, ok := c.waiting[request.Key]; ok {
+	if w, ok := c.waiting[request.Key]; ok {
+		c.shorten(now, w, request)
 		return
 	}
-	if _, ok := c.delayed[request.Key]; ok {
+	if d, ok := c.delayed[request.Key]; ok {
+		d.shorten(now, request)
 		return
 	}
 	if now.Before(c.levelsDue) {
--- a/cell/delayed.go
+++ b/cell/delayed.go
@@ -29,6 +29,13 @@
 	return r
 }
 
+// shorten limits the time of a request whose instance has begun to stop.
+func (d *delayedRequest) shorten(now instant, request PlaceRequest) {
+	if request.Stopping && !d.request.Stopping {
+		d.request.Left, d.request.Stopping = request.Left+now.Sub(d.submitted), true
+	}
+}
+
 // chargeAndQueue charges a request to its account and queues it. An account whose requests come in groups exceeds its
 // burst for tenths of a second, though it is within its rate. If the account has the tokens soon enough for a response in
 // time, the request waits for them; otherwise it is rejected at once.
--- a/cell/dispatcher.go
+++ b/cell/dispatcher.go
@@ -124,6 +124,8 @@
 	if !ok {
 		w = &waiter{decision: make(chan Decision, 1)}
 		d.waiters[request.Key] = w
+	}
+	if !ok || request.Stopping {
 		d.core.Submit(d.coreTime(at), request)
 	}
 	w.lastCall = at
--- a/cell/placer.go
+++ b/cell/placer.go
@@ -34,6 +34,8 @@
 	Live   func() []fleet.Member // returns the instances that may be dispatchers
 	Call   func(ctx context.Context, address, method string, args, reply any) error
 	Random func(n int) int
+	// ShutdownDeadline returns when this instance ends its unfinished requests, or the zero time while it is not stopping.
+	ShutdownDeadline func() time.Time
 
 	directory    rule.Directory
 	mu           sync.Mutex
@@ -67,9 +69,12 @@
 // by cells.
 func NewPlacer(rules func() *rule.Set, hub *Hub) *Placer {
 	p := &Placer{
-		Local:        NewLocalPlacer(rules),
-		Hub:          hub,
-		Random:       rand.IntN,
+		Local:  NewLocalPlacer(rules),
+		Hub:    hub,
+		Random: rand.IntN,
+
+		ShutdownDeadline: func() time.Time { return time.Time{} },
+
 		rankings:     make(map[ID]ranking),
 		loads:        make(map[ID]cellLoad),
 		unresponsive: make(map[string]time.Time),
@@ -210,12 +215,17 @@
 }
 
 func (p *Placer) newPlaceRequest(r Request, waited time.Duration) PlaceRequest {
+	deadline, shutdown := r.Deadline, p.ShutdownDeadline()
+	stopping := !shutdown.IsZero() && (deadline.IsZero() || shutdown.Before(deadline))
+	if stopping {
+		deadline = shutdown
+	}
 	left := time.Duration(0) // a duration, since the dispatcher's clock may differ
-	if !r.Deadline.IsZero() {
-		left = max(r.Deadline.Sub(p.Hub.Now()), 1)
+	if !deadline.IsZero() {
+		left = max(deadline.Sub(p.Hub.Now()), 1)
 	}
 	return PlaceRequest{
-		Key: r.ID, From: p.ownerName(), Left: left, Account: r.Account, Weight: r.Weight, Class: r.Class,
+		Key: r.ID, From: p.ownerName(), Left: left, Stopping: stopping, Account: r.Account, Weight: r.Weight, Class: r.Class,
 		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Ceiling: r.Ceiling, Prefixes: r.Prefixes, Zone: r.Zone, Zones: r.Zones,
 		Exclude: r.Exclude, Avoid: r.Avoid, Waited: waited,
 		Rank: r.Rank, Ordered: r.Ordered, First: r.First, MaxWait: r.MaxWait,
--- a/cell/waiting.go
+++ b/cell/waiting.go
@@ -54,9 +54,29 @@
 	case w.Patient && now.After(w.Target):
 		c.markLate(w)
 	}
+	c.endAtShutdown(now, w)
 	return w
 }
 
+// shorten limits the wait of a queued request whose instance has begun to stop.
+func (c *Core) shorten(now instant, w *waitingRequest, request PlaceRequest) {
+	if request.Stopping && !w.request.Stopping {
+		w.request.Left, w.request.Stopping = request.Left, true
+		c.endAtShutdown(now, w)
+	}
+}
+
+// endAtShutdown limits the wait of a request whose instance is stopping: a response that does not end before the shutdown deadline
+// would be cut.
+func (c *Core) endAtShutdown(now instant, w *waitingRequest) {
+	if !w.request.Stopping {
+		return
+	}
+	latestPlacement := now.Add(w.request.Left - firstTokenMargin - c.unloadedPrefillTime(w.request) - c.minStreamTime(w.request.MaxTokens))
+	w.responseDeadline = min(w.responseDeadline, latestPlacement)
+	w.waitDeadline = min(w.waitDeadline, latestPlacement)
+}
+
 // markLate marks a request that has missed its target or is predicted to miss it. The request must not be in the queue.
 func (c *Core) markLate(w *waitingRequest) {
 	w.Late = true
--- a/instance/build_cell.go
+++ b/instance/build_cell.go
@@ -22,6 +22,7 @@
 	i.placer.Self = i.Options.Name
 	i.placer.Live = i.fleet.Serving
 	i.placer.Call = i.peers.Call
+	i.placer.ShutdownDeadline = i.shutdownDeadline
 	supervisor.Add(hub)
 	supervisor.Add(i.placer)
 	return i.peerServer.Register(cell.RPCName, hub.Receiver())
--- a/instance/build_slot.go
+++ b/instance/build_slot.go
@@ -19,6 +19,7 @@
 	i.slots = slot.NewClient(i.plain, i.slotKeeper)
 	i.slots.Call, i.slots.Record = i.peers.Call, i.events.Record
 	i.slots.Keeper, i.slots.Shared = i.slotKeeperOf, i.sharesSlots
+	i.slots.ShutdownDeadline = i.shutdownDeadline
 	supervisor.Add(i.slotKeeper)
 	supervisor.Add(i.slots)
 	return i.peerServer.Register(slot.RPCName, i.slotKeeper.Receiver())
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -82,6 +82,7 @@
 	callerTLS       *certificate.Store    // nil if the caller listener is without TLS
 	adminTLS        *certificate.Store    // nil if the admin listener is without TLS
 	leaving         atomic.Bool
+	shutdownAt      atomic.Pointer[time.Time]      // when unfinished requests are aborted; nil while the instance is not leaving
 	storeRestored   chan struct{}                  // receives a value when the platform store was restored
 	backoff         *upstream.Backoff              // backend servers that want no requests
 	shares          limit.Shares                   // parts of the machine for those who call the instance
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -47,6 +48,9 @@
 
 // leave announces that the instance is leaving, waits for the requests in flight and removes the instance's entry.
 func (i *Instance) leave(ctx context.Context, caller *http.Server, abortRequests context.CancelCauseFunc) error {
+	balanced := time.Now().Add(i.BalancerDelay)
+	deadline := balanced.Add(cmp.Or(i.ShutdownTimeout, defaultShutdownTimeout))
+	i.shutdownAt.Store(&deadline)
 	i.leaving.Store(true)
 	i.events.Record(event.Event{Code: event.InstanceLeaving})
 	var entryWritten sync.WaitGroup
@@ -56,7 +60,7 @@
 	if i.allowance != nil {
 		i.allowance.Leave(ctx)
 	}
-	time.Sleep(i.BalancerDelay)
+	time.Sleep(time.Until(balanced))
 	err := i.finishRequests(ctx, caller, abortRequests)
 	i.finishCleanup(ctx)
 	i.fleet.AnnounceLeft(ctx)
@@ -65,17 +69,22 @@
 	return err
 }
 
-// finishRequests waits for the requests in flight, and aborts those that exceed the shutdown timeout.
+// shutdownDeadline returns when unfinished requests are aborted, or the zero time while the instance is not leaving.
+func (i *Instance) shutdownDeadline() time.Time {
+	if deadline := i.shutdownAt.Load(); deadline != nil {
+		return *deadline
+	}
+	return time.Time{}
+}
+
+// finishRequests waits for the requests in flight, and aborts those that are unfinished at the shutdown deadline.
 func (i *Instance) finishRequests(
 	ctx context.Context, caller *http.Server, abortRequests context.CancelCauseFunc,
 ) error {
-	timeout := i.ShutdownTimeout
-	if timeout == 0 {
-		timeout = defaultShutdownTimeout
-	}
-	shutdownCtx, stop := context.WithTimeout(ctx, timeout)
+	deadline := i.shutdownDeadline()
+	shutdownCtx, stop := context.WithDeadline(ctx, deadline)
 	defer stop()
-	drainCtx, endDrain := context.WithTimeout(shutdownCtx, timeout/drainDivisor)
+	drainCtx, endDrain := context.WithTimeout(shutdownCtx, time.Until(deadline)/drainDivisor)
 	defer endDrain()
 	i.limitedListener.StopAccepting(drainCtx)
 	i.closeIdleConnections(drainCtx)
--- a/slot/client.go
+++ b/slot/client.go
@@ -35,6 +35,8 @@
 	Call   func(ctx context.Context, address, method string, args, reply any) error
 	Record func(event.Event)
 	Now    func() time.Time
+	// ShutdownDeadline returns when this instance ends its unfinished requests, or the zero time while it is not stopping.
+	ShutdownDeadline func() time.Time
 
 	directory rule.Directory
 	mu        sync.Mutex
@@ -59,8 +61,8 @@
 	return &Client{
 		Local: local, Own: own, Rules: local.Rules, Now: time.Now,
 		Keeper: func(string) (string, bool) { return "", true }, Shared: func(string) bool { return false },
-		Record: func(event.Event) {},
-		taken:  make(map[string]taken), silent: make(map[string]time.Time), unsent: make(map[keptService][]Report),
+		Record: func(event.Event) {}, ShutdownDeadline: func() time.Time { return time.Time{} },
+		taken: make(map[string]taken), silent: make(map[string]time.Time), unsent: make(map[keptService][]Report),
 		wake: make(chan struct{}, 1),
 	}
 }
@@ -103,6 +105,7 @@
 	service, started := keptService{address, pool}, c.Now()
 	args := TakeArgs{Pool: pool, Ask: ask}
 	for {
+		c.endAtShutdown(&args.Ask)
 		args.Reports = c.takeReports(service)
 		reply, err := c.call(ctx, service, self, args)
 		if ctx.Err() != nil {
@@ -123,6 +126,17 @@
 	}
 }
 
+// endAtShutdown limits the time of a request to that of this instance if it is stopping.
+func (c *Client) endAtShutdown(ask *Ask) {
+	shutdown := c.ShutdownDeadline()
+	if shutdown.IsZero() {
+		return
+	}
+	if left := max(shutdown.Sub(c.Now()), 1); ask.Left == 0 || left < ask.Left {
+		ask.Left, ask.Stopping = left, true
+	}
+}
+
 // call calls the keeper of a service, directly if that is this instance.
 func (c *Client) call(ctx context.Context, service keptService, self bool, args TakeArgs) (TakeReply, error) {
 	if self {
