End the deadline of a head with the head

Cause: net/http reads on in another goroutine while a request is served, to notice that its caller disconnects. limit.conn took a read for that of a head until the handler had begun, and set the deadline of the head on the connection. The other goroutine may read before the handler begins; then nothing cleared the deadline, and net/http took it for a disconnect.

Change: the head ends when net/http reports the connection as active, which it does in the goroutine that read the head, before it starts the other one. From then on no deadline of a head is set. Other deadlines that cross goroutines were gone through: those of bodies and of answers are cleared by the goroutine that set them or by net/http before it reads on, and the past deadline that ends a connection is cleared with the start of the next read.

--- a/limit/conn.go
+++ b/limit/conn.go
@@ -70,7 +70,7 @@
 	receiving      bool      // whether data was received after the newest response
 	ended          bool      // whether endIdle has ended the connection
 	told           bool      // whether the connection was told to end
-	serving        bool      // whether the handler of a request runs
+	serving        bool      // whether the head of a request was read and its response is not complete
 	idle           bool      // whether a response was the last that happened; false once data is read
 	deadlineSets   int       // calls of SetReadDeadline since idle was set
 	writing        time.Time // when the write began that is going on; zero if there is none
@@ -122,7 +122,8 @@
 	return n, err
 }
 
-// beginRead prepares a read, and reports whether the handler of a request runs.
+// beginRead prepares a read, and reports whether a request is served. Its deadline is not that of a head then: net/http reads in
+// another goroutine to notice that the caller disconnects, and would cancel the request at that deadline.
 func (c *conn) beginRead() (serving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -334,13 +335,20 @@
 	}
 }
 
+// setActive records that the head of a request was read. It is called before net/http goes on reading in another goroutine, which
+// may happen before the handler begins.
+func (c *conn) setActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.idle = !c.http2, false
+}
+
 // beginRequest records that the handler of a request begins, and reports whether it must refuse the request.
 func (c *conn) beginRequest() (refused bool) {
 	c.holder.SetEndable(false)
 	c.listener.setServing(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.idle = !c.http2, false
 	if c.http2 {
 		c.opened = max(c.opened-1, 0)
 		waiting := c.holder.Held() - http2ConnBytes // heads of requests whose handlers have not begun
--- a/limit/listener.go
+++ b/limit/listener.go
@@ -270,8 +270,11 @@
 	if !ok {
 		return
 	}
-	if state == http.StateIdle {
+	switch state {
+	case http.StateIdle:
 		c.setIdle()
+	case http.StateActive:
+		c.setActive()
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
