Tell callers of partial requests that the instance is leaving

When a stop gave up waiting for the rest of a request, its caller was told "too-many-headers" or "too-many-bodies": true in that it had not run, but false in its reason, and an operator would look for memory.

Cause: a connection was told to end without a reason, and its reader assumed that of the memory. The same held for the connection that gives way to a new one.

Change: a connection is told to end with its refusal. ReadBody tells the shutdown from the need for memory by the cause of the context.

--- a/limit/body.go
+++ b/limit/body.go
@@ -184,6 +184,9 @@
 		content, err = b.readBlocks(body, maxBytes)
 	}
 	b.setEndable(false)
+	if b.wasTold() && outcome.EndedByShutdown(ctx) {
+		return nil, errLeaving.WithRetryAt(b.handler.Now().Add(retryDelay))
+	}
 	if b.wasTold() {
 		return nil, b.handler.tooManyBodies()
 	}
--- a/limit/conn.go
+++ b/limit/conn.go
@@ -40,6 +40,9 @@
 	errHeadTooLarge = outcome.NewRefusal(http.StatusRequestHeaderFieldsTooLarge, "head-too-large", "the request's header is too large")
 	errNoHeadMemory = outcome.NewRefusal(http.StatusServiceUnavailable, "too-many-headers",
 		"the instance holds too many request headers")
+	errTooManyConnections = outcome.NewRefusal(http.StatusServiceUnavailable, "too-many-connections",
+		"the instance has too many connections")
+	errLeaving = outcome.ErrShuttingDown.WithOutcome(outcome.NotRun)
 )
 
 // conn is a connection that the listener counts as open. It counts the memory that heads of requests take while net/http reads
@@ -66,14 +69,14 @@
 	receivedBefore uint64    // bytes received before that
 	counted        uint64    // bytes that have arrived on raw and whose effect on receiving is known
 	http2          bool
-	opened         int       // requests over HTTP/2 whose handlers have not begun
-	receiving      bool      // whether data was received after the newest response
-	ended          bool      // whether endIdle has ended the connection
-	told           bool      // whether the connection was told to end
-	serving        bool      // whether the head of a request was read and its response is not complete
-	idle           bool      // whether a response was the last that happened; false once data is read
-	deadlineSets   int       // calls of SetReadDeadline since idle was set
-	writing        time.Time // when the write began that is going on; zero if there is none
+	opened         int              // requests over HTTP/2 whose handlers have not begun
+	receiving      bool             // whether data was received after the newest response
+	ended          bool             // whether endIdle has ended the connection
+	told           *outcome.Refusal // with which the connection was told to end; nil if it was not
+	serving        bool             // whether the head of a request was read and its response is not complete
+	idle           bool             // whether a response was the last that happened; false once data is read
+	deadlineSets   int              // calls of SetReadDeadline since idle was set
+	writing        time.Time        // when the write began that is going on; zero if there is none
 	body           *bodyReader
 
 	// Fields that listener.mu protects.
@@ -110,7 +113,10 @@
 	if serving {
 		return n, err
 	}
-	if told || errors.Is(err, errRefused) {
+	if told != nil {
+		return 0, c.refuse(told)
+	}
+	if errors.Is(err, errRefused) {
 		return 0, c.refuse(errNoHeadMemory)
 	}
 	if refusal := c.countHead(p[:n]); refusal != nil {
@@ -136,7 +142,7 @@
 		c.holder.Shrink(0)
 		c.headBytes, c.headBegan, c.tail = 0, time.Time{}, tail{}
 	}
-	if !c.told {
+	if c.told == nil {
 		if at := c.listener.headDeadline(c); !at.IsZero() {
 			_ = c.Conn.SetReadDeadline(at)
 		}
@@ -275,7 +281,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadlineSets++
-	if c.told && !c.serving {
+	if c.told != nil && !c.serving {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(at)
@@ -312,11 +318,14 @@
 // hasUnread reports whether data has arrived that was not read.
 func (c *conn) hasUnread() bool { return socket.HasReceivedMore(c.raw.Conn, c.raw.received.Load()) }
 
+// endForMemory tells the connection to end because the memory of its heads is needed.
+func (c *conn) endForMemory() { c.end(errNoHeadMemory) }
+
 // end tells the connection to end: its reader refuses what it has read of a request. A request that is complete is served.
-func (c *conn) end() {
+func (c *conn) end(refusal *outcome.Refusal) {
 	c.mu.Lock()
 	if body := c.body; body != nil {
-		c.told = true
+		c.told = refusal
 		c.mu.Unlock()
 		body.endEarly()
 		return
@@ -330,7 +339,7 @@
 	case c.http2:
 		c.raw.Close()
 	default:
-		c.told = true
+		c.told = refusal
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -343,8 +352,8 @@
 	c.serving, c.idle = !c.http2, false
 }
 
-// beginRequest records that the handler of a request begins, and reports whether it must refuse the request.
-func (c *conn) beginRequest() (refused bool) {
+// beginRequest records that the handler of a request begins, and returns the refusal of a request that it must refuse.
+func (c *conn) beginRequest() *outcome.Refusal {
 	c.holder.SetEndable(false)
 	c.listener.setServing(c)
 	c.mu.Lock()
@@ -354,7 +363,10 @@
 		waiting := c.holder.Held() - http2ConnBytes // heads of requests whose handlers have not begun
 		c.holder.Shrink(http2ConnBytes + waiting*int64(c.opened)/int64(c.opened+1))
 	}
-	return c.overLimit || c.told
+	if c.told == nil && c.overLimit {
+		return errTooManyConnections
+	}
+	return c.told
 }
 
 // setIdle records that a response was sent, and charges the connection for the heads that net/http's buffer may hold.
@@ -375,7 +387,7 @@
 	c.holder.Shrink(kept)
 	c.holder.SetEndable(true)
 	if held := c.holder.Held(); held < kept && !c.holder.Take(kept-held) {
-		c.end()
+		c.endForMemory()
 	}
 }
 
--- a/limit/handler.go
+++ b/limit/handler.go
@@ -180,9 +180,8 @@
 	if c == nil {
 		return nil
 	}
-	if c.beginRequest() {
-		return outcome.NewRefusal(http.StatusServiceUnavailable, "too-many-connections",
-			"the instance has too many connections").WithRetryAt(h.Now().Add(retryDelay))
+	if refusal := c.beginRequest(); refusal != nil {
+		return refusal.WithRetryAt(h.Now().Add(retryDelay))
 	}
 	if limit := c.listener.headLimit(); r.ProtoMajor > 1 && limit > 0 {
 		if length, _ := parsedHeadSize(r); length > limit+headSlackBytes {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -80,10 +80,17 @@
 
 // startServer starts a server with the given limits, and stops it when the test ends.
 func startServer(t *testing.T, limits option.Limit, handler http.HandlerFunc) *testServer {
+	t.Helper()
+	return startServerWith(t, limits, handler, func(*http.Server) {})
+}
+
+// startServerWith is startServer with a function that changes the server before it serves.
+func startServerWith(t *testing.T, limits option.Limit, handler http.HandlerFunc, change func(*http.Server)) *testServer {
 	t.Helper()
 	s := &testServer{pipeListener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}}
 	s.server = NewServer(handler, limits, NewMemory(limits.Memory), isModelPath, s.record)
 	s.listener = WrapListener(s.server, s.pipeListener, limits.Connections, s.record)
+	change(s.server)
 	go func() { _ = s.server.Serve(s.listener) }()
 	t.Cleanup(func() {
 		s.server.Close()
--- a/limit/listener.go
+++ b/limit/listener.go
@@ -123,7 +123,7 @@
 	c.holder.SetEndable(true)
 	if victim != nil {
 		l.Record(event.Event{Code: event.ConnectionEnded})
-		victim.end()
+		victim.end(errTooManyConnections)
 	}
 	return c
 }
@@ -135,7 +135,7 @@
 func (l *Listener) newConn(inner net.Conn) *conn {
 	now := time.Now()
 	c := &conn{raw: &rawConn{Conn: inner}, listener: l, accepted: now, since: now}
-	c.holder = l.Heads.NewHolder(c.end)
+	c.holder = l.Heads.NewHolder(c.endForMemory)
 	c.Conn = c.raw
 	if l.TLS != nil {
 		c.Conn = tls.Server(c.raw, l.TLS)
@@ -457,7 +457,7 @@
 	l.mu.Unlock()
 	for _, c := range waiting {
 		if !c.isHTTP2() { // those learn of the stop from the server
-			c.end()
+			c.end(errLeaving)
 		}
 	}
 }
--- a/limit/server.go
+++ b/limit/server.go
@@ -40,7 +40,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if c.beginRequest() {
+		if c.beginRequest() != nil {
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
