Stop instances in series in the soak

The soak had planned stops among its random faults, but it did not check that requests are answered in them, since other faults may cut any request.

Each run now ends with four stops in series. They overlap with each other, with SIGHUP and with new versions of the configuration; nothing else disturbs the instances. 60 clients use their connections until these are closed, plain servers take 1.7 s, and the instances have grace periods of 3, 5 and 8 s and take heads for 1 s. Each request that an instance has read must get the header of an answer.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -25,7 +25,8 @@
 			"platform store, and injects faults: connections delayed, reset, cut in one direction or silent; processes\n" +
 			"stopped, paused, killed and restarted; a store that is down or loses its history; failing servers. Then it\n" +
 			"checks that nothing ran twice, that requests reported as not run did not run, that responses were complete,\n" +
-			"that no key was passed on, that engines hold nothing any more, and that requests are served again.",
+			"that no key was passed on, that engines hold nothing any more, and that requests are served again. Last,\n" +
+			"it stops and starts instances in series, and checks that each request which they had read got an answer.",
 		Example: "  teaselgate soak --seed 7 --length 30s\n  teaselgate soak --seed 1 --runs 50 --length 10s --machines 5",
 		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/soak/client.go
+++ b/soak/client.go
@@ -70,10 +70,17 @@
 	results      []result
 	violations   []string
 	finalResults []result // results of the requests sent after all faults had ended
+
+	stopHTTP    *http.Client // for the requests sent while instances stop
+	stopResults []stopResult
 }
 
 func newClients(env *environment, seed uint64) *clients {
-	return &clients{env: env, seed: seed, deadly: chooseDeadlyPaths(seed), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}}
+	return &clients{
+		env: env, seed: seed, deadly: chooseDeadlyPaths(seed),
+		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}},
+		stopHTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: stopClients}},
+	}
 }
 
 // run sends requests until the context ends. Requests in flight are finished. The seed of the run and the client number
@@ -203,6 +210,7 @@
 	c.checkColdServers()
 	c.checkDeadlyRequests(results)
 	c.checkProcesses()
+	c.checkStops()
 	return c.violations
 }
 
@@ -268,6 +276,6 @@
 			failed++
 		}
 	}
-	return fmt.Sprintf("%d requests, %d whole, %d refused, %d failed or cut, %d left, %d broken promises",
-		len(c.results), ok, rejected, failed, len(c.results)-ok-rejected-failed, len(c.violations))
+	return fmt.Sprintf("%d requests, %d whole, %d refused, %d failed or cut, %d left, %d through planned stops, %d broken promises",
+		len(c.results), ok, rejected, failed, len(c.results)-ok-rejected-failed, len(c.stopResults), len(c.violations))
 }
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -1,6 +1,10 @@
 package soak
 
 import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,3 +60,36 @@
 		})
 	}
 }
+
+// A request that an instance has read and that got no answer in a planned stop must be found. One that met a closed listener or
+// crossed the end of an idle connection, and a stream that was cut after it had begun, must not.
+func TestCheckFindsRequestsThatAreLostInStops(t *testing.T) {
+	dial := &net.OpError{Op: "dial", Err: errors.New("refused")}
+	tests := []struct {
+		name     string
+		received bool
+		result   stopResult
+		lost     bool
+	}{
+		{"answered", true, stopResult{took: time.Second, answered: true}, false},
+		{"cut while it waited", false, stopResult{took: time.Second, err: io.EOF}, true},
+		{"cut at a server", true, stopResult{took: 10 * time.Millisecond, err: io.EOF}, true},
+		{"crossed the end of an idle connection", false, stopResult{took: 10 * time.Millisecond, err: io.EOF}, false},
+		{"the listener was closed", false, stopResult{took: time.Second, err: fmt.Errorf("unable to connect: %w", dial)}, false},
+		{"stream cut after its header", true, stopResult{took: time.Second, answered: true, err: io.ErrUnexpectedEOF}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := (&backend.Server{ID: "s0", Slots: 4, ServiceTime: time.Millisecond}).Init()
+			test.result.id = "x"
+			if test.received {
+				serveRequest(t, s, "x", "dala")
+			}
+			c := &clients{env: &environment{servers: []*backendServer{{backend: s}}}, stopResults: []stopResult{test.result}}
+			c.checkStops()
+			if found := len(c.violations) > 0; found != test.lost {
+				t.Errorf("unexpected violations %q", c.violations)
+			}
+		})
+	}
+}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -187,7 +187,7 @@
 		return err
 	}
 	process, err := newProcess(binary, e.dir, fmt.Sprintf("i%d", n), string(rune('a'+n%3)),
-		addresses[0], addresses[1], addresses[2], p.address())
+		addresses[0], addresses[1], addresses[2], p.address(), gracePeriods[n%len(gracePeriods)])
 	if err != nil {
 		return err
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -41,17 +41,17 @@
 platform: http://%s
 source: store
 evacuations: true
-stop: {grace: 8s}
+stop: {grace: %v}
 retry: {share: 0.2, extra: 50, window: 10s}
-limit: {process: %d, memory: %d, descriptors: %d}
+limit: {begin: 1s, process: %d, memory: %d, descriptors: %d}
 log: {format: json}
 `
 
 // newProcess writes the settings file of an instance and opens its log. It does not start the process.
-func newProcess(binary, dir, name, zone, listen, admin, peer, store string) (*process, error) {
+func newProcess(binary, dir, name, zone, listen, admin, peer, store string, grace time.Duration) (*process, error) {
 	p := &process{name: name, binary: binary, settingsPath: filepath.Join(dir, name+".yaml")}
 	text := fmt.Sprintf(settingsFormat, name, zone, listen, admin, peer, store,
-		processMemory, processBodies, processFiles)
+		grace, processMemory, processBodies, processFiles)
 	if err := os.WriteFile(p.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("soak: unable to write settings: %w", err)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -71,6 +71,7 @@
 	s.endFaults(env)
 	wait(ctx, recoveryTime)
 	clients.sendFinal(ctx, finalRequests)
+	s.stopInSeries(ctx, env, clients)
 	wait(ctx, settleTime)
 	violations := clients.check()
 	if logDir := env.cleanUpLogs(len(violations) > 0); logDir != "" {
