Name the shutdown in the refusals that it causes

The log of a request that was refused since its instance shuts down read like any other refusal for lack of time, so that an operator could not tell a full pool from a stop.

The refusals of dispatchers and keepers now say "before its instance shuts down" beside the time that was left. The text for too little time has that figure, too.

--- a/cell/shed.go
+++ b/cell/shed.go
@@ -60,7 +60,7 @@
 		return maxRetry, noServer.New("cell: the request needs more memory than any decode server has")
 	}
 	if now.After(w.waitDeadline) && now.After(w.responseDeadline) {
-		return retryIn(wait), shed.New("cell: the caller's time is too short for an answer")
+		return retryIn(wait), shed.New("cell: the time is too short for an answer: %s", w.timeLeft(now))
 	}
 	return 0, nil
 }
@@ -89,9 +89,9 @@
 }
 
 func (c *Core) waitTooLong(now instant, w *waitingRequest, wait time.Duration) error {
-	return shed.New("cell: the wait of %v would be too long: rank %d, cost %.0f waits with %.0f of it late, %.0f/s are placed, %v left",
+	return shed.New("cell: the wait of %v would be too long: rank %d, cost %.0f waits with %.0f of it late, %.0f/s are placed, %s",
 		wait.Round(time.Millisecond), w.Rank, c.queue.Cost(), c.queue.LateCost(math.MaxInt),
-		c.costRate.PerSecond(), w.waitDeadline.Sub(now).Round(time.Millisecond))
+		c.costRate.PerSecond(), w.timeLeft(now))
 }
 
 // predictWait estimates the wait of a new request from the cost ahead of it. An urgent request waits for its account's
@@ -158,7 +158,9 @@
 	c.lastSweep = now
 	for _, w := range c.overdue(now) {
 		if now.After(w.waitDeadline) && (w.Late || !w.Patient) {
-			c.reject(w, shed.New("cell: no place in time: waited %v, %d wait", now.Sub(w.arrived).Round(time.Millisecond), c.queue.Len()), c.promiseReturn(now, w, c.predictWait(now, w)))
+			err := shed.New("cell: no place in time: waited %v, %d wait, %s",
+				now.Sub(w.arrived).Round(time.Millisecond), c.queue.Len(), w.timeLeft(now))
+			c.reject(w, err, c.promiseReturn(now, w, c.predictWait(now, w)))
 		} else {
 			c.deferLate(now, w)
 		}
--- a/cell/waiting.go
+++ b/cell/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 
 	"teaselgate/queue"
@@ -58,6 +59,15 @@
 	return w
 }
 
+// timeLeft describes the time that is left to place the request, and whether the shutdown of its instance limits it.
+func (w *waitingRequest) timeLeft(now instant) string {
+	left := fmt.Sprintf("%v left", w.waitDeadline.Sub(now).Round(time.Millisecond))
+	if w.request.Stopping {
+		return left + " before its instance shuts down"
+	}
+	return left
+}
+
 // shorten limits the wait of a queued request whose instance has begun to stop.
 func (c *Core) shorten(now instant, w *waitingRequest, request PlaceRequest) {
 	if request.Stopping && !w.request.Stopping {
--- a/slot/core.go
+++ b/slot/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -288,9 +289,12 @@
 	if w.ask.Return != "" && (w.ask.ReturnWithin == 0 || retryIn <= w.ask.ReturnWithin) {
 		c.promises.Make(now, w.ask.Return, promise.Promise{Rank: w.Rank, Cost: 1, At: now.Add(retryIn)})
 	}
+	left := fmt.Sprintf("%v left", w.waitDeadline.Sub(now).Round(time.Millisecond))
+	if w.ask.Stopping {
+		left += " before its instance shuts down"
+	}
 	c.decide(Decision{Key: w.Key, RetryIn: retryIn, Waited: now.Sub(w.arrived), Err: full.New(
-		"slot: the wait of %v would be too long: rank %d, %d wait for slots, %v left",
-		wait.Round(time.Millisecond), w.Rank, c.queue.Len(), w.waitDeadline.Sub(now).Round(time.Millisecond),
+		"slot: the wait of %v would be too long: rank %d, %d wait for slots, %s", wait.Round(time.Millisecond), w.Rank, c.queue.Len(), left,
 	)})
 }
 
