Take the outcome of a model request after it was served

The outcome for the refusal at a shutdown was an operand beside the call that sets it, and Go leaves open which of them is evaluated first. It is now read in a statement of its own.

Comments that were too long are wrapped, a variable has another name. The tests of forward, entry, cell and outcome pass.

--- a/cell/core.go
+++ b/cell/core.go
@@ -44,7 +44,7 @@
 	Avoid        []string      // names of servers that want no requests from the caller of the dispatcher
 	Waited       time.Duration // time that the request waited before this call
 	Left         time.Duration // time until the caller's deadline or, with Stopping, the shutdown deadline; 0 if unknown
-	Stopping     bool          // whether Left ends with the shutdown deadline of the calling instance, so that no answer can come after it
+	Stopping     bool          // whether Left ends with the shutdown deadline of the calling instance
 	Rank         int           // 0 is the most urgent
 	Ordered      bool          // whether requests to the model differ in what waiting costs their callers
 	First        time.Duration // target for the time to the first event; 0 for that of the cell
@@ -270,7 +270,8 @@
 }
 
 // Submit charges a request to its account and queues it. Submitting a waiting request again has no effect unless its instance
-// has begun to stop meanwhile, and submitting a placed one repeats its decision. A reservation under the same key that this core did not place is released first.
+// has begun to stop meanwhile, and submitting a placed one repeats its decision. A reservation under the same key that this
+// core did not place is released first.
 func (c *Core) Submit(now instant, request PlaceRequest) {
 	if r, ok := c.reservations[request.Key]; ok {
 		if !r.discovered && r.prefill != nil {
--- a/entry/model.go
+++ b/entry/model.go
@@ -44,7 +44,8 @@
 		handler: h, request: q, completion: completion, parts: parts, writer: writer,
 		runOutcome: outcome.NotRun,
 	}
-	err = outcome.ErrorAtShutdown(ctx, model.serve(ctx), model.runOutcome)
+	err = model.serve(ctx)
+	err = outcome.ErrorAtShutdown(ctx, err, model.runOutcome)
 	charge.Settle(chargedTokens(err, completion.promptTokens()+writer.generatedTokens))
 	h.finishModel(r.Context(), model, err)
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -11,6 +11,7 @@
 
 	"teaselgate/event"
 	"teaselgate/metric"
+	"teaselgate/outcome"
 	"teaselgate/platform"
 	"teaselgate/slot"
 	"teaselgate/throttle"
@@ -126,6 +127,8 @@
 		q.refuse(http.StatusServiceUnavailable, max(retryAt.Sub(q.handler.Now()), minRateRetryAfter), err.Error())
 	case tried > 0:
 		q.fail(ctx, "no other server for a retry: "+err.Error())
+	case outcome.EndedByShutdown(ctx):
+		q.fail(ctx, err.Error())
 	default:
 		q.refuse(http.StatusServiceUnavailable, q.serverExpectedIn(), err.Error())
 	}
--- a/instance/leave.go
+++ b/instance/leave.go
@@ -48,8 +48,8 @@
 
 // leave announces that the instance is leaving, waits for the requests in flight and removes the instance's entry.
 func (i *Instance) leave(ctx context.Context, caller *http.Server, abortRequests context.CancelCauseFunc) error {
-	balanced := time.Now().Add(i.BalancerDelay)
-	deadline := balanced.Add(cmp.Or(i.ShutdownTimeout, defaultShutdownTimeout))
+	acceptUntil := time.Now().Add(i.BalancerDelay)
+	deadline := acceptUntil.Add(cmp.Or(i.ShutdownTimeout, defaultShutdownTimeout))
 	i.shutdownAt.Store(&deadline)
 	i.leaving.Store(true)
 	i.events.Record(event.Event{Code: event.InstanceLeaving})
@@ -60,7 +60,7 @@
 	if i.allowance != nil {
 		i.allowance.Leave(ctx)
 	}
-	time.Sleep(time.Until(balanced))
+	time.Sleep(time.Until(acceptUntil))
 	err := i.finishRequests(ctx, caller, abortRequests)
 	i.finishCleanup(ctx)
 	i.fleet.AnnounceLeft(ctx)
