--- a/instance/shutdown_test.go
+++ b/instance/shutdown_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	standengine "teaselgate/standin/engine"
+	standplatform "teaselgate/standin/platform"
 	"teaselgate/standin/service"
 	"teaselgate/standin/site"
 )
@@ -210,3 +211,31 @@
 		t.Errorf("unexpected error %v", err)
 	}
 }
+
+// A platform that answers slowly holds up the hand-over of the allowance. The shutdown deadline counts from the beginning of the
+// stop all the same, and a caller whose order is unfinished then gets its answer. It came later by the hand-over, or not at all.
+func TestShutdownDeadlineCountsFromTheBeginning(t *testing.T) {
+	const delay, timeout, slack = 600 * time.Millisecond, 1400 * time.Millisecond, time.Second
+	s := startSiteWith(t, func(c *site.Config) { c.BalancerDelay, c.ShutdownTimeout = delay, timeout })
+	s.Services()[0].SetFaults(service.Faults{Delay: 10 * time.Second})
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	var stopping time.Time
+	answered := make(chan time.Time, 1)
+	go func() {
+		resp := sendRequest(client, http.MethodPost, "http://"+s.Addresses()[0]+"/orders", s.Keys()[accountName], strings.NewReader("lambs"))
+		if resp.status != http.StatusServiceUnavailable || !strings.Contains(resp.body, `"leaving"`) {
+			t.Errorf("unexpected response to an unfinished order: %d %q %v", resp.status, resp.body, resp.err)
+		}
+		answered <- time.Now()
+	}()
+	poll(t, func() bool { return len(s.Services()[0].Runs()) == 1 })
+	s.Platform().SetFaults(standplatform.Faults{Delay: 3 * time.Second})
+	stopping = time.Now()
+	s.Instances()[0].Stop()
+	if took := (<-answered).Sub(stopping); took < delay+timeout || took > delay+timeout+slack {
+		t.Errorf("the answer came %v after the beginning of the stop instead of %v", took, delay+timeout)
+	}
+	s.Platform().SetFaults(standplatform.Faults{})
+	_ = s.Stop() // the instance has aborted a request
+}
--- a/instance/site_test.go
+++ b/instance/site_test.go
@@ -19,13 +19,21 @@
 
 // startSite starts one instance with engines and a plain service for orders. The test must stop the site.
 func startSite(t *testing.T) *site.Site {
+	t.Helper()
+	return startSiteWith(t, func(*site.Config) {})
+}
+
+// startSiteWith is startSite with a function that changes the configuration.
+func startSiteWith(t *testing.T, change func(*site.Config)) *site.Site {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s, err := site.Start(context.Background(), site.Config{
+	config := site.Config{
 		Instances: 1, PrefillEngines: 2, DecodeEngines: 2, Services: 1, Zones: []string{"ala-a"}, Log: log,
 		Accounts: []site.Account{{Name: accountName, Rate: 1_000_000, Burst: 10_000_000, Weight: 1}},
-	})
+	}
+	change(&config)
+	s, err := site.Start(context.Background(), config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/site/config.go
+++ b/standin/site/config.go
@@ -44,7 +44,8 @@
 	Log             *logrus.Logger
 	TLS             option.TLS // certificate of the listeners for callers; empty for connections without TLS
 
-	BalancerDelay time.Duration // time from the end of readiness of an instance to the closing of its listener
+	BalancerDelay   time.Duration // time from the end of readiness of an instance to the closing of its listener
+	ShutdownTimeout time.Duration // time from then to the shutdown deadline; 0 means that of package instance
 }
 
 // zone returns the availability zone of the nth instance, engine or service.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -207,6 +207,7 @@
 	options.Platform, options.TLS = s.platformURL, s.config.TLS
 	inst := &instance.Instance{
 		Options: options, Secrets: Secrets, Log: s.config.Log, BalancerDelay: s.config.BalancerDelay,
+		ShutdownTimeout: s.config.ShutdownTimeout,
 	}
 	reload := func() { inst.Reload(options) }
 	if err := inst.Open(ctx); err != nil {
