--- a/forward/shutdown_test.go
+++ b/forward/shutdown_test.go
@@ -25,14 +25,14 @@
 	status  int
 }
 
-// fillEngines has streams take all slots of the decode engines for a minute.
-func fillEngines(env *testEnv, running *sync.WaitGroup, until time.Duration) {
+// fillEngines has streams take all slots of the decode engines until their instance shuts down after a while.
+func fillEngines(env *testEnv, running *sync.WaitGroup, endAfter time.Duration) {
 	for _, d := range env.decode {
 		d.StreamEvents, d.EventInterval = 600, 100*time.Millisecond
 	}
 	for n := range len(env.decode) * env.decode[0].Slots {
 		req := draftRequest(fmt.Sprint("stream", n))
-		req.shutdownAfter = until
+		req.shutdownAfter = endAfter
 		running.Go(func() { env.send(req) })
 	}
 	sleep(400 * time.Millisecond)
