Keep the servers of the fault tests apart

Cause, a fault of the test: all testbeds listened on 127.0.0.1, and the kernel gave the port of a killed server to a server of another test, which answered the repeat.

Change: each testbed listens on a loopback address of its own.

--- a/outcome/testbed_test.go
+++ b/outcome/testbed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,7 @@
 	keyRule         string          // rule that maps the key to the account; empty once the key is withdrawn
 	leaving         map[string]bool // names of the backend servers that are leaving
 	platform        *standplatform.Server
+	host            string // loopback address of all servers
 	platformURL     string
 	backends        []*backend
 	instances       []*instance
@@ -88,10 +90,20 @@
 	be.server.Close()
 }
 
+var testbeds atomic.Uint32 // testbeds made by this process
+
+// nextHost returns a loopback address that no other testbed uses: the port of a killed server must not go to a server of another
+// test, which would answer in its place.
+func nextHost() string {
+	const hostsPerNet = 254
+	n, process := testbeds.Add(1)-1, os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+process%hostsPerNet, n/hostsPerNet%256, 1+n%hostsPerNet)
+}
+
 func newTestbed(t testing.TB, instances int) *testbed {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	b := &testbed{t: t, ctx: ctx, leaving: make(map[string]bool), platform: standplatform.NewServer("token")}
+	b := &testbed{t: t, ctx: ctx, host: nextHost(), leaving: make(map[string]bool), platform: standplatform.NewServer("token")}
 	b.stops = append(b.stops, stop)
 	address, _ := b.serve(ctx, b.platform.Handler())
 	b.platformURL = "http://" + address
@@ -128,7 +140,7 @@
 
 // serve starts an HTTP server and returns its address. The contexts of its requests derive from base.
 func (b *testbed) serve(base context.Context, handler http.Handler) (string, *http.Server) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", net.JoinHostPort(b.host, "0"))
 	if err != nil {
 		b.t.Fatal(err)
 	}
