--- a/soak/process.go
+++ b/soak/process.go
@@ -22,6 +22,7 @@
 	mu          sync.Mutex
 	cmd         *exec.Cmd     // running process, or nil
 	done        chan struct{} // closed when cmd has ended
+	startedAt   time.Time     // of cmd
 	autoRestart bool          // the process is restarted when it ends
 	disturbed   []time.Time   // starts and signals to end, pause or resume
 	toldToEnd   bool          // whether cmd got a signal to end
@@ -77,7 +78,7 @@
 		return fmt.Errorf("soak: unable to start %s: %w", p.name, err)
 	}
 	done := make(chan struct{})
-	p.cmd, p.done, p.toldToEnd = cmd, done, false
+	p.cmd, p.done, p.toldToEnd, p.startedAt = cmd, done, false, time.Now()
 	p.disturbed = append(p.disturbed, time.Now())
 	go func() {
 		_ = cmd.Wait() // a process that was killed ends with an error
@@ -121,6 +122,16 @@
 	}
 }
 
+// reload has the process reread its settings, unless it may not listen for the signal yet, which would end it.
+func (p *process) reload() {
+	p.mu.Lock()
+	isReady := time.Since(p.startedAt) > restartDelay
+	p.mu.Unlock()
+	if isReady {
+		p.sendSignal(syscall.SIGHUP)
+	}
+}
+
 // disturbedWithin reports whether the process was started, or told to end, pause or resume, in a span of time.
 func (p *process) disturbedWithin(from, to time.Time) bool {
 	p.mu.Lock()
--- a/soak/stop.go
+++ b/soak/stop.go
@@ -56,7 +56,7 @@
 		if err := stopped.start(); err != nil { // once it has ended
 			fmt.Fprintln(s.Out, err)
 		}
-		env.processes[random.IntN(len(env.processes))].sendSignal(syscall.SIGHUP)
+		env.processes[random.IntN(len(env.processes))].reload()
 		if random.IntN(2) == 0 {
 			if err := env.configure(ctx); err != nil && ctx.Err() == nil {
 				fmt.Fprintln(s.Out, err)
