--- a/forward/shutdown_test.go
+++ b/forward/shutdown_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"teaselgate/outcome"
 	"teaselgate/registry"
 	"teaselgate/rule"
 	"teaselgate/slot"
@@ -118,6 +120,9 @@
 				t.Errorf("%s: status %d instead of %d, cut %v, after %v: %v",
 					c.name, got.Code, c.status, got.broken, got.took, env.recordedEvents("a"))
 			}
+			if told := strings.Join(env.recordedEvents("a"), "\n"); !strings.Contains(told, outcome.ErrShuttingDown.Message) {
+				t.Errorf("%s: the log does not name the shutdown: %s", c.name, told)
+			}
 			if runs := runCount(slices.Concat(env.plain, env.decode), "a"); c.status == http.StatusServiceUnavailable && runs > 0 {
 				t.Errorf("%s: refused, but ran %d times", c.name, runs)
 			}
