Take a body that ends with its connection for whole only after the request

A backend server answered a long upload at once with a response that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the kernel reports a reset once. In 400 uploads over raw sockets, each reset by the server, the write took the error 275 times and the read then found a plain end; 125 times the read took it, and the write failed with a broken pipe. Nothing compared the two, and nothing else tells a body without a length from one that was cut.

Change: the new package response has one rule for all HTTP clients. A body that only the end of its connection ends is whole if the whole request was sent before, without an error. At that end the connection is closed, so that the write returns, and its result is awaited: a flag set by the write could be too late.

Early responses with a length or chunks, and those without after the whole request, are whole with each length tried.

--- a/admin/client.go
+++ b/admin/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"teaselgate/response"
 )
 
 // callTimeout limits one request to an instance.
@@ -40,7 +42,7 @@
 // NewClient returns a client for listeners without TLS, or, if authorityFile is not empty, for TLS listeners whose
 // certificates are signed by an authority in that file (PEM).
 func NewClient(token, authorityFile string) (*Client, error) {
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := response.NewTransport(&http.Transport{DisableKeepAlives: true})
 	c := &Client{Token: token, Scheme: "http", HTTP: &http.Client{Transport: transport, Timeout: callTimeout}}
 	if authorityFile == "" {
 		return c, nil
--- a/cli/status.go
+++ b/cli/status.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"text/tabwriter"
 	"time"
 
@@ -46,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &config.StatusCollector{HTTP: &http.Client{}, Token: token}, nil
+	return config.NewStatusCollector(token), nil
 }
 
 func newStatusCommand() *cobra.Command {
--- a/config/status.go
+++ b/config/status.go
@@ -13,6 +13,7 @@
 
 	"teaselgate/delay"
 	"teaselgate/platform"
+	"teaselgate/response"
 )
 
 // StatusPath is the path of an instance's status on its admin listener.
@@ -92,6 +93,12 @@
 	Token string // bearer token for the admin listeners
 }
 
+// NewStatusCollector returns a collector with its own connection pool.
+func NewStatusCollector(token string) *StatusCollector {
+	transport := response.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})
+	return &StatusCollector{HTTP: &http.Client{Transport: transport}, Token: token}
+}
+
 // Collect reads the status of instances in parallel and returns the reports sorted by name.
 func (s *StatusCollector) Collect(ctx context.Context, members []Member) []InstanceReport {
 	reports := make([]InstanceReport, len(members))
--- a/engine/client.go
+++ b/engine/client.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"time"
 
+	"teaselgate/response"
 	"teaselgate/socket"
 )
 
@@ -27,8 +28,8 @@
 	Dial           func(ctx context.Context, network, address string) (net.Conn, error)
 	SilenceTimeout time.Duration // an engine that sends nothing for this long counts as failed
 
-	pooled   *http.Transport
-	unpooled *http.Transport // opens a new connection for each request
+	pooled   *response.Transport
+	unpooled *response.Transport // opens a new connection for each request
 }
 
 // NewClient returns a client with its own connection pool.
@@ -39,10 +40,10 @@
 	return c
 }
 
-func (c *Client) newTransport() *http.Transport {
+func (c *Client) newTransport() *response.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return response.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return c.Dial(ctx, network, address)
 		},
@@ -52,7 +53,7 @@
 		Protocols:           &protocols,
 
 		MaxResponseHeaderBytes: socket.MaxHeadBytes,
-	}
+	})
 }
 
 // Close closes the idle connections.
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+
+	"teaselgate/response"
 )
 
 const maxResponseBytes = 1 << 20
@@ -22,7 +24,7 @@
 }
 
 func (c *Client) call(
-	ctx context.Context, transport *http.Transport, method, address, path string, message, out any,
+	ctx context.Context, transport *response.Transport, method, address, path string, message, out any,
 ) error {
 	resp, err := send(ctx, transport, method, address, path, message)
 	if err != nil {
@@ -43,7 +45,7 @@
 }
 
 func send(
-	ctx context.Context, transport *http.Transport, method, address, path string, message any,
+	ctx context.Context, transport *response.Transport, method, address, path string, message any,
 ) (*http.Response, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
--- a/service/client.go
+++ b/service/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"teaselgate/response"
 	"teaselgate/socket"
 )
 
@@ -35,7 +36,7 @@
 	Dial            func(ctx context.Context, network, address string) (net.Conn, error)
 	ResponseTimeout time.Duration // longest wait for the response header and for each read of the body
 
-	pooled *http.Transport
+	pooled *response.Transport
 }
 
 // NewClient returns a client with its own connection pool.
@@ -50,12 +51,12 @@
 }
 
 // newTransport returns a transport that uses only HTTP/1.1 and does not ask for or decode compressed responses.
-func newTransport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+func newTransport(dial func(context.Context, string, string) (net.Conn, error)) *response.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return response.NewTransport(&http.Transport{
 		DialContext: dial, DisableCompression: true, Protocols: &protocols, MaxResponseHeaderBytes: socket.MaxHeadBytes,
-	}
+	})
 }
 
 // RefusesConnections reports whether nothing listens at a server's address: its host is reachable and it has ended.
@@ -73,7 +74,7 @@
 
 // roundTrip sends a request. The timeout bounds the wait for the response header and each read of the response body.
 func roundTrip(
-	ctx context.Context, transport *http.Transport, req *http.Request, timeout time.Duration,
+	ctx context.Context, transport *response.Transport, req *http.Request, timeout time.Duration,
 ) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
--- a/service/conn.go
+++ b/service/conn.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"teaselgate/response"
 )
 
 // errConnUsed is returned when the transport asks for the connection of a Conn a second time.
@@ -17,7 +19,7 @@
 type Conn struct {
 	conn      net.Conn
 	timeout   time.Duration
-	transport *http.Transport
+	transport *response.Transport
 	handedOut atomic.Bool // whether the transport has taken conn
 }
 
--- /dev/null
+++ b/service/early_test.go
@@ -0,0 +1,125 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"teaselgate/standin/wire"
+)
+
+// Requests of the tests of early responses.
+const (
+	uploadBytes      = 16 << 20  // more than the buffers of both sockets hold
+	smallUploadBytes = 256 << 10 // fits into the buffers of the sockets
+	uploads          = 40
+)
+
+// sendOnce sends a request on a new connection.
+func sendOnce(ctx context.Context, c *Client, req *http.Request) (*http.Response, error) {
+	conn, err := c.Open(ctx, req.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	return conn.Send(ctx, req)
+}
+
+// sendIdempotent sends a request that may run more than once.
+func sendIdempotent(ctx context.Context, c *Client, req *http.Request) (*http.Response, error) {
+	return c.Do(ctx, req)
+}
+
+// senders are the ways to send a request, by the number of times that it may run.
+var senders = map[string]func(context.Context, *Client, *http.Request) (*http.Response, error){
+	"once": sendOnce, "idempotent": sendIdempotent,
+}
+
+// upload sends a request with a body and returns the response that was read.
+func upload(
+	t *testing.T, send func(context.Context, *Client, *http.Request) (*http.Response, error), address string,
+	body io.Reader, length int64,
+) (string, error) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	client := NewClient()
+	defer client.Close()
+	resp, err := send(ctx, client, &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: "/orders"},
+		Header: http.Header{}, Body: io.NopCloser(body), ContentLength: length,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return string(text), err
+}
+
+// A service answers a long upload early, without a length, and ends the connection before it has read the upload.
+func TestEarlyResponseThatEndsWithTheConnectionIsIncomplete(t *testing.T) {
+	for way, send := range senders {
+		for name, end := range map[string]wire.Ending{"reset": wire.Reset, "closed": wire.Close, "half ended": wire.HalfEnd} {
+			t.Run(way+" "+name, func(t *testing.T) {
+				server := wire.NewServer(t, func(int64, *http.Request) wire.Answer {
+					return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: end}
+				})
+				whole := 0
+				for range uploads {
+					if _, err := upload(t, send, server.Address, strings.NewReader(strings.Repeat("x", uploadBytes)), uploadBytes); err == nil {
+						whole++
+					}
+				}
+				if whole > 0 || server.Requests() != uploads {
+					t.Errorf("%d of %d incomplete responses were taken for whole, %d requests", whole, uploads, server.Requests())
+				}
+			})
+		}
+	}
+}
+
+// The caller's upload pauses when the response ends, so that no write is under way.
+func TestEarlyResponseDuringAPauseOfTheUploadIsIncomplete(t *testing.T) {
+	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer {
+		return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: wire.HalfEnd}
+	})
+	for way, send := range senders {
+		for _, length := range []int64{uploadBytes, -1} {
+			reader, writer := io.Pipe()
+			go func() { _, _ = io.WriteString(writer, "the beginning") }()
+			start := time.Now()
+			text, err := upload(t, send, server.Address, reader, length)
+			if err == nil || errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("%s, length %d: unexpected result after %v, got %q and error %v", way, length, time.Since(start), text, err)
+			}
+			writer.Close()
+		}
+	}
+}
+
+// Responses that are whole stay so: early ones with a length or chunks, and later ones without.
+func TestWholeResponsesToUploadsStayWhole(t *testing.T) {
+	for name, answer := range map[string]wire.Answer{
+		"early, with a length":   {Text: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nthe whole", End: wire.HalfEnd},
+		"early, in chunks":       {Text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nthe whole\r\n0\r\n\r\n", End: wire.HalfEnd},
+		"after the request":      {Text: "HTTP/1.1 200 OK\r\n\r\nthe whole", AfterBody: true},
+		"after the request, 1.0": {Text: "HTTP/1.0 200 OK\r\n\r\nthe whole", AfterBody: true, End: wire.HalfEnd},
+	} {
+		for _, length := range []int{0, 100, smallUploadBytes, uploadBytes} {
+			server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return answer })
+			for way, send := range senders {
+				for n := range uploads / 8 {
+					text, err := upload(t, send, server.Address, strings.NewReader(strings.Repeat("x", length)), int64(length))
+					if err != nil || text != "the whole" {
+						t.Errorf("%s, %s, %d bytes, request %d: got %q and error %v", name, way, length, n, text, err)
+					}
+				}
+			}
+		}
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"teaselgate/response"
 	"teaselgate/socket"
 )
 
@@ -24,7 +25,9 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	e := &exchange{pool: p, conn: c, address: address, requestID: requestID, stop: stop, written: make(chan error, 1)}
+	sending, req := response.Track(req)
+	e := &exchange{pool: p, conn: c, address: address, requestID: requestID, stop: stop, sending: sending}
+	sending.Stop = e.abort
 	e.send(req)
 	resp, err := e.receive(req) //nolint:bodyclose // closed through the returned Response
 	if err != nil {
@@ -35,8 +38,8 @@
 		return nil, noResponse.Wrap(err, "upstream: no answer of %s", address)
 	}
 	e.header = resp.Header
-	e.isLast = resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	resp.Body = &body{ReadCloser: resp.Body, exchange: e}
+	e.isLast = resp.Close || response.EndsWithConnection(resp)
+	resp.Body = &body{ReadCloser: response.NewBody(resp, sending), exchange: e}
 	return &Response{Response: resp, Reused: c.reused}, nil
 }
 
@@ -49,18 +52,18 @@
 	header    http.Header // header of the response
 	isLast    bool        // whether the connection can't carry another request
 	stop      func() bool // detaches the connection from the context; false if the context has ended
-	written   chan error  // receives the result of sending the request
-	done      bool        // whether the connection was closed or returned to the pool
+	sending   *response.Sending
+	done      bool // whether the connection was closed or returned to the pool
 }
 
 // send writes the request. It writes a long body in the background, since the server may respond before it has
 // received all of it.
 func (e *exchange) send(req *http.Request) {
 	if req.ContentLength <= maxInlineBytes {
-		e.written <- req.Write(e.conn)
+		e.sending.Finish(req.Write(e.conn))
 		return
 	}
-	go func() { e.written <- req.Write(e.conn) }()
+	go func() { e.sending.Finish(req.Write(e.conn)) }()
 }
 
 // receive returns the response that belongs to the request. It skips interim (1xx) responses and, on a reused
@@ -79,7 +82,7 @@
 		if e.matches(resp) {
 			return resp, nil
 		}
-		if !e.conn.reused || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if !e.conn.reused || resp.Close || response.EndsWithConnection(resp) {
 			return nil, errOtherRequest
 		}
 		e.conn.limitReads(maxSkippedBytes)
@@ -131,8 +134,8 @@
 	timer := time.NewTimer(writeTimeout)
 	defer timer.Stop()
 	select {
-	case err := <-e.written:
-		return err == nil
+	case <-e.sending.Done():
+		return e.sending.Err() == nil
 	case <-timer.C:
 		return false
 	}
