Take the end of a connection for unexpected before all bytes have arrived

A server ended its direction of a connection while most of an upload was still in the socket's send buffer: its process was gone, but had read all that its own kernel had received, so that the kernel sent no reset. The caller got the part of the response that had come as a complete one.

Cause: a write returns when the bytes are in the send buffer, so a request "sent without an error" need not have left the machine.

Change: connections of socket.Dialer, which all clients use, report io.ErrUnexpectedEOF for an end that comes while sent bytes are not acknowledged (SIOCOUTQ). The end of a server that has read the whole request acknowledges it in the same segment, so whole responses aren't affected.

The stand-in server no longer reads on after it has ended its direction: requests that it then did receive as a whole were rightly taken for sent.

--- a/service/early_test.go
+++ b/service/early_test.go
@@ -64,14 +64,23 @@
 // A service answers a long upload early, without a length, and ends the connection before it has read the upload.
 func TestEarlyResponseThatEndsWithTheConnectionIsIncomplete(t *testing.T) {
 	for way, send := range senders {
-		for name, end := range map[string]wire.Ending{"reset": wire.Reset, "closed": wire.Close, "half ended": wire.HalfEnd} {
+		for name, c := range map[string]struct {
+			end    wire.Ending
+			length int
+		}{
+			"reset":             {wire.Reset, uploadBytes},
+			"closed":            {wire.Close, uploadBytes},
+			"half ended":        {wire.HalfEnd, uploadBytes},
+			"half ended, small": {wire.HalfEnd, smallUploadBytes},
+		} {
 			t.Run(way+" "+name, func(t *testing.T) {
+				text := strings.Repeat("x", c.length)
 				server := wire.NewServer(t, func(int64, *http.Request) wire.Answer {
-					return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: end}
+					return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: c.end}
 				})
 				whole := 0
 				for range uploads {
-					if _, err := upload(t, send, server.Address, strings.NewReader(strings.Repeat("x", uploadBytes)), uploadBytes); err == nil {
+					if _, err := upload(t, send, server.Address, strings.NewReader(text), int64(c.length)); err == nil {
 						whole++
 					}
 				}
--- a/socket/quiet.go
+++ b/socket/quiet.go
@@ -31,6 +31,17 @@
 	return more
 }
 
+// hasUnacknowledged reports whether the other end of a TCP connection has not acknowledged all bytes that were sent to it.
+// For other connections it reports false.
+func hasUnacknowledged(c net.Conn) bool {
+	unacknowledged := false
+	onSocket(c, func(fd int) {
+		bytes, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		unacknowledged = err == nil && bytes > 0
+	}, func() {})
+	return unacknowledged
+}
+
 // HasWaitingConnection reports whether a listener has a connection that was not accepted yet. It does so only for sockets.
 func HasWaitingConnection(l net.Listener) bool {
 	waiting := false
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -25,11 +25,6 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-// NewDialer returns a dialer whose connections fail within seconds when the other end is unreachable.
-func NewDialer() *net.Dialer {
-	return &net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAliveConfig(), Control: setUserTimeout}
-}
-
 // NewListenConfig returns a configuration whose accepted connections fail within seconds when the other end is
 // unreachable.
 func NewListenConfig() *net.ListenConfig {
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -43,7 +44,7 @@
 // socketOption returns the value of a socket option of a connection.
 func socketOption(t *testing.T, conn net.Conn, level, option int) int {
 	t.Helper()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -18,7 +19,7 @@
 const (
 	Close   Ending = iota // closes the connection, which resets it if received bytes were not read
 	Reset                 // resets the connection
-	HalfEnd               // ends its own direction and goes on reading until the client closes
+	HalfEnd               // ends its own direction and reads nothing more
 	Keep                  // waits for the next request
 )
 
@@ -54,30 +55,19 @@
 				return
 			}
 			serving.Go(func() {
-				stop := make(chan struct{})
-				defer close(stop)
-				go closeAtEnd(t, conn, stop)
-				s.serve(conn)
+				defer context.AfterFunc(t.Context(), func() { conn.Close() })()
+				s.serve(t.Context(), conn)
 			})
 		}
 	})
 	return s
 }
 
-// closeAtEnd closes a connection when the test ends, unless it was served before.
-func closeAtEnd(t testing.TB, conn net.Conn, served <-chan struct{}) {
-	select {
-	case <-t.Context().Done():
-	case <-served:
-	}
-	conn.Close()
-}
-
 // Requests returns the number of requests whose head was read.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
 // serve answers the requests of a connection until it ends.
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -94,23 +84,17 @@
 		if _, err := io.WriteString(conn, answer.Text); err != nil {
 			return
 		}
-		if !keepOpen(conn.(*net.TCPConn), answer.End) {
-			return
+		tcp := conn.(*net.TCPConn)
+		switch answer.End {
+		case Keep:
+			continue
+		case Reset:
+			_ = tcp.SetLinger(0)
+		case HalfEnd:
+			_ = tcp.CloseWrite()
+			<-ctx.Done()
+		case Close:
 		}
+		return
 	}
 }
-
-// keepOpen reports whether a connection takes another request. Otherwise the connection is to be closed.
-func keepOpen(conn *net.TCPConn, end Ending) bool {
-	switch end {
-	case Keep:
-		return true
-	case Reset:
-		_ = conn.SetLinger(0)
-	case HalfEnd:
-		_ = conn.CloseWrite()
-		_, _ = io.Copy(io.Discard, conn)
-	case Close:
-	}
-	return false
-}
--- a/upstream/early_test.go
+++ b/upstream/early_test.go
@@ -14,8 +14,8 @@
 
 // Requests of the tests of early responses.
 const (
-	uploadBytes      = 16 << 20 // more than the buffers of both sockets hold
-	smallUploadBytes = 256 << 10
+	uploadBytes      = 16 << 20  // more than the buffers of both sockets hold
+	smallUploadBytes = 256 << 10 // fits into the buffers of the sockets
 	uploads          = 40
 )
 
@@ -45,9 +45,10 @@
 		end    wire.Ending
 		length int
 	}{
-		"reset":      {wire.Reset, uploadBytes},
-		"closed":     {wire.Close, uploadBytes},
-		"half ended": {wire.HalfEnd, uploadBytes},
+		"reset":             {wire.Reset, uploadBytes},
+		"closed":            {wire.Close, uploadBytes},
+		"half ended":        {wire.HalfEnd, uploadBytes},
+		"half ended, small": {wire.HalfEnd, smallUploadBytes},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := wire.NewServer(t, func(int64, *http.Request) wire.Answer {
