Refuse responses whose status is below 100

A backend server in trouble sent a response with status 000. The upstream and service clients passed it on, as they did 042 and +20. Behind that, net/http panics on such a status: callers of both dialects got a closed connection instead of an answer, with no event in the log, idempotent requests too.

Cause: net/http takes any three characters that Atoi reads for a status.

Change: response.CheckHead refuses them, in response.Transport and in the exchange of upstream. A request that may run once ends as unknown (502), an idempotent one is sent to another server. Transport closes the connection, as a response without a body has already given it back.

--- a/instance/store_test.go
+++ b/instance/store_test.go
@@ -37,6 +37,7 @@
 	client   *platform.Client
 	initial  standplatform.Backup // copy of the store from before the start of the instance
 	servers  map[string]*backend.Server
+	engines  sync.Map // *backend.Server by address
 }
 
 // startStoreSite starts the store, the servers and the instance on loopback, and stops them when the test ends.
@@ -63,8 +64,10 @@
 	); err != nil {
 		t.Fatal(err)
 	}
-	servers := addServers(t, client)
-	return &storeTestSite{store: storeHandler, url: storeServer.URL, client: client, initial: storeHandler.Backup(), servers: servers}
+	s := &storeTestSite{store: storeHandler, url: storeServer.URL, client: client}
+	s.servers = s.addServers(t, "0")
+	s.initial = storeHandler.Backup()
+	return s
 }
 
 // startInstance starts an instance and returns it and a function that stops it. It is stopped when the test ends, too.
@@ -91,37 +94,49 @@
 	return i, stopAndWait
 }
 
-// addServers starts one server of each duty, writes its entry to the platform store and returns the servers by id.
-func addServers(t *testing.T, client *platform.Client) map[string]*backend.Server {
+// addServers starts one server of each duty, writes its entry to the platform store and returns the servers by id. An id is
+// a letter for the duty and the suffix.
+func (s *storeTestSite) addServers(t *testing.T, suffix string) map[string]*backend.Server {
 	t.Helper()
 	servers := make(map[string]*backend.Server)
-	prefill := &backend.Server{ID: "p0", Stage: "prefill", Slots: 1, QueueLimit: 16, PrefillRate: 100_000, HandleLifetime: time.Second / 2}
-	for _, s := range []*backend.Server{
-		{ID: "s0", Slots: 6, QueueLimit: 24, ServiceTime: time.Millisecond},
-		prefill,
+	for _, added := range []*backend.Server{
+		{ID: "s" + suffix, Slots: 6, QueueLimit: 24, ServiceTime: time.Millisecond},
+		{
+			ID: "p" + suffix, Stage: "prefill", Slots: 1, QueueLimit: 16, PrefillRate: 100_000, HandleLifetime: time.Second / 2,
+		},
 		{
-			ID: "d0", Stage: "decode", Slots: 8, KVTokens: 32000, StreamEvents: 3, EventInterval: time.Millisecond,
-			FindServer: func(string) *backend.Server { return prefill },
+			ID: "d" + suffix, Stage: "decode", Slots: 8, KVTokens: 32000, StreamEvents: 3, EventInterval: time.Millisecond,
+			FindServer: s.findEngine,
 		},
 	} {
 		service := caller.ModelService
-		if s.Stage == "" {
+		if added.Stage == "" {
 			service = caller.PlainService
 		}
-		server := httptest.NewServer(s.Init())
+		server := httptest.NewServer(added.Init())
 		t.Cleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		s.engines.Store(address, added)
 		entry := map[string]any{
-			"service": service, "address": strings.TrimPrefix(server.URL, "http://"), "zone": "a", "slots": s.Slots,
-			"state": "ready", "stage": s.Stage,
+			"service": service, "address": address, "zone": "a", "slots": added.Slots, "state": "ready", "stage": added.Stage,
 		}
-		if _, err := client.Create(t.Context(), platform.ServerKind, s.ID, entry); err != nil {
+		if _, err := s.client.Create(t.Context(), platform.ServerKind, added.ID, entry); err != nil {
 			t.Fatal(err)
 		}
-		servers[s.ID] = s
+		servers[added.ID] = added
 	}
 	return servers
 }
 
+// findEngine returns the server at an address.
+func (s *storeTestSite) findEngine(address string) *backend.Server {
+	server, ok := s.engines.Load(address)
+	if !ok {
+		return nil
+	}
+	return server.(*backend.Server)
+}
+
 // post sends one POST request and returns the status and body of the response.
 func (s *storeTestSite) post(t *testing.T, path string, call caller.Request) (int, string) {
 	t.Helper()
--- /dev/null
+++ b/response/head.go
@@ -0,0 +1,24 @@
+package response
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrMalformed means that the head or the trailer of a response is none in HTTP, though net/http takes it.
+var ErrMalformed = errors.New("response: malformed")
+
+// CheckHead returns ErrMalformed unless the head of a final response is sound. Statuses from 600 on are sound: they count
+// as server errors (RFC 9110, section 15), by their value.
+func CheckHead(resp *http.Response) error {
+	if resp.StatusCode < http.StatusContinue {
+		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
+	}
+	return nil
+}
+
+// IsInterim reports whether a response only precedes the final one.
+func IsInterim(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK
+}
--- /dev/null
+++ b/response/transport_test.go
@@ -0,0 +1,84 @@
+package response_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"teaselgate/response"
+	"teaselgate/standin/wire"
+)
+
+// fetch sends a request and returns the response that was read.
+func fetch(t *testing.T, transport *response.Transport, address string) (status int, text string, err error) {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(content), err
+}
+
+// serveTexts starts a server that answers each request with the next of the texts, on the same connection.
+func serveTexts(t *testing.T, texts ...string) *wire.Server {
+	t.Helper()
+	return wire.NewServer(t, func(n int64, _ *http.Request) wire.Answer {
+		return wire.Answer{Text: texts[int(n-1)%len(texts)], AfterBody: true, End: wire.Keep}
+	})
+}
+
+func TestResponsesWithInvalidStatusesAreMalformed(t *testing.T) {
+	checkMalformed(t, wire.InvalidStatuses("", "text"))
+}
+
+// checkMalformed checks that each of some responses is refused, and that its connection is not used again.
+func checkMalformed(t *testing.T, responses map[string]string) {
+	t.Helper()
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
+	for name, text := range responses {
+		t.Run(name, func(t *testing.T) {
+			server := serveTexts(t, text, sound)
+			dials := 0
+			transport := response.NewTransport(&http.Transport{
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					dials++
+					return new(net.Dialer).DialContext(ctx, network, address)
+				},
+			})
+			defer transport.CloseIdleConnections()
+			if status, got, err := fetch(t, transport, server.Address); !errors.Is(err, response.ErrMalformed) {
+				t.Errorf("unexpected result, got status %d, %q and error %v", status, got, err)
+			}
+			if _, got, err := fetch(t, transport, server.Address); err != nil || got != "sound" || dials != 2 {
+				t.Errorf("unexpected next result, got %q and error %v on connection %d", got, err, dials)
+			}
+		})
+	}
+}
+
+// RFC 9110, section 15: a client treats an invalid status from 600 on like a server error.
+func TestStatusesAbove599AreServerErrors(t *testing.T) {
+	for _, want := range []int{600, 777, 999} {
+		server := serveTexts(t, fmt.Sprintf("HTTP/1.1 %d Text\r\nContent-Length: 4\r\n\r\ntext", want))
+		transport := response.NewTransport(&http.Transport{})
+		status, text, err := fetch(t, transport, server.Address)
+		if status != want || status < http.StatusInternalServerError || text != "text" || err != nil {
+			t.Errorf("unexpected result, got status %d instead of %d, %q and error %v", status, want, text, err)
+		}
+		transport.CloseIdleConnections()
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -76,9 +76,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if response.IsInterim(resp) {
 			continue
 		}
+		if err := response.CheckHead(resp); err != nil {
+			return nil, err //nolint:wrapcheck // Do wraps it
+		}
 		if e.matches(resp) {
 			return resp, nil
 		}
