Refuse a change of the protocol that was not asked for

A plain service answered an ordinary request with status 101. The service client passed that on: net/http takes 101 for a final response whose body is the connection itself, so a caller got whatever the server sent. The exchange of upstream skipped it as an interim response and waited until the deadline.

Change: CheckHead refuses every status below 200 of a final response, and only the other statuses from 100 on are interim. No request of the project asks for an upgrade; both dialects remove the header.

--- a/response/head.go
+++ b/response/head.go
@@ -10,15 +10,16 @@
 var ErrMalformed = errors.New("response: malformed")
 
 // CheckHead returns ErrMalformed unless the head of a final response is sound. Statuses from 600 on are sound: they count
-// as server errors (RFC 9110, section 15), by their value.
+// as server errors (RFC 9110, section 15), by their value. A change of the protocol (101) is never asked for.
 func CheckHead(resp *http.Response) error {
-	if resp.StatusCode < http.StatusContinue {
-		return fmt.Errorf("%w: status %q", ErrMalformed, resp.Status)
+	if resp.StatusCode < http.StatusOK {
+		return fmt.Errorf("%w: status %q of a final response", ErrMalformed, resp.Status)
 	}
 	return nil
 }
 
 // IsInterim reports whether a response only precedes the final one.
 func IsInterim(resp *http.Response) bool {
-	return resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK
+	return resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK &&
+		resp.StatusCode != http.StatusSwitchingProtocols
 }
