Refuse responses with a blank in the name of a field

A backend server in trouble sent a head in which the name of a field held a blank, or had one before its colon. Callers got the response, in the own dialect with the line passed on; where the name was that of a length or of chunks, with a body that others than net/http would end elsewhere. The same in interim heads and in trailers.

Cause: net/http takes blanks in names, for old servers, and keeps such a name as it came.

Change: response.CheckNames refuses them in final and interim heads and, at the end of a body, in trailers; what has begun is cut.

--- a/entry/malformed_test.go
+++ b/entry/malformed_test.go
@@ -18,6 +18,10 @@
 	checkMalformed(t, wire.InvalidStatuses("", "text"))
 }
 
+func TestResponsesWithInvalidFieldNamesReachNoCaller(t *testing.T) {
+	checkMalformed(t, wire.InvalidNames("", "text"))
+}
+
 // checkMalformed checks what callers get where the first server sends a malformed response and the second a sound one: a
 // request that may run once is not sent again and its outcome is unknown, and an idempotent one is answered by the
 // second server.
--- a/instance/unsound_response_test.go
+++ b/instance/unsound_response_test.go
@@ -31,6 +31,19 @@
 	}
 }
 
+var unsoundNames = []unsoundHead{
+	{"blank in a name", "HTTP/1.1 200 OK\r\nBad Name: x"},
+	{"blank before a colon", "HTTP/1.1 200 OK\r\nName : x"},
+	{"blank in an interim head", "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK"},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nBad\x01Name: x"},
+}
+
+func TestResponsesWithInvalidFieldNamesReachNoCaller(t *testing.T) {
+	for _, head := range unsoundNames {
+		t.Run(head.name, func(t *testing.T) { checkUnsoundHead(t, head) })
+	}
+}
+
 // checkUnsoundHead checks what callers get while one server of each duty sends an unsound head in each response. A second
 // server of each duty is sound.
 func checkUnsoundHead(t *testing.T, head unsoundHead) {
@@ -57,10 +70,12 @@
 				return wire.NewProxy(t, address, func(text []byte) []byte { return rewriteHead(text, head.statusLine, &rewritten) })
 			})
 			lost := s.sendWhile(t, func() bool { return rewritten.Load() == 0 }, c.path, c.call)
-			if c.repeatable && lost > 0 {
+			switch {
+			case c.repeatable && lost > 0:
 				t.Errorf("%d requests that may be repeated were not answered", lost)
-			}
-			if !c.repeatable {
+			case !c.repeatable && lost == 0:
+				t.Error("an unsound response was taken for an answer")
+			case !c.repeatable:
 				checkRanOnce(t, s.servers[c.server], sound)
 			}
 		})
--- a/response/response.go
+++ b/response/response.go
@@ -52,5 +52,9 @@
 			return fmt.Errorf("%w: %w", ErrIncomplete, err)
 		}
 	}
+	if err := CheckNames(b.resp.Trailer); err != nil {
+		b.request.closeConn()
+		return err
+	}
 	return io.EOF
 }
--- a/response/sending.go
+++ b/response/sending.go
@@ -12,9 +12,9 @@
 
 // Sending is the state of a request that is sent in one goroutine while its response is read in another.
 type Sending struct {
-	// Stop makes a write to the connection that is blocked fail. It is called once a response has ended with its
-	// connection; nil if the connection is closed then by others.
-	Stop func()
+	// CloseConn closes the connection, so that it carries no other request and a write that is blocked fails. It may be
+	// called more than once. It is set before the response is read; nil if the connection carries other requests, too.
+	CloseConn func()
 
 	mu       sync.Mutex
 	left     int64         // bytes of the body that were not read yet; negative if the length is unknown
@@ -80,7 +80,7 @@
 }
 
 // check returns nil if the whole request was sent without an error, now that the response has ended with its connection.
-// The sender may not have returned yet from the write of the last bytes. It does so soon, since the connection is closed.
+// The sender may not have returned yet from the write of the last bytes. It does so soon, as the connection is closed.
 func (s *Sending) check() error {
 	s.mu.Lock()
 	bodyRead, done := s.bodyRead, s.done
@@ -88,13 +88,18 @@
 	if !bodyRead {
 		return errUnread
 	}
-	if s.Stop != nil {
-		s.Stop()
-	}
+	s.closeConn()
 	<-done
 	return s.Err()
 }
 
+// closeConn closes the connection unless it carries other requests, too.
+func (s *Sending) closeConn() {
+	if s.CloseConn != nil {
+		s.CloseConn()
+	}
+}
+
 // countRead records that the sender has read n bytes of the body, and whether that was its end.
 func (s *Sending) countRead(n int, ended bool) {
 	s.mu.Lock()
--- a/response/transport.go
+++ b/response/transport.go
@@ -1,11 +1,19 @@
 package response
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+
+	"teaselgate/socket"
 )
 
+// errInterimTooLong means that the interim heads of a response have more than socket.MaxHeadBytes together. net/http
+// doesn't limit them if it hands them out.
+var errInterimTooLong = errors.New("response: the interim heads are too long")
+
 // Transport is an HTTP transport that returns only sound responses, and whose bodies end without an error only if the
 // response is whole.
 type Transport struct{ *http.Transport }
@@ -17,26 +25,48 @@
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	sending, tracked := Track(req)
 	var conn net.Conn
+	interimBytes := 0
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			conn = info.Conn
 			sending.restart(req)
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { sending.Finish(info.Err) },
+		Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+			if interimBytes += headBytes(fields); interimBytes > socket.MaxHeadBytes {
+				return errInterimTooLong
+			}
+			return CheckNames(http.Header(fields))
+		},
 	}
 	tracked = tracked.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, err := t.Transport.RoundTrip(tracked)
 	if err != nil {
 		return nil, err //nolint:wrapcheck // callers look at the *net.OpError
 	}
+	if resp.ProtoMajor == 1 {
+		sending.CloseConn = func() { conn.Close() }
+	}
 	if err := CheckHead(resp); err != nil {
 		resp.Body.Close()
-		if resp.ProtoMajor == 1 {
-			conn.Close() // a response without a body has given it back for other requests
-		}
+		sending.closeConn() // a response without a body has given it back for other requests
 		return nil, err
 	}
 	resp.Request = req
 	resp.Body = NewBody(resp, sending)
 	return resp, nil
 }
+
+// statusLineBytes is the length of a status line with an empty reason, with the line that ends a head.
+const statusLineBytes = len("HTTP/1.1 100 \r\n\r\n")
+
+// headBytes returns the least length of a head with the given fields.
+func headBytes(fields textproto.MIMEHeader) int {
+	n := statusLineBytes
+	for name, values := range fields {
+		for _, value := range values {
+			n += len(name) + len(":") + len(value) + len("\r\n")
+		}
+	}
+	return n
+}
--- a/response/transport_test.go
+++ b/response/transport_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,8 +44,26 @@
 	checkMalformed(t, wire.InvalidStatuses("", "text"))
 }
 
+func TestResponsesWithInvalidFieldNamesAreMalformed(t *testing.T) {
+	checkMalformed(t, wire.InvalidNames("", "text"))
+}
+
+func TestResponsesWithInvalidTrailersAreMalformed(t *testing.T) {
+	checkMalformed(t, wire.InvalidTrailers("", "text"))
+}
+
+func TestResponsesWithControlBytesAreRefused(t *testing.T) {
+	checkRefused(t, wire.ControlBytes("", "text"), "malformed MIME header")
+}
+
 // checkMalformed checks that each of some responses is refused, and that its connection is not used again.
 func checkMalformed(t *testing.T, responses map[string]string) {
+	t.Helper()
+	checkRefused(t, responses, response.ErrMalformed.Error())
+}
+
+// checkRefused is checkMalformed for errors with the given reason.
+func checkRefused(t *testing.T, responses map[string]string, reason string) {
 	t.Helper()
 	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
 	for name, text := range responses {
@@ -60,7 +77,7 @@
 				},
 			})
 			defer transport.CloseIdleConnections()
-			if status, got, err := fetch(t, transport, server.Address); !errors.Is(err, response.ErrMalformed) {
+			if status, got, err := fetch(t, transport, server.Address); err == nil || !strings.Contains(err.Error(), reason) {
 				t.Errorf("unexpected result, got status %d, %q and error %v", status, got, err)
 			}
 			if _, got, err := fetch(t, transport, server.Address); err != nil || got != "sound" || dials != 2 {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -27,7 +27,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	sending, req := response.Track(req)
 	e := &exchange{pool: p, conn: c, address: address, requestID: requestID, stop: stop, sending: sending}
-	sending.Stop = e.abort
+	sending.CloseConn = e.abort
 	e.send(req)
 	resp, err := e.receive(req) //nolint:bodyclose // closed through the returned Response
 	if err != nil {
@@ -77,6 +77,9 @@
 			return nil, err
 		}
 		if response.IsInterim(resp) {
+			if err := response.CheckNames(resp.Header); err != nil {
+				return nil, err //nolint:wrapcheck // Do wraps it
+			}
 			continue
 		}
 		if err := response.CheckHead(resp); err != nil {
