--- a/instance/store_test.go
+++ b/instance/store_test.go
@@ -139,9 +139,15 @@
 
 // post sends one POST request and returns the status and body of the response.
 func (s *storeTestSite) post(t *testing.T, path string, call caller.Request) (int, string) {
+	t.Helper()
+	return s.postBody(t, path, call, "x")
+}
+
+// postBody is post with a body.
+func (s *storeTestSite) postBody(t *testing.T, path string, call caller.Request, body string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.instance.Address()+path,
-		strings.NewReader("x"))
+		strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
