Bound the wait for the result of sending a request

net/http reports no result of a request that it has not begun to send when it closes the connection, as it may where a server answers and ends at once.

Change: the wait ends after a second, with the response incomplete. The connection is closed then, so the result of a request that is being sent comes within moments.

--- a/response/sending.go
+++ b/response/sending.go
@@ -5,11 +5,19 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // errUnread means that a response ended while the sender still waited for the rest of the request's body.
 var errUnread = errors.New("response: the body of the request was not read to its end")
 
+// errNotSent means that a response ended and the request was not known to be sent soon after.
+var errNotSent = errors.New("response: the request was not sent")
+
+// finishTimeout bounds the wait for the result of sending a request on a connection that is closed. net/http reports none
+// if the connection was closed before it began to send.
+const finishTimeout = time.Second
+
 // Sending is the state of a request that is sent in one goroutine while its response is read in another.
 type Sending struct {
 	// CloseConn closes the connection, so that it carries no other request and a write that is blocked fails. It may be
@@ -89,8 +97,14 @@
 		return errUnread
 	}
 	s.closeConn()
-	<-done
-	return s.Err()
+	timer := time.NewTimer(finishTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return s.Err()
+	case <-timer.C:
+		return errNotSent
+	}
 }
 
 // closeConn closes the connection unless it carries other requests, too.
