Open the connections of all checked clients by one dialer

The clients of the admin listeners and of the status of instances opened their connections by net/http, so an end before sent bytes had arrived counted as one. response.NewTransport now sets socket.Dialer and the limit of heads unless they are given; the clients of the store and of engines no longer repeat them.

--- a/engine/client.go
+++ b/engine/client.go
@@ -51,8 +51,6 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 		Protocols:           &protocols,
-
-		MaxResponseHeaderBytes: socket.MaxHeadBytes,
 	})
 }
 
--- a/response/interim_test.go
+++ b/response/interim_test.go
@@ -2,43 +2,61 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"teaselgate/response"
-	"teaselgate/socket"
 )
 
+// countedConn counts the bytes that are read.
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
 // A server sends interim heads without end. The request must fail soon, without reading on.
 func TestEndlessInterimHeadsAreGivenUp(t *testing.T) {
 	const (
-		tolerated = 4 << 20  // bytes, with what the buffers of the sockets hold
+		tolerated = 1 << 20  // bytes read
 		most      = 64 << 20 // bytes sent, so that a test that fails ends
 	)
 	for _, head := range []string{
 		"HTTP/1.1 103 Early Hints\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 8<<10) + "\r\n\r\n",
 	} {
-		sent := make(chan int, 1)
-		transport := response.NewTransport(&http.Transport{MaxResponseHeaderBytes: socket.MaxHeadBytes})
+		var read atomic.Int64
+		transport := response.NewTransport(&http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := new(net.Dialer).DialContext(ctx, network, address)
+				return countedConn{conn, &read}, err
+			},
+		})
 		address := acceptOne(t, func(conn net.Conn) {
-			total, text := 0, strings.Repeat(head, 1+(64<<10)/len(head))
-			for total < most {
+			text := strings.Repeat(head, 1+(64<<10)/len(head))
+			for total := 0; total < most; {
 				n, err := io.WriteString(conn, text)
 				if total += n; err != nil {
-					break
+					return
 				}
 			}
-			sent <- total
 		})
 		if status, _, err := fetch(t, transport, address); err == nil {
 			t.Errorf("endless interim heads are a response with status %d", status)
 		}
-		if total := <-sent; total > tolerated {
-			t.Errorf("%d bytes were read", total)
+		if read.Load() > tolerated {
+			t.Errorf("%d bytes were read", read.Load())
 		}
 	}
 }
--- a/response/transport.go
+++ b/response/transport.go
@@ -18,8 +18,17 @@
 // response is whole.
 type Transport struct{ *http.Transport }
 
-// NewTransport returns a Transport that sends requests by another one.
-func NewTransport(t *http.Transport) *Transport { return &Transport{t} }
+// NewTransport returns a Transport that sends requests by another one. Unless that says otherwise, it opens connections with
+// a socket.Dialer and reads heads up to socket.MaxHeadBytes.
+func NewTransport(t *http.Transport) *Transport {
+	if t.DialContext == nil {
+		t.DialContext = socket.NewDialer().DialContext
+	}
+	if t.MaxResponseHeaderBytes == 0 {
+		t.MaxResponseHeaderBytes = socket.MaxHeadBytes
+	}
+	return &Transport{t}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
--- a/response/unread_test.go
+++ b/response/unread_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -27,3 +28,30 @@
 		}
 	})
 }
+
+// A server answers as soon as it has accepted a connection and ends that, so that it has not read the request.
+func TestResponseToAnUnreadRequestIsIncomplete(t *testing.T) {
+	const connections = 300
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\ntext")
+			conn.Close()
+		}
+	}()
+	transport := response.NewTransport(&http.Transport{})
+	defer transport.CloseIdleConnections()
+	for n := range connections {
+		if _, _, err := fetch(t, transport, listener.Addr().String()); err == nil {
+			t.Errorf("response %d to an unread request was taken for whole", n)
+		}
+	}
+}
--- a/service/client.go
+++ b/service/client.go
@@ -55,7 +55,7 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return response.NewTransport(&http.Transport{
-		DialContext: dial, DisableCompression: true, Protocols: &protocols, MaxResponseHeaderBytes: socket.MaxHeadBytes,
+		DialContext: dial, DisableCompression: true, Protocols: &protocols,
 	})
 }
 
