Reset the connection of a response to HTTP/1.0 that is broken off

A response that an instance breaks off was cut visibly for callers of HTTP/1.1, whose chunks lack their end. A caller of HTTP/1.0 gets no chunks: the end of its connection is that of the response, so the part looked complete.

Cause: the handler's panic makes net/http close the connection in order.

Change: for requests of HTTP/1.0 the connection is reset then. Over TLS the connection beneath is closed first, as the record of a proper end would tell the caller that the response is whole.

TestCallersSeeThatAResponseIsBrokenOff on real sockets: 20 of 20 broken responses of HTTP/1.0 looked whole before, none now; whole ones and HTTP/1.1 are as before.

--- a/limit/conn.go
+++ b/limit/conn.go
@@ -249,6 +249,20 @@
 	return errRefused
 }
 
+// resetOnPanic resets the connection if the handler of its request panics, as it does to break off a response. Callers of
+// HTTP/1.0 get no chunks, and would take the end of the connection for that of the response. It must be deferred.
+func (c *conn) resetOnPanic() {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	if tcp, ok := c.raw.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.raw.Close() // over TLS, c would tell the caller of a proper end
+	panic(reason)
+}
+
 // discardInput reads what still comes, as the kernel resets a connection that is closed with unread data, and the caller might
 // lose the refusal.
 func (c *conn) discardInput(until time.Time) {
--- a/limit/handler.go
+++ b/limit/handler.go
@@ -67,6 +67,9 @@
 		r = r.WithContext(context.WithValue(r.Context(), bodyKey{}, body))
 		r.Body = http.MaxBytesReader(w, body, h.MaxBodyBytes)
 	}
+	if c != nil && !r.ProtoAtLeast(1, 1) {
+		defer c.resetOnPanic()
+	}
 	out := &responseWriter{
 		statusWriter: &statusWriter{ResponseWriter: w, conn: c}, handler: h, control: control,
 		waitBudget: newWaitBudget(h.StallTimeout, h.MinBytesPerSecond),
