--- a/outcome/faults_page_test.go
+++ b/outcome/faults_page_test.go
@@ -104,6 +104,11 @@
 | | an answer that is older than the naming ends the limit | throttle TestLimitEndsWhenTheServerNoLongerNamesIt | can't happen |
 | a server sends bytes without end | heads, responses to other requests | upstream TestEndlessBytesAreGivenUp, platform TestEndlessReportsAreGivenUp | mended |
 | | bodies of plain services, streams, failures of engines | forward TestEndlessPlainResponsesAreBrokenOff, TestEndlessStreamsAreBrokenOff, TestLongFailuresOfEnginesAreNotCut | mended |
+| a server answers an upload early and breaks off | responses without a length, amid the upload or when it is still on its way | upstream, service TestEarlyResponseThatEndsWithTheConnectionIsIncomplete, instance TestEarlyResponsesThatEndWithTheConnectionAreNoAnswers, entry TestCallersSeeThatAnEarlyResponseIsIncomplete | mended |
+| a server's response is none in HTTP | statuses below 200, names with blanks, in heads, interim heads and trailers | response, upstream, service TestResponsesWithInvalidStatusesAreMalformed, TestResponsesWithInvalidFieldNamesAreMalformed, TestResponsesWithInvalidTrailersAreMalformed | mended |
+| | calls to engines, the store and instances | engine, platform TestMalformedResponsesOfEnginesAreErrors, TestMalformedResponsesOfTheStoreAreErrors, admin, config TestMalformedResponsesOfInstancesAreErrors | mended |
+| | control bytes | TestResponsesWithControlBytesAreRefused | can't happen |
+| an instance's response to HTTP/1.0 breaks off | all | limit TestCallersSeeThatAResponseIsBrokenOff | mended |
 | a stream that is cut inside an event looks complete | engines' streams, with framing or without | forward TestStreamThatEndsInsideAnEventIsBrokenOff | mended |
 | the work of a silent machine is started again or given up | an engine without reports for 5 s | forward TestStreamOfAnEngineThatStopsReportingGoesOn | can't happen |
 | | a server that is no longer listed | forward TestOrderAtAServerThatIsNoLongerListedIsCompleted, registry TestLapsedServerIsKeptForGraceAfterOutage | can't happen |
