Keep connections after responses to HEAD that have no length

Since the end of the body of a response to HEAD without a length closed its connection, which net/http had given to other requests by then.

Cause: without a length and chunks a response looked as if it ended with its connection, but one to HEAD has no body.

Change: EndsWithConnection takes the method into account. upstream now keeps such a connection, too.

--- a/response/response.go
+++ b/response/response.go
@@ -1,5 +1,5 @@
 // Package response decides whether a server's response is sound and whole. All HTTP clients of the project use it: through
-// Transport, or, where they read responses themselves, through Track, CheckHead, CheckInterim and NewBody.
+// Transport, or, where they read responses themselves, through Track, CheckHead, CheckNames and NewBody.
 package response
 
 import (
@@ -15,6 +15,9 @@
 
 // EndsWithConnection reports whether only the end of the connection ends the body of a response.
 func EndsWithConnection(resp *http.Response) bool {
+	if resp.Request != nil && resp.Request.Method == http.MethodHead {
+		return false // there is no body, whatever the head says
+	}
 	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
 }
 
--- a/response/transport_test.go
+++ b/response/transport_test.go
@@ -61,6 +61,49 @@
 	checkRefused(t, wire.ControlBytes("", "text"), "malformed MIME header")
 }
 
+// A response to HEAD has no body, and none that ends with the connection if it has no length.
+func TestConnectionIsKeptAfterHead(t *testing.T) {
+	server := wire.NewServer(t, func(_ int64, r *http.Request) wire.Answer {
+		if r.Method == http.MethodHead {
+			return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\n", End: wire.Keep}
+		}
+		return wire.Answer{Text: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext", AfterBody: true, End: wire.Keep}
+	})
+	transport, dials := countDials()
+	defer transport.CloseIdleConnections()
+	for range 3 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodHead, "http://"+server.Address+"/", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			t.Errorf("unexpected error %v of the body", err)
+		}
+		resp.Body.Close()
+		if _, got, err := fetch(t, transport, server.Address); err != nil || got != "text" {
+			t.Errorf("unexpected next result, got %q and error %v", got, err)
+		}
+	}
+	if *dials != 1 {
+		t.Errorf("%d connections were opened instead of 1", *dials)
+	}
+}
+
+// countDials returns a transport, and the number of connections that it has opened.
+func countDials() (*response.Transport, *int) {
+	dials := 0
+	return response.NewTransport(&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials++
+			return new(net.Dialer).DialContext(ctx, network, address)
+		},
+	}), &dials
+}
+
 // checkMalformed checks that each of some responses is refused, and that its connection is not used again.
 func checkMalformed(t *testing.T, responses map[string]string) {
 	t.Helper()
@@ -74,19 +117,13 @@
 	for name, text := range responses {
 		t.Run(name, func(t *testing.T) {
 			server := serveTexts(t, text, sound)
-			dials := 0
-			transport := response.NewTransport(&http.Transport{
-				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-					dials++
-					return new(net.Dialer).DialContext(ctx, network, address)
-				},
-			})
+			transport, dials := countDials()
 			defer transport.CloseIdleConnections()
 			if status, got, err := fetch(t, transport, server.Address); err == nil || !strings.Contains(err.Error(), reason) {
 				t.Errorf("unexpected result, got status %d, %q and error %v", status, got, err)
 			}
-			if _, got, err := fetch(t, transport, server.Address); err != nil || got != "sound" || dials != 2 {
-				t.Errorf("unexpected next result, got %q and error %v on connection %d", got, err, dials)
+			if _, got, err := fetch(t, transport, server.Address); err != nil || got != "sound" || *dials != 2 {
+				t.Errorf("unexpected next result, got %q and error %v on connection %d", got, err, *dials)
 			}
 		})
 	}
