Tell the end of a body from errors that wrap io.EOF

The check at the end of a body took any error that wraps io.EOF for the end and returned io.EOF itself, and an incomplete response wrapped the reason why its request was not sent, which may wrap io.EOF in turn. The handlers would have taken either for a whole response. Found by reading; nothing was seen to return such an error.

Change: only io.EOF itself is the end, as io.Reader says, and the reason is text in the error.

--- a/response/response.go
+++ b/response/response.go
@@ -41,7 +41,7 @@
 		return 0, b.err
 	}
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF { //nolint:errorlint // an error that wraps io.EOF is not the end of the body
 		err = b.checkEnd()
 		b.err = err
 	}
@@ -52,7 +52,7 @@
 func (b *body) checkEnd() error {
 	if EndsWithConnection(b.resp) {
 		if err := b.request.check(); err != nil {
-			return fmt.Errorf("%w: %w", ErrIncomplete, err)
+			return fmt.Errorf("%w: %v", ErrIncomplete, err) //nolint:errorlint // the cause may wrap io.EOF
 		}
 	}
 	if err := CheckNames(b.resp.Trailer); err != nil {
--- a/response/sending.go
+++ b/response/sending.go
@@ -135,6 +135,6 @@
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.sending.countRead(n, errors.Is(err, io.EOF))
+	b.sending.countRead(n, err == io.EOF) //nolint:errorlint // as for net/http, an error that wraps io.EOF is not the end
 	return n, err
 }
