Leave the connection of a malformed trailer to other requests

Change: Transport closes connections only after a malformed head, where the bytes that follow may be read in two ways, and at the end of a body that ends with the connection. A trailer was read to its end. The exchange of upstream still closes its connection, which carries one request.

--- a/response/response.go
+++ b/response/response.go
@@ -56,7 +56,6 @@
 		}
 	}
 	if err := CheckNames(b.resp.Trailer); err != nil {
-		b.request.closeConn()
 		return err
 	}
 	return io.EOF
--- a/response/sending.go
+++ b/response/sending.go
@@ -20,8 +20,8 @@
 
 // Sending is the state of a request that is sent in one goroutine while its response is read in another.
 type Sending struct {
-	// CloseConn closes the connection, so that it carries no other request and a write that is blocked fails. It may be
-	// called more than once. It is set before the response is read; nil if the connection carries other requests, too.
+	// CloseConn closes the connection, so that a write that is blocked fails. It is called at the end of a body that ends
+	// with its connection. It is set before the response is read; nil if no body does.
 	CloseConn func()
 
 	mu       sync.Mutex
@@ -96,7 +96,9 @@
 	if !bodyRead {
 		return errUnread
 	}
-	s.closeConn()
+	if s.CloseConn != nil {
+		s.CloseConn()
+	}
 	timer := time.NewTimer(finishTimeout)
 	defer timer.Stop()
 	select {
@@ -107,13 +109,6 @@
 	}
 }
 
-// closeConn closes the connection unless it carries other requests, too.
-func (s *Sending) closeConn() {
-	if s.CloseConn != nil {
-		s.CloseConn()
-	}
-}
-
 // countRead records that the sender has read n bytes of the body, and whether that was its end.
 func (s *Sending) countRead(n int, ended bool) {
 	s.mu.Lock()
--- a/response/transport.go
+++ b/response/transport.go
@@ -53,14 +53,16 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // callers look at the *net.OpError
 	}
-	if resp.ProtoMajor == 1 {
-		sending.CloseConn = func() { conn.Close() }
-	}
 	if err := CheckHead(resp); err != nil {
 		resp.Body.Close()
-		sending.closeConn() // a response without a body has given it back for other requests
+		if resp.ProtoMajor == 1 {
+			conn.Close() // net/http has kept it if the response has no body
+		}
 		return nil, err
 	}
+	if EndsWithConnection(resp) {
+		sending.CloseConn = func() { conn.Close() }
+	}
 	resp.Request = req
 	resp.Body = NewBody(resp, sending)
 	return resp, nil
