Send unsound heads in the soak

Backend servers of the soak now also send responses with status 000 and with a blank in the name of a field, in final and interim heads, with a body that no caller may get.

--- a/soak/run.go
+++ b/soak/run.go
@@ -151,7 +151,7 @@
 }
 
 // serverFaultKinds is the number of different faults that serverFault can return.
-const serverFaultKinds = 7
+const serverFaultKinds = 10
 
 // serverFault returns the nth fault of a backend server.
 func serverFault(n int) backend.Faults {
@@ -163,6 +163,9 @@
 		{OmitSeal: true},
 		{AbortAfterEvents: 4},
 		{Reject: true, RetryAfter: []string{"1.5"}},
+		{UnsoundHead: "HTTP/1.1 000 Trouble"},
+		{UnsoundHead: "HTTP/1.1 200 OK\r\nBad Name: x"},
+		{UnsoundHead: "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\nHTTP/1.1 200 OK"},
 	}[n%serverFaultKinds]
 }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -78,6 +78,7 @@
 	LongBody         int    // bytes of a plain response or of an engine's failure; 0 means a short one
 	AbortAfterEvents int    // streams are aborted after this many events; 0 means never
 	EndAfterEvents   int    // streams end after this many events, in the middle of an event, with no error in their framing
+	UnsoundHead      string // status line, and fields, with which a plain response or a stream begins; its body is another one
 	Unframed         bool   // streams have neither a length nor chunks and end with the connection
 	NoReport         bool   // gives no reports, but serves requests
 	Duplicate        bool   // sends each response of a plain service twice
@@ -343,6 +344,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.setResponseHeaders(w, received, faults)
+	if faults.UnsoundHead != "" {
+		writeUnsound(w, faults.UnsoundHead)
+		return
+	}
 	body := bodyPrefix + received.ID
 	if faults.Duplicate {
 		sendTwice(w, body)
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -115,6 +115,10 @@
 func (s *Server) writeEvents(w http.ResponseWriter, r *http.Request, received ReceivedRequest, faults Faults) {
 	s.setResponseHeaders(w, received, faults)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if faults.UnsoundHead != "" {
+		writeUnsound(w, faults.UnsoundHead)
+		return
+	}
 	controller := http.NewResponseController(w)
 	lastID, err := strconv.Atoi(r.Header.Get(headerLastEventID))
 	if err != nil {
