--- a/entry/incomplete_test.go
+++ b/entry/incomplete_test.go
@@ -11,9 +11,6 @@
 	"teaselgate/standin/wire"
 )
 
-// uploadBytes is more than the buffers of the sockets between a caller and a server hold.
-const uploadBytes = 16 << 20
-
 // countWhole sends requests with a body to a handler whose server sends an answer, and returns how many callers get a
 // whole response.
 func countWhole(t *testing.T, path string, answer wire.Answer, length int) int {
@@ -26,7 +23,7 @@
 	}
 	front := httptest.NewServer(h)
 	defer front.Close()
-	text := strings.Repeat("x", length)
+	text := wire.Upload(length)
 	whole := 0
 	for range requests {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL+path, strings.NewReader(text))
@@ -52,10 +49,9 @@
 
 // A service answers a long upload early, without a length, and ends the connection before it has read the upload.
 func TestCallersSeeThatAnEarlyResponseIsIncomplete(t *testing.T) {
-	for name, end := range map[string]wire.Ending{"reset": wire.Reset, "closed": wire.Close, "half ended": wire.HalfEnd} {
+	for name, early := range wire.EarlyAnswers("") {
 		for _, path := range []string{"/once", "/read"} {
-			answer := wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: end}
-			if whole := countWhole(t, path, answer, uploadBytes); whole > 0 {
+			if whole := countWhole(t, path, early.Answer, early.Length); whole > 0 {
 				t.Errorf("%s, %s: %d incomplete responses looked whole to their callers", path, name, whole)
 			}
 		}
--- a/instance/early_response_test.go
+++ b/instance/early_response_test.go
@@ -17,34 +17,33 @@
 // that has come is no answer: a request that may run once fails and is not sent again, and an idempotent one is answered by
 // another server.
 func TestEarlyResponsesThatEndWithTheConnectionAreNoAnswers(t *testing.T) {
-	for name, end := range map[string]wire.Ending{"reset": wire.Reset, "closed": wire.Close, "half ended": wire.HalfEnd} {
+	for _, name := range []string{"reset", "closed", "half ended"} {
 		t.Run(name+", once", func(t *testing.T) {
-			if failures := sendUntilAnsweredEarly(t, "/order/", end); failures != 1 {
+			if failures := sendUntilAnsweredEarly(t, "/order/", name); failures != 1 {
 				t.Errorf("%d requests failed instead of 1", failures)
 			}
 		})
 		t.Run(name+", idempotent", func(t *testing.T) {
-			if failures := sendUntilAnsweredEarly(t, "/status/", end); failures != 0 {
+			if failures := sendUntilAnsweredEarly(t, "/status/", name); failures != 0 {
 				t.Errorf("%d requests failed instead of 0", failures)
 			}
 		})
 	}
 }
 
-// sendUntilAnsweredEarly sends long requests to a site until the one server that answers early has got one, and returns the
-// number of requests that failed.
-func sendUntilAnsweredEarly(t *testing.T, path string, end wire.Ending) (failures int) {
+// sendUntilAnsweredEarly sends long requests to a site until the server that answers early, as the name says, has got one, and
+// returns the number of requests that failed.
+func sendUntilAnsweredEarly(t *testing.T, path, early string) (failures int) {
 	t.Helper()
-	const uploadBytes = 12 << 20 // more than the buffers of both sockets hold
 	s := startStoreSite(t)
-	s.allowLongRequests(t, uploadBytes)
+	s.allowLongRequests(t, wire.UploadBytes)
 	s.addSoundServer(t, "s0")
 	server := wire.NewServer(t, func(_ int64, r *http.Request) wire.Answer {
 		fields := "Attempt-Id: " + r.Header.Get("Attempt-Id") + "\r\nResponse-Seal: seal\r\n"
-		return wire.Answer{Text: "HTTP/1.1 200 OK\r\n" + fields + "\r\npart of the res", End: end}
+		return wire.EarlyAnswers(fields)[early].Answer
 	})
 	s.replaceAddress(t, "s0", func(string) string { return server.Address })
-	body := strings.Repeat("x", uploadBytes)
+	body := wire.Upload(wire.UploadBytes)
 	for n := 0; server.Requests() == 0; n++ {
 		if n == maxPolls {
 			t.Fatalf("the server got none of %d requests", n)
@@ -53,7 +52,7 @@
 		if status != http.StatusOK {
 			failures++
 		}
-		if strings.Contains(text, "part of the res") || status != http.StatusOK && text != "" {
+		if strings.Contains(text, wire.PartialText) || status != http.StatusOK && text != "" {
 			t.Errorf("unexpected answer, got status %d and %q", status, text)
 		}
 	}
@@ -89,7 +88,7 @@
 		t.Fatal(err)
 	}
 	for n := 0; ; n++ {
-		status, _ := s.postBody(t, "/order/", caller.Request{ID: "long", Key: accountKey}, strings.Repeat("x", length))
+		status, _ := s.postBody(t, "/order/", caller.Request{ID: "long", Key: accountKey}, wire.Upload(length))
 		if status == http.StatusOK {
 			return
 		}
--- a/service/early_test.go
+++ b/service/early_test.go
@@ -13,13 +13,6 @@
 	"teaselgate/standin/wire"
 )
 
-// Requests of the tests of early responses.
-const (
-	uploadBytes      = 16 << 20  // more than the buffers of both sockets hold
-	smallUploadBytes = 256 << 10 // fits into the buffers of the sockets
-	uploads          = 40
-)
-
 // sendOnce sends a request on a new connection.
 func sendOnce(ctx context.Context, c *Client, req *http.Request) (*http.Response, error) {
 	conn, err := c.Open(ctx, req.URL.Host)
@@ -63,24 +56,14 @@
 
 // A service answers a long upload early, without a length, and ends the connection before it has read the upload.
 func TestEarlyResponseThatEndsWithTheConnectionIsIncomplete(t *testing.T) {
+	const uploads = 40
 	for way, send := range senders {
-		for name, c := range map[string]struct {
-			end    wire.Ending
-			length int
-		}{
-			"reset":             {wire.Reset, uploadBytes},
-			"closed":            {wire.Close, uploadBytes},
-			"half ended":        {wire.HalfEnd, uploadBytes},
-			"half ended, small": {wire.HalfEnd, smallUploadBytes},
-		} {
+		for name, early := range wire.EarlyAnswers("") {
 			t.Run(way+" "+name, func(t *testing.T) {
-				text := strings.Repeat("x", c.length)
-				server := wire.NewServer(t, func(int64, *http.Request) wire.Answer {
-					return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: c.end}
-				})
-				whole := 0
+				server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return early.Answer })
+				body, whole := wire.Upload(early.Length), 0
 				for range uploads {
-					if _, err := upload(t, send, server.Address, strings.NewReader(text), int64(c.length)); err == nil {
+					if _, err := upload(t, send, server.Address, strings.NewReader(body), int64(early.Length)); err == nil {
 						whole++
 					}
 				}
@@ -94,17 +77,14 @@
 
 // The caller's upload pauses when the response ends, so that no write is under way.
 func TestEarlyResponseDuringAPauseOfTheUploadIsIncomplete(t *testing.T) {
-	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer {
-		return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: wire.HalfEnd}
-	})
+	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return wire.EarlyAnswers("")["half ended"].Answer })
 	for way, send := range senders {
-		for _, length := range []int64{uploadBytes, -1} {
+		for _, length := range []int64{wire.UploadBytes, -1} {
 			reader, writer := io.Pipe()
 			go func() { _, _ = io.WriteString(writer, "the beginning") }()
-			start := time.Now()
 			text, err := upload(t, send, server.Address, reader, length)
 			if err == nil || errors.Is(err, context.DeadlineExceeded) {
-				t.Errorf("%s, length %d: unexpected result after %v, got %q and error %v", way, length, time.Since(start), text, err)
+				t.Errorf("%s, length %d: unexpected result, got %q and error %v", way, length, text, err)
 			}
 			writer.Close()
 		}
@@ -113,18 +93,15 @@
 
 // Responses that are whole stay so: early ones with a length or chunks, and later ones without.
 func TestWholeResponsesToUploadsStayWhole(t *testing.T) {
-	for name, answer := range map[string]wire.Answer{
-		"early, with a length":   {Text: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nthe whole", End: wire.HalfEnd},
-		"early, in chunks":       {Text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nthe whole\r\n0\r\n\r\n", End: wire.HalfEnd},
-		"after the request":      {Text: "HTTP/1.1 200 OK\r\n\r\nthe whole", AfterBody: true},
-		"after the request, 1.0": {Text: "HTTP/1.0 200 OK\r\n\r\nthe whole", AfterBody: true, End: wire.HalfEnd},
-	} {
-		for _, length := range []int{0, 100, smallUploadBytes, uploadBytes} {
+	const uploads = 5
+	for name, answer := range wire.WholeAnswers() {
+		for _, length := range []int{0, 100, wire.SmallUploadBytes, wire.UploadBytes} {
 			server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return answer })
+			body := wire.Upload(length)
 			for way, send := range senders {
-				for n := range uploads / 8 {
-					text, err := upload(t, send, server.Address, strings.NewReader(strings.Repeat("x", length)), int64(length))
-					if err != nil || text != "the whole" {
+				for n := range uploads {
+					text, err := upload(t, send, server.Address, strings.NewReader(body), int64(length))
+					if err != nil || text != wire.WholeText {
 						t.Errorf("%s, %s, %d bytes, request %d: got %q and error %v", name, way, length, n, text, err)
 					}
 				}
--- a/standin/wire/call.go
+++ b/standin/wire/call.go
@@ -6,7 +6,8 @@
 	"testing"
 )
 
-// MalformedHeads returns the responses of InvalidStatuses, InvalidNames and ControlBytes with a body.
+// MalformedHeads returns the responses of InvalidStatuses, InvalidNames and ControlBytes that calls must refuse, whether or
+// not they read the body to its end.
 func MalformedHeads(fields, body string) map[string]string {
 	all := InvalidStatuses(fields, body)
 	maps.Copy(all, InvalidNames(fields, body))
--- a/upstream/early_test.go
+++ b/upstream/early_test.go
@@ -12,13 +12,6 @@
 	"teaselgate/standin/wire"
 )
 
-// Requests of the tests of early responses.
-const (
-	uploadBytes      = 16 << 20  // more than the buffers of both sockets hold
-	smallUploadBytes = 256 << 10 // fits into the buffers of the sockets
-	uploads          = 40
-)
-
 // upload sends a request with a body and returns the response that was read.
 func upload(t *testing.T, p *Pool, address string, body io.Reader, length int64) (string, error) {
 	t.Helper()
@@ -41,24 +34,15 @@
 // A server answers a long upload early, without a length, and ends the connection before it has read the upload. What
 // it sent until then is not the whole response.
 func TestEarlyResponseThatEndsWithTheConnectionIsIncomplete(t *testing.T) {
-	for name, c := range map[string]struct {
-		end    wire.Ending
-		length int
-	}{
-		"reset":             {wire.Reset, uploadBytes},
-		"closed":            {wire.Close, uploadBytes},
-		"half ended":        {wire.HalfEnd, uploadBytes},
-		"half ended, small": {wire.HalfEnd, smallUploadBytes},
-	} {
+	const uploads = 40
+	for name, early := range wire.EarlyAnswers("") {
 		t.Run(name, func(t *testing.T) {
-			server := wire.NewServer(t, func(int64, *http.Request) wire.Answer {
-				return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: c.end}
-			})
+			server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return early.Answer })
 			p := NewPool()
 			defer p.Close()
-			whole := 0
+			body, whole := wire.Upload(early.Length), 0
 			for range uploads {
-				if _, err := upload(t, p, server.Address, strings.NewReader(strings.Repeat("x", c.length)), int64(c.length)); err == nil {
+				if _, err := upload(t, p, server.Address, strings.NewReader(body), int64(early.Length)); err == nil {
 					whole++
 				}
 			}
@@ -71,38 +55,29 @@
 
 // The caller's upload pauses when the response ends, so that no write is under way.
 func TestEarlyResponseDuringAPauseOfTheUploadIsIncomplete(t *testing.T) {
-	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer {
-		return wire.Answer{Text: "HTTP/1.1 200 OK\r\n\r\npart of the res", End: wire.HalfEnd}
-	})
+	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return wire.EarlyAnswers("")["half ended"].Answer })
 	p := NewPool()
 	defer p.Close()
-	for _, length := range []int64{uploadBytes} {
-		reader, writer := io.Pipe()
-		go func() { _, _ = io.WriteString(writer, "the beginning") }()
-		start := time.Now()
-		text, err := upload(t, p, server.Address, reader, length)
-		if err == nil || errors.Is(err, context.DeadlineExceeded) {
-			t.Errorf("length %d: unexpected result after %v, got %q and error %v", length, time.Since(start), text, err)
-		}
-		writer.Close()
+	reader, writer := io.Pipe()
+	defer writer.Close()
+	go func() { _, _ = io.WriteString(writer, "the beginning") }()
+	text, err := upload(t, p, server.Address, reader, wire.UploadBytes)
+	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("unexpected result, got %q and error %v", text, err)
 	}
 }
 
 // Responses that are whole stay so: early ones with a length or chunks, and later ones without.
 func TestWholeResponsesToUploadsStayWhole(t *testing.T) {
-	for name, answer := range map[string]wire.Answer{
-		"early, with a length":     {Text: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nthe whole", End: wire.HalfEnd},
-		"early, in chunks":         {Text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nthe whole\r\n0\r\n\r\n", End: wire.HalfEnd},
-		"early, on a kept channel": {Text: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nthe whole", End: wire.Keep},
-		"after the request":        {Text: "HTTP/1.1 200 OK\r\n\r\nthe whole", AfterBody: true},
-		"after the request, 1.0":   {Text: "HTTP/1.0 200 OK\r\n\r\nthe whole", AfterBody: true, End: wire.HalfEnd},
-	} {
-		for _, length := range []int{0, 100, smallUploadBytes, uploadBytes} {
+	const uploads = 10
+	for name, answer := range wire.WholeAnswers() {
+		for _, length := range []int{0, 100, wire.SmallUploadBytes, wire.UploadBytes} {
 			server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return answer })
 			p := NewPool()
-			for n := range uploads / 4 {
-				text, err := upload(t, p, server.Address, strings.NewReader(strings.Repeat("x", length)), int64(length))
-				if err != nil || text != "the whole" {
+			body := wire.Upload(length)
+			for n := range uploads {
+				text, err := upload(t, p, server.Address, strings.NewReader(body), int64(length))
+				if err != nil || text != wire.WholeText {
 					t.Errorf("%s, %d bytes, request %d: got %q and error %v", name, length, n, text, err)
 				}
 			}
