--- a/response/transport.go
+++ b/response/transport.go
@@ -36,7 +36,7 @@
 	var conn net.Conn
 	interimBytes := 0
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) { // again if net/http repeats the request on another connection
 			conn = info.Conn
 			sending.restart(req)
 		},
--- a/standin/wire/early.go
+++ b/standin/wire/early.go
@@ -35,14 +35,16 @@
 // WholeText is the body of the answers of WholeAnswers.
 const WholeText = "the whole"
 
-// WholeAnswers returns answers to uploads that are whole, by name: early ones with a length or chunks, and others without.
+// WholeAnswers returns answers to uploads that are whole, by name: early ones with a length or chunks, and
+// ones without that end after the request.
 func WholeAnswers() map[string]Answer {
 	const withLength = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" + WholeText
 	return map[string]Answer{
-		"early, with a length":        {Text: withLength, End: HalfEnd},
-		"early, connection kept":      {Text: withLength, End: Keep},
-		"early, in chunks":            {Text: chunkedText("", WholeText, ""), End: HalfEnd},
-		"after the request":           {Text: "HTTP/1.1 200 OK\r\n\r\n" + WholeText, AfterBody: true},
-		"after the request, HTTP/1.0": {Text: "HTTP/1.0 200 OK\r\n\r\n" + WholeText, AfterBody: true, End: HalfEnd},
+		"early, with a length":          {Text: withLength, End: HalfEnd},
+		"early, connection kept":        {Text: withLength, End: Keep},
+		"early, in chunks":              {Text: chunkedText("", WholeText, ""), End: HalfEnd},
+		"early, ends after the request": {Text: "HTTP/1.1 200 OK\r\n\r\n" + WholeText, End: Drain},
+		"after the request":             {Text: "HTTP/1.1 200 OK\r\n\r\n" + WholeText, AfterBody: true},
+		"after the request, HTTP/1.0":   {Text: "HTTP/1.0 200 OK\r\n\r\n" + WholeText, AfterBody: true, End: HalfEnd},
 	}
 }
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -20,6 +20,7 @@
 	Close   Ending = iota // closes the connection, which resets it if received bytes were not read
 	Reset                 // resets the connection
 	HalfEnd               // ends its own direction and reads nothing more
+	Drain                 // reads the rest of the request and closes the connection
 	Keep                  // waits for the next request
 )
 
@@ -93,6 +94,8 @@
 		case HalfEnd:
 			_ = tcp.CloseWrite()
 			<-ctx.Done()
+		case Drain:
+			_, _ = io.Copy(io.Discard, req.Body)
 		case Close:
 		}
 		return
