Decide on the connection whether a request arrived before the end

Cause: the dialer asked whether bytes were unacknowledged when a read returned the end, and response.Sending asked later whether the whole request was sent. Between the two the sender could write the rest of the request into the buffers of both sockets. Nothing was unacknowledged at the first check, and all was sent at the second.

Change: the connection keeps what the other end had acknowledged (TCP_INFO) when a read returned the end. Writes that exceed it fail with EPIPE, whether they return before or after, so the request counts as not sent. A write that was received and has not returned stays good: it doesn't exceed it.

--- a/service/early_test.go
+++ b/service/early_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"teaselgate/socket"
 	"teaselgate/standin/wire"
 )
 
@@ -36,11 +37,19 @@
 func upload(
 	t *testing.T, send func(context.Context, *Client, *http.Request) (*http.Response, error), address string,
 	body io.Reader, length int64,
+) (string, error) {
+	t.Helper()
+	return uploadWith(t, NewClient(), send, address, body, length)
+}
+
+// uploadWith is upload with a client, which it closes.
+func uploadWith(
+	t *testing.T, client *Client, send func(context.Context, *Client, *http.Request) (*http.Response, error), address string,
+	body io.Reader, length int64,
 ) (string, error) {
 	t.Helper()
 	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
 	defer stop()
-	client := NewClient()
 	defer client.Close()
 	resp, err := send(ctx, client, &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: "/orders"},
@@ -75,6 +84,22 @@
 	}
 }
 
+// The rest of the upload is written between the end of the connection and the checks of the response, into the buffers of the
+// sockets.
+func TestEarlyResponseBeforeTheRestOfTheUploadIsIncomplete(t *testing.T) {
+	const length = wire.BufferedUploadBytes
+	for way, send := range senders {
+		delayed := wire.NewDelayedEnd(socket.NewDialer().DialContext, length)
+		server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return delayed.Answer() })
+		client := NewClient()
+		client.Dial = delayed.DialContext
+		text, err := uploadWith(t, client, send, server.Address, delayed.Body(), length)
+		if err == nil || errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("%s: unexpected result, got %q and error %v", way, text, err)
+		}
+	}
+}
+
 // The caller's upload pauses when the response ends, so that no write is under way.
 func TestEarlyResponseDuringAPauseOfTheUploadIsIncomplete(t *testing.T) {
 	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return wire.EarlyAnswers("")["half ended"].Answer })
--- a/socket/quiet.go
+++ b/socket/quiet.go
@@ -31,15 +31,16 @@
 	return more
 }
 
-// hasUnacknowledged reports whether the other end of a TCP connection has not acknowledged all bytes that were sent to it.
-// For other connections it reports false.
-func hasUnacknowledged(c net.Conn) bool {
-	unacknowledged := false
+// acknowledgedBytes returns how many bytes the other end of a TCP connection has acknowledged, with those that the handshake
+// counts. It returns 0 for other connections and for closed ones.
+func acknowledgedBytes(c descriptor) uint64 {
+	var bytes uint64
 	onSocket(c, func(fd int) {
-		bytes, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
-		unacknowledged = err == nil && bytes > 0
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			bytes = info.Bytes_acked
+		}
 	}, func() {})
-	return unacknowledged
+	return bytes
 }
 
 // HasWaitingConnection reports whether a listener has a connection that was not accepted yet. It does so only for sockets.
--- a/socket/unacknowledged_test.go
+++ b/socket/unacknowledged_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -47,6 +48,26 @@
 	}
 }
 
+// The other end ends its direction before bytes are sent, which its socket still receives.
+func TestWritesAfterTheEndFail(t *testing.T) {
+	dialed, accepted := acceptOne(t)
+	if _, err := dialed.Write([]byte("head")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(accepted, make([]byte, len("head"))); err != nil {
+		t.Fatal(err)
+	}
+	if err := accepted.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(dialed); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := dialed.Write([]byte("body")); !errors.Is(err, syscall.EPIPE) {
+		t.Errorf("unexpected error %v instead of %v", err, syscall.EPIPE)
+	}
+}
+
 // The other end ends its direction at once when it has read all that was sent.
 func TestEndAfterSentBytesArrivedIsAnEnd(t *testing.T) {
 	const bytes, connections = 1 << 20, 50
--- a/standin/wire/early.go
+++ b/standin/wire/early.go
@@ -6,6 +6,8 @@
 const (
 	UploadBytes      = 16 << 20  // more than the buffers of both sockets hold
 	SmallUploadBytes = 256 << 10 // fits into the buffer of the sending socket, but not into that of the receiving one
+
+	BufferedUploadBytes = 32 << 10 // fits into the buffer of the receiving socket; more than net/http buffers, also its half
 )
 
 // Upload returns the text of an upload.
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -26,9 +26,10 @@
 
 // Answer is what a server sends once it has read the head of a request.
 type Answer struct {
-	Text      string
-	AfterBody bool // whether the server reads the body of the request first
-	End       Ending
+	Text       string
+	AfterBytes int64 // bytes of the request's body that the server reads first
+	AfterBody  bool  // whether the server reads the whole body first
+	End        Ending
 }
 
 // Server is a server on a port of the loopback interface.
@@ -77,6 +78,9 @@
 			return
 		}
 		answer := s.answer(s.requests.Add(1), req)
+		if _, err := io.CopyN(io.Discard, req.Body, answer.AfterBytes); err != nil {
+			return
+		}
 		if answer.AfterBody {
 			if _, err := io.Copy(io.Discard, req.Body); err != nil {
 				return
--- a/upstream/early_test.go
+++ b/upstream/early_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// The rest of the upload is written between the end of the connection and the checks of the response, into the buffers of the
+// sockets.
+func TestEarlyResponseBeforeTheRestOfTheUploadIsIncomplete(t *testing.T) {
+	const length = wire.BufferedUploadBytes
+	p := NewPool()
+	defer p.Close()
+	delayed := wire.NewDelayedEnd(p.Dial, length)
+	p.Dial = delayed.DialContext
+	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return delayed.Answer() })
+	text, err := upload(t, p, server.Address, delayed.Body(), length)
+	if err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("unexpected result, got %q and error %v", text, err)
+	}
+}
+
 // The caller's upload pauses when the response ends, so that no write is under way.
 func TestEarlyResponseDuringAPauseOfTheUploadIsIncomplete(t *testing.T) {
 	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return wire.EarlyAnswers("")["half ended"].Answer })
