--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -61,3 +61,14 @@
 		})
 	}
 }
+
+// A prefill is the call to engines whose request may be long.
+func TestEarlyResponsesToPrefillsAreErrors(t *testing.T) {
+	wire.CheckEarly(t, "", `{"attempt":"a","handle":"h"}`, func(address, upload string) error {
+		client := NewClient()
+		client.SilenceTimeout = time.Second
+		defer client.Close()
+		_, err := client.Prefill(t.Context(), address, PrefillRequest{Attempt: "a", Prompt: upload})
+		return err
+	})
+}
--- a/entry/incomplete_test.go
+++ b/entry/incomplete_test.go
@@ -49,7 +49,7 @@
 
 // A service answers a long upload early, without a length, and ends the connection before it has read the upload.
 func TestCallersSeeThatAnEarlyResponseIsIncomplete(t *testing.T) {
-	for name, early := range wire.EarlyAnswers("") {
+	for name, early := range wire.EarlyAnswers("", wire.PartialText) {
 		for _, path := range []string{"/once", "/read"} {
 			if whole := countWhole(t, path, early.Answer, early.Length); whole > 0 {
 				t.Errorf("%s, %s: %d incomplete responses looked whole to their callers", path, name, whole)
--- a/instance/early_response_test.go
+++ b/instance/early_response_test.go
@@ -40,7 +40,7 @@
 	s.addSoundServer(t, "s0")
 	server := wire.NewServer(t, func(_ int64, r *http.Request) wire.Answer {
 		fields := "Attempt-Id: " + r.Header.Get("Attempt-Id") + "\r\nResponse-Seal: seal\r\n"
-		return wire.EarlyAnswers(fields)[early].Answer
+		return wire.EarlyAnswers(fields, wire.PartialText)[early].Answer
 	})
 	s.replaceAddress(t, "s0", func(string) string { return server.Address })
 	body := wire.Upload(wire.UploadBytes)
--- a/outcome/faults_page_test.go
+++ b/outcome/faults_page_test.go
@@ -105,6 +105,8 @@
 | a server sends bytes without end | heads, responses to other requests | upstream TestEndlessBytesAreGivenUp, platform TestEndlessReportsAreGivenUp | mended |
 | | bodies of plain services, streams, failures of engines | forward TestEndlessPlainResponsesAreBrokenOff, TestEndlessStreamsAreBrokenOff, TestLongFailuresOfEnginesAreNotCut | mended |
 | a server answers an upload early and breaks off | responses without a length, amid the upload or when it is still on its way | upstream, service TestEarlyResponseThatEndsWithTheConnectionIsIncomplete, instance TestEarlyResponsesThatEndWithTheConnectionAreNoAnswers, entry TestCallersSeeThatAnEarlyResponseIsIncomplete | mended |
+| | the rest of the upload is sent after the end of the connection was read | upstream, service TestEarlyResponseBeforeTheRestOfTheUploadIsIncomplete, socket TestWritesAfterTheEndFail | mended |
+| | prefills of the own dialect, writes to the store | engine TestEarlyResponsesToPrefillsAreErrors, platform TestEarlyResponsesToWritesAreErrors | mended |
 | a server's response is none in HTTP | statuses below 200, names with blanks, in heads, interim heads and trailers | response, upstream, service TestResponsesWithInvalidStatusesAreMalformed, TestResponsesWithInvalidFieldNamesAreMalformed, TestResponsesWithInvalidTrailersAreMalformed | mended |
 | | calls to engines, the store and instances | engine, platform TestMalformedResponsesOfEnginesAreErrors, TestMalformedResponsesOfTheStoreAreErrors, admin, config TestMalformedResponsesOfInstancesAreErrors | mended |
 | | control bytes | TestResponsesWithControlBytesAreRefused | can't happen |
--- a/service/early_test.go
+++ b/service/early_test.go
@@ -67,7 +67,7 @@
 func TestEarlyResponseThatEndsWithTheConnectionIsIncomplete(t *testing.T) {
 	const uploads = 40
 	for way, send := range senders {
-		for name, early := range wire.EarlyAnswers("") {
+		for name, early := range wire.EarlyAnswers("", wire.PartialText) {
 			t.Run(way+" "+name, func(t *testing.T) {
 				server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return early.Answer })
 				body, whole := wire.Upload(early.Length), 0
@@ -102,7 +102,7 @@
 
 // The caller's upload pauses when the response ends, so that no write is under way.
 func TestEarlyResponseDuringAPauseOfTheUploadIsIncomplete(t *testing.T) {
-	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return wire.EarlyAnswers("")["half ended"].Answer })
+	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return wire.EarlyAnswers("", wire.PartialText)["half ended"].Answer })
 	for way, send := range senders {
 		for _, length := range []int64{wire.UploadBytes, -1} {
 			reader, writer := io.Pipe()
--- a/standin/wire/call.go
+++ b/standin/wire/call.go
@@ -32,6 +32,21 @@
 	}
 }
 
+// CheckEarly checks that a call with a long request fails, and is sent once, if the server answers before it has read the
+// request, without a length, and ends the connection. The body of the answer is one that the call accepts.
+func CheckEarly(t *testing.T, fields, body string, call func(address, upload string) error) {
+	t.Helper()
+	for name, early := range EarlyAnswers(fields, body) {
+		server := NewServer(t, func(int64, *http.Request) Answer { return early.Answer })
+		if err := call(server.Address, Upload(early.Length)); err == nil {
+			t.Errorf("%s: the response was taken for whole", name)
+		}
+		if n := server.Requests(); n != 1 {
+			t.Errorf("%s: %d requests were sent instead of 1", name, n)
+		}
+	}
+}
+
 // CheckUnframed checks that a call succeeds with a response that has neither a length nor chunks, and ends with its
 // connection after the whole request.
 func CheckUnframed(t *testing.T, fields, body string, call func(address string) error) {
--- a/standin/wire/early.go
+++ b/standin/wire/early.go
@@ -23,9 +23,9 @@
 }
 
 // EarlyAnswers returns answers without a length that end with their connection before the upload was read, by name. They
-// have the given lines of header fields, each with its end.
-func EarlyAnswers(fields string) map[string]EarlyAnswer {
-	text := "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + PartialText
+// have the given lines of header fields, each with its end, and the given part of a body.
+func EarlyAnswers(fields, part string) map[string]EarlyAnswer {
+	text := "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + part
 	return map[string]EarlyAnswer{
 		"reset":             {Answer{Text: text, End: Reset}, UploadBytes},
 		"closed":            {Answer{Text: text, End: Close}, UploadBytes},
--- a/upstream/early_test.go
+++ b/upstream/early_test.go
@@ -35,7 +35,7 @@
 // it sent until then is not the whole response.
 func TestEarlyResponseThatEndsWithTheConnectionIsIncomplete(t *testing.T) {
 	const uploads = 40
-	for name, early := range wire.EarlyAnswers("") {
+	for name, early := range wire.EarlyAnswers("", wire.PartialText) {
 		t.Run(name, func(t *testing.T) {
 			server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return early.Answer })
 			p := NewPool()
@@ -70,7 +70,7 @@
 
 // The caller's upload pauses when the response ends, so that no write is under way.
 func TestEarlyResponseDuringAPauseOfTheUploadIsIncomplete(t *testing.T) {
-	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return wire.EarlyAnswers("")["half ended"].Answer })
+	server := wire.NewServer(t, func(int64, *http.Request) wire.Answer { return wire.EarlyAnswers("", wire.PartialText)["half ended"].Answer })
 	p := NewPool()
 	defer p.Close()
 	reader, writer := io.Pipe()
