Leave writes after the end of a connection to the kernel

Change: writes return what the kernel returns. The connection still keeps what was acknowledged at its end, and response.Sending asks by socket.ReceivedAll, once the request is sent, whether that is all.

--- a/response/sending.go
+++ b/response/sending.go
@@ -14,15 +14,20 @@
 // errNotSent means that a response ended and the request was not known to be sent soon after.
 var errNotSent = errors.New("response: the request was not sent")
 
+// errNotReceived means that the whole request was sent, but not before the connection ended.
+var errNotReceived = errors.New("response: the connection ended before the request was received")
+
 // finishTimeout bounds the wait for the result of sending a request on a connection that is closed. net/http reports none
 // if the connection was closed before it began to send.
 const finishTimeout = time.Second
 
 // Sending is the state of a request that is sent in one goroutine while its response is read in another.
 type Sending struct {
-	// CloseConn closes the connection, so that a write that is blocked fails. It is called at the end of a body that ends
-	// with its connection. It is set before the response is read; nil if no body does.
-	CloseConn func()
+	// CloseConn closes the connection, so that a write that is blocked fails. ReceivedAll reports whether the other end
+	// received all that was written before it ended the connection. They are called at the end of a body that ends with its
+	// connection, and set before the response is read; nil if no body does.
+	CloseConn   func()
+	ReceivedAll func() bool
 
 	mu       sync.Mutex
 	left     int64         // bytes of the body that were not read yet; negative if the length is unknown
@@ -87,8 +92,8 @@
 	return s.err
 }
 
-// check returns nil if the whole request was sent without an error, now that the response has ended with its connection.
-// The sender may not have returned yet from the write of the last bytes. It does so soon, as the connection is closed.
+// check returns nil if the whole request was sent without an error before the response ended with its connection, as it
+// has now. The sender may not have returned yet from the write of the last bytes. It does so soon, as the connection is closed.
 func (s *Sending) check() error {
 	s.mu.Lock()
 	bodyRead, done := s.bodyRead, s.done
@@ -103,10 +108,16 @@
 	defer timer.Stop()
 	select {
 	case <-done:
-		return s.Err()
+		if err := s.Err(); err != nil {
+			return err
+		}
 	case <-timer.C:
 		return errNotSent
 	}
+	if s.ReceivedAll != nil && !s.ReceivedAll() {
+		return errNotReceived
+	}
+	return nil
 }
 
 // countRead records that the sender has read n bytes of the body, and whether that was its end.
--- a/response/transport.go
+++ b/response/transport.go
@@ -62,6 +62,7 @@
 	}
 	if EndsWithConnection(resp) {
 		sending.CloseConn = func() { conn.Close() }
+		sending.ReceivedAll = func() bool { return socket.ReceivedAll(conn) }
 	}
 	resp.Request = req
 	resp.Body = NewBody(resp, sending)
--- a/socket/dialer.go
+++ b/socket/dialer.go
@@ -18,8 +18,8 @@
 }
 
 // DialContext opens a connection. Reads from it return io.ErrUnexpectedEOF instead of io.EOF if the other end has ended
-// the connection before it received all that was written. Writes return syscall.EPIPE if they are not received before the
-// end that a read has returned, also where the other end could still receive them.
+// the connection before it received all that was written. ReceivedAll says whether writes that returned later were received
+// before the end.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	raw, err := d.Dialer.DialContext(ctx, network, address)
 	if err != nil {
@@ -59,27 +59,38 @@
 }
 
 // recordEnd records what the other end has received before it ended the connection, and reports whether that is all that
-// was written. A write that has not returned yet may have been received: it decides itself.
+// was written, apart from a write that has not returned yet.
 func (c *dialedConn) recordEnd() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ended {
 		c.ended, c.acknowledged = true, max(acknowledgedBytes(c), c.handshake)-c.handshake
 	}
-	return c.isReceived()
+	return c.written <= c.acknowledged
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. A write after the end of the connection succeeds, as on other connections, if the other end can
+// still receive it: net/http repeats an idempotent request after the end of a connection, but not after a failed write.
 func (c *dialedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written += uint64(n)
-	if err == nil && c.ended && !c.isReceived() {
-		err = &net.OpError{Op: "write", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: syscall.EPIPE}
-	}
 	return n, err
 }
 
-// isReceived reports whether all that was written has been received before the end.
-func (c *dialedConn) isReceived() bool { return c.written <= c.acknowledged }
+// ReceivedAll reports whether the other end of a connection received all that was written to it before the end that a read
+// has returned. It knows that of the connections of a Dialer, and of those whose NetConn method returns one. It reports true
+// for others, and before the end.
+func ReceivedAll(conn net.Conn) bool {
+	switch c := conn.(type) {
+	case *dialedConn:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return !c.ended || c.written <= c.acknowledged
+	case interface{ NetConn() net.Conn }:
+		return ReceivedAll(c.NetConn())
+	default:
+		return true
+	}
+}
--- a/standin/wire/delayed_end.go
+++ b/standin/wire/delayed_end.go
@@ -64,6 +64,9 @@
 	begun   bool
 }
 
+// NetConn returns the connection that the delay is added to.
+func (c *delayedEndConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements io.Reader.
 func (c *delayedEndConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -28,6 +28,7 @@
 	sending, req := response.Track(req)
 	e := &exchange{pool: p, conn: c, address: address, requestID: requestID, stop: stop, sending: sending}
 	sending.CloseConn = e.abort
+	sending.ReceivedAll = func() bool { return socket.ReceivedAll(c.Conn) }
 	e.send(req)
 	resp, err := e.receive(req) //nolint:bodyclose // closed through the returned Response
 	if err != nil {
