--- a/response/sending.go
+++ b/response/sending.go
@@ -23,11 +23,10 @@
 
 // Sending is the state of a request that is sent in one goroutine while its response is read in another.
 type Sending struct {
-	// CloseConn closes the connection, so that a write that is blocked fails. ReceivedAll reports whether the other end
-	// received all that was written before it ended the connection. They are called at the end of a body that ends with its
-	// connection, and set before the response is read; nil if no body does.
-	CloseConn   func()
-	ReceivedAll func() bool
+	// Both are called at the end of a body that ends with its connection. They are set before the response is read; nil if
+	// no body does.
+	CloseConn   func()      // closes the connection, so that a write that is blocked fails
+	ReceivedAll func() bool // socket.ReceivedAll of the connection
 
 	mu       sync.Mutex
 	left     int64         // bytes of the body that were not read yet; negative if the length is unknown
@@ -92,8 +91,8 @@
 	return s.err
 }
 
-// check returns nil if the whole request was sent without an error before the response ended with its connection, as it
-// has now. The sender may not have returned yet from the write of the last bytes. It does so soon, as the connection is closed.
+// check returns nil if the whole request was sent, without an error, before the response ended with its connection. The
+// sender may not have returned yet from the write of the last bytes. It does so soon, as the connection is closed.
 func (s *Sending) check() error {
 	s.mu.Lock()
 	bodyRead, done := s.bodyRead, s.done
