Add a review case: decode requests reach replicas that left meanwhile

Cause: the decode replica is chosen before the prompt is read, and its state is not looked at again before the request is sent to it. With a long prompt it may have been draining for longer than drainMs, and it cuts the stream when it exits.

Nothing is fixed.

--- a/review/_kit3/main.go
+++ b/review/_kit3/main.go
@@ -9,7 +9,8 @@
 
 // cases are the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(*record, bool) (bool, error){
-	"empty-part":    emptyPart,
+	"empty-part":  emptyPart,
+	"long-prompt": longPrompt,
 }
 
 func main() {
