Add a review case: streams that are taken late in a stop are cut

Cause: for half a second after it has stopped to accept, a stopping instance keeps channels on which nothing has come yet, and serves the requests that come on them. Streams that do not end within the grace period are cut, also those that were sent more than 3 s after the SIGTERM.

Nothing is fixed.

--- a/review/_kit3/main.go
+++ b/review/_kit3/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*record, bool) (bool, error){
 	"empty-part":  emptyPart,
 	"long-prompt": longPrompt,
+	"late-stop":   lateStop,
 }
 
 func main() {
