Add a review case: removals are heeded late after an outage of the store

Cause: an instance counts an outage as ended when a call of its own succeeds, up to 2.5 s after the store's return, and takes removals of the next 1.8 s for lapses. It delays them, and finds them only by polling, as its watches still wait on dead channels.

Change: review/14 shows it with a script. Nothing is fixed.

--- a/review/_kit3/main.go
+++ b/review/_kit3/main.go
@@ -12,6 +12,7 @@
 	"empty-part":  emptyPart,
 	"long-prompt": longPrompt,
 	"late-stop":   lateStop,
+	"store-back":  storeBack,
 }
 
 func main() {
