Add a review case: an encoded slash selects the route of another service

Cause: the prefixes of routes are compared with the decoded path, while the path is forwarded as the client sent it.

Change: review/15 shows it with a script. Nothing is fixed.

--- a/review/_kit3/main.go
+++ b/review/_kit3/main.go
@@ -9,10 +9,11 @@
 
 // cases are the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(*record, bool) (bool, error){
-	"empty-part":  emptyPart,
-	"long-prompt": longPrompt,
-	"late-stop":   lateStop,
-	"store-back":  storeBack,
+	"empty-part":    emptyPart,
+	"long-prompt":   longPrompt,
+	"late-stop":     lateStop,
+	"store-back":    storeBack,
+	"encoded-slash": encodedSlash,
 }
 
 func main() {
