Replace a review case: an entry of another writer brings back a leaving replica

Cause: an entry without slots, version, sequence and start is taken for that of a ready replica, though such an entry comes from another writer and names no replica to use. A replica that has been draining for seconds gets requests again and cuts them when it exits.

Nothing is fixed.

--- a/review/_kit3/bed.go
+++ b/review/_kit3/bed.go
@@ -137,6 +137,14 @@
 	}
 }
 
+// orderRoute returns a route to the plain service whose requests may run once.
+func orderRoute() map[string]any {
+	return map[string]any{
+		"name": "r-1", "hostname": hostName, "pathPrefix": "/pule252/", "routeType": "non_idempotent", "timeoutMs": 600,
+		"targetLatencyMs": 100, "priority": 2, "service": plainService, "maxAttempts": 1, "public": false,
+	}
+}
+
 func oneTenant() []any {
 	return []any{map[string]any{"name": tenantName, "apiKeys": []string{apiKey}, "priority": 1}}
 }
--- a/review/_kit3/main.go
+++ b/review/_kit3/main.go
@@ -13,7 +13,7 @@
 	"long-prompt":   longPrompt,
 	"late-stop":     lateStop,
 	"store-back":    storeBack,
-	"encoded-slash": encodedSlash,
+	"foreign-entry": foreignEntry,
 }
 
 func main() {
--- a/review/_kit3/storeback.go
+++ b/review/_kit3/storeback.go
@@ -23,11 +23,8 @@
 		leaves,
 		{id: "i-s3", service: plainService, zone: "c", work: 60 * time.Millisecond},
 	}, map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-1", "hostname": hostName, "pathPrefix": "/pule252/", "routeType": "non_idempotent", "timeoutMs": 600,
-			"targetLatencyMs": 100, "priority": 2, "service": plainService, "maxAttempts": 1, "public": false,
-		}},
+		"version":  7,
+		"routes":   []any{orderRoute()},
 		"services": []any{plainEntry()}, "limits": clientLimits(), "tenants": oneTenant(),
 	})
 	if err != nil {
@@ -57,7 +54,11 @@
 	leaves.http.Close()
 	r.say("%s exits %.3f s after the ack", leaves.id, time.Since(acked).Seconds())
 	time.Sleep(time.Second)
-	answers := stop()
+	return b.countLate(leaves, acked, stop()), nil
+}
+
+// countLate reports whether requests have reached a replica later than drainMs after the ack of its leaving.
+func (b *bed) countLate(leaves *replica, acked time.Time, answers map[string]answer) bool {
 	late, lost, last := 0, 0, time.Duration(0)
 	for _, run := range leaves.all() {
 		after := run.at.Sub(acked)
@@ -66,15 +67,15 @@
 			continue
 		}
 		late++
-		r.add("DRAIN: %s reached %s %.3f s after the ack", run.id, leaves.id, after.Seconds())
+		b.record.add("DRAIN: %s reached %s %.3f s after the ack", run.id, leaves.id, after.Seconds())
 		if answers[run.id].status != http.StatusOK {
 			lost++
-			r.add("%s was answered with status %d", run.id, answers[run.id].status)
+			b.record.add("%s was answered with status %d", run.id, answers[run.id].status)
 		}
 	}
-	r.say("the last request reached %s %.3f s after the ack; %d came later than drainMs, of which %d were lost when it exited",
+	b.record.say("the last request reached %s %.3f s after the ack; %d came later than drainMs, of which %d were lost when it exited",
 		leaves.id, last.Seconds(), late, lost)
-	return late > 0, nil
+	return late > 0
 }
 
 // fallSilent makes the store silent until the two instances that read it regularly have asked it for a second time.
