Add a review case: an accepted change is lost after a restore of the store

Cause: a follower of a rules file puts only revisions with a higher number in force, and a restored store gives numbers out again. After the lost changes were written again by one change, the next one has the number of a revision that is in force already.

Nothing is fixed.

--- a/review/_kit3/bed.go
+++ b/review/_kit3/bed.go
@@ -42,9 +42,42 @@
 			return nil, err
 		}
 	}
+	if manifest == nil {
+		return b, nil
+	}
 	return b, b.store.put("config", "main", manifest)
 }
 
+// newOwnBed starts the store and a server for instances that follow a rules file.
+func newOwnBed(r *record, s *replica) (*bed, error) {
+	b, err := newBed(r, nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	s.record = r
+	b.replicas = []*replica{s}
+	return b, s.start()
+}
+
+// startOwnInstances starts n instances that follow a rules file and waits until all are ready.
+func (b *bed) startOwnInstances(n int) error {
+	var err error
+	if b.instances, err = newInstances(n, b.zones); err != nil {
+		return err
+	}
+	for _, in := range b.instances {
+		if err := in.writeOwnSettings(b.folder, b.instances, b.store.address); err != nil {
+			return err
+		}
+	}
+	for _, in := range b.instances {
+		if err := in.start(b.folder); err != nil {
+			return err
+		}
+	}
+	return b.awaitReady(10 * time.Second)
+}
+
 // startInstances starts n instances and waits until all are ready.
 func (b *bed) startInstances(n int, fenced bool) error {
 	var err error
--- a/review/_kit3/main.go
+++ b/review/_kit3/main.go
@@ -9,9 +9,10 @@
 
 // cases are the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(*record, bool) (bool, error){
-	"long-prompt": longPrompt,
-	"late-stop":   lateStop,
-	"store-back":  storeBack,
+	"long-prompt":    longPrompt,
+	"late-stop":      lateStop,
+	"store-back":     storeBack,
+	"restored-rules": restoredRules,
 }
 
 func main() {
