Say how often case 14 of the review breaks its rule with times drawn at random

The script sets the end of the store's silence and the removal by the calls that the store gets, which the claim did not say.

--- a/review/_kit3/storeback.go
+++ b/review/_kit3/storeback.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -35,13 +37,23 @@
 		return false, err
 	}
 	time.Sleep(6 * time.Second)
-	if trouble {
+	switch {
+	case trouble && atRandom():
+		b.store.silence.begin()
+		length := 3*time.Second + rand.N(longestOutage-3*time.Second)
+		time.Sleep(length)
+		b.store.silence.end()
+		r.say("the store answers again after %.3f s", length.Seconds())
+	case trouble:
 		b.fallSilent()
 	}
 	back := time.Now()
 	time.Sleep(contactTime + 50*time.Millisecond)
 	stop := b.sendSteadily()
-	if trouble {
+	switch {
+	case trouble && atRandom():
+		time.Sleep(rand.N(time.Second))
+	case trouble:
 		b.awaitPolls()
 	}
 	status, err := b.store.call(http.MethodDelete, "/-/objects/servers/"+leaves.id, nil)
@@ -57,6 +69,10 @@
 	return b.countLate(leaves, acked, stop()), nil
 }
 
+// atRandom reports whether the times of the silence's end and of the removal are drawn, instead of set by the calls that the
+// store gets.
+func atRandom() bool { return os.Getenv("TIMES") == "random" }
+
 // countLate reports whether requests have reached a replica later than drainMs after the ack of its leaving.
 func (b *bed) countLate(leaves *replica, acked time.Time, answers map[string]answer) bool {
 	late, lost, last := 0, 0, time.Duration(0)
